Add the design page, shared types, log events and a stand-in upstream

The repository was empty. The design page settles packages, interfaces, state and failure handling; the root package holds submissions, keys and outcomes.

--- /dev/null
+++ b/executor/executor.go
@@ -0,0 +1,223 @@
+// Package executor is a stand-in upstream: it announces itself to the hosts of its
+// failure domain and runs tasks by sleeping for the run time that the payload asks for.
+//
+// It follows the upstream protocol of docs/design.md: a task ends at the latest with its
+// lease, a task without a free slot is refused with the code "not-started", and an
+// answer repeats the task identifier and the attempt. Faults can be set while it runs.
+// All methods are safe for concurrent use.
+package executor
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxPayload        = 8 << 20
+)
+
+// Faults changes how an executor behaves. The zero value is a healthy executor.
+type Faults struct {
+	// Slowdown multiplies run times; values of 1 and below have no effect.
+	Slowdown float64
+	// FailAll makes every task fail at once.
+	FailAll bool
+	// Hang makes every task last until its lease ends.
+	Hang bool
+}
+
+// Config describes one executor.
+type Config struct {
+	ID string
+	// Address is the IP address and port to listen on; port 0 picks a free one.
+	Address string
+	// Hosts are the base URLs of the hosts of the same failure domain.
+	Hosts   []string
+	Service string
+	// Incarnation must grow with each start of the same ID.
+	Incarnation uint64
+	Slots       int
+	Connections int
+	// TTL is the time for which an announcement holds.
+	TTL    time.Duration
+	Faults Faults
+	// OnStart is called at each start of a task if it is set.
+	OnStart func(taskID string, attempt int)
+}
+
+// Work is the payload that an executor understands. A payload of another form runs for
+// no time and is echoed.
+type Work struct {
+	RunTime string `json:"run-time"`
+	Fail    string `json:"fail,omitempty"`
+	Echo    string `json:"echo,omitempty"`
+}
+
+// Answer is what an executor returns for a task that succeeded.
+type Answer struct {
+	Task     string `json:"task"`
+	Attempt  int    `json:"attempt"`
+	Upstream string `json:"upstream"`
+	Echo     string `json:"echo,omitempty"`
+}
+
+// Running describes one running task in the reply to GET /tasks.
+type Running struct {
+	Task    string    `json:"task"`
+	Attempt int       `json:"attempt"`
+	Ends    time.Time `json:"ends"`
+}
+
+type execution struct {
+	Running
+	cancel context.CancelCauseFunc
+}
+
+var (
+	errStopped = errors.New("stopped by a host")
+	errLease   = errors.New("lease ended")
+)
+
+// Executor is one running stand-in upstream.
+type Executor struct {
+	cfg      Config
+	listener net.Listener
+	http     *http.Server
+	stop     context.CancelFunc
+	done     sync.WaitGroup
+	wake     chan struct{}
+
+	mu      sync.Mutex
+	faults  Faults
+	state   string
+	running map[string]*execution
+	idle    chan struct{} // closed and replaced whenever running becomes empty
+}
+
+// New starts an executor: it listens, serves tasks and announces itself until Close.
+func New(cfg Config) (*Executor, error) {
+	if cfg.Slots < 1 || cfg.Connections < 1 || cfg.TTL <= 0 {
+		return nil, fmt.Errorf("executor %q: slots, connections and ttl must be above zero", cfg.ID)
+	}
+	var lc net.ListenConfig
+	listener, err := lc.Listen(context.Background(), "tcp", cfg.Address)
+	if err != nil {
+		return nil, fmt.Errorf("executor %q: %w", cfg.ID, err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	e := &Executor{
+		cfg:      cfg,
+		listener: listener,
+		stop:     stop,
+		wake:     make(chan struct{}, 1),
+		faults:   cfg.Faults,
+		state:    stateServing,
+		running:  map[string]*execution{},
+		idle:     make(chan struct{}),
+	}
+	e.http = &http.Server{
+		Handler:           e.routes(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	e.done.Go(func() {
+		// Serve returns ErrServerClosed after Close.
+		_ = e.http.Serve(listener)
+	})
+	e.done.Go(func() { e.announceUntil(ctx) })
+	return e, nil
+}
+
+// Address returns the IP address and port on which tasks are served.
+func (e *Executor) Address() string { return e.listener.Addr().String() }
+
+// SetFaults changes the faults for tasks that start later.
+func (e *Executor) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// Leave announces that the executor takes no new work and waits until running tasks
+// have ended or ctx is done.
+func (e *Executor) Leave(ctx context.Context) error {
+	e.mu.Lock()
+	e.state = stateLeaving
+	e.mu.Unlock()
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+	for {
+		e.mu.Lock()
+		n, idle := len(e.running), e.idle
+		e.mu.Unlock()
+		if n == 0 {
+			return nil
+		}
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Close stops at once, as a process that dies does: running tasks are cut.
+func (e *Executor) Close() error {
+	e.stop()
+	err := e.http.Close()
+	e.done.Wait()
+	return err
+}
+
+func (e *Executor) routes() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/tasks", e.run).Methods(http.MethodPost)
+	r.HandleFunc("/tasks", e.list).Methods(http.MethodGet)
+	r.HandleFunc("/tasks/{id}", e.stopTask).Methods(http.MethodDelete)
+	return r
+}
+
+func (e *Executor) list(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	tasks := make([]Running, 0, len(e.running))
+	for _, x := range e.running {
+		tasks = append(tasks, x.Running)
+	}
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, tasks)
+}
+
+func (e *Executor) stopTask(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	x, ok := e.running[mux.Vars(r)["id"]]
+	e.mu.Unlock()
+	if !ok {
+		writeError(w, http.StatusNotFound, "not-running", "the task does not run here")
+		return
+	}
+	x.cancel(errStopped)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the host has gone; there is nobody to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func writeError(w http.ResponseWriter, status int, code, message string) {
+	writeJSON(w, status, map[string]string{"code": code, "message": message})
+}
--- /dev/null
+++ b/executor/run.go
@@ -0,0 +1,138 @@
+package executor
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Headers of the upstream protocol.
+const (
+	taskHeader    = "Task-Id"
+	attemptHeader = "Attempt"
+	leaseHeader   = "Task-Lease"
+)
+
+var errNoSlot = errors.New("every slot is taken")
+
+func (e *Executor) run(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(taskHeader)
+	attempt, err := strconv.Atoi(r.Header.Get(attemptHeader))
+	if id == "" || err != nil {
+		writeError(w, http.StatusBadRequest, "bad-request", "the headers Task-Id and Attempt are needed")
+		return
+	}
+	lease, err := time.ParseDuration(r.Header.Get(leaseHeader))
+	if err != nil || lease <= 0 {
+		writeError(w, http.StatusBadRequest, "bad-request", "the header Task-Lease must be a duration above zero")
+		return
+	}
+	payload, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPayload))
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "bad-request", err.Error())
+		return
+	}
+	w.Header().Set(taskHeader, id)
+	w.Header().Set(attemptHeader, strconv.Itoa(attempt))
+	ctx, faults, err := e.begin(r.Context(), id, attempt, lease)
+	if err != nil {
+		writeError(w, http.StatusServiceUnavailable, "not-started", err.Error())
+		return
+	}
+	defer e.end(id)
+	e.perform(ctx, w, payload, faults, Answer{
+		Task:     id,
+		Attempt:  attempt,
+		Upstream: e.cfg.ID,
+	})
+}
+
+// begin takes a slot for the task. The context ends with the lease or the connection.
+func (e *Executor) begin(ctx context.Context, id string, attempt int, lease time.Duration) (context.Context, Faults, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.running[id]; ok {
+		return nil, Faults{}, errors.New("the task runs here already")
+	}
+	if len(e.running) >= e.cfg.Slots {
+		return nil, Faults{}, errNoSlot
+	}
+	ctx, stop := context.WithTimeoutCause(ctx, lease, errLease)
+	ctx, cancel := context.WithCancelCause(ctx)
+	e.running[id] = &execution{
+		Running: Running{
+			Task:    id,
+			Attempt: attempt,
+			Ends:    time.Now().Add(lease),
+		},
+		cancel: func(cause error) {
+			cancel(cause)
+			stop()
+		},
+	}
+	if e.cfg.OnStart != nil {
+		e.cfg.OnStart(id, attempt)
+	}
+	return ctx, e.faults, nil
+}
+
+func (e *Executor) end(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running[id].cancel(nil)
+	delete(e.running, id)
+	if len(e.running) == 0 {
+		close(e.idle)
+		e.idle = make(chan struct{})
+	}
+}
+
+func (e *Executor) perform(ctx context.Context, w http.ResponseWriter, payload []byte, f Faults, answer Answer) {
+	var work Work
+	if err := json.Unmarshal(payload, &work); err != nil {
+		work = Work{Echo: string(payload)}
+	}
+	if f.FailAll {
+		writeError(w, http.StatusInternalServerError, "task-failed", "this executor fails every task")
+		return
+	}
+	took, err := time.ParseDuration(work.RunTime)
+	if work.RunTime != "" && (err != nil || took < 0) {
+		writeError(w, http.StatusInternalServerError, "task-failed", "run-time is not a duration of zero or more")
+		return
+	}
+	if f.Slowdown > 1 {
+		took = time.Duration(float64(took) * f.Slowdown)
+	}
+	if err := sleep(ctx, took, f.Hang); err != nil {
+		writeError(w, http.StatusInternalServerError, "task-stopped", err.Error())
+		return
+	}
+	if work.Fail != "" {
+		writeError(w, http.StatusInternalServerError, "task-failed", work.Fail)
+		return
+	}
+	answer.Echo = work.Echo
+	writeJSON(w, http.StatusOK, answer)
+}
+
+// sleep waits for d, or for the end of ctx if hang is set, and returns the cause if ctx
+// ended first.
+func sleep(ctx context.Context, d time.Duration, hang bool) error {
+	if hang {
+		<-ctx.Done()
+		return context.Cause(ctx)
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/key.go
@@ -0,0 +1,143 @@
+package sesamedrift
+
+import (
+	"hash/fnv"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// Names of the HTTP headers that carry a request key.
+const (
+	KeyHeader        = "Idempotency-Key"
+	KeyCreatedHeader = "Idempotency-Key-Created"
+)
+
+const wantedKey = "[<domain>.]<id>, with an id of 1 to 128 letters, digits, '-' and '_'; " +
+	"an id that is no UUIDv7 needs the header " + KeyCreatedHeader + " (RFC 3339)"
+
+var keyPattern = regexp.MustCompile(`^(?:([a-z0-9][a-z0-9-]{0,62})\.)?([A-Za-z0-9_-]{1,128})$`)
+
+// Key is a request key. Two submissions are the same if their keys are equal.
+type Key struct {
+	// Domain is the explicit home failure domain, or empty.
+	Domain string `msgpack:"domain"`
+	// ID is a UUIDv7 or an opaque identifier chosen by the caller.
+	ID string `msgpack:"id"`
+	// Created is the creation time of the key, at millisecond precision in UTC.
+	Created time.Time `msgpack:"created"`
+}
+
+// NewKey returns a key that has never been used, with the given home domain.
+func NewKey(now time.Time, domain string) Key {
+	id, err := uuid.NewV7()
+	if err != nil {
+		panic("sesamedrift: no source of random numbers: " + err.Error())
+	}
+	ms := uint64(now.UnixMilli())
+	for i := range 6 {
+		id[i] = byte(ms >> (8 * (5 - i)))
+	}
+	return Key{
+		Domain:  domain,
+		ID:      id.String(),
+		Created: time.UnixMilli(now.UnixMilli()).UTC(),
+	}
+}
+
+// ParseKey reads the text form of a key. The creation time of an opaque id is given by
+// created (RFC 3339); for a UUIDv7 it is taken from the id, and created must be empty
+// or agree with it. Errors are of type *InvalidError.
+func ParseKey(text, created string) (Key, error) {
+	m := keyPattern.FindStringSubmatch(text)
+	if m == nil {
+		return Key{}, &InvalidError{Field: KeyHeader, Value: text, Want: wantedKey}
+	}
+	k := Key{Domain: m[1], ID: m[2]}
+	if at, ok := timeOfUUID(k.ID); ok {
+		k.Created = at
+	}
+	if created == "" {
+		if k.Created.IsZero() {
+			return Key{}, &InvalidError{Field: KeyHeader, Value: text, Want: wantedKey}
+		}
+		return k, nil
+	}
+	at, err := time.Parse(time.RFC3339, created)
+	if err != nil {
+		return Key{}, &InvalidError{Field: KeyCreatedHeader, Value: created, Want: "a time in RFC 3339 format"}
+	}
+	at = time.UnixMilli(at.UnixMilli()).UTC()
+	if !k.Created.IsZero() && !at.Equal(k.Created) {
+		return Key{}, &InvalidError{Field: KeyCreatedHeader, Value: created, Want: "the time in the UUIDv7, or no header"}
+	}
+	k.Created = at
+	return k, nil
+}
+
+func timeOfUUID(id string) (time.Time, bool) {
+	u, err := uuid.Parse(id)
+	if err != nil || u.Version() != 7 {
+		return time.Time{}, false
+	}
+	var ms int64
+	for _, b := range u[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return time.UnixMilli(ms).UTC(), true
+}
+
+// String returns the text form without the creation time.
+func (k Key) String() string {
+	if k.Domain == "" {
+		return k.ID
+	}
+	return k.Domain + "." + k.ID
+}
+
+// Identity returns the text that identifies a submission: the key with its creation
+// time in milliseconds.
+func (k Key) Identity() string {
+	return k.String() + "@" + k.Created.UTC().Format("20060102T150405.000")
+}
+
+// Home returns the home failure domain of the key: its prefix, or else the domain with
+// the highest rendezvous hash of the id. It returns "" if domains is empty. The order of
+// domains does not matter.
+func (k Key) Home(domains []string) string {
+	if k.Domain != "" {
+		return k.Domain
+	}
+	var home string
+	var highest uint64
+	for _, d := range domains {
+		h := RendezvousHash(k.ID, d)
+		if home == "" || h > highest || h == highest && d < home {
+			home, highest = d, h
+		}
+	}
+	return home
+}
+
+// RendezvousHash returns the weight of a node for an item. The node with the highest
+// weight is responsible for the item, so that a change of one node moves only the items
+// of that node.
+func RendezvousHash(item, node string) uint64 {
+	h := fnv.New64a()
+	// Writes to a hash never fail.
+	_, _ = h.Write([]byte(strings.Join([]string{item, node}, "\x00")))
+	return mix(h.Sum64())
+}
+
+// mix spreads the bits of an FNV hash, whose high bits differ little between inputs
+// that differ only in their last bytes.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
