registrar: add replicated versioned registers

Cause: configuration and views need one decided value per version, on hosts of which any may lose its disk.

Change: package registrar with ballots per version, repair of empty replicas with epochs, bootstrap of a new set, single-step changes of the replica set, audit trail, anti-entropy for hosts without a disk. Protocol steps are plain structs (Replica, Round); Registrar stores each record before it answers.

--- /dev/null
+++ b/registrar/members.go
@@ -0,0 +1,87 @@
+package registrar
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+)
+
+// EncodeReplicas returns the value of the register ReplicaSet for a set of replicas.
+func EncodeReplicas(replicas []string) []byte {
+	sorted := slices.Sorted(slices.Values(replicas))
+	value, err := json.Marshal(sorted)
+	if err != nil {
+		panic("registrar: a list of strings cannot be encoded: " + err.Error())
+	}
+	return value
+}
+
+// DecodeReplicas reads a value of the register ReplicaSet. Errors are of type *InvalidError.
+func DecodeReplicas(value []byte) ([]string, error) {
+	var replicas []string
+	if err := json.Unmarshal(value, &replicas); err != nil {
+		return nil, &InvalidError{
+			Field: ReplicaSet,
+			Value: string(value),
+			Want:  "a JSON array of replica names",
+		}
+	}
+	if err := checkReplicas(replicas); err != nil {
+		return nil, err
+	}
+	return replicas, nil
+}
+
+func checkReplicas(replicas []string) error {
+	sorted := slices.Sorted(slices.Values(replicas))
+	if len(sorted) == 0 || sorted[0] == "" || len(slices.Compact(sorted)) != len(replicas) {
+		return &InvalidError{
+			Field: ReplicaSet,
+			Value: fmt.Sprint(replicas),
+			Want:  "one or more different names of replicas",
+		}
+	}
+	return nil
+}
+
+// Members returns the replica set and its version.
+func (s State) Members() ([]string, uint64) {
+	r := s.Registers[ReplicaSet]
+	if r == nil || r.Version == 0 {
+		return s.Initial, 0
+	}
+	replicas, err := DecodeReplicas(r.Value)
+	if err != nil {
+		panic("registrar: a decided replica set cannot be read: " + err.Error())
+	}
+	return replicas, r.Version
+}
+
+// checkStep returns an *InvalidError unless value is a replica set that adds one replica to
+// the current set or removes one. Only then has each majority of the new set a member in
+// common with each majority of the current one.
+func checkStep(current []string, value []byte) error {
+	next, err := DecodeReplicas(value)
+	if err != nil {
+		return err
+	}
+	differences := 0
+	for _, name := range next {
+		if !slices.Contains(current, name) {
+			differences++
+		}
+	}
+	for _, name := range current {
+		if !slices.Contains(next, name) {
+			differences++
+		}
+	}
+	if differences != 1 {
+		return &InvalidError{
+			Field: ReplicaSet,
+			Value: string(value),
+			Want:  fmt.Sprintf("the set %v with one replica more or less", current),
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/registrar/registrar.go
@@ -0,0 +1,364 @@
+package registrar
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// snapshotEvery is the number of records after which a snapshot replaces them. It bounds
+// the time to read them after a restart.
+const snapshotEvery = 1000
+
+// Config describes one replica.
+type Config struct {
+	// ID is the own name, an element of Replicas.
+	ID string
+	// Replicas is the set with which the registers are run for the first time. A replica
+	// with state uses the set in its state instead.
+	Replicas []string
+	// Append stores a record. The record is durable when it returns nil.
+	Append func([]byte) error
+	// Snapshot stores a state that replaces all earlier records and snapshots.
+	Snapshot func([]byte) error
+	// Snapshotted and Records are the recovered state. A replica that has ever voted has a
+	// snapshot; without one it counts as empty.
+	Snapshotted []byte
+	Records     [][]byte
+	// Empty says that state was or may have been lost. Recovered state is then ignored, and
+	// the replica does not vote before Repair has succeeded.
+	Empty bool
+	// Bootstrap says that the set has never run. It has an effect only on an empty replica;
+	// see the package comment.
+	Bootstrap bool
+	// Call sends a request to another replica. It must be safe for concurrent use and return
+	// when ctx is done.
+	Call func(ctx context.Context, replica string, r Request) (Reply, error)
+	// Learned is called, if set, after a newer version is known and stored here: with rising
+	// versions for each register, one call at a time, under no lock. It must not block.
+	// Recovered versions are not reported.
+	Learned func(Entry)
+}
+
+// Registrar is one replica with its proposer. All methods are safe for concurrent use.
+type Registrar struct {
+	cfg Config
+	// ctx ends with Close; calls that outlive the method that started them use it.
+	ctx    context.Context
+	cancel context.CancelFunc
+	calls  sync.WaitGroup
+
+	// steps is held from the decision of a step until its record is stored and applied.
+	steps   sync.Mutex
+	records int
+
+	// mu guards replica and failed. Both are modified only while steps is held too.
+	mu      sync.RWMutex
+	replica Replica
+	failed  error
+
+	repairing sync.Mutex
+
+	// proposers holds a lock for each register: a replica runs one round at a time.
+	proposersMu sync.Mutex
+	proposers   map[string]chan struct{}
+	random      *rand.Rand
+
+	// learned holds the names of the registers to report, reported the versions that
+	// Config.Learned has been called with.
+	learnedMu sync.Mutex
+	learned   []string
+	reported  map[string]uint64
+	notifying bool
+}
+
+// New returns a replica with the recovered state. Errors are of type *InvalidError and
+// *DamageError.
+func New(cfg Config) (*Registrar, error) {
+	if err := checkReplicas(cfg.Replicas); err != nil {
+		return nil, err
+	}
+	if !slices.Contains(cfg.Replicas, cfg.ID) {
+		return nil, &InvalidError{
+			Field: "id",
+			Value: cfg.ID,
+			Want:  "an element of the replica set",
+		}
+	}
+	seed := fnv.New64a()
+	_, _ = seed.Write([]byte(cfg.ID))
+	g := &Registrar{
+		cfg: cfg,
+		replica: Replica{
+			ID:        cfg.ID,
+			State:     newState(),
+			Bootstrap: cfg.Bootstrap,
+			Replicas:  cfg.Replicas,
+		},
+		records:   len(cfg.Records),
+		proposers: map[string]chan struct{}{},
+		reported:  map[string]uint64{},
+		random:    rand.New(rand.NewPCG(seed.Sum64(), 0)),
+	}
+	if !cfg.Empty && len(cfg.Snapshotted) > 0 {
+		if err := g.recover(); err != nil {
+			return nil, err
+		}
+	}
+	g.cfg.Snapshotted, g.cfg.Records = nil, nil
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	return g, nil
+}
+
+func (g *Registrar) recover() error {
+	var s State
+	if err := msgpack.Unmarshal(g.cfg.Snapshotted, &s); err != nil {
+		return &DamageError{
+			Record: -1,
+			Err:    err,
+		}
+	}
+	if err := checkReplicas(s.Initial); err != nil {
+		return &DamageError{
+			Record: -1,
+			Err:    err,
+		}
+	}
+	g.replica.Install(s)
+	for i, data := range g.cfg.Records {
+		var r Record
+		err := msgpack.Unmarshal(data, &r)
+		if err == nil {
+			err = g.replica.Apply(&r)
+		}
+		if err != nil {
+			return &DamageError{
+				Record: i,
+				Err:    err,
+			}
+		}
+	}
+	return nil
+}
+
+// Close ends the calls that are still under way and waits for them. The registrar must not
+// be used to propose afterwards.
+func (g *Registrar) Close() {
+	g.cancel()
+	g.calls.Wait()
+}
+
+// Ready reports whether the replica votes. If it does not, Repair must be called (empty
+// replica) or the process restarted (Failed returns an error).
+func (g *Registrar) Ready() bool {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return g.replica.Ready && g.failed == nil
+}
+
+// Failed returns the *StorageError that has ended voting, or nil.
+func (g *Registrar) Failed() error {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return g.failed
+}
+
+// Handle takes the step that another replica asks for. The reply is about stored state
+// only; a replica that is empty or that cannot store answers ReplyUnavailable.
+func (g *Registrar) Handle(_ time.Time, r Request) Reply {
+	defer g.flush()
+	return g.step(r)
+}
+
+func (g *Registrar) step(r Request) Reply {
+	if r.Kind == KindRead {
+		g.mu.RLock()
+		defer g.mu.RUnlock()
+		if g.failed != nil {
+			return g.unavailable(r)
+		}
+		return g.replica.Read(r)
+	}
+	reply, learned := g.stored(r)
+	if learned != "" {
+		g.notify(learned)
+	}
+	return reply
+}
+
+// stored takes a step and stores its record. It returns the name of the register of which
+// a newer version was learned, if any.
+func (g *Registrar) stored(r Request) (reply Reply, learned string) {
+	g.steps.Lock()
+	defer g.steps.Unlock()
+	if g.Failed() != nil {
+		return g.unavailable(r), ""
+	}
+	g.mu.RLock()
+	reply, record := g.replica.Step(r)
+	g.mu.RUnlock()
+	if record == nil {
+		return reply, ""
+	}
+	data, err := msgpack.Marshal(record)
+	if err == nil {
+		err = g.cfg.Append(data)
+	}
+	if err != nil {
+		g.fail(err)
+		return g.unavailable(r), ""
+	}
+	g.mu.Lock()
+	err = g.replica.Apply(record)
+	if err == nil && record.Kind == recordLearn {
+		learned = record.Register
+	}
+	g.mu.Unlock()
+	if err != nil {
+		panic("registrar: a step returned a record that cannot be applied: " + err.Error())
+	}
+	g.records++
+	if g.records >= snapshotEvery {
+		g.mu.RLock()
+		state := g.replica.State.clone()
+		g.mu.RUnlock()
+		if err := g.snapshot(state); err != nil {
+			g.fail(err)
+		}
+	}
+	return reply, learned
+}
+
+func (g *Registrar) snapshot(s State) error {
+	data, err := msgpack.Marshal(&s)
+	if err != nil {
+		return err
+	}
+	if err := g.cfg.Snapshot(data); err != nil {
+		return err
+	}
+	g.records = 0
+	return nil
+}
+
+func (g *Registrar) fail(err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.failed == nil {
+		g.failed = &StorageError{Err: err}
+	}
+}
+
+func (g *Registrar) unavailable(r Request) Reply {
+	return Reply{
+		Status: ReplyUnavailable,
+		Kind:   r.Kind,
+		From:   g.cfg.ID,
+		Ballot: r.Ballot,
+	}
+}
+
+// flush reports newer versions. It is called at the end of every method that may have
+// learned something, after all locks are released. If another goroutine is reporting, that
+// one goes on, so that calls never overlap or change order.
+func (g *Registrar) flush() {
+	g.learnedMu.Lock()
+	defer g.learnedMu.Unlock()
+	if g.notifying {
+		return
+	}
+	g.notifying = true
+	for len(g.learned) > 0 {
+		register := g.learned[0]
+		g.learned = g.learned[1:]
+		e := g.Local(register)
+		if e.Version <= g.reported[register] {
+			continue
+		}
+		g.reported[register] = e.Version
+		g.learnedMu.Unlock()
+		g.cfg.Learned(e)
+		g.learnedMu.Lock()
+	}
+	g.notifying = false
+}
+
+// notify marks a register for flush.
+func (g *Registrar) notify(register string) {
+	if g.cfg.Learned == nil {
+		return
+	}
+	g.learnedMu.Lock()
+	defer g.learnedMu.Unlock()
+	if !slices.Contains(g.learned, register) {
+		g.learned = append(g.learned, register)
+	}
+}
+
+// Local returns the newest version that is stored here. It never goes back to an older one.
+func (g *Registrar) Local(register string) Entry {
+	s := g.register(register)
+	return s.entry(register)
+}
+
+// register returns the state of a register; its trail and value are shared.
+func (g *Registrar) register(name string) RegisterState {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return g.replica.State.get(name)
+}
+
+// History returns at most limit audit entries with versions above after, oldest first.
+func (g *Registrar) History(register string, after uint64, limit int) []AuditEntry {
+	s := g.register(register)
+	trail := s.after(after)
+	return slices.Clone(trail[:min(len(trail), max(limit, 0))])
+}
+
+// Versions returns the newest stored version of each register.
+func (g *Registrar) Versions() map[string]uint64 {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	versions := map[string]uint64{}
+	for name, s := range g.replica.State.Registers {
+		if s.Version > 0 {
+			versions[name] = s.Version
+		}
+	}
+	return versions
+}
+
+// Entries returns the newest version of each register that is newer than the known one,
+// in the order of the names.
+func (g *Registrar) Entries(known map[string]uint64) []Entry {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	var entries []Entry
+	for name, s := range g.replica.State.Registers {
+		if s.Version > known[name] {
+			entries = append(entries, s.entry(name))
+		}
+	}
+	slices.SortFunc(entries, func(a, b Entry) int {
+		if a.Register < b.Register {
+			return -1
+		}
+		return 1
+	})
+	return entries
+}
+
+// Members returns the replica set as far as this replica knows, and its version.
+func (g *Registrar) Members() ([]string, uint64) {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	if !g.replica.Ready {
+		return g.cfg.Replicas, 0
+	}
+	return g.replica.State.Members()
+}
--- /dev/null
+++ b/registrar/round.go
@@ -0,0 +1,178 @@
+package registrar
+
+import (
+	"maps"
+	"slices"
+)
+
+// Majority returns the number of replicas that decide in a set of n.
+func Majority(n int) int { return n/2 + 1 }
+
+// RepairQuorum returns the number of other replicas whose state an empty replica of a set
+// of n must copy: a majority without itself, or all others if these are fewer. Any majority
+// that the empty replica was part of has another member among them.
+func RepairQuorum(n int) int { return min(Majority(n), n-1) }
+
+// Consistent returns the replies that may be counted together. A reply is left out if
+// another one shows that its replica has since started from an empty folder: the promise
+// or vote in it may be lost.
+func Consistent(replies map[string]Reply) []Reply {
+	kept := make([]Reply, 0, len(replies))
+	for _, name := range slices.Sorted(maps.Keys(replies)) {
+		stale := false
+		for _, other := range replies {
+			stale = stale || other.Epochs[name] > replies[name].Epochs[name]
+		}
+		if !stale {
+			kept = append(kept, replies[name])
+		}
+	}
+	return kept
+}
+
+// Verdict is what a proposer does after a reply.
+type Verdict int
+
+// The verdicts about a round.
+const (
+	// Wait means that more replies are needed.
+	Wait Verdict = iota
+	// Propose means that the round has entered the accept phase.
+	Propose
+	// Chosen means that Round.Proposal is decided.
+	Chosen
+	// Void means that nothing was voted for and the round has no proposal of its own.
+	Void
+	// Outbid means that a replica has promised the higher ballot Reply.Promised.
+	Outbid
+	// Stale means that the version is decided or the replica set has changed;
+	// Reply.Decided holds the newest version of the one or the other.
+	Stale
+)
+
+// Round is one ballot for one version of a register, as a plain struct. The first reply of
+// each phase must be that of the proposer's own replica, whose stored promise makes the
+// ballot unique.
+type Round struct {
+	// Replicas is the replica set at SetVersion.
+	Replicas   []string
+	SetVersion uint64
+	Register   string
+	Version    uint64
+	Ballot     Ballot
+	// Own is the proposal to make if no vote is found, or nil.
+	Own *Proposal
+	// Accepting is set in the second phase.
+	Accepting bool
+	// Proposal is set in the second phase.
+	Proposal *Proposal
+	// Replies holds the positive replies of the current phase.
+	Replies map[string]Reply
+}
+
+// Request returns the message of the current phase to all replicas.
+func (r *Round) Request() Request {
+	q := Request{
+		Kind:       KindPrepare,
+		From:       r.Ballot.Replica,
+		Register:   r.Register,
+		Version:    r.Version,
+		Ballot:     r.Ballot,
+		SetVersion: r.SetVersion,
+	}
+	if r.Accepting {
+		q.Kind = KindAccept
+		q.Proposal = r.Proposal
+	}
+	return q
+}
+
+// Deliver takes one reply into account. Replies to other rounds or phases change nothing.
+func (r *Round) Deliver(reply Reply) Verdict {
+	if reply.Ballot != r.Ballot || reply.Kind != r.Request().Kind || !slices.Contains(r.Replicas, reply.From) {
+		return Wait
+	}
+	switch reply.Status {
+	case ReplyRefused:
+		return Outbid
+	case ReplyNewer:
+		return Stale
+	case ReplyOK:
+	case ReplyBehind, ReplyUnavailable, ReplyInvalid:
+		return Wait
+	default:
+		return Wait
+	}
+	if r.Replies == nil {
+		r.Replies = map[string]Reply{}
+	}
+	r.Replies[reply.From] = reply
+	counted := Consistent(r.Replies)
+	if len(counted) < Majority(len(r.Replicas)) {
+		return Wait
+	}
+	if r.Accepting {
+		return Chosen
+	}
+	r.Proposal = r.Own
+	if v := highestVote(counted); v != nil {
+		r.Proposal = &v.Proposal
+	}
+	if r.Proposal == nil {
+		return Void
+	}
+	r.Accepting = true
+	r.Replies = nil
+	return Propose
+}
+
+func highestVote(replies []Reply) *Vote {
+	var highest *Vote
+	for i := range replies {
+		if v := replies[i].Accepted; v != nil && (highest == nil || v.Ballot.Compare(highest.Ballot) > 0) {
+			highest = v
+		}
+	}
+	return highest
+}
+
+// Merge returns the state that an empty replica takes over from the states of others: for
+// each register the newest version with, for the version after it, the highest promise and
+// the highest vote.
+func Merge(states []State) State {
+	merged := newState()
+	for _, s := range states {
+		merged.Initial = s.Initial
+		for name, epoch := range s.Epochs {
+			merged.Epochs[name] = max(merged.Epochs[name], epoch)
+		}
+		for name, theirs := range s.Registers {
+			ours := merged.Registers[name]
+			if ours == nil || theirs.Version > ours.Version {
+				c := *theirs
+				merged.Registers[name] = &c
+				continue
+			}
+			if theirs.Version < ours.Version {
+				continue
+			}
+			if theirs.Promised.Compare(ours.Promised) > 0 {
+				ours.Promised = theirs.Promised
+			}
+			if theirs.Accepted != nil && (ours.Accepted == nil || theirs.Accepted.Ballot.Compare(ours.Accepted.Ballot) > 0) {
+				ours.Accepted = theirs.Accepted
+			}
+		}
+	}
+	return merged
+}
+
+// holdsData reports whether a version was learned or voted for. Promises do not count.
+func (s State) holdsData() bool {
+	for _, r := range s.Registers {
+		if r.Version > 0 || r.Accepted != nil {
+			return true
+		}
+	}
+	return false
+}
