leaser: add views, leases, ownership and the upstream directory

Cause: a host needs to know whether it may start work on an upstream, and which hosts its failure domain consists of.

Change: package leaser with majority leases that run from the send time of a heartbeat, ownership by rendezvous hashing, the takeover wait, planned leave and handover without the wait, proposals of the next view, and the directory of announced upstreams with a bounded change log. A view is proposed only once the present one is settled: enough former members have installed it that the others are no majority. The takeover wait counts from that moment, since a member that has not installed the new view may still extend a lease of the old one.

A single survivor of three hosts works again only when another one has come back, or with FenceAfter.

--- /dev/null
+++ b/leaser/directory_test.go
@@ -0,0 +1,113 @@
+package leaser
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func announcement(n int, incarnation uint64, state UpstreamState) Announcement {
+	return Announcement{
+		Upstream:    fmt.Sprintf("pan-%d", n),
+		Service:     "reseason-desk",
+		Incarnation: incarnation,
+		Slots:       8,
+		State:       state,
+		TTL:         2 * time.Second,
+	}
+}
+
+// Guards against an upstream that gets work although it is leaving, was replaced or has
+// expired.
+func TestDirectoryKeepsTheNewestState(t *testing.T) {
+	g := NewWithT(t)
+	d := NewDirectory()
+	changed, err := d.Announce(start, announcement(1, 2, Serving))
+	g.Expect(changed, err).To(BeTrue())
+	_, err = d.Announce(start, announcement(1, 1, Serving))
+	var stale *StaleError
+	g.Expect(errors.As(err, &stale)).To(BeTrue())
+	g.Expect(*stale).To(Equal(StaleError{
+		Upstream:    "pan-1",
+		Incarnation: 1,
+		Newest:      2,
+	}))
+	for i, state := range []UpstreamState{Leaving, Serving} {
+		_, err = d.Announce(start.Add(time.Duration(i+1)*time.Millisecond), announcement(1, 2, state))
+		g.Expect(err).NotTo(HaveOccurred())
+		a, _ := d.Get("pan-1")
+		g.Expect(a.State).To(Equal(Leaving))
+	}
+	g.Expect(d.Expire(start.Add(3 * time.Second))).To(HaveLen(1))
+	g.Expect(d.All()).To(BeEmpty())
+	changes, next := d.Since(2)
+	g.Expect(changes).To(HaveLen(1))
+	g.Expect(changes[0].State).To(Equal(Gone))
+	g.Expect(next).To(Equal(uint64(3)))
+	_, err = d.Announce(start.Add(4*time.Second), announcement(1, 1, Serving))
+	g.Expect(err).To(HaveOccurred(), "the incarnation of an expired upstream is remembered")
+}
+
+// Guards against hosts that keep a dead upstream alive by telling each other about it.
+func TestDirectoriesForgetDeadUpstreamTogether(t *testing.T) {
+	g := NewWithT(t)
+	d := []*Directory{NewDirectory(), NewDirectory(), NewDirectory()}
+	seen := [3][3]uint64{}
+	_, _ = d[0].Announce(start, announcement(1, 1, Serving))
+	for step := range 40 {
+		now := start.Add(time.Duration(step) * 100 * time.Millisecond)
+		for i := range d {
+			for j := range d {
+				var changes []Announcement
+				changes, seen[i][j] = d[j].Since(seen[i][j])
+				for _, a := range changes {
+					_, _ = d[i].Announce(now, a)
+				}
+			}
+		}
+		for i := range d {
+			d[i].Expire(now)
+			_, ok := d[i].Get("pan-1")
+			g.Expect(ok).To(Equal(step < 20), "directory %d at step %d", i, step)
+		}
+	}
+	g.Expect(d[0].Seq()).To(BeNumerically("<=", 2), "nothing is passed on for ever")
+}
+
+// Guards against a change log that grows without bound or loses a change.
+func TestChangeLogIsBoundedAndComplete(t *testing.T) {
+	g := NewWithT(t)
+	d, copied := NewDirectory(), NewDirectory()
+	var next uint64
+	for i := range 20000 {
+		now := start.Add(time.Duration(i) * time.Second / 10)
+		_, _ = d.Announce(now, announcement(i%300, uint64(i), Serving))
+		d.Expire(now)
+		if i%700 == 0 || i == 19999 {
+			var changes []Announcement
+			changes, next = d.Since(next)
+			for _, a := range changes {
+				_, _ = copied.Announce(now, a)
+			}
+			copied.Expire(now)
+			g.Expect(copied.All()).To(Equal(d.All()))
+		}
+	}
+	g.Expect(len(d.log)).To(BeNumerically("<=", minLog))
+	all, _ := d.Since(d.Seq() + 1)
+	g.Expect(all).To(HaveLen(300), "a sequence of another directory returns everything")
+}
+
+func BenchmarkDirectoryChange(b *testing.B) {
+	d := NewDirectory()
+	for i := range 1000 {
+		_, _ = d.Announce(start, announcement(i, 1, Serving))
+	}
+	for i := 0; b.Loop(); i++ {
+		_, _ = d.Announce(start, announcement(i%1000, uint64(i+2), Serving))
+		d.Since(d.Seq() - 1)
+	}
+}
--- /dev/null
+++ b/leaser/messages.go
@@ -0,0 +1,55 @@
+package leaser
+
+import "time"
+
+// Heartbeat is sent to every member. The caller fills in the fields after Sent.
+type Heartbeat struct {
+	From Member `msgpack:"from"`
+	// View is the number of the sender's view.
+	View uint64 `msgpack:"view"`
+	// Sent is the time by the sender's clock; the Ack returns it.
+	Sent time.Time `msgpack:"sent"`
+	// Free is the number of free slots of each service at the sender.
+	Free map[string]int `msgpack:"free"`
+	// DirectorySeq is the sequence of the sender's Directory.
+	DirectorySeq uint64 `msgpack:"directory-seq"`
+	// Versions holds the versions of the configuration that the sender has.
+	Versions map[string]uint64 `msgpack:"versions"`
+	// Load is the number of tasks in the sender's queue.
+	Load int `msgpack:"load"`
+}
+
+// Ack answers a Heartbeat. The caller fills in the fields after Sent.
+type Ack struct {
+	From Member `msgpack:"from"`
+	// To is the incarnation that sent the heartbeat.
+	To uint64 `msgpack:"to"`
+	// View is the number of the answering member's view.
+	View uint64 `msgpack:"view"`
+	// HeartbeatView and Sent are repeated from the heartbeat.
+	HeartbeatView uint64    `msgpack:"heartbeat-view"`
+	Sent          time.Time `msgpack:"sent"`
+	// Free, DirectorySeq, Versions and Load have the same meaning as in Heartbeat.
+	Free         map[string]int    `msgpack:"free"`
+	DirectorySeq uint64            `msgpack:"directory-seq"`
+	Versions     map[string]uint64 `msgpack:"versions"`
+	Load         int               `msgpack:"load"`
+}
+
+// Handover tells the new owner of an upstream that the old owner, which is in the same
+// view, starts nothing on it any more, and what still runs there.
+type Handover struct {
+	Upstream string `msgpack:"upstream"`
+	From     Member `msgpack:"from"`
+	// View is the number of the view in which the new owner owns the upstream.
+	View    uint64        `msgpack:"view"`
+	Running []RunningTask `msgpack:"running"`
+}
+
+// RunningTask is a task that occupies a slot of an upstream.
+type RunningTask struct {
+	Task    string `msgpack:"task"`
+	Attempt int    `msgpack:"attempt"`
+	// Ends is the time at which the lease of the task ends, by the old owner's clock.
+	Ends time.Time `msgpack:"ends"`
+}
