Add the scheduler: classes, team shares and placement on slots

Cause: the host needs one pure decision function that starts queued tasks on slots without head-of-line blocking of short work behind long work.

Change: package scheduler with the policies sesame, fifo-random and fifo-least-loaded. Teams are ordered by virtual time, jobs of a team by deadline, tasks of a job by estimate. Indexed heaps make removal eager, so that cancelled tasks leave nothing behind. Slots beyond the share of long work are lent only while a reserve stays free that follows the variance of arrivals.

--- /dev/null
+++ b/scheduler/property_test.go
@@ -0,0 +1,363 @@
+package scheduler
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the property tests, so that each run checks the same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		if err := flag.Set("rapid.seed", "1"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// model repeats what a Queue promises with the plainest means.
+type model struct {
+	t         *rapid.T
+	q         *Queue
+	now       time.Time
+	upstreams map[string]Upstream
+	queued    map[string]Task
+	running   map[string]Assignment
+	taken     []Task
+	added     int
+}
+
+// Guards against slots, connections or the share of long work being exceeded, against
+// tasks that leave twice or never, and against a slot that stays free beside short work.
+func TestInvariants(t *testing.T) {
+	for _, policy := range []Policy{Sesame, FIFORandom, FIFOLeastLoaded} {
+		t.Run(string(policy), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				m := &model{
+					t: t,
+					q: New(Config{
+						MaxTasks:  60,
+						LongShare: 0.3,
+						Policy:    policy,
+						Seed:      1,
+					}),
+					now:       start,
+					upstreams: map[string]Upstream{},
+					queued:    map[string]Task{},
+					running:   map[string]Assignment{},
+				}
+				for range 3 {
+					m.set(t)
+					m.add(t)
+				}
+				t.Repeat(map[string]func(*rapid.T){
+					"":        m.check,
+					"set":     m.set,
+					"drop":    m.drop,
+					"add":     m.add,
+					"next":    m.next,
+					"done":    m.done,
+					"cancel":  m.cancel,
+					"expire":  m.expire,
+					"reclass": m.reclass,
+					"take":    m.take,
+					"return":  m.putBack,
+					"wait": func(t *rapid.T) {
+						m.now = m.now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+					},
+				})
+				m.empty(t)
+			})
+		})
+	}
+}
+
+var classes = []Class{Short, Long}
+
+func (m *model) service(t *rapid.T) string {
+	return rapid.SampledFrom([]string{"s", "r"}).Draw(t, "service")
+}
+
+func (m *model) set(t *rapid.T) {
+	id := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "id")
+	u := Upstream{
+		ID:          id,
+		Service:     map[string]string{"a": "s", "b": "s", "c": "s", "d": "r"}[id],
+		Slots:       rapid.IntRange(0, 8).Draw(t, "slots"),
+		Connections: rapid.IntRange(0, 12).Draw(t, "connections"),
+		Weight:      rapid.SampledFrom([]float64{0, 0.2, 1}).Draw(t, "weight"),
+		State:       rapid.SampledFrom([]State{"", Serving, Serving, Serving, Leaving, Ejected, Probing}).Draw(t, "state"),
+	}
+	m.q.Set(m.now, u)
+	if u.State == "" {
+		u.State = Serving
+	}
+	m.upstreams[id] = u
+}
+
+func (m *model) drop(t *rapid.T) {
+	id := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "id")
+	on := m.on(id)
+	for _, r := range m.q.Drop(m.now, id) {
+		m.leaveRunning(t, r.Task.ID, id)
+		on--
+	}
+	if on != 0 {
+		t.Fatalf("%d tasks on %s were not returned", on, id)
+	}
+	delete(m.upstreams, id)
+}
+
+func (m *model) add(t *rapid.T) {
+	tasks := make([]Task, rapid.IntRange(1, 20).Draw(t, "n"))
+	service := m.service(t)
+	deadline := m.now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "deadline")) * time.Millisecond)
+	for i := range tasks {
+		tasks[i] = Task{
+			ID:       fmt.Sprint(m.added + i),
+			Job:      fmt.Sprint("job", m.added),
+			Index:    i,
+			Team:     rapid.SampledFrom([]string{"x", "y"}).Draw(t, "team"),
+			Service:  service,
+			Class:    rapid.SampledFrom(classes).Draw(t, "class"),
+			Deadline: deadline,
+			Estimate: time.Duration(rapid.IntRange(0, 2000).Draw(t, "estimate")) * time.Millisecond,
+		}
+	}
+	full := len(m.queued)+len(tasks) > 60
+	err := m.q.Add(m.now, tasks)
+	if (err != nil) != full {
+		t.Fatalf("add of %d to %d tasks: %v", len(tasks), len(m.queued), err)
+	}
+	if err == nil {
+		for _, task := range tasks {
+			m.queued[task.ID] = task
+		}
+	}
+	m.added += len(tasks)
+}
+
+func (m *model) next(t *rapid.T) {
+	for range rapid.IntRange(1, 8).Draw(t, "n") {
+		m.start(t)
+	}
+}
+
+func (m *model) start(t *rapid.T) {
+	free, shortWaits := m.count("s")
+	a, ok := m.q.Next(m.now)
+	if !ok {
+		if m.q.cfg.Policy == Sesame && free > 0 && shortWaits {
+			t.Fatalf("%d slots stay free beside queued short work", free)
+		}
+		return
+	}
+	task, queued := m.queued[a.Task.ID]
+	if !queued || task.Class != a.Task.Class {
+		t.Fatalf("task %+v was not queued so", a.Task)
+	}
+	_, shortWaits = m.count(task.Service)
+	delete(m.queued, a.Task.ID)
+	m.running[a.Task.ID] = a
+	u := m.upstreams[a.Upstream]
+	if u.Service != task.Service || m.on(u.ID) > min(u.Slots, u.Connections) {
+		t.Fatalf("task %+v started on %+v with %d tasks", task, u, m.on(u.ID))
+	}
+	switch u.State {
+	case Probing:
+		if m.on(u.ID) > 1 {
+			t.Fatalf("%d probes run on %s", m.on(u.ID), u.ID)
+		}
+	case Serving:
+		if m.q.cfg.Policy == Sesame && task.Class == Long && shortWaits {
+			m.checkShare(t, u)
+		}
+	default:
+		t.Fatalf("started on %s, which is %s", u.ID, u.State)
+	}
+}
+
+// checkShare checks the start of a long task on u while short work waits.
+func (m *model) checkShare(t *rapid.T, u Upstream) {
+	slots, long, here := 0, 0, 0
+	for _, a := range m.running {
+		x := m.upstreams[a.Upstream]
+		if a.Task.Class == Long && x.State == Serving && x.Service == u.Service {
+			long++
+			if x.ID == u.ID {
+				here++
+			}
+		}
+	}
+	for _, x := range m.upstreams {
+		if x.State == Serving && x.Service == u.Service {
+			slots += min(x.Slots, x.Connections)
+		}
+	}
+	if long > max(1, slots*3/10) || here > max(1, min(u.Slots, u.Connections)*3/10) {
+		t.Fatalf("long work holds %d of %d slots, %d of them on %+v", long, slots, here, u)
+	}
+}
+
+// count returns the free slots of serving upstreams and whether short work waits.
+func (m *model) count(service string) (free int, shortWaits bool) {
+	for _, u := range m.upstreams {
+		if u.State == Serving && u.Service == service {
+			free += max(0, min(u.Slots, u.Connections)-m.on(u.ID))
+		}
+	}
+	for _, t := range m.queued {
+		shortWaits = shortWaits || t.Class == Short && t.Service == service
+	}
+	return free, shortWaits
+}
+
+func (m *model) on(id string) int {
+	n := 0
+	for _, a := range m.running {
+		if a.Upstream == id {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *model) done(t *rapid.T) {
+	id := fmt.Sprint(rapid.IntRange(0, max(0, m.added-1)).Draw(t, "id"))
+	m.q.Done(m.now, id)
+	delete(m.running, id)
+}
+
+func (m *model) cancel(t *rapid.T) {
+	job := fmt.Sprint("job", rapid.IntRange(0, max(0, m.added-1)).Draw(t, "job"))
+	queued, running := m.q.Cancel(m.now, job)
+	for _, task := range queued {
+		m.leaveQueue(t, task.ID)
+	}
+	for _, task := range m.queued {
+		if task.Job == job {
+			t.Fatalf("task %+v stayed", task)
+		}
+	}
+	for _, r := range running {
+		if a, ok := m.running[r.Task.ID]; !ok || a.Upstream != r.Upstream || a.Task.Job != job {
+			t.Fatalf("task %+v does not run", r)
+		}
+	}
+}
+
+func (m *model) expire(t *rapid.T) {
+	hopeless := map[string]bool{}
+	for _, task := range m.queued {
+		if m.now.Add(task.Estimate).After(task.Deadline) {
+			hopeless[task.Job] = true
+		}
+	}
+	for _, task := range m.q.Expire(m.now) {
+		if !hopeless[task.Job] {
+			t.Fatalf("task %+v could still meet its deadline", task)
+		}
+		m.leaveQueue(t, task.ID)
+	}
+	for _, task := range m.queued {
+		if hopeless[task.Job] {
+			t.Fatalf("hopeless task %+v stayed", task)
+		}
+	}
+}
+
+func (m *model) reclass(t *rapid.T) {
+	id := fmt.Sprint(rapid.IntRange(0, max(0, m.added-1)).Draw(t, "id"))
+	c := rapid.SampledFrom(classes).Draw(t, "class")
+	m.q.Reclass(m.now, id, c)
+	if task, ok := m.queued[id]; ok {
+		task.Class = c
+		m.queued[id] = task
+	}
+	if a, ok := m.running[id]; ok {
+		a.Task.Class = c
+		m.running[id] = a
+	}
+}
+
+func (m *model) take(t *rapid.T) {
+	n := rapid.IntRange(0, 4).Draw(t, "n")
+	tasks := m.q.Take(m.now, m.service(t), n)
+	if len(tasks) > n {
+		t.Fatalf("%d of %d tasks taken", len(tasks), n)
+	}
+	for _, task := range tasks {
+		m.leaveQueue(t, task.ID)
+	}
+	m.taken = append(m.taken, tasks...)
+}
+
+func (m *model) putBack(t *rapid.T) {
+	if len(m.taken) == 0 {
+		return
+	}
+	task := m.taken[len(m.taken)-1]
+	m.taken = m.taken[:len(m.taken)-1]
+	if !m.q.Return(m.now, task) {
+		t.Fatalf("task %+v was not put back", task)
+	}
+	m.queued[task.ID] = task
+}
+
+func (m *model) leaveQueue(t *rapid.T, id string) {
+	if _, ok := m.queued[id]; !ok {
+		t.Fatalf("task %s left the queue but was not in it", id)
+	}
+	delete(m.queued, id)
+}
+
+func (m *model) leaveRunning(t *rapid.T, id, upstream string) {
+	if a, ok := m.running[id]; !ok || a.Upstream != upstream {
+		t.Fatalf("task %s did not run on %s", id, upstream)
+	}
+	delete(m.running, id)
+}
+
+func (m *model) check(t *rapid.T) {
+	g := NewWithT(m.t)
+	free, _ := m.count("s")
+	g.Expect(m.q.Len()).To(Equal(len(m.queued)))
+	g.Expect(m.q.Free("s")).To(Equal(free))
+	g.Expect(m.q.tasks).To(HaveLen(len(m.queued) + len(m.running)))
+	for _, c := range classes {
+		g.Expect(m.q.Wait(m.now, "s", c)).To(BeNumerically(">=", 0))
+		g.Expect(m.q.Wait(m.now, "s", c)).To(BeNumerically("<=", MaxWait))
+	}
+	if t.Failed() {
+		t.Fatalf("after %d tasks", m.added)
+	}
+}
+
+// empty runs everything that is left and checks that nothing is remembered.
+func (m *model) empty(t *rapid.T) {
+	for id := range m.running {
+		m.q.Done(m.now, id)
+	}
+	for _, task := range m.queued {
+		queued, _ := m.q.Cancel(m.now, task.Job)
+		for _, task := range queued {
+			m.leaveQueue(t, task.ID)
+		}
+	}
+	g := NewWithT(t)
+	g.Expect(m.queued).To(BeEmpty())
+	g.Expect(m.q.tasks).To(BeEmpty())
+	g.Expect(m.q.jobs).To(BeEmpty())
+	g.Expect(m.q.timeline.len() + m.q.late.len() + m.q.expiry.len()).To(BeZero())
+	for _, s := range m.q.services {
+		g.Expect(s.short.work + s.long.work).To(BeZero())
+		g.Expect(s.short.active.len() + s.long.active.len()).To(BeZero())
+	}
+}
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,162 @@
+// Package scheduler decides which queued task starts next and on which upstream.
+//
+// A Queue holds the queued and the running tasks of one host. It guarantees that a task
+// that was added leaves exactly once, by Done, Cancel, Expire, Take or Drop; that no
+// upstream gets more tasks than it has slots and connections; and that long work gets
+// its share of the slots, but no more than its share while short work is queued.
+//
+// The caller passes the current time to each call, calls Next until it reports false
+// whenever a task, a slot or an upstream has been added, and calls Done for each task
+// that has ended. Cancel leaves running tasks on their slots until Done, because an
+// upstream is busy until it has stopped them. A Queue starts no goroutines, reads no
+// clock and is not safe for concurrent use. Its random choices depend on Config.Seed
+// alone. It is lost with its process.
+package scheduler
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Policy names a rule by which tasks are ordered and upstreams are chosen.
+type Policy string
+
+// The policies.
+const (
+	// Sesame separates short from long work and shares slots between teams.
+	Sesame Policy = "sesame"
+	// FIFORandom is a baseline: one queue per service in order of arrival, and a random
+	// upstream with a free slot.
+	FIFORandom Policy = "fifo-random"
+	// FIFOLeastLoaded is a baseline: one queue per service in order of arrival, and the
+	// upstream with the largest share of free slots.
+	FIFOLeastLoaded Policy = "fifo-least-loaded"
+)
+
+const (
+	// defaultLongShare is LongShare where the configuration gives no share between 0 and 1.
+	defaultLongShare = 0.25
+	// defaultMaxTasks is MaxTasks where the configuration gives none.
+	defaultMaxTasks = 100_000
+)
+
+// Config holds the settings of a Queue.
+type Config struct {
+	// MaxTasks is the largest number of queued tasks; 100,000 if it is not above zero.
+	MaxTasks int
+	// LongShare is the share of the slots that long work is entitled to; 0.25 unless it
+	// is between 0 and 1.
+	LongShare float64
+	// Policy is Sesame if it is empty.
+	Policy Policy
+	// Seed determines all random choices.
+	Seed uint64
+	// TeamWeight returns the weight of a team. Without it, and for results that are not
+	// above zero, the weight is 1.
+	TeamWeight func(team string) float64
+}
+
+// Queue holds the queued and running tasks of one host.
+type Queue struct {
+	cfg       Config
+	random    *rand.Rand
+	services  map[string]*service
+	order     []*service // services in the order in which Next visits them
+	cursor    int        // index in order of the service that Next visits first
+	upstreams map[string]*upstream
+	tasks     map[string]*entry // queued and running, by task identifier
+	jobs      map[string]*job
+	expiry    heap[*group] // jobs with a deadline, by latest start
+	timeline  heap[*entry] // running tasks, by the next time at which their state changes
+	late      heap[*entry] // running tasks that became late since the last Late
+	queued    int
+	picks     uint64 // number of starts
+}
+
+// New returns an empty Queue.
+func New(cfg Config) *Queue {
+	if cfg.LongShare <= 0 || cfg.LongShare >= 1 {
+		cfg.LongShare = defaultLongShare
+	}
+	if cfg.MaxTasks <= 0 {
+		cfg.MaxTasks = defaultMaxTasks
+	}
+	if cfg.Policy == "" {
+		cfg.Policy = Sesame
+	}
+	return &Queue{
+		cfg:       cfg,
+		random:    rand.New(rand.NewPCG(cfg.Seed, 0)),
+		services:  map[string]*service{},
+		upstreams: map[string]*upstream{},
+		tasks:     map[string]*entry{},
+		jobs:      map[string]*job{},
+		expiry: heap[*group]{
+			less:     func(a, b *group) bool { return a.latestStart.Before(b.latestStart) },
+			position: func(g *group) *int { return &g.expiryPosition },
+		},
+		timeline: heap[*entry]{
+			less:     func(a, b *entry) bool { return a.changes.Before(b.changes) },
+			position: func(e *entry) *int { return &e.position },
+		},
+		late: heap[*entry]{
+			less: func(a, b *entry) bool {
+				if !a.longAt.Equal(b.longAt) {
+					return a.longAt.Before(b.longAt)
+				}
+				return a.task.ID < b.task.ID
+			},
+			position: func(e *entry) *int { return &e.latePosition },
+		},
+	}
+}
+
+// Len returns the number of queued tasks.
+func (q *Queue) Len() int { return q.queued }
+
+// Free returns the number of free slots of the serving upstreams of the service.
+// Probing upstreams are not counted, since they take only chosen tasks.
+func (q *Queue) Free(service string) int {
+	if s, ok := q.services[service]; ok {
+		return s.free
+	}
+	return 0
+}
+
+func (q *Queue) service(name string) *service {
+	s, ok := q.services[name]
+	if !ok {
+		s = newService(q.cfg)
+		q.services[name] = s
+		q.order = append(q.order, s)
+	}
+	return s
+}
+
+// advance applies what has happened by the passing of time: slots of occupied tasks
+// become free and running tasks pass their estimates.
+func (q *Queue) advance(now time.Time) {
+	for q.timeline.len() > 0 {
+		e := q.timeline.top()
+		if e.changes.After(now) {
+			return
+		}
+		if e.occupied {
+			q.release(e)
+			continue
+		}
+		q.timeline.remove(e)
+		if !e.overdue {
+			e.upstream.service.load(e).toOverdue(e)
+			e.overdue = true
+		}
+		switch {
+		case e.longAt.IsZero():
+		case e.longAt.After(now):
+			e.changes = e.longAt
+			q.timeline.push(e)
+		default:
+			q.late.push(e)
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/script_test.go
@@ -0,0 +1,190 @@
+package scheduler
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var start = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+// TestScripts runs the files in testdata. The first line of each says which failure it
+// guards against. Each other line is an operation with name=value arguments; what
+// follows " -> " is its expected result.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	NewWithT(t).Expect(files).NotTo(BeEmpty())
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			runScript(t, file)
+		})
+	}
+}
+
+type script struct {
+	q   *Queue
+	now time.Time
+}
+
+func runScript(t *testing.T, file string) {
+	t.Helper()
+	g := NewWithT(t)
+	f, err := os.Open(file)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = f.Close() }()
+	s := &script{now: start}
+	lines := bufio.NewScanner(f)
+	for n := 1; lines.Scan(); n++ {
+		line := strings.TrimSpace(lines.Text())
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		command, want, _ := strings.Cut(line, "->")
+		got := s.run(strings.Fields(command))
+		g.Expect(got).To(Equal(strings.TrimSpace(want)), "%s:%d: %s", file, n, line)
+	}
+	g.Expect(lines.Err()).NotTo(HaveOccurred())
+}
+
+func (s *script) run(fields []string) string {
+	args := map[string]string{}
+	for _, f := range fields[1:] {
+		name, value, _ := strings.Cut(f, "=")
+		args[name] = value
+	}
+	switch fields[0] {
+	case "new":
+		share, _ := strconv.ParseFloat(args["long-share"], 64)
+		s.q = New(Config{
+			MaxTasks:  number(args["max"], 0),
+			LongShare: share,
+			Policy:    Policy(args["policy"]),
+			Seed:      1,
+			TeamWeight: func(team string) float64 {
+				w, _ := strconv.ParseFloat(args[team], 64)
+				return w
+			},
+		})
+	case "set":
+		weight, _ := strconv.ParseFloat(args["weight"], 64)
+		s.q.Set(s.now, Upstream{
+			ID:          args["id"],
+			Service:     "s",
+			Slots:       number(args["slots"], 1),
+			Connections: number(args["connections"], 64),
+			Weight:      weight,
+			State:       State(args["state"]),
+		})
+	case "drop":
+		return names(s.q.Drop(s.now, args["id"]))
+	case "add":
+		return message(s.q.Add(s.now, s.tasks(args)))
+	case "next":
+		var got []string
+		for range number(args["n"], 1) {
+			a, ok := s.q.Next(s.now)
+			if !ok {
+				got = append(got, "none")
+				break
+			}
+			got = append(got, a.Task.ID+"@"+a.Upstream)
+		}
+		return strings.Join(got, " ")
+	case "done":
+		s.q.Done(s.now, args["id"])
+	case "reclass":
+		s.q.Reclass(s.now, args["id"], Class(args["class"]))
+	case "occupy":
+		return strconv.FormatBool(s.q.Occupy(s.now, args["upstream"], args["id"], s.now.Add(length(args["for"]))))
+	case "cancel":
+		queued, running := s.q.Cancel(s.now, args["job"])
+		return strings.TrimSpace(ids(queued) + " running " + names(running))
+	case "expire":
+		return ids(s.q.Expire(s.now))
+	case "late":
+		return names(s.q.Late(s.now))
+	case "wait":
+		return s.q.Wait(s.now, "s", Class(args["class"])).Round(time.Millisecond).String()
+	case "wait-for":
+		return s.q.WaitFor(s.now, s.tasks(args)[0]).Round(time.Millisecond).String()
+	case "free":
+		return strconv.Itoa(s.q.Free("s"))
+	case "after":
+		s.now = s.now.Add(length(fields[1]))
+	default:
+		return "no such operation"
+	}
+	return ""
+}
+
+// tasks names the tasks of a job of n tasks after the job: job, or job.0, job.1 and so on.
+func (s *script) tasks(args map[string]string) []Task {
+	n := number(args["n"], 1)
+	tasks := make([]Task, n)
+	for i := range tasks {
+		id := args["job"]
+		if n > 1 {
+			id = fmt.Sprintf("%s.%d", id, i)
+		}
+		estimates := strings.Split(args["estimate"], ",")
+		tasks[i] = Task{
+			ID:       id,
+			Job:      args["job"],
+			Index:    i,
+			Team:     args["team"],
+			Service:  "s",
+			Class:    Class(args["class"]),
+			Estimate: length(estimates[min(i, len(estimates)-1)]),
+		}
+		if d := args["deadline"]; d != "" {
+			tasks[i].Deadline = s.now.Add(length(d))
+		}
+	}
+	return tasks
+}
+
+func number(s string, otherwise int) int {
+	if n, err := strconv.Atoi(s); err == nil {
+		return n
+	}
+	return otherwise
+}
+
+func length(s string) time.Duration {
+	d, err := time.ParseDuration(s)
+	if err != nil && s != "" {
+		panic(err)
+	}
+	return d
+}
+
+func message(err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return ""
+}
+
+func ids(tasks []Task) string {
+	names := make([]string, 0, len(tasks))
+	for _, t := range tasks {
+		names = append(names, t.ID)
+	}
+	return strings.Join(names, " ")
+}
+
+func names(running []Running) string {
+	names := make([]string, 0, len(running))
+	for _, r := range running {
+		names = append(names, r.Task.ID+"@"+r.Upstream)
+	}
+	return strings.Join(names, " ")
+}
