--- /dev/null
+++ b/validator/environment.go
@@ -0,0 +1,154 @@
+package validator
+
+import "slices"
+
+// Names of the two environments.
+const (
+	Trial      = "trial"
+	Production = "production"
+)
+
+// Environment is one environment document.
+type Environment struct {
+	// Name is Trial or Production.
+	Name string `json:"name"`
+	// Domains has at least one element, and names are unique.
+	Domains []Domain `json:"domains"`
+	// Services has at least one element, and names are unique.
+	Services []Service `json:"services"`
+	// Teams has unique names and names only services of the document.
+	Teams     []Team    `json:"teams"`
+	Limits    Limits    `json:"limits"`
+	Promotion Promotion `json:"promotion"`
+}
+
+// Domain is one failure domain.
+type Domain struct {
+	Name string `json:"name"`
+	// Distance is the one-way network latency to each other failure domain. It is
+	// the same in both directions.
+	Distance map[string]Duration `json:"distance"`
+}
+
+// Service is a service that upstreams offer.
+type Service struct {
+	Name string `json:"name"`
+	// Kinds has at least one element, and names are unique within the service.
+	Kinds []Kind `json:"kinds"`
+	// LongShare is the largest share of slots, from 0 to 1, that long work may occupy.
+	LongShare float64 `json:"long-share"`
+	// MaxQueue is the largest number of queued tasks of the service on one host, and at
+	// least Limits.MaxTasks.
+	MaxQueue int `json:"max-queue"`
+}
+
+// Kind is a named type of work of a service.
+type Kind struct {
+	Name string `json:"name"`
+	// Idempotent allows a single task to be sent again after its upstream was lost.
+	Idempotent bool `json:"idempotent"`
+	// Deadline is the relative deadline of a submission that sets none; at least Expected.
+	Deadline Duration `json:"deadline"`
+	// Expected is the estimated run time of a task without samples.
+	Expected Duration `json:"expected"`
+	// MaxRunTime is the lease of a task on an upstream; at least Expected.
+	MaxRunTime Duration `json:"max-run-time"`
+}
+
+// Team is a customer with a quota.
+type Team struct {
+	Name string `json:"name"`
+	// Rate is the quota in task starts per second, above 0.
+	Rate float64 `json:"rate"`
+	// Burst is the number of task starts that the team may save up, at least 1.
+	Burst int `json:"burst"`
+	// Weight is the share of the team relative to other teams, above 0.
+	Weight float64 `json:"weight"`
+	// Services names the services that the team may use.
+	Services []string `json:"services"`
+}
+
+// Limits are the bounds that hold for all services.
+type Limits struct {
+	// Retention is how long a request key is remembered. It is at least the sum of
+	// Deadline and MaxRunTime of every kind.
+	Retention Duration `json:"retention"`
+	// MaxTasks is the largest number of tasks of a job, from 1 to 390.
+	MaxTasks int `json:"max-tasks"`
+	// MaxBody is the largest HTTP request body in bytes.
+	MaxBody int64 `json:"max-body"`
+	// RetryShare is the largest share of starts, from 0 to 1, that are retries.
+	RetryShare float64 `json:"retry-share"`
+	// EjectShare is the largest share of upstreams, from 0 to 1, that are ejected.
+	EjectShare float64 `json:"eject-share"`
+	// ReceiverGrace is how long a submission whose caller disconnected goes on before it
+	// is cancelled.
+	ReceiverGrace Duration `json:"receiver-grace"`
+}
+
+// Promotion is what a trial document must have shown before it may be promoted.
+type Promotion struct {
+	// MinSubmissions is the number of submissions that ended under the trial document.
+	MinSubmissions int `json:"min-submissions"`
+	// MinSuccessShare is the share of these submissions, from 0 to 1, that were complete.
+	MinSuccessShare float64 `json:"min-success-share"`
+	// MinAge is the time for which the trial document has been in force.
+	MinAge Duration `json:"min-age"`
+}
+
+// DomainNames returns the names of all failure domains in document order.
+func (e Environment) DomainNames() []string {
+	names := make([]string, 0, len(e.Domains))
+	for _, d := range e.Domains {
+		names = append(names, d.Name)
+	}
+	return names
+}
+
+// Distance returns the one-way latency between two failure domains of the document. It
+// is zero for a domain and itself; the second result is false for an unknown domain.
+func (e Environment) Distance(from, to string) (Duration, bool) {
+	for _, d := range e.Domains {
+		if d.Name != from {
+			continue
+		}
+		if from == to {
+			return 0, true
+		}
+		distance, ok := d.Distance[to]
+		return distance, ok
+	}
+	return 0, false
+}
+
+// Service returns the service with the name.
+func (e Environment) Service(name string) (Service, bool) {
+	i := slices.IndexFunc(e.Services, func(s Service) bool { return s.Name == name })
+	if i < 0 {
+		return Service{}, false
+	}
+	return e.Services[i], true
+}
+
+// Team returns the team with the name.
+func (e Environment) Team(name string) (Team, bool) {
+	i := slices.IndexFunc(e.Teams, func(t Team) bool { return t.Name == name })
+	if i < 0 {
+		return Team{}, false
+	}
+	return e.Teams[i], true
+}
+
+// Kind returns the kind with the name.
+func (s Service) Kind(name string) (Kind, bool) {
+	i := slices.IndexFunc(s.Kinds, func(k Kind) bool { return k.Name == name })
+	if i < 0 {
+		return Kind{}, false
+	}
+	return s.Kinds[i], true
+}
+
+// Allows returns whether the team may use the service.
+func (t Team) Allows(service string) bool {
+	return slices.Contains(t.Services, service)
+}
