--- a/client/client_test.go
+++ b/client/client_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -391,6 +392,32 @@
 	}))
 }
 
+// Guards against a page with other outcomes or error codes than the client knows.
+func TestHTTPPageNamesAllResults(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile("../docs/http.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, s := range sesamedrift.Statuses {
+		g.Expect(string(page)).To(ContainSubstring("| `%s` | %d |", s, s.HTTPStatus()))
+	}
+	for _, s := range []ChangeStatus{ChangeAccepted, ChangeConflict, ChangeUnavailable} {
+		g.Expect(string(page)).To(ContainSubstring("| `%s` | %d |", s, s.httpStatus()))
+	}
+	for code, status := range map[Code]int{
+		CodeBadRequest:      http.StatusBadRequest,
+		CodeUnauthorized:    http.StatusUnauthorized,
+		CodeNotFound:        http.StatusNotFound,
+		CodeKeyConflict:     http.StatusConflict,
+		CodeVersionConflict: http.StatusConflict,
+		CodeKeyExpired:      http.StatusGone,
+		CodeTooLarge:        http.StatusRequestEntityTooLarge,
+		CodeTooManyRequests: http.StatusTooManyRequests,
+		CodeNotReady:        http.StatusServiceUnavailable,
+	} {
+		g.Expect(string(page)).To(ContainSubstring("| %d | `%s` |", status, code))
+	}
+}
+
 // Guards against waits that grow without bound or are all alike.
 func TestBackoffIsBounded(t *testing.T) {
 	g := NewWithT(t)
