Check large environment documents in linear time

Cause: each service name of a team was searched in the list of all services, and each rejected value was compared with all other rejected values. Change: look both up in maps. Conclusion: the cost of the checks no longer grows with the product of list lengths.

--- a/validator/contradictions.go
+++ b/validator/contradictions.go
@@ -212,8 +212,10 @@
 func checkTeams(c *checker, e Environment) {
 	servicePaths := make([]string, 0, len(e.Services)+1)
 	servicePaths = append(servicePaths, "$.services")
-	for i := range e.Services {
+	known := make(map[string]bool, len(e.Services))
+	for i, s := range e.Services {
 		servicePaths = append(servicePaths, itemPath("$.services", i)+".name")
+		known[s.Name] = true
 	}
 	names := newUnique(c, "a team name")
 	for i, t := range e.Teams {
@@ -223,7 +225,7 @@
 		for j, service := range t.Services {
 			at := itemPath(path+".services", j)
 			services.add(at, service)
-			if _, ok := e.Service(service); !ok && service != "" {
+			if !known[service] && service != "" {
 				c.add(at, service, "want the name of a service of the document", servicePaths...)
 			}
 		}
--- a/validator/parse.go
+++ b/validator/parse.go
@@ -38,7 +38,7 @@
 // others, since it says nothing about what its author meant.
 type checker struct {
 	problems []Problem
-	rejected []string
+	rejected map[string]bool // by path
 }
 
 // add adds a contradiction between the value at the path and those at the related paths.
@@ -53,21 +53,24 @@
 	c.problems = append(c.problems, p)
 }
 
+// isRejected returns whether the value at the path, or one that contains it, is rejected.
 func (c *checker) isRejected(path string) bool {
-	return slices.ContainsFunc(c.rejected, func(r string) bool {
-		rest, found := strings.CutPrefix(path, r)
-		return found && (rest == "" || rest[0] == '.' || rest[0] == '[')
-	})
+	for i := 1; i <= len(path); i++ {
+		if (i == len(path) || path[i] == '.' || path[i] == '[') && c.rejected[path[:i]] {
+			return true
+		}
+	}
+	return false
 }
 
 // parse checks the document against its schema and decodes what the schema accepts of
 // it, with defaults, so that the checks for contradictions can be made on the rest.
 func parse(d Document, data []byte, into any) *checker {
-	c := &checker{}
+	c := &checker{rejected: map[string]bool{}}
 	tree, problems := readTree(data)
 	c.problems = problems
 	for _, p := range problems {
-		c.rejected = append(c.rejected, p.Path)
+		c.rejected[p.Path] = true
 	}
 	if tree == nil && len(problems) > 0 {
 		return c
@@ -108,7 +111,7 @@
 			p.Value = show(value)
 		}
 		c.problems = append(c.problems, p)
-		c.rejected = append(c.rejected, path)
+		c.rejected[path] = true
 	}
 	for _, leaf := range leaves(e) {
 		tokens := leaf.InstanceLocation
