Add the limiter: quotas, retry budget, hints and admission

Cause: a team's burst, a storm of retries or work that is certainly late must not take the capacity of others.

Change: token buckets per team whose overflow is lent by weight, a retry budget over the last 10 s, hints with full jitter, and Decide, which refuses work that cannot meet its deadline by estimates that count in full only with samples.

Figures: there was no limiter before.

Conclusion: unused capacity is lent by weight without a claim on the quota of any team.

--- /dev/null
+++ b/limiter/budget.go
@@ -0,0 +1,59 @@
+package limiter
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	defaultRetryShare = 0.05
+	// budgetWindow is the time over which starts and retries are compared. It outlasts
+	// the loss of a host, so that the retries that follow are set against the starts
+	// before it.
+	budgetWindow = 10 * time.Second
+	// minRetries is the number of retries per window that are allowed without regard to
+	// the starts. Without it a host with few starts could never send anything again.
+	minRetries = 3
+)
+
+// Budget limits retries to a share of the starts of the last seconds.
+type Budget struct {
+	share   float64
+	starts  float64 // decaying counts
+	retries float64
+	at      time.Time
+}
+
+// NewBudget returns a Budget without starts. The share is 0.05 unless it is between 0
+// and 1.
+func NewBudget(share float64) *Budget {
+	if !(share > 0 && share <= 1) {
+		share = defaultRetryShare
+	}
+	return &Budget{share: share}
+}
+
+// Start counts the first start of a task.
+func (b *Budget) Start(now time.Time) {
+	b.decay(now)
+	b.starts++
+}
+
+// Allow reports whether a task may be started once more, and counts the retry if so.
+func (b *Budget) Allow(now time.Time) bool {
+	b.decay(now)
+	if b.retries+1 > b.share*b.starts+minRetries {
+		return false
+	}
+	b.retries++
+	return true
+}
+
+func (b *Budget) decay(now time.Time) {
+	if passed := now.Sub(b.at); passed > 0 {
+		keep := math.Exp(-float64(passed) / float64(budgetWindow))
+		b.starts *= keep
+		b.retries *= keep
+		b.at = now
+	}
+}
--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,210 @@
+package limiter
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+// TestMain fixes the seed of the property tests, so that each run checks the same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		if err := flag.Set("rapid.seed", "1"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against a team that is refused within its quota because of other teams, and
+// against admissions beyond the sum of all quotas.
+func TestTeamsWithinQuotaAreAdmitted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewQuotas()
+		own := map[string]float64{}
+		quotas := map[string]Quota{}
+		total, earned := 0.0, 0.0
+		for i := range 4 {
+			team := fmt.Sprint("t", i)
+			quotas[team] = Quota{
+				Rate:   float64(rapid.IntRange(0, 20).Draw(t, "rate")),
+				Burst:  float64(rapid.IntRange(1, 10).Draw(t, "burst")),
+				Weight: float64(rapid.IntRange(0, 3).Draw(t, "weight")),
+			}
+			q.Set(start, team, quotas[team])
+			own[team] = quotas[team].Burst
+			earned += quotas[team].Burst
+		}
+		now := start
+		for range 200 {
+			passed := time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond
+			now = now.Add(passed)
+			for team, quota := range quotas {
+				own[team] = min(quota.Burst, own[team]+quota.Rate*passed.Seconds())
+				earned += quota.Rate * passed.Seconds()
+			}
+			team := fmt.Sprint("t", rapid.IntRange(0, 3).Draw(t, "team"))
+			n := rapid.IntRange(1, 8).Draw(t, "n")
+			d := q.Admit(now, team, n)
+			if !d.Admitted && own[team] > min(float64(n), quotas[team].Burst)+1e-6 {
+				t.Fatalf("%s was refused %d tasks with %f tokens left", team, n, own[team])
+			}
+			if d.Admitted == (d.RetryAfter > 0) || d.Borrowed > n {
+				t.Fatalf("decision %+v for %d tasks", d, n)
+			}
+			if d.Admitted {
+				own[team] -= float64(n - d.Borrowed)
+				total += float64(n)
+			}
+		}
+		// Each team may be in debt for the rest of one job above its burst.
+		if total > earned+4*8 {
+			t.Fatalf("%f tasks admitted, %f earned", total, earned)
+		}
+	})
+}
+
+// Guards against unused capacity that is lost, or that is lent without regard to weights.
+func TestUnusedCapacityIsLentByWeight(t *testing.T) {
+	g := NewWithT(t)
+	q := NewQuotas()
+	for team, quota := range map[string]Quota{
+		"idle":  {Rate: 80, Burst: 10},
+		"light": {Rate: 10, Burst: 10, Weight: 1},
+		"heavy": {Rate: 10, Burst: 10, Weight: 3},
+	} {
+		q.Set(start, team, quota)
+	}
+	borrowed := map[string]int{}
+	const seconds = 20
+	for ms := range seconds * 1000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		borrowed["light"] += q.Admit(now, "light", 1).Borrowed
+		borrowed["heavy"] += q.Admit(now, "heavy", 1).Borrowed
+	}
+	g.Expect(borrowed["light"] + borrowed["heavy"]).To(BeNumerically("~", 80*seconds, 80))
+	g.Expect(float64(borrowed["heavy"]) / float64(borrowed["light"])).To(BeNumerically("~", 3, 0.3))
+	// The idle team returns: it gets its quota at once.
+	now := start.Add(seconds * time.Second)
+	g.Expect(q.Admit(now, "idle", 10)).To(Equal(Decision{Admitted: true}))
+	g.Expect(q.Admit(now, "nobody", 1).Admitted).To(BeFalse())
+}
+
+// Guards against a job above the burst of its team that is never admitted, and against
+// refused work that uses up the quota.
+func TestLargeJobsAndRefunds(t *testing.T) {
+	g := NewWithT(t)
+	q := NewQuotas()
+	q.Set(start, "t", Quota{Rate: 10, Burst: 20})
+	d := q.Admit(start, "t", 390)
+	g.Expect(d.Admitted).To(BeTrue())
+	g.Expect(q.Admit(start, "t", 1)).To(Equal(Decision{RetryAfter: 37100 * time.Millisecond}))
+	q.Refund(start, "t", 390, d)
+	g.Expect(q.Admit(start, "t", 20).Admitted).To(BeTrue())
+	now := start.Add(100 * time.Millisecond)
+	g.Expect(q.Admit(now, "t", 1).Admitted).To(BeTrue())
+	g.Expect(q.Admit(now, "t", 1).RetryAfter).To(Equal(100 * time.Millisecond))
+}
+
+// Guards against a storm of retries after a failure, and against a host with few starts
+// that can never retry.
+func TestBudget(t *testing.T) {
+	g := NewWithT(t)
+	b := NewBudget(0.1)
+	allowed := func(now time.Time) (n int) {
+		for range 1000 {
+			if b.Allow(now) {
+				n++
+			}
+		}
+		return n
+	}
+	g.Expect(allowed(start)).To(Equal(3))
+	for range 1000 {
+		b.Start(start)
+	}
+	g.Expect(allowed(start)).To(Equal(100))
+	g.Expect(allowed(start.Add(time.Second))).To(BeNumerically("<=", 1))
+	g.Expect(allowed(start.Add(10 * time.Minute))).To(Equal(3))
+}
+
+// Guards against hints outside [wait, 2*wait], and against callers that return together.
+func TestHints(t *testing.T) {
+	g := NewWithT(t)
+	h := NewHints(1, 50*time.Millisecond, 30*time.Second)
+	for wait, used := range map[time.Duration]time.Duration{
+		-time.Second: 50 * time.Millisecond,
+		time.Second:  time.Second,
+		time.Hour:    30 * time.Second,
+	} {
+		lower, upper := 0, 0
+		for range 1000 {
+			hint := h.Hint(start, wait)
+			g.Expect(hint).To(BeNumerically(">=", used))
+			g.Expect(hint).To(BeNumerically("<=", 2*used))
+			if hint < used+used/2 {
+				lower++
+			} else {
+				upper++
+			}
+		}
+		g.Expect(lower).To(BeNumerically("~", upper, 150))
+	}
+}
+
+// Guards against work that is accepted but certainly late, and against work that is
+// refused because of an estimate that is not known to be right.
+func TestDecide(t *testing.T) {
+	for name, c := range map[string]struct {
+		left time.Duration
+		load Load
+		want Verdict
+	}{
+		"idle":         {left: time.Second, load: Load{Typical: 900 * time.Millisecond, Slow: 2 * time.Second, Samples: 1e6}, want: Verdict{Admitted: true}},
+		"queue":        {left: time.Second, load: Load{Wait: 600 * time.Millisecond, Typical: 300 * time.Millisecond, Slow: 600 * time.Millisecond, Samples: 90}, want: Verdict{RetryAfter: 140 * time.Millisecond}},
+		"too long":     {left: time.Second, load: Load{Typical: 2 * time.Second, Slow: 2 * time.Second, Samples: 90}, want: Verdict{Hopeless: true}},
+		"no samples":   {left: time.Second, load: Load{Wait: time.Second, Typical: time.Second, Slow: time.Second}, want: Verdict{Admitted: true}},
+		"far too late": {left: time.Second, load: Load{Wait: time.Hour, Typical: time.Second, Slow: time.Second}, want: Verdict{RetryAfter: 1799500 * time.Millisecond}},
+		"past":         {left: -time.Second, want: Verdict{Hopeless: true}},
+	} {
+		NewWithT(t).Expect(Decide(start, start.Add(c.left), c.load)).To(Equal(c.want), name)
+	}
+	NewWithT(t).Expect(Decide(start, time.Time{}, Load{Wait: time.Hour}).Admitted).To(BeTrue())
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	q := NewQuotas()
+	for i := range 72 {
+		q.Set(start, fmt.Sprint("t", i), Quota{Rate: 100, Burst: 10})
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		q.Admit(start.Add(time.Duration(i)*100*time.Microsecond), "t1", 1)
+	}
+}
+
+func ExampleQuotas() {
+	now := time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+	q := NewQuotas()
+	q.Set(now, "press", Quota{Rate: 10, Burst: 4})
+	q.Set(now, "archive", Quota{Rate: 10, Burst: 4})
+	fmt.Println(q.Admit(now, "press", 4))
+	fmt.Println(q.Admit(now, "press", 1))
+	// The team archive has left a second of its quota unused.
+	now = now.Add(time.Second)
+	fmt.Println(q.Admit(now, "press", 4))
+	fmt.Println(q.Admit(now, "press", 6))
+	// Output:
+	// {true 0 0s}
+	// {false 0 100ms}
+	// {true 0 0s}
+	// {true 6 0s}
+}
