Add the detector: failing upstreams, failing kinds and stragglers

Cause: an upstream that fails everything at once attracts more and more tasks, and a kind that can never run would otherwise cost healthy upstreams.

Change: each failure is weighed by how often the kind fails on most other upstreams. Upstreams are ejected by a cumulative sum test, within a share of the fleet, and return by single tasks at growing intervals. Kinds that fail on nearly all upstreams, of which several succeed at other kinds, are reported, with occasional trials. Weight follows run times against the usual ones of the same kinds.

--- /dev/null
+++ b/detector/detector_test.go
@@ -0,0 +1,291 @@
+package detector
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var start = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+// fleet sends tasks to simulated upstreams as a host does: none to ejected upstreams.
+type fleet struct {
+	d      *Detector
+	now    time.Time
+	random *rand.Rand
+	size   int
+	// fails returns the probability that a task of the kind fails on the upstream.
+	fails func(upstream, kind int) float64
+	tasks map[string]int // by upstream
+}
+
+const kinds = 3
+
+func newFleet(size int, cfg Config) *fleet {
+	f := &fleet{
+		d:      New(cfg),
+		now:    start,
+		random: rand.New(rand.NewPCG(1, 0)),
+		size:   size,
+		fails:  func(int, int) float64 { return 0 },
+		tasks:  map[string]int{},
+	}
+	for i := range size {
+		f.d.Add(name(i), "s")
+	}
+	return f
+}
+
+func name(i int) string { return fmt.Sprint("u", i) }
+
+// run sends n tasks, one per 10 ms, to each upstream in turn.
+func (f *fleet) run(n int) {
+	for i := range n {
+		f.now = f.now.Add(10 * time.Millisecond)
+		f.send(i%f.size, f.random.IntN(kinds))
+	}
+}
+
+func (f *fleet) send(upstream, kind int) {
+	id := name(upstream)
+	if f.d.State(f.now, id) == Ejected {
+		return
+	}
+	f.tasks[id]++
+	f.d.Report(f.now, id, "s", fmt.Sprint("k", kind), f.random.Float64() >= f.fails(upstream, kind))
+}
+
+func (f *fleet) out() (ids []string) {
+	for i := range f.size {
+		if f.d.State(f.now, name(i)) != Healthy {
+			ids = append(ids, name(i))
+		}
+	}
+	return ids
+}
+
+// Guards against an upstream that fails everything at once and therefore gets more and
+// more tasks.
+func TestUpstreamThatFailsEverythingFast(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(12, Config{})
+	f.run(120)
+	f.fails = func(upstream, _ int) float64 { return float64(upstream / 11) }
+	failures := 0
+	for ; f.d.State(f.now, "u11") == Healthy && failures < 100; failures++ {
+		f.send(11, failures%kinds)
+	}
+	g.Expect(failures).To(BeNumerically(">=", 3))
+	g.Expect(failures).To(BeNumerically("<=", 5))
+	f.run(1000)
+	g.Expect(f.out()).To(Equal([]string{"u11"}))
+	for k := range kinds {
+		g.Expect(f.d.KindFails("s", fmt.Sprint("k", k))).To(BeFalse())
+	}
+}
+
+// Guards against probes at a constant rate, against an upstream that never returns, and
+// against results of tasks from before the ejection that count as probes.
+func TestReturnByProbes(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(4, Config{})
+	f.run(40)
+	f.fails = func(upstream, _ int) float64 { return float64(upstream / 3) }
+	f.run(40)
+	g.Expect(f.out()).To(Equal([]string{"u3"}))
+	for range goodProbes {
+		f.d.Report(f.now, "u3", "s", "k0", true)
+	}
+	g.Expect(f.out()).To(Equal([]string{"u3"}))
+	before := f.tasks["u3"]
+	f.run(30_000)
+	// 300 s hold probes at intervals of 1, 2, 4, 8, 16, 32 and 60 s.
+	g.Expect(f.tasks["u3"] - before).To(BeNumerically("~", 9, 2))
+	f.fails = func(int, int) float64 { return 0 }
+	f.run(6200)
+	g.Expect(f.out()).To(BeEmpty())
+}
+
+// Guards against a kind that can never run: it must not cost the upstreams, its jobs
+// must fail early, and it must recover once it can run.
+func TestKindThatCanNeverRun(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(8, Config{EjectShare: 1})
+	f.run(80)
+	f.fails = func(_, kind int) float64 { return float64(kind / 2) }
+	f.run(600)
+	g.Expect(f.out()).To(BeEmpty())
+	g.Expect(f.d.KindFails("s", "k2")).To(BeTrue())
+	g.Expect(f.d.KindFails("s", "k1")).To(BeFalse())
+	g.Expect(f.d.KindFails("s", "k9")).To(BeFalse())
+	trials := 0
+	for range 300 {
+		f.now = f.now.Add(time.Second)
+		if f.d.Trial(f.now, "s", "k2") {
+			trials++
+			f.send(trials%8, 2)
+		}
+	}
+	g.Expect(trials).To(BeNumerically("~", 9, 2))
+	f.fails = func(int, int) float64 { return 0 }
+	f.send(0, 2)
+	g.Expect(f.d.KindFails("s", "k2")).To(BeFalse())
+}
+
+// Guards against a new kind that can never run and is found only after many failures.
+func TestNewKindThatCanNeverRun(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(8, Config{})
+	f.run(80)
+	for i := range 5 {
+		g.Expect(f.d.KindFails("s", "k7")).To(BeFalse())
+		f.fails = func(int, int) float64 { return 1 }
+		f.send(i, 7)
+	}
+	g.Expect(f.d.KindFails("s", "k7")).To(BeTrue())
+}
+
+// Guards against a kind that counts as failing although it succeeds on most upstreams, or
+// although nothing else shows that the upstreams work.
+func TestKindsThatDoNotFailEverywhere(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(16, Config{EjectShare: 0.01})
+	f.run(320)
+	f.fails = func(upstream, _ int) float64 { return float64(upstream / 13) }
+	for i := range 24 {
+		f.send(13+i%3, 0)
+	}
+	g.Expect(f.d.KindFails("s", "k0")).To(BeFalse())
+	f = newFleet(8, Config{})
+	f.fails = func(int, int) float64 { return 1 }
+	for i := range 80 {
+		f.send(i%8, 0)
+	}
+	g.Expect(f.d.KindFails("s", "k0")).To(BeFalse())
+	g.Expect(f.out()).To(BeEmpty())
+}
+
+// Guards against half of a failing fleet that is taken for failing kinds, and against
+// more ejections than allowed.
+func TestHalfOfTheFleetFails(t *testing.T) {
+	for share, want := range map[float64]int{0.3: 14, 0.9: 24} {
+		g := NewWithT(t)
+		f := newFleet(48, Config{EjectShare: share})
+		f.run(480)
+		f.fails = func(upstream, _ int) float64 { return float64(upstream % 2) }
+		for range 3000 {
+			f.run(1)
+			f.run(2)
+			f.send(f.random.IntN(48), f.random.IntN(kinds))
+			g.Expect(f.d.services["s"].out).To(BeNumerically("<=", int(share*48)))
+		}
+		g.Expect(f.out()).To(HaveLen(want))
+		for i := range f.size {
+			healthy := f.d.State(f.now, name(i)) == Healthy
+			g.Expect(healthy || i%2 == 1).To(BeTrue(), name(i))
+			if healthy && i%2 == 1 {
+				g.Expect(f.d.Weight(name(i))).To(Equal(0.05), name(i))
+			}
+		}
+		for k := range kinds {
+			g.Expect(f.d.KindFails("s", fmt.Sprint("k", k))).To(BeFalse())
+		}
+	}
+}
+
+// Guards against healthy upstreams that are ejected for occasional failures, or for a
+// kind that fails more often everywhere.
+func TestOccasionalFailures(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(12, Config{EjectShare: 1})
+	f.fails = func(_, kind int) float64 { return []float64{0.001, 0.01, 0.05}[kind] }
+	const tasks = 100_000
+	f.run(tasks)
+	lost := tasks
+	for _, n := range f.tasks {
+		lost -= n
+	}
+	t.Logf("%d of %d tasks found their upstream ejected", lost, tasks)
+	// One task in a thousand may find its upstream ejected.
+	g.Expect(lost).To(BeNumerically("<=", tasks/1000))
+}
+
+// Guards against stragglers that get as much work as the others, and against upstreams
+// that seem slow because they run long kinds.
+func TestStragglers(t *testing.T) {
+	g := NewWithT(t)
+	d := New(Config{})
+	random := rand.New(rand.NewPCG(1, 0))
+	for i := range 2000 {
+		u := i % 10
+		took := time.Duration(80+random.IntN(40)) * time.Millisecond
+		kind := "preview"
+		if u == 1 || i%100 < 10 {
+			kind = "render"
+			took *= 50
+		}
+		if u == 0 {
+			took *= 8
+		}
+		d.Observe(start, name(u), "s", kind, took)
+	}
+	g.Expect(d.Weight("u0")).To(BeNumerically("~", 0.2, 0.1))
+	for i := 1; i < 10; i++ {
+		g.Expect(d.Weight(name(i))).To(Equal(1.0), name(i))
+	}
+	for range 60 {
+		d.Observe(start, "u0", "s", "preview", 100*time.Millisecond)
+	}
+	g.Expect(d.Weight("u0")).To(Equal(1.0))
+}
+
+// Guards against memory that is kept for upstreams that have gone.
+func TestDropForgets(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(6, Config{EjectShare: 1})
+	f.run(60)
+	f.fails = func(upstream, _ int) float64 { return float64(upstream / 5) }
+	f.run(120)
+	g.Expect(f.out()).To(Equal([]string{"u5"}))
+	for i := range f.size {
+		f.d.Drop(name(i))
+	}
+	g.Expect(f.d.upstreams).To(BeEmpty())
+	s := f.d.services["s"]
+	g.Expect(s.upstreams + s.out).To(BeZero())
+	for _, k := range s.kinds {
+		g.Expect(k.cells).To(BeEmpty())
+		g.Expect(k.shares).To(Equal([bins]int{}))
+	}
+}
+
+func BenchmarkReport(b *testing.B) {
+	d := New(Config{})
+	ids := make([]string, 1000)
+	for i := range ids {
+		ids[i] = name(i)
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		d.Report(now, ids[i%1000], "s", "k", i%50 > 0)
+		d.State(now, ids[i%1000])
+	}
+}
+
+func ExampleDetector() {
+	now := time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+	d := New(Config{EjectShare: 0.5})
+	for range 5 {
+		d.Report(now, "u1", "proofing", "preview", true)
+		d.Report(now, "u2", "proofing", "preview", false)
+	}
+	fmt.Println(d.State(now, "u1"), d.State(now, "u2"), d.KindFails("proofing", "preview"))
+	fmt.Println(d.State(now.Add(time.Second), "u2"))
+	// Output:
+	// healthy ejected false
+	// probing
+}
