Estimate the wait by team share, and configure services one by one

Change: WaitFor takes all tasks of a job and reckons with what other teams have queued and are expected to add, up to their shares. Tasks may carry a slow run time that Expire reckons with. Configure sets the bound and the long share of a service. Team weights are read again with each added task.

--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -1,10 +1,17 @@
 package scheduler
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // pruneAbove is the number of teams from which idle teams are forgotten.
 const pruneAbove = 256
 
+// offeredWindow is the time over which the offered work of a team is averaged. Demand
+// fluctuates within seconds.
+const offeredWindow = 2 * time.Second
+
 // classQueue holds the queued tasks of one class of one service. Teams are ordered by
 // virtual time, which grows with the cost of the tasks that a team starts, divided by
 // its weight; jobs of a team by deadline; tasks of a job by estimate, longest first,
@@ -12,6 +19,7 @@
 type classQueue struct {
 	fifo    bool
 	teams   map[string]*team
+	list    []*team     // all teams, in a fixed order
 	active  heap[*team] // teams with queued tasks
 	virtual float64     // virtual time of the latest start, in seconds
 	weights float64     // sum over the active teams
@@ -28,6 +36,9 @@
 	virtual float64 // in seconds
 	jobs    heap[*group]
 	work    time.Duration
+	// offered is the work that is added per second, in seconds, averaged over offeredWindow.
+	offered   float64
+	offeredAt time.Time
 	// position is the place in classQueue.active.
 	position int
 }
@@ -72,11 +83,22 @@
 	return c.active.top().jobs.top().tasks.top()
 }
 
+// team returns the state of a team with its present weight.
 func (c *classQueue) team(name string, weight func(string) float64) *team {
 	if c.fifo {
 		name = ""
 	}
+	w := 1.0
+	if weight != nil && !c.fifo {
+		if x := weight(name); x > 0 {
+			w = x
+		}
+	}
 	if t, ok := c.teams[name]; ok {
+		if c.active.contains(t) {
+			c.weights += w - t.weight
+		}
+		t.weight = w
 		return t
 	}
 	if len(c.teams) >= c.pruneAt {
@@ -85,7 +107,7 @@
 	t := &team{
 		queue:  c,
 		name:   name,
-		weight: 1,
+		weight: w,
 		jobs: heap[*group]{
 			less:     earlierDeadline,
 			position: func(g *group) *int { return &g.position },
@@ -93,23 +115,25 @@
 	}
 	if c.fifo {
 		t.jobs.less = earlierQueued
-	} else if weight != nil {
-		if w := weight(name); w > 0 {
-			t.weight = w
-		}
 	}
 	c.teams[name] = t
+	c.list = append(c.list, t)
 	return t
 }
 
 // prune forgets idle teams that have no debt. Its cost is amortized over the teams that
 // were added since the last time.
 func (c *classQueue) prune() {
-	for name, t := range c.teams {
+	kept := c.list[:0]
+	for _, t := range c.list {
 		if t.jobs.len() == 0 && t.virtual <= c.virtual {
-			delete(c.teams, name)
+			delete(c.teams, t.name)
+		} else {
+			kept = append(kept, t)
 		}
 	}
+	clear(c.list[len(kept):])
+	c.list = kept
 	c.pruneAt = max(pruneAbove, 2*len(c.teams))
 }
 
@@ -134,8 +158,8 @@
 }
 
 func longerTask(a, b *entry) bool {
-	if a.task.Estimate != b.task.Estimate {
-		return a.task.Estimate > b.task.Estimate
+	if x, y := a.task.need(), b.task.need(); x != y {
+		return x > y
 	}
 	return a.task.Index < b.task.Index
 }
@@ -176,6 +200,20 @@
 	return g
 }
 
+// offer counts added work.
+func (t *team) offer(now time.Time, cost time.Duration) {
+	t.offered = t.rate(now) + cost.Seconds()/offeredWindow.Seconds()
+	t.offeredAt = now
+}
+
+// rate returns the offered work per second.
+func (t *team) rate(now time.Time) float64 {
+	if t.offered == 0 {
+		return 0
+	}
+	return t.offered * math.Exp(-now.Sub(t.offeredAt).Seconds()/offeredWindow.Seconds())
+}
+
 // merge takes over an earlier deadline or time of queueing and reports whether it did.
 func (g *group) merge(t Task) bool {
 	changed := false
@@ -192,7 +230,7 @@
 
 // updateLatestStart uses the first task, which has the longest estimate.
 func (g *group) updateLatestStart() {
-	g.latestStart = g.deadline.Add(-g.tasks.top().task.Estimate)
+	g.latestStart = g.deadline.Add(-g.tasks.top().task.need())
 }
 
 func (j *job) group(c *classQueue, t *team) *group {
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -3,14 +3,11 @@
 import "time"
 
 // Add queues tasks: all of them, or none and an error (*FullError or *DuplicateError).
+// Tasks of the same service must be next to each other.
 func (q *Queue) Add(now time.Time, tasks []Task) error {
 	q.advance(now)
-	if q.queued+len(tasks) > q.cfg.MaxTasks {
-		return &FullError{
-			Queued:   q.queued,
-			Added:    len(tasks),
-			MaxTasks: q.cfg.MaxTasks,
-		}
+	if err := q.room(tasks); err != nil {
+		return err
 	}
 	entries := make([]entry, len(tasks))
 	for i, t := range tasks {
@@ -29,6 +26,7 @@
 			e.task.Queued = now
 		}
 		q.admit(e)
+		e.group.team.offer(now, e.cost)
 		if e.task.Class == Short {
 			q.service(e.task.Service).arrivals.add(now, 1)
 		}
@@ -36,6 +34,34 @@
 	return nil
 }
 
+// room returns a *FullError if the tasks exceed a bound.
+func (q *Queue) room(tasks []Task) error {
+	if q.queued+len(tasks) > q.cfg.MaxTasks {
+		return &FullError{
+			Queued:   q.queued,
+			Added:    len(tasks),
+			MaxTasks: q.cfg.MaxTasks,
+		}
+	}
+	added := 0
+	for i, t := range tasks {
+		if i > 0 && t.Service != tasks[i-1].Service {
+			added = 0
+		}
+		added++
+		s, ok := q.services[t.Service]
+		if ok && s.maxTasks > 0 && s.queued()+added > s.maxTasks {
+			return &FullError{
+				Service:  t.Service,
+				Queued:   s.queued(),
+				Added:    len(tasks),
+				MaxTasks: s.maxTasks,
+			}
+		}
+	}
+	return nil
+}
+
 // admit connects a new entry with its job and queues it.
 func (q *Queue) admit(e *entry) {
 	if e.task.Class != Long {
@@ -108,7 +134,7 @@
 }
 
 // Expire removes the queued tasks whose deadline cannot be met any more by their
-// estimate, and the other queued tasks of the same jobs, since a job is complete only
+// Estimate or Slow, and the other queued tasks of the same jobs, since a job is complete only
 // with all its tasks. Tasks of these jobs that already run stay until Done; Cancel
 // returns them.
 func (q *Queue) Expire(now time.Time) []Task {
@@ -159,7 +185,8 @@
 	return tasks
 }
 
-// Return puts a task back that Take removed, at its old place, and refunds its team. It
+// Return puts a task back that Take removed, at its old place within its team, and
+// refunds the team. It
 // succeeds even when the queue is full, because the task was admitted before. It reports
 // false if the task is already queued or running.
 func (q *Queue) Return(now time.Time, t Task) bool {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -52,10 +52,20 @@
 	// Seed determines all random choices.
 	Seed uint64
 	// TeamWeight returns the weight of a team. Without it, and for results that are not
-	// above zero, the weight is 1.
+	// above zero, the weight is 1. A changed weight counts from the next task on that the
+	// team adds.
 	TeamWeight func(team string) float64
 }
 
+// ServiceConfig holds settings of one service that replace those of Config.
+type ServiceConfig struct {
+	// MaxTasks is the largest number of queued tasks of the service. Without a number
+	// above zero, only Config.MaxTasks counts.
+	MaxTasks int
+	// LongShare replaces Config.LongShare if it is between 0 and 1.
+	LongShare float64
+}
+
 // Queue holds the queued and running tasks of one host.
 type Queue struct {
 	cfg       Config
@@ -123,6 +133,25 @@
 	return 0
 }
 
+// Configure changes the settings of a service. What is queued or runs beyond new limits
+// stays.
+func (q *Queue) Configure(now time.Time, service string, c ServiceConfig) {
+	q.advance(now)
+	s := q.service(service)
+	s.maxTasks = c.MaxTasks
+	s.longShare = q.cfg.LongShare
+	if c.LongShare > 0 && c.LongShare < 1 {
+		s.longShare = c.LongShare
+	}
+	// The order of takesLong depends on the share.
+	for _, u := range s.freest.items {
+		s.takesLong.remove(u)
+	}
+	for _, u := range s.freest.items {
+		s.takesLong.push(u)
+	}
+}
+
 func (q *Queue) service(name string) *service {
 	s, ok := q.services[name]
 	if !ok {
--- a/scheduler/script_test.go
+++ b/scheduler/script_test.go
@@ -32,6 +32,8 @@
 type script struct {
 	q   *Queue
 	now time.Time
+	// taken holds what take has removed.
+	taken []Task
 }
 
 func runScript(t *testing.T, file string) {
@@ -98,6 +100,30 @@
 			got = append(got, a.Task.ID+"@"+a.Upstream)
 		}
 		return strings.Join(got, " ")
+	case "configure":
+		share, _ := strconv.ParseFloat(args["long-share"], 64)
+		s.q.Configure(s.now, "s", ServiceConfig{
+			MaxTasks:  number(args["max"], 0),
+			LongShare: share,
+		})
+	case "serve": // starts and ends one task after the other
+		var got []string
+		for range number(args["n"], 1) {
+			a, _ := s.q.Next(s.now)
+			got = append(got, a.Task.ID)
+			s.now = s.now.Add(a.Task.Estimate)
+			s.q.Done(s.now, a.Task.ID)
+		}
+		return strings.Join(got, " ")
+	case "take":
+		taken := s.q.Take(s.now, "s", number(args["n"], 1))
+		s.taken = append(s.taken, taken...)
+		return ids(taken)
+	case "return":
+		for _, t := range s.taken {
+			s.q.Return(s.now, t)
+		}
+		s.taken = nil
 	case "done":
 		s.q.Done(s.now, args["id"])
 	case "reclass":
@@ -114,7 +140,7 @@
 	case "wait":
 		return s.q.Wait(s.now, "s", Class(args["class"])).Round(time.Millisecond).String()
 	case "wait-for":
-		return s.q.WaitFor(s.now, s.tasks(args)[0]).Round(time.Millisecond).String()
+		return s.q.WaitFor(s.now, s.tasks(args)...).Round(time.Millisecond).String()
 	case "free":
 		return strconv.Itoa(s.q.Free("s"))
 	case "after":
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -6,6 +6,7 @@
 // the serving upstreams; probing upstreams are kept apart.
 type service struct {
 	longShare float64
+	maxTasks  int // zero if only the bound of the Queue counts
 	fifo      bool
 	short     *classQueue
 	long      *classQueue // the same as short for the baselines
@@ -64,6 +65,14 @@
 	return s
 }
 
+// queued returns the number of queued tasks.
+func (s *service) queued() int {
+	if s.long == s.short {
+		return s.short.tasks
+	}
+	return s.short.tasks + s.long.tasks
+}
+
 func (s *service) queue(c Class) *classQueue {
 	if c == Long {
 		return s.long
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -40,6 +40,9 @@
 	Deadline time.Time
 	// Estimate is the expected run time.
 	Estimate time.Duration
+	// Slow is the run time that few tasks exceed, for example the 95th percentile. If it
+	// is above Estimate, Expire reckons with it instead.
+	Slow time.Duration
 	// LongAfter is the run time after which a short task is late (see Queue.Late);
 	// 3 times the estimate if it is not above zero. A task without both is never late.
 	LongAfter time.Duration
@@ -47,6 +50,9 @@
 	Queued time.Time
 }
 
+// need is the run time that Expire reckons with.
+func (t *Task) need() time.Duration { return max(t.Estimate, t.Slow) }
+
 // Assignment is the decision to start a task.
 type Assignment struct {
 	Task     Task
@@ -62,12 +68,18 @@
 
 // FullError reports that tasks were not added because the queue would exceed its bound.
 type FullError struct {
+	// Service is empty if the bound is that of the whole Queue.
+	Service                 string
 	Queued, Added, MaxTasks int
 }
 
 // Error states the bound and what was asked for.
 func (e *FullError) Error() string {
-	return fmt.Sprintf("queue holds %d of at most %d tasks: no room for %d more", e.Queued, e.MaxTasks, e.Added)
+	queue := "queue"
+	if e.Service != "" {
+		queue = fmt.Sprintf("queue of service %q", e.Service)
+	}
+	return fmt.Sprintf("%s holds %d of at most %d tasks: no room for %d more", queue, e.Queued, e.MaxTasks, e.Added)
 }
 
 // DuplicateError reports that tasks were not added because one of them is already
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -23,22 +23,51 @@
 	return s.drain(now, c, s.queue(c).work)
 }
 
-// WaitFor is Wait for a certain task. A team that has queued less than its share of the
-// slots waits only for its own work.
-func (q *Queue) WaitFor(now time.Time, t Task) time.Duration {
-	all := q.Wait(now, t.Service, t.Class)
+// WaitFor estimates the time until the last of the tasks of a new job starts. The tasks
+// have the same team, service and class. The estimate is by the share of the team: other
+// teams go before it with what they have queued and are expected to add, but only up to
+// their shares. Its cost is proportional to the number of tasks and of teams.
+func (q *Queue) WaitFor(now time.Time, tasks ...Task) time.Duration {
+	q.advance(now)
+	if len(tasks) == 0 {
+		return 0
+	}
+	t := tasks[0]
 	s, ok := q.services[t.Service]
-	if !ok || s.slots == 0 || all == 0 || s.fifo {
-		return all
+	if !ok || s.slots == 0 {
+		return MaxWait
+	}
+	if len(tasks) <= s.free && s.idleFor(now, t.Class) && (t.Class != Long || len(tasks) == 1) {
+		return 0
+	}
+	var before time.Duration // work of the job that starts before its last task
+	for _, x := range tasks[1:] {
+		before += max(minCost, x.Estimate)
 	}
 	c := s.queue(t.Class)
+	if s.fifo {
+		return s.drain(now, t.Class, c.work+before)
+	}
 	own := c.team(t.Team, q.cfg.TeamWeight)
-	weights := c.weights
-	if !c.active.contains(own) {
-		weights += own.weight
+	mine := (own.work + before).Seconds()
+	if c.active.len() > 0 {
+		// A team that has used more than the others waits until they have caught up.
+		mine += own.weight * max(0, own.virtual-c.active.top().virtual)
+	}
+	return s.drain(now, t.Class, c.ahead(now, own, mine, s.drain(now, t.Class, c.work+before)))
+}
+
+// ahead returns the work that starts within the given time before a task of the team
+// that has the given work of its own team before it, in seconds.
+func (c *classQueue) ahead(now time.Time, own *team, mine float64, within time.Duration) time.Duration {
+	sum := mine
+	for _, t := range c.list {
+		if t != own {
+			demand := t.work.Seconds() + t.rate(now)*within.Seconds()
+			sum += min(demand, mine*t.weight/own.weight)
+		}
 	}
-	work := time.Duration(float64(own.work) * weights / own.weight)
-	return min(all, s.drain(now, t.Class, work))
+	return time.Duration(math.Min(sum, math.MaxInt64/2/float64(time.Second)) * float64(time.Second))
 }
 
 // idleFor reports whether a task of the class would start at once.
@@ -73,6 +102,9 @@
 	switch {
 	case s.fifo:
 		return float64(s.slots), busy, short + long
+	case c == Long && s.short.tasks > 0:
+		// Slots that were lent are not lent again while short work is queued.
+		return float64(s.longLimit()), s.longRunning, long
 	case c == Long:
 		return float64(max(s.longLimit(), s.longRunning)), s.longRunning, long
 	default:
