End connections before handler contexts when a listener closes

Cause: Listener.Close ended the contexts of handlers first. A handler could then answer with the error of its context, and the caller got *RemoteError in place of the documented *LostError.

Change: Close ends the connections first. TestGraceful also checks that goodbye arrives, since leaving it out had passed.

Conclusion: a call cut off by Close is always reported as lost.

--- a/journaler/format.go
+++ b/journaler/format.go
@@ -23,7 +23,8 @@
 	recordExtra  = headerSize + 1
 	noSnapshot   = 0
 	withSnapshot = 1
-	maxSnapshot  = math.MaxUint32 - 1
+	// maxSnapshot leaves room for the byte before the snapshot, and fits an int.
+	maxSnapshot = math.MaxInt32 - 1
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -51,7 +51,7 @@
 	// Dir is the data folder; it is created if it does not exist.
 	Dir string
 	// MaxRecord is the largest record in bytes; DefaultMaxRecord if it is zero.
-	// Snapshots are not bound by it.
+	// Snapshots are not bound by it, but neither may reach 2 GiB.
 	MaxRecord int
 	// Sync makes a file or folder durable; (*os.File).Sync if it is nil.
 	Sync func(*os.File) error
@@ -144,6 +144,7 @@
 	if cfg.MaxRecord <= 0 {
 		cfg.MaxRecord = DefaultMaxRecord
 	}
+	cfg.MaxRecord = min(cfg.MaxRecord, maxSnapshot)
 	if cfg.Sync == nil {
 		cfg.Sync = (*os.File).Sync
 	}
@@ -331,7 +332,7 @@
 // Snapshot replaces all earlier records by the state and returns once it is durable. The
 // state must include the effect of every record whose Append was called before.
 func (j *Journal) Snapshot(state []byte) error {
-	if uint64(len(state)) > maxSnapshot {
+	if len(state) > maxSnapshot {
 		return &TooLargeError{
 			Size: len(state),
 			Max:  maxSnapshot,
--- a/messenger/listener.go
+++ b/messenger/listener.go
@@ -88,7 +88,8 @@
 // handlers have returned. Their callers get *LostError.
 func (n *Listener) Close() error {
 	n.refuse()
-	n.stop()
+	// Connections end before contexts do: a handler that is cut off must not answer
+	// with the error of its context, which its caller would take for a result.
 	n.mu.Lock()
 	for conn, l := range n.conns {
 		if l != nil {
@@ -97,6 +98,7 @@
 		_ = conn.Close()
 	}
 	n.mu.Unlock()
+	n.stop()
 	n.wg.Wait()
 	return nil
 }
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -367,7 +367,7 @@
 	})
 	<-started
 	other := peer(t, n.Address(), config("c", nil))
-	_, err := other.connect(t.Context())
+	link, err := other.connect(t.Context())
 	g.Expect(err).NotTo(HaveOccurred())
 	_, err = p.Call(t.Context(), KindRunTask, []byte("beyond MaxConcurrent"))
 	g.Expect(err).To(beNotSent())
@@ -385,6 +385,7 @@
 	close(finish)
 	wg.Wait()
 	g.Expect(started).To(BeEmpty())
+	g.Eventually(link.stopping.Load).Should(BeTrue(), "goodbye did not arrive")
 
 	n = listen(t, config("a", func(ctx context.Context, _ Hello, _ Kind, _ []byte) ([]byte, error) {
 		started <- struct{}{}
