claimer: add claims of request keys with takeover, views and a horizon

Cause: a submission that arrives more than once, on any hosts, may start at most once, also when its coordinator dies or the view changes.

Change: package claimer. A first claim is written with ballot 0 to a majority in one round trip; a host that finds the claim of a coordinator that is no longer in the view prepares a higher ballot first. Tables answer in one view only, end it when a member of the next view reads them, and bound answers and records. Steps of the protocol are state machines without side effects, so that tests explore all orders of messages. leaser.Settled is new for a view that is settled by time.

The checker finds a claim on a minority, a takeover without prepare, members that accept old views and a skipped sync.

--- /dev/null
+++ b/claimer/claimer_test.go
@@ -0,0 +1,314 @@
+package claimer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/leaser"
+)
+
+var ctx = context.Background()
+
+// points are the moments in the life of a submission at which its coordinator, host 0,
+// may die. The decision on a copy that another host gets is listed for a coordinator
+// that lives and for one that died.
+var points = []struct {
+	name        string
+	reach       func(g *WithT, c *cluster)
+	alive, dead Status
+}{
+	{"before the claim", func(*WithT, *cluster) {}, Granted, Granted},
+	{"after the claim", func(g *WithT, c *cluster) {
+		g.Expect(c.claim(0, Queued).Status).To(Equal(Granted))
+	}, Joined, Granted},
+	{"before the first start", func(g *WithT, c *cluster) {
+		g.Expect(c.claim(0, Started).Status).To(Equal(Granted))
+	}, Joined, Unknown},
+	{"after the first start", func(g *WithT, c *cluster) {
+		g.Expect(c.claim(0, Queued).Status).To(Equal(Granted))
+		g.Expect(c.node(0).c.Start(ctx, start, theKey)).To(Succeed())
+	}, Joined, Unknown},
+	{"after the answer", func(g *WithT, c *cluster) {
+		g.Expect(c.claim(0, Started).Status).To(Equal(Granted))
+		g.Expect(c.node(0).c.Finish(ctx, start, theKey, completeOutcome("seasoned"))).To(Succeed())
+	}, Recorded, Recorded},
+	{"before the answer", func(g *WithT, c *cluster) {
+		g.Expect(c.claim(0, Started).Status).To(Equal(Granted))
+		c.set(func() { c.drop = func(string, Request, bool) bool { return true } })
+		var lost *UnavailableError
+		g.Expect(errors.As(c.node(0).c.Finish(ctx, start, theKey, completeOutcome("seasoned")), &lost)).To(BeTrue())
+		c.set(func() { c.drop = nil })
+	}, Joined, Unknown},
+}
+
+// Guards against a second start, or a wrong answer, when the coordinator dies.
+func TestCoordinatorDies(t *testing.T) {
+	for _, p := range points {
+		t.Run(p.name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := newCluster(3)
+			p.reach(g, c)
+			c.kill(0, 3)
+			d := c.claim(1, Started)
+			g.Expect(d.Status).To(Equal(p.dead))
+			again := c.claim(2, Started)
+			switch p.dead {
+			case Granted:
+				g.Expect(again).To(Equal(Decision{
+					Status:      Joined,
+					Coordinator: member(1),
+				}))
+			case Unknown:
+				g.Expect(again.Status).To(Equal(Recorded), "a lost submission is unknown for good")
+				g.Expect(again.Outcome.Status).To(Equal(sesamedrift.Unknown))
+			default:
+				g.Expect(again).To(Equal(d))
+				g.Expect(d.Outcome).To(Equal(completeOutcome("seasoned")))
+			}
+		})
+	}
+}
+
+// Guards against a second start when a copy reaches another host while the coordinator
+// lives.
+func TestResubmissionToAnotherHost(t *testing.T) {
+	for _, p := range points {
+		t.Run(p.name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := newCluster(3)
+			p.reach(g, c)
+			d := c.claim(1, Started)
+			if d.Status == Recorded {
+				// The coordinator has the outcome, even if nobody else does.
+				g.Expect(p.name).To(HaveSuffix("the answer"))
+				g.Expect(d.Outcome).To(Equal(completeOutcome("seasoned")))
+				return
+			}
+			g.Expect(d.Status).To(Equal(p.alive))
+			if d.Status == Joined {
+				g.Expect(d.Coordinator).To(Equal(member(0)))
+			}
+		})
+	}
+}
+
+// Guards against a coordinator that was taken for dead and starts a submission that
+// another host has taken over.
+func TestCoordinatorIsTakenForDead(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(3)
+	g.Expect(c.claim(0, Queued).Status).To(Equal(Granted))
+	c.kill(0, 3)
+	c.set(func() { c.node(0).down = false })
+	g.Expect(c.claim(1, Queued).Status).To(Equal(Granted))
+	var unavailable *UnavailableError
+	g.Expect(errors.As(c.node(0).c.Start(ctx, start, theKey), &unavailable)).To(BeTrue(), "it is in the former view")
+	c.install(3, []leaser.Member{member(1), member(2)}, allMembers(3)...)
+	var lost *LostError
+	g.Expect(errors.As(c.node(0).c.Start(ctx, start, theKey), &lost)).To(BeTrue())
+	g.Expect(c.node(1).c.Start(ctx, start, theKey)).To(Succeed())
+}
+
+// Guards against a first copy that was delayed and runs although its resubmission did.
+func TestDelayedFirstCopyStartsNothing(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(3)
+	g.Expect(c.claim(1, Started).Status).To(Equal(Granted))
+	g.Expect(c.claim(0, Started).Status).To(Equal(Joined))
+	g.Expect(c.node(1).c.Finish(ctx, start, theKey, completeOutcome("seasoned"))).To(Succeed())
+	g.Expect(c.claim(0, Started).Status).To(Equal(Recorded))
+	for _, late := range []time.Duration{testRetention + time.Second, testRetention + time.Hour} {
+		c.node(0).c.Expire(start.Add(late))
+		d, err := c.node(0).c.Claim(ctx, start.Add(late), Claim{
+			Key:         theKey,
+			Created:     start,
+			PayloadHash: "a",
+			Phase:       Started,
+		})
+		g.Expect(d.Status, err).To(Equal(Expired))
+	}
+	g.Expect(c.node(0).t.Len()).To(BeZero())
+}
+
+// Guards against a domain that runs a submission again after all its hosts lost their
+// memory, and against one that never runs anything again.
+func TestDomainLosesAllMemory(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(3)
+	g.Expect(c.claim(0, Started).Status).To(Equal(Granted))
+	reborn := make([]leaser.Member, 0, 3)
+	for _, m := range allMembers(3) {
+		m.Incarnation = 2
+		c.boot(m)
+		reborn = append(reborn, m)
+	}
+	for _, result := range c.install(2, allMembers(3), reborn...) {
+		g.Expect(result).To(Equal("false false"), "open with a horizon")
+	}
+	g.Expect(c.claim(1, Started).Status).To(Equal(Unknown))
+	later := start.Add(3 * testMargin)
+	d, err := c.node(1).c.Claim(ctx, later, Claim{
+		Key:         "later",
+		Created:     later,
+		PayloadHash: "a",
+		Phase:       Started,
+	})
+	g.Expect(d.Status, err).To(Equal(Granted))
+}
+
+// Guards against a table that answers while members of the former view may still accept
+// claims in it.
+func TestSyncNeedsTheEndOfTheFormerView(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(3)
+	c.set(func() { c.node(1).down, c.node(2).down = true, true })
+	g.Expect(c.install(2, allMembers(3), member(0))).To(HaveKeyWithValue(member(0).Host, "false true"))
+	g.Expect(c.claim(0, Started)).To(Equal(Decision{
+		Status: Unavailable,
+		Reason: reasonUnreached,
+	}))
+	c.set(func() { c.node(1).down, c.node(2).down = false, false })
+	g.Expect(c.claim(1, Started).Status).To(Equal(Granted), "the others go on in the former view")
+	g.Expect(c.install(2, allMembers(3), member(0))).To(HaveKeyWithValue(member(0).Host, "true false"))
+	g.Expect(c.claim(0, Started).Status).To(Equal(Unknown))
+}
+
+// Guards against a claim that is said to have left no record although it may have.
+func TestUnavailableSaysWhetherARecordMayExist(t *testing.T) {
+	for name, tc := range map[string]struct {
+		prepare func(c *cluster)
+		want    bool
+	}{
+		"not sent":       {func(c *cluster) { c.node(1).down, c.node(2).down = true, true }, false},
+		"request lost":   {func(c *cluster) { c.drop = func(_ string, _ Request, reply bool) bool { return !reply } }, true},
+		"answer lost":    {func(c *cluster) { c.drop = func(_ string, _ Request, reply bool) bool { return reply } }, true},
+		"other view":     {func(c *cluster) { c.node(1).view.Number, c.node(2).view.Number = 2, 2 }, false},
+		"tables full":    {func(c *cluster) { c.node(1).t.MaxClaims, c.node(2).t.MaxClaims = 0, 0 }, false},
+		"no view":        {func(c *cluster) { c.node(0).view = leaser.View{} }, false},
+		"one not synced": {func(c *cluster) { c.node(0).t.fence(2); c.node(1).down = true; c.node(2).down = true }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := newCluster(3)
+			c.set(func() { tc.prepare(c) })
+			d := c.claim(0, Queued)
+			g.Expect(d.Status).To(Equal(Unavailable))
+			g.Expect(d.Recorded).To(Equal(tc.want))
+		})
+	}
+}
+
+// Guards against a refused submission that can never run, and one that runs twice.
+func TestRefusedSubmissionCanBeClaimedAgain(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(3)
+	g.Expect(c.claim(0, Queued).Status).To(Equal(Granted))
+	g.Expect(c.node(0).c.Finish(ctx, start, theKey, sesamedrift.Outcome{
+		Status: sesamedrift.Refused,
+		Reason: "queue is full",
+	})).To(Succeed())
+	d, err := c.node(1).c.Find(ctx, start, theKey)
+	g.Expect(d.Status, err).To(Equal(Absent))
+	g.Expect(c.claim(1, Started).Status).To(Equal(Granted))
+	g.Expect(c.claim(0, Started).Status).To(Equal(Joined))
+}
+
+// Guards against keys that are accepted with another payload, a time in the future or an
+// age that other hosts may have forgotten.
+func TestKeysThatAreNotAccepted(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(3)
+	g.Expect(c.claim(0, Started).Status).To(Equal(Granted))
+	for i := range 3 {
+		d, err := c.node(i).c.Claim(ctx, start, Claim{
+			Key:         theKey,
+			Created:     start,
+			PayloadHash: "b",
+			Phase:       Started,
+		})
+		g.Expect(d.Status, err).To(Equal(Conflict))
+	}
+	_, err := c.node(0).c.Claim(ctx, start, Claim{
+		Key:     "future",
+		Created: start.Add(testMargin + time.Millisecond),
+	})
+	var created *CreatedError
+	g.Expect(errors.As(err, &created)).To(BeTrue())
+	// The host's clock is behind those of the others, which refuse the key.
+	d, err := c.node(0).c.Claim(ctx, start.Add(-time.Second), Claim{
+		Key:     "old",
+		Created: start.Add(-testRetention - time.Millisecond),
+		Phase:   Started,
+	})
+	g.Expect(d.Status, err).To(Equal(Expired))
+	c.node(0).t.Expire(start.Add(testRetention + testMargin))
+	g.Expect(c.node(0).t.Len()).To(Equal(1), "it is kept for the clock margin")
+}
+
+// Guards against answers that need memory without bound, and against a dropped answer
+// that is reported as complete.
+func TestOldAnswersAreDropped(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(3)
+	for i := range 3 {
+		c.node(i).t.MaxAnswerBytes = 100
+	}
+	for i := range 10 {
+		key := fmt.Sprintf("order-%d@20261204T090000.000", i)
+		g.Expect(c.claimKey(0, Started, key, start).Status).To(Equal(Granted))
+		g.Expect(c.node(0).c.Finish(ctx, start, key, completeOutcome("twenty bytes of text"))).To(Succeed())
+	}
+	g.Expect(c.node(0).t.answerBytes).To(BeNumerically("<=", 100))
+	d, err := c.node(1).c.Find(ctx, start, "order-0@20261204T090000.000")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(d.Status).To(Equal(Recorded))
+	g.Expect(d.AnswerDropped).To(BeTrue())
+	g.Expect(d.Held).To(Equal(sesamedrift.Complete))
+	g.Expect(d.Outcome.Status).To(Equal(sesamedrift.Unknown))
+	g.Expect(d.Outcome.Reason).To(Equal(ReasonAnswerDropped))
+	d, _ = c.node(1).c.Find(ctx, start, "order-9@20261204T090000.000")
+	g.Expect(d.Outcome).To(Equal(completeOutcome("twenty bytes of text")))
+}
+
+// Guards against records that are lost, and messages without bound, when a table is read
+// in chunks.
+func TestSyncInChunks(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(3)
+	for i := range 50 {
+		key := fmt.Sprintf("order-%02d", i)
+		g.Expect(c.claimKey(0, Started, key, start).Status).To(Equal(Granted))
+		g.Expect(c.node(0).c.Finish(ctx, start, key, completeOutcome("answer"))).To(Succeed())
+	}
+	for i := range 3 {
+		c.node(i).t.ChunkBytes = 5 * recordBytes
+	}
+	c.set(func() { c.calls = 0 })
+	g.Expect(c.install(2, allMembers(3), append(allMembers(2), func() leaser.Member {
+		m := member(3)
+		c.boot(m)
+		return m
+	}())...)).To(HaveKeyWithValue(member(3).Host, "true false"))
+	var calls int
+	c.set(func() { calls = c.calls })
+	// Each of the three hosts reads at least one other table of ten chunks or more.
+	g.Expect(calls).To(BeNumerically(">=", 3*10))
+	g.Expect(c.node(3).t.Len()).To(Equal(50))
+	rec := c.node(3).t.get("order-49")
+	g.Expect(rec.Claims[0].Outcome).To(Equal(completeOutcome("answer")))
+}
+
+func BenchmarkClaim3Members(b *testing.B) {
+	c := newCluster(3)
+	for i := 0; b.Loop(); i++ {
+		if d := c.claimKey(0, Started, fmt.Sprint("order-", i), start); d.Status != Granted {
+			b.Fatal(d)
+		}
+	}
+}
--- /dev/null
+++ b/claimer/cluster_test.go
@@ -0,0 +1,177 @@
+package claimer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/leaser"
+)
+
+// cluster runs Claimers in one process, with views that the test sets.
+type cluster struct {
+	mu    sync.Mutex
+	hosts map[string]*node
+	// drop, if set, loses a request (before it is handled) or its reply.
+	drop func(to string, r Request, reply bool) bool
+	// calls counts the requests.
+	calls int
+}
+
+type node struct {
+	c    *Claimer
+	t    *Table
+	view leaser.View
+	down bool
+}
+
+func newCluster(hosts int) *cluster {
+	c := &cluster{
+		hosts: map[string]*node{},
+	}
+	for i := range hosts {
+		c.boot(member(i))
+	}
+	c.install(1, nil, allMembers(hosts)...)
+	return c
+}
+
+func allMembers(hosts int) []leaser.Member {
+	members := make([]leaser.Member, 0, hosts)
+	for i := range hosts {
+		members = append(members, member(i))
+	}
+	return members
+}
+
+// boot starts a process with an empty table.
+func (c *cluster) boot(m leaser.Member) *node {
+	n := &node{
+		t: NewTable(testRetention),
+	}
+	n.c = New(Config{
+		Self: m,
+		View: func() leaser.View {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return n.view
+		},
+		Table:       n.t,
+		Retention:   testRetention,
+		ClockMargin: testMargin,
+		Call:        c.call,
+	})
+	c.mu.Lock()
+	c.hosts[m.Host] = n
+	c.mu.Unlock()
+	return n
+}
+
+var errDown = errors.New("connection refused")
+
+func (c *cluster) call(_ context.Context, m leaser.Member, r Request) (Reply, error) {
+	c.mu.Lock()
+	c.calls++
+	n, drop := c.hosts[m.Host], c.drop
+	down, view := n.down, n.view
+	c.mu.Unlock()
+	switch {
+	case down:
+		return Reply{}, &NotSentError{
+			Member: m.Host,
+			Err:    errDown,
+		}
+	case drop != nil && drop(m.Host, r, false):
+		return Reply{}, errDown
+	}
+	reply := n.t.Handle(start, view, r)
+	if drop != nil && drop(m.Host, r, true) {
+		return Reply{}, errDown
+	}
+	return reply, nil
+}
+
+// install gives the members a view and syncs them. It returns the last result of each
+// sync.
+func (c *cluster) install(number uint64, former []leaser.Member, members ...leaser.Member) map[string]string {
+	view := leaser.View{
+		Domain:  "riga-a",
+		Number:  number,
+		Members: members,
+		Former:  former,
+	}
+	from := leaser.View{
+		Members: former,
+	}
+	if number > 1 {
+		from.Number = number - 1
+	}
+	for _, m := range members {
+		c.mu.Lock()
+		c.hosts[m.Host].view = view
+		c.mu.Unlock()
+	}
+	results := map[string]string{}
+	for _, m := range members {
+		for i := range 2 {
+			// Calls again with a later time, as a host does after an error.
+			complete, err := c.hosts[m.Host].c.Sync(context.Background(), start.Add(time.Duration(i)*time.Millisecond), from)
+			results[m.Host] = fmt.Sprint(complete, " ", err != nil)
+			if err == nil {
+				break
+			}
+		}
+	}
+	return results
+}
+
+// set changes the cluster while calls may still run in the background.
+func (c *cluster) set(change func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change()
+}
+
+func (c *cluster) node(i int) *node {
+	return c.hosts[member(i).Host]
+}
+
+// kill ends host i and gives the others a view without it.
+func (c *cluster) kill(i, hosts int) {
+	c.set(func() { c.node(i).down = true })
+	var rest []leaser.Member
+	for j := range hosts {
+		if j != i {
+			rest = append(rest, member(j))
+		}
+	}
+	c.install(2, allMembers(hosts), rest...)
+}
+
+func (c *cluster) claim(i int, phase Phase) Decision {
+	return c.claimKey(i, phase, theKey, start)
+}
+
+func (c *cluster) claimKey(i int, phase Phase, key string, created time.Time) Decision {
+	d, err := c.node(i).c.Claim(context.Background(), start, Claim{
+		Key:         key,
+		Created:     created,
+		PayloadHash: "a",
+		Phase:       phase,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
+
+func completeOutcome(answer string) sesamedrift.Outcome {
+	return sesamedrift.Outcome{
+		Status:  sesamedrift.Complete,
+		Task:    sesamedrift.NoTask,
+		Answers: [][]byte{[]byte(answer)},
+	}
+}
--- /dev/null
+++ b/claimer/table.go
@@ -0,0 +1,397 @@
+package claimer
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"sesamedrift.example/sesamedrift/leaser"
+)
+
+// Defaults of a Table.
+const (
+	DefaultMaxAnswerBytes = 64 << 20
+	DefaultMaxClaims      = 4 << 20
+	DefaultChunkBytes     = 1 << 20
+)
+
+// recordBytes is the approximate size of a record without its answers in a message.
+const recordBytes = 512
+
+// RequestType says what a Request asks for.
+type RequestType string
+
+// The requests. TypeMark, TypeWrite and TypeRecord differ only in that a key created
+// before the horizon may still be recorded.
+const (
+	// TypeClaim writes a claim with ballot 0 if the key is not known.
+	TypeClaim RequestType = "claim"
+	// TypeMark writes the phase started.
+	TypeMark RequestType = "mark"
+	// TypeRecord writes the phase done with its outcome.
+	TypeRecord RequestType = "record"
+	// TypeTakeOver prepares a ballot.
+	TypeTakeOver RequestType = "take-over"
+	// TypeWrite writes a claim with a prepared ballot.
+	TypeWrite RequestType = "write"
+	// TypeLookUp reads a record.
+	TypeLookUp RequestType = "look-up"
+	// TypeSync ends the views below View on the table and reads its records.
+	TypeSync RequestType = "sync"
+)
+
+// Request is a message to the table of a member.
+type Request struct {
+	Type RequestType `msgpack:"type"`
+	// View is the number of the sender's view.
+	View    uint64    `msgpack:"view"`
+	Key     string    `msgpack:"key"`
+	Created time.Time `msgpack:"created"`
+	// Ballot is the ballot to prepare.
+	Ballot uint64 `msgpack:"ballot"`
+	// Claim is what to write.
+	Claim Claim `msgpack:"claim"`
+	// After is the key after which a sync goes on.
+	After string `msgpack:"after"`
+}
+
+// ReplyStatus is the answer of a table.
+type ReplyStatus string
+
+// The answers.
+const (
+	// Accepted means that the request was carried out.
+	Accepted ReplyStatus = "accepted"
+	// Exists means that Record stands against the request.
+	Exists ReplyStatus = "exists"
+	// WrongView means that the table is not in the view of the request.
+	WrongView ReplyStatus = "wrong-view"
+	// KeyExpired means that the key is older than the retention time.
+	KeyExpired ReplyStatus = "expired"
+	// BeforeHorizon means that the key may have been forgotten.
+	BeforeHorizon ReplyStatus = "before-horizon"
+	// Full means that the table has no room for the key.
+	Full ReplyStatus = "full"
+)
+
+// Reply is the answer to a Request.
+type Reply struct {
+	Status ReplyStatus `msgpack:"status"`
+	// Record is what the table knew about the key, after the request.
+	Record Record `msgpack:"record"`
+	// From, Synced, Horizon, Records and After answer a sync. From is the process that
+	// owns the table. Synced is the number of the last
+	// view whose records the table has; After is empty in the last chunk.
+	From    leaser.Member `msgpack:"from"`
+	Synced  uint64        `msgpack:"synced"`
+	Horizon time.Time     `msgpack:"horizon"`
+	Records []Record      `msgpack:"records"`
+	After   string        `msgpack:"after"`
+}
+
+// Table is the store of one member. It is safe for concurrent use.
+type Table struct {
+	// MaxAnswerBytes bounds the answers that are kept. Beyond it the oldest answers are
+	// dropped; the claims and their status are kept.
+	MaxAnswerBytes int
+	// MaxClaims bounds the number of records; beyond it new keys are refused.
+	MaxClaims int
+	// ChunkBytes bounds the records in one reply to a sync. A single record may exceed it.
+	ChunkBytes int
+	// ClockMargin delays forgetting, in case the clock is set back.
+	ClockMargin time.Duration
+
+	self      leaser.Member
+	retention time.Duration
+	mu        sync.Mutex
+	records   map[string]*Record
+	// synced is the view that the table answers in; fenced is the highest view for which
+	// a member has read the table. No view below it is answered any more.
+	synced, fenced uint64
+	horizon        time.Time
+	answerBytes    int
+	answered       []string // keys with answers, oldest first
+	// snapshot holds the ordered keys for the chunks of a sync to view snapshotView.
+	snapshot     []string
+	snapshotView uint64
+}
+
+// NewTable returns an empty table that answers in no view. It keeps records until their
+// key is older than retention plus ClockMargin.
+func NewTable(retention time.Duration) *Table {
+	return &Table{
+		MaxAnswerBytes: DefaultMaxAnswerBytes,
+		MaxClaims:      DefaultMaxClaims,
+		ChunkBytes:     DefaultChunkBytes,
+		retention:      retention,
+		records:        map[string]*Record{},
+	}
+}
+
+// Handle answers a request of a member. The view is the present view of this host.
+// Requests that carry another view number, or that arrive before the table was synced for
+// the view, are answered with WrongView; sync requests of a higher view are answered, and
+// end the present view on this table.
+func (t *Table) Handle(now time.Time, view leaser.View, r Request) Reply {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.Type == TypeSync {
+		return t.sync(r)
+	}
+	if r.View != view.Number || r.View != t.synced || t.fenced > r.View {
+		return Reply{
+			Status: WrongView,
+			Synced: t.synced,
+		}
+	}
+	if now.Sub(r.Created) > t.retention {
+		return Reply{
+			Status: KeyExpired,
+		}
+	}
+	rec, known := t.records[r.Key]
+	if !known {
+		rec = &Record{
+			Key:     r.Key,
+			Created: r.Created,
+		}
+	}
+	status := t.apply(rec, r)
+	if status == Accepted && !known && r.Type != TypeLookUp {
+		if len(t.records) >= t.MaxClaims {
+			return Reply{
+				Status: Full,
+			}
+		}
+		t.records[r.Key] = rec
+	}
+	t.dropAnswers()
+	return Reply{
+		Status: status,
+		Record: rec.clone(),
+	}
+}
+
+// apply carries the request out on the record if nothing stands against it.
+func (t *Table) apply(rec *Record, r Request) ReplyStatus {
+	_, done := rec.done()
+	if !done && r.Created.Before(t.horizon) && r.Type != TypeRecord {
+		return BeforeHorizon
+	}
+	switch r.Type {
+	case TypeClaim:
+		if rec.Promised > 0 || len(rec.Claims) > 0 && !rec.repeats(r.Claim) {
+			return Exists
+		}
+		if len(rec.Claims) == 0 || r.Claim.better(rec.Claims[0]) {
+			t.store(rec, r.Claim)
+		}
+	case TypeTakeOver:
+		if r.Ballot < rec.Promised || r.Ballot <= rec.ballot() {
+			return Exists
+		}
+		rec.Promised = r.Ballot
+	case TypeMark, TypeRecord, TypeWrite:
+		c := r.Claim
+		if c.Ballot < rec.Promised || c.Ballot < rec.ballot() {
+			return Exists
+		}
+		for _, own := range rec.Claims {
+			if own.Ballot == c.Ballot && own.by(c.Coordinator) && !c.better(own) {
+				return Accepted
+			}
+		}
+		t.store(rec, c)
+	case TypeLookUp, TypeSync:
+	}
+	return Accepted
+}
+
+// store replaces what was accepted for the key.
+func (t *Table) store(rec *Record, c Claim) {
+	before := answerBytes(rec)
+	rec.Claims = []Claim{c}
+	t.count(rec, before)
+}
+
+// count takes a change of the answers of a record into account, which had the given
+// number of bytes before.
+func (t *Table) count(rec *Record, before int) {
+	after := answerBytes(rec)
+	t.answerBytes += after - before
+	if before == 0 && after > 0 {
+		t.answered = append(t.answered, rec.Key)
+	}
+}
+
+func answerBytes(rec *Record) int {
+	n := 0
+	for _, c := range rec.Claims {
+		for _, a := range c.Outcome.Answers {
+			n += len(a)
+		}
+	}
+	return n
+}
+
+// dropAnswers drops the oldest answers beyond the bound.
+func (t *Table) dropAnswers() {
+	for t.answerBytes > t.MaxAnswerBytes && len(t.answered) > 0 {
+		rec, ok := t.records[t.answered[0]]
+		t.answered = t.answered[1:]
+		if !ok {
+			continue
+		}
+		t.answerBytes -= answerBytes(rec)
+		for i := range rec.Claims {
+			if len(rec.Claims[i].Outcome.Answers) > 0 {
+				rec.Claims[i].Outcome.Answers = nil
+				rec.Claims[i].AnswerDropped = true
+			}
+		}
+	}
+}
+
+// Expire forgets the records whose keys are refused as expired anyway. It returns how
+// many.
+func (t *Table) Expire(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for key, rec := range t.records {
+		if now.Sub(rec.Created) > t.retention+t.ClockMargin {
+			t.answerBytes -= answerBytes(rec)
+			delete(t.records, key)
+			n++
+		}
+	}
+	t.answered = slices.DeleteFunc(t.answered, func(key string) bool {
+		_, ok := t.records[key]
+		return !ok
+	})
+	return n
+}
+
+// Len returns the number of records.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.records)
+}
+
+// Merge adds the records of another table to this one.
+func (t *Table) Merge(records []Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, in := range records {
+		rec, ok := t.records[in.Key]
+		if !ok {
+			rec = &Record{
+				Key:     in.Key,
+				Created: in.Created,
+			}
+			t.records[in.Key] = rec
+		}
+		before := answerBytes(rec)
+		rec.Promised = max(rec.Promised, in.Promised)
+		for _, c := range in.Claims {
+			rec.add(c)
+		}
+		t.count(rec, before)
+	}
+	t.dropAnswers()
+}
+
+// sync ends the views below that of the request and returns one chunk of the records.
+func (t *Table) sync(r Request) Reply {
+	if r.View < t.fenced {
+		return Reply{
+			Status: WrongView,
+			Synced: t.synced,
+		}
+	}
+	t.fenced = r.View
+	if t.snapshotView != r.View || r.After == "" {
+		t.snapshot = t.snapshot[:0]
+		for key := range t.records {
+			t.snapshot = append(t.snapshot, key)
+		}
+		slices.Sort(t.snapshot)
+		t.snapshotView = r.View
+	}
+	reply := Reply{
+		Status:  Accepted,
+		From:    t.self,
+		Synced:  t.synced,
+		Horizon: t.horizon,
+	}
+	first, found := slices.BinarySearch(t.snapshot, r.After)
+	if found {
+		first++
+	}
+	size := 0
+	for i, key := range t.snapshot[first:] {
+		rec, ok := t.records[key]
+		if !ok {
+			continue
+		}
+		if n := recordBytes + answerBytes(rec); size > 0 && size+n > t.ChunkBytes {
+			reply.After = t.snapshot[first+i-1]
+			break
+		}
+		size += recordBytes + answerBytes(rec)
+		reply.Records = append(reply.Records, rec.clone())
+	}
+	return reply
+}
+
+// fence ends the views below the number on this table.
+func (t *Table) fence(number uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fenced = max(t.fenced, number)
+}
+
+// open lets the table answer in the view, and reports whether no higher view has ended it
+// in the meantime. Keys created before the horizon are unknown unless their outcome is
+// held.
+func (t *Table) open(number uint64, horizon time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.fenced > number || t.synced > number {
+		return false
+	}
+	t.synced, t.fenced = number, number
+	if horizon.After(t.horizon) {
+		t.horizon = horizon
+	}
+	return true
+}
+
+// Synced returns the number of the view that the table answers in.
+func (t *Table) Synced() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.synced
+}
+
+// get returns a copy of the record of a key, which is empty if there is none.
+func (t *Table) get(key string) Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rec, ok := t.records[key]
+	if !ok {
+		return Record{}
+	}
+	return rec.clone()
+}
+
+// retract removes a first claim that its coordinator has given up.
+func (t *Table) retract(key string, by leaser.Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rec, ok := t.records[key]
+	if ok && rec.Promised == 0 && rec.ballot() == 0 && len(rec.Claims) == 1 && rec.Claims[0].by(by) && rec.Claims[0].Phase != Done {
+		delete(t.records, key)
+	}
+}
--- /dev/null
+++ b/claimer/world_test.go
@@ -0,0 +1,476 @@
+package claimer
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/leaser"
+)
+
+func init() {
+	// Makes every run of the rapid tests draw the same cases.
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+}
+
+var (
+	start  = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+	theKey = "riga-a.order-1@20261204T090000.000"
+)
+
+const (
+	testRetention = 10 * time.Minute
+	testMargin    = time.Second
+	stateLimit    = 400_000
+)
+
+// scenario is one small case that is explored completely.
+type scenario struct {
+	members int
+	// next lists the members of the second view; there is none if it is empty.
+	next []int
+	// copies names the host that gets each copy of the submission.
+	copies []int
+	phase  Phase
+	// losses bounds the calls that end without their message being lost for good, and
+	// crash lets the first host die at any moment.
+	losses int
+	crash  bool
+	// retry repeats a mark that got no majority, and lets hosts refuse a claimed copy.
+	retry  bool
+	broken variant
+}
+
+// variant is a deliberately broken protocol.
+type variant string
+
+const (
+	correct         variant = ""
+	minority        variant = "a minority is enough"
+	noPrepare       variant = "takeover without prepare"
+	acceptsOldViews variant = "members accept old views"
+	skipsSync       variant = "sync is skipped"
+)
+
+type message struct {
+	copy, step, to int // copy is -1-host for the sync of a host
+	gen            int // of the operation of the copy
+	request        *Request
+	reply          *Reply
+	text           string // of the message, for the key of a state
+}
+
+func newMessage(copied, gen, step, to int, request *Request) message {
+	m := message{
+		gen:     gen,
+		copy:    copied,
+		step:    step,
+		to:      to,
+		request: request,
+	}
+	b := fmt.Appendf(nil, "|%d %d %d %d %s %d %x %s", copied, gen, step, to, request.Type, request.View, request.Ballot, request.Claim.Phase)
+	m.text = string(b)
+	return m
+}
+
+type simHost struct {
+	c     *Claimer
+	alive bool
+	view  int
+	reads map[int]tableState // nil unless a sync is running
+}
+
+type simCopy struct {
+	op      *operation
+	gen     int
+	claimed bool
+	ended   bool
+}
+
+// world is one state of a small case.
+type world struct {
+	s      *scenario
+	hosts  []*simHost
+	copies []simCopy
+	// owned says which hosts, and after them which operations, this state does not share
+	// with its parent.
+	owned    []bool
+	messages []message
+	losses   int
+	starts   int
+	// parent and event tell how the state was reached.
+	parent *world
+	event  string
+}
+
+// trace lists the events that led to the state, one a line.
+func (w *world) trace() string {
+	if w.parent == nil {
+		return ""
+	}
+	return w.parent.trace() + w.event + "\n"
+}
+
+func member(i int) leaser.Member {
+	return leaser.Member{
+		Host:        fmt.Sprintf("riga-a-%d", i),
+		Incarnation: 1,
+	}
+}
+
+func index(m leaser.Member) int {
+	return int(m.Host[len(m.Host)-1] - '0')
+}
+
+func (s *scenario) viewOf(number int) leaser.View {
+	v := leaser.View{
+		Domain: "riga-a",
+		Number: uint64(number),
+	}
+	if number == 1 {
+		for i := range s.members {
+			v.Members = append(v.Members, member(i))
+		}
+		return v
+	}
+	for _, i := range s.next {
+		v.Members = append(v.Members, member(i))
+	}
+	return v
+}
+
+func newWorld(s *scenario) *world {
+	w := &world{
+		s:      s,
+		losses: s.losses,
+		copies: make([]simCopy, len(s.copies)),
+		owned:  make([]bool, s.members+len(s.copies)),
+	}
+	for i := range s.members {
+		table := NewTable(testRetention)
+		c := New(Config{
+			Self:        member(i),
+			Table:       table,
+			Retention:   testRetention,
+			ClockMargin: testMargin,
+		})
+		table.open(1, time.Time{})
+		w.hosts = append(w.hosts, &simHost{
+			c:     c,
+			alive: true,
+			view:  1,
+		})
+	}
+	return w
+}
+
+func cloneTable(t *Table) *Table {
+	n := NewTable(t.retention)
+	n.self, n.synced, n.fenced, n.horizon = t.self, t.synced, t.fenced, t.horizon
+	for key, rec := range t.records {
+		copied := rec.clone()
+		n.records[key] = &copied
+	}
+	return n
+}
+
+func (w *world) clone() *world {
+	return &world{
+		s:        w.s,
+		hosts:    slices.Clone(w.hosts),
+		copies:   slices.Clone(w.copies),
+		owned:    make([]bool, len(w.owned)),
+		messages: slices.Clone(w.messages),
+		losses:   w.losses,
+		starts:   w.starts,
+	}
+}
+
+// host returns a host to be changed.
+func (w *world) host(i int) *simHost {
+	if w.owned[i] {
+		return w.hosts[i]
+	}
+	w.owned[i] = true
+	h := *w.hosts[i]
+	c := h.c
+	cfg := c.cfg
+	cfg.Table = cloneTable(cfg.Table)
+	h.c = New(cfg)
+	maps.Copy(h.c.active, c.active)
+	maps.Copy(h.c.ran, c.ran)
+	h.c.round = c.round
+	h.reads = maps.Clone(h.reads)
+	w.hosts[i] = &h
+	return &h
+}
+
+// copy returns a copy of the submission, with its operation, to be changed.
+func (w *world) copy(i int) *simCopy {
+	c := &w.copies[i]
+	if j := len(w.hosts) + i; c.op != nil && !w.owned[j] {
+		w.owned[j] = true
+		op := *c.op
+		op.states = slices.Clone(op.states)
+		op.replies = slices.Clone(op.replies)
+		c.op = &op
+	}
+	return c
+}
+
+// handle delivers a request to the table of a host.
+func (w *world) handle(to int, r Request) Reply {
+	h := w.host(to)
+	t := h.c.cfg.Table
+	if w.s.broken == acceptsOldViews && r.Type != TypeSync {
+		synced, fenced := t.synced, t.fenced
+		t.synced, t.fenced = r.View, r.View
+		reply := t.Handle(start, w.s.viewOf(int(r.View)), r)
+		t.synced, t.fenced = synced, fenced
+		return reply
+	}
+	return t.Handle(start, w.s.viewOf(h.view), r)
+}
+
+// send broadcasts the present step of a copy; the call to the own table is immediate.
+func (w *world) send(i int) {
+	c := w.copy(i)
+	step, r, self := c.op.step, c.op.request(), -1
+	for j, m := range c.op.view.Members {
+		if index(m) == w.s.copies[i] {
+			self = j
+			continue
+		}
+		w.messages = append(w.messages, newMessage(i, c.gen, step, index(m), &r))
+	}
+	reply := w.handle(w.s.copies[i], r)
+	w.advance(i, func(op *operation) { op.take(step, self, reply) })
+}
+
+// advance applies an event to the operation of a copy and acts on its result.
+func (w *world) advance(i int, event func(op *operation)) {
+	c := w.copy(i)
+	host := w.host(w.s.copies[i]).c
+	before, replies := c.op.step, slices.Clone(c.op.replies)
+	event(c.op)
+	if w.s.broken == minority && !c.op.finished && c.op.kind == TypeClaim && c.op.count(Accepted) > 0 {
+		c.op.finish(c.op.granted())
+	}
+	if w.s.broken == noPrepare && c.op.step != before && c.op.kind == TypeTakeOver {
+		c.op.writeOwn()
+		for _, r := range replies {
+			for _, known := range r.Record.Claims {
+				if known.Phase != Queued {
+					c.op.finish(unknown(reasonLost))
+				}
+			}
+		}
+	}
+	switch {
+	case !c.op.finished:
+		if c.op.step != before {
+			w.send(i)
+		}
+	case c.op.claim.Phase == Done && c.op.kind == TypeRecord:
+		c.ended = true
+	case c.claimed: // the mark is finished
+		c.ended = true
+		switch {
+		case c.op.decision.Status == Granted:
+			host.hold(c.op.claim)
+			w.starts++
+		case c.op.refused():
+			host.forget(theKey)
+		default:
+			c.ended = !w.s.retry
+		}
+		c.op = nil
+	default:
+		host.conclude(c.op)
+		c.claimed = true
+		switch {
+		case c.op.decision.Status != Granted:
+			c.ended = true
+		case c.op.claim.Phase == Started:
+			c.ended = true
+			w.starts++
+		case !w.s.retry:
+			w.mark(i)
+		default:
+			c.op = nil
+		}
+	}
+	if c.ended {
+		c.op = nil
+	}
+}
+
+// again begins a mark, possibly after one that got no majority.
+func (w *world) again(i int) {
+	if _, ok := w.hosts[w.s.copies[i]].c.active[theKey]; ok {
+		w.mark(i)
+	} else {
+		w.copies[i].ended = true
+	}
+}
+
+func (w *world) mark(i int) {
+	host := w.host(w.s.copies[i])
+	claim := host.c.active[theKey]
+	claim.Phase = Started
+	w.owned[len(w.hosts)+i] = true
+	w.copies[i].gen++
+	w.copies[i].op = host.c.begin(TypeMark, w.s.viewOf(host.view), claim)
+	w.send(i)
+}
+
+// refuse ends a claimed copy without a start.
+func (w *world) refuse(i int) {
+	host := w.host(w.s.copies[i])
+	claim, ok := host.c.active[theKey]
+	if !ok {
+		w.copies[i].ended = true
+		return
+	}
+	host.c.release(theKey)
+	claim.Phase = Done
+	claim.Outcome.Status = sesamedrift.Refused
+	w.copies[i].gen++
+	w.owned[len(w.hosts)+i] = true
+	w.copies[i].op = host.c.begin(TypeRecord, w.s.viewOf(host.view), claim)
+	w.send(i)
+}
+
+func (w *world) begin(i int) {
+	host := w.host(w.s.copies[i])
+	claim := Claim{
+		Key:         theKey,
+		Created:     start,
+		PayloadHash: "a",
+		Phase:       w.s.phase,
+		Coordinator: host.c.cfg.Self,
+	}
+	if _, ok := host.c.local(claim); ok {
+		w.copies[i].ended = true
+		return
+	}
+	w.owned[len(w.hosts)+i] = true
+	w.copies[i].gen++
+	w.copies[i].op = host.c.begin(TypeClaim, w.s.viewOf(host.view), claim)
+	w.send(i)
+}
+
+// install moves a host to the second view and begins its sync.
+func (w *world) install(i int) {
+	h := w.host(i)
+	h.view = 2
+	t := h.c.cfg.Table
+	t.fence(2)
+	if w.s.broken == skipsSync {
+		t.open(2, time.Time{})
+		return
+	}
+	h.reads = map[int]tableState{
+		i: t.state(),
+	}
+	for j := range w.s.members {
+		if j != i {
+			w.messages = append(w.messages, newMessage(-1-i, 0, 0, j, &Request{
+				Type: TypeSync,
+				View: 2,
+			}))
+		}
+	}
+	w.sync(i, start)
+}
+
+// sync opens the table of a host if what was read so far allows it.
+func (w *world) sync(i int, now time.Time) bool {
+	h := w.host(i)
+	states := make([]tableState, 0, w.s.members)
+	for j := range w.s.members {
+		s := h.reads[j]
+		s.member = member(j)
+		s.endedBefore = s.read && now.After(start)
+		states = append(states, s)
+	}
+	v := judge(now, testMargin, w.s.viewOf(2), w.s.viewOf(1), states, false)
+	if !v.open {
+		return false
+	}
+	for _, s := range states {
+		if s.synced >= 1 {
+			h.c.cfg.Table.Merge(s.records)
+		}
+	}
+	h.c.cfg.Table.open(2, v.horizon)
+	h.reads = nil
+	return true
+}
+
+// deliver delivers one message; it must have been removed from the list. The reply to a
+// sync is delivered at once: the records of the former view that it holds cannot change.
+func (w *world) deliver(m message) {
+	switch {
+	case m.reply != nil:
+		if w.wanted(m) {
+			w.advance(m.copy, func(op *operation) { op.take(m.step, w.position(m), *m.reply) })
+		}
+	case !w.hosts[m.to].alive:
+	case m.copy < 0:
+		reply, host := w.handle(m.to, *m.request), -1-m.copy
+		if !w.wanted(m) {
+			return
+		}
+		w.host(host).reads[m.to] = tableState{
+			from:    reply.From,
+			read:    reply.Status == Accepted,
+			synced:  reply.Synced,
+			horizon: reply.Horizon,
+			records: reply.Records,
+		}
+		w.sync(host, start)
+	default:
+		reply := w.handle(m.to, *m.request)
+		if w.wanted(m) {
+			m.reply = &reply
+			m.text = string(appendRecord(append([]byte(m.text), "="+reply.Status...), reply.Record))
+			w.messages = append(w.messages, m)
+		}
+	}
+}
+
+// prune removes messages that can have no effect any more.
+func (w *world) prune() {
+	w.messages = slices.DeleteFunc(w.messages, func(m message) bool {
+		if w.wanted(m) {
+			return false
+		}
+		h := w.hosts[m.to]
+		return m.reply != nil || !h.alive || m.copy >= 0 && w.s.broken != acceptsOldViews && m.request.View < h.c.cfg.Table.fenced
+	})
+}
+
+func (w *world) position(m message) int {
+	for j, member := range w.copies[m.copy].op.view.Members {
+		if index(member) == m.to {
+			return j
+		}
+	}
+	panic("not a member")
+}
+
+// wanted reports whether somebody waits for the reply of the call.
+func (w *world) wanted(m message) bool {
+	if m.copy < 0 {
+		h := w.hosts[-1-m.copy]
+		return h.alive && h.reads != nil
+	}
+	c := w.copies[m.copy]
+	return c.op != nil && c.op.step == m.step && c.gen == m.gen && w.hosts[w.s.copies[m.copy]].alive
+}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -236,6 +236,12 @@
 	return n
 }
 
+// Settled reports whether no lease of an earlier view can be extended any more.
+func (l *Leaser) Settled(now time.Time) bool {
+	l.now.fence(now, l.cfg)
+	return !l.now.settled.IsZero()
+}
+
 // Owner returns the owner of the upstream by the view alone. It returns false if there
 // is no view or it has no members.
 func (l *Leaser) Owner(upstream string) (Member, bool) {
