--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -78,6 +78,7 @@
 	name    string
 	service *service
 	runs    histogram
+	atLeast time.Duration // without samples: the longest time that a task was seen to run
 	class   Class
 	place   *list.Element
 }
@@ -106,8 +107,19 @@
 	k.runs.add(now, e.cfg.HalfLife, max(0, took))
 }
 
+// Exceeds learns that a task still runs after the given time. It matters only for kinds
+// without samples: a kind that runs for many seconds would otherwise count as short until
+// its first task has ended.
+func (e *Estimator) Exceeds(_ time.Time, service, kind string, running time.Duration) {
+	k := e.add(service, kind)
+	if k.runs.total == 0 && running > k.atLeast {
+		k.atLeast = running
+		k.service.at = time.Time{}
+	}
+}
+
 // Estimate returns what is expected of the next task of the kind. Without samples it is
-// the default, and the class is Short.
+// the default or twice what the kind is known to exceed.
 func (e *Estimator) Estimate(now time.Time, service, kind string) Estimate {
 	return e.Declared(now, service, kind, 0)
 }
@@ -117,18 +129,8 @@
 // effect.
 func (e *Estimator) Declared(now time.Time, service, kind string, declared time.Duration) Estimate {
 	k := e.find(service, kind)
-	if k == nil {
-		expected := e.cfg.Default
-		if declared > 0 {
-			expected = min(max(declared, e.cfg.Default/declaredFactor), e.cfg.Default*declaredFactor)
-		}
-		return Estimate{
-			P50:       expected,
-			P95:       2 * expected,
-			Mean:      expected,
-			Class:     Short,
-			LongAfter: longFactor * expected,
-		}
+	if k == nil || k.runs.total == 0 {
+		return e.unknown(now, k, declared)
 	}
 	s := k.service
 	s.update(now)
@@ -147,12 +149,34 @@
 	}
 }
 
+// unknown returns the estimate of a kind without samples; k is nil if nothing is known.
+func (e *Estimator) unknown(now time.Time, k *kind, declared time.Duration) Estimate {
+	expected := e.cfg.Default
+	if declared > 0 {
+		expected = min(max(declared, e.cfg.Default/declaredFactor), e.cfg.Default*declaredFactor)
+	}
+	class := Short
+	if k != nil {
+		expected = max(expected, k.median())
+		k.service.update(now)
+		k.classify()
+		class = k.class
+	}
+	return Estimate{
+		P50:       expected,
+		P95:       2 * expected,
+		Mean:      expected,
+		Class:     class,
+		LongAfter: longFactor * expected,
+	}
+}
+
 // Remaining estimates how much longer a task runs that has run for the given time: by
 // the samples that took longer. A task that has outrun all of them is expected to take
 // as long again, as run times without a known bound do.
 func (e *Estimator) Remaining(now time.Time, service, kind string, running time.Duration) time.Duration {
 	running = max(0, running)
-	if k := e.find(service, kind); k != nil {
+	if k := e.find(service, kind); k != nil && k.runs.total > 0 {
 		if longer, ok := k.runs.meanAbove(running); ok {
 			return longer - running
 		}
@@ -216,15 +240,23 @@
 	}
 	medians := make([]time.Duration, 0, len(s.kinds))
 	for _, k := range s.kinds {
-		medians = append(medians, k.runs.quantile(0.5))
+		medians = append(medians, k.median())
 	}
 	slices.Sort(medians)
 	s.median = medians[(len(medians)-1)/2]
 	s.at = now
 }
 
+// median returns the median run time, or twice what the kind is known to exceed.
+func (k *kind) median() time.Duration {
+	if k.runs.total == 0 {
+		return 2 * k.atLeast
+	}
+	return k.runs.quantile(0.5)
+}
+
 func (k *kind) classify() {
-	p50, typical := float64(k.runs.quantile(0.5)), float64(k.service.median)
+	p50, typical := float64(k.median()), float64(k.service.median)
 	switch {
 	case p50 >= longFactor*typical:
 		k.class = Long
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -22,7 +22,6 @@
 	list    []*team     // all teams, in a fixed order
 	active  heap[*team] // teams with queued tasks
 	virtual float64     // virtual time of the latest start, in seconds
-	weights float64     // sum over the active teams
 	tasks   int
 	work    time.Duration // sum of the costs of the tasks
 	pruneAt int
@@ -95,9 +94,6 @@
 		}
 	}
 	if t, ok := c.teams[name]; ok {
-		if c.active.contains(t) {
-			c.weights += w - t.weight
-		}
 		t.weight = w
 		return t
 	}
@@ -195,7 +191,6 @@
 	if !c.active.contains(t) {
 		t.virtual = max(t.virtual, c.virtual)
 		c.active.push(t)
-		c.weights += t.weight
 	}
 	return g
 }
@@ -272,7 +267,6 @@
 	g.job.removeGroup(g)
 	if t.jobs.len() == 0 {
 		c.active.remove(t)
-		c.weights -= t.weight
 	}
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -8,7 +8,15 @@
 // The caller passes the current time to each call, calls Next until it reports false
 // whenever a task, a slot or an upstream has been added, and calls Done for each task
 // that has ended. Cancel leaves running tasks on their slots until Done, because an
-// upstream is busy until it has stopped them. A Queue starts no goroutines, reads no
+// upstream is busy until it has stopped them. Every few milliseconds it calls Expire, and
+// Late followed by Reclass, so that tasks that are hopeless or much longer than estimated
+// do not hold up others. For admission it compares WaitFor with the deadline; Wait knows
+// nothing of teams and is too short for a team that has queued more than others.
+//
+// What is queued is bounded by Config.MaxTasks and by the bounds of the services; what
+// runs, by the slots. Services are kept for good, so that only names of configured
+// services may be passed. Each decision costs at most the logarithm of the number of
+// upstreams and queued tasks; Next also visits each service, and WaitFor each team. A Queue starts no goroutines, reads no
 // clock and is not safe for concurrent use. Its random choices depend on Config.Seed
 // alone. It is lost with its process.
 package scheduler
@@ -152,6 +160,35 @@
 	}
 }
 
+// Stats describes the present load of a service.
+type Stats struct {
+	ShortQueued, LongQueued   int
+	ShortRunning, LongRunning int // on serving upstreams; occupied slots count as short
+	Slots, Free               int // of serving upstreams
+	Reserve                   int // free slots that are not lent to long work
+}
+
+// Stats returns the present load of a service. The baselines queue all tasks as short.
+func (q *Queue) Stats(now time.Time, service string) Stats {
+	q.advance(now)
+	s, ok := q.services[service]
+	if !ok {
+		return Stats{}
+	}
+	st := Stats{
+		ShortQueued:  s.short.tasks,
+		ShortRunning: s.slots - s.free - s.longRunning,
+		LongRunning:  s.longRunning,
+		Slots:        s.slots,
+		Free:         s.free,
+		Reserve:      s.arrivals.reserve(now),
+	}
+	if s.long != s.short {
+		st.LongQueued = s.long.tasks
+	}
+	return st
+}
+
 func (q *Queue) service(name string) *service {
 	s, ok := q.services[name]
 	if !ok {
