Reckon with what other teams add during the whole wait

WaitFor counted what other teams add only for as long as the whole class needs for what is queued, but a job of a team with less than one slot waits longer than that.

Change: WaitFor repeats its estimate with the longer wait until it grows by less than 5 %, at most 8 times. The averages of the offered work are made current once per call.

--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -80,6 +80,17 @@
 	}
 }
 
+// BenchmarkWaitFor measures the estimate for one job with 72 teams.
+func BenchmarkWaitFor(b *testing.B) {
+	q := filled(100, 10_000)
+	for i := range b.N {
+		q.WaitFor(start.Add(time.Duration(i)), Task{
+			Service: "s",
+			Team:    "team1",
+		})
+	}
+}
+
 // BenchmarkCancelWave measures the cancellation of 100,000 queued tasks, and the start
 // that follows.
 func BenchmarkCancelWave(b *testing.B) {
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -197,16 +197,20 @@
 
 // offer counts added work.
 func (t *team) offer(now time.Time, cost time.Duration) {
-	t.offered = t.rate(now) + cost.Seconds()/offeredWindow.Seconds()
-	t.offeredAt = now
+	t.decay(now)
+	t.offered += cost.Seconds() / offeredWindow.Seconds()
 }
 
-// rate returns the offered work per second.
-func (t *team) rate(now time.Time) float64 {
-	if t.offered == 0 {
-		return 0
+// decay makes the average of the offered work current.
+func (t *team) decay(now time.Time) {
+	passed := now.Sub(t.offeredAt)
+	if passed <= 0 {
+		return
+	}
+	t.offeredAt = now
+	if t.offered > 0 {
+		t.offered *= math.Exp(-passed.Seconds() / offeredWindow.Seconds())
 	}
-	return t.offered * math.Exp(-now.Sub(t.offeredAt).Seconds()/offeredWindow.Seconds())
 }
 
 // merge takes over an earlier deadline or time of queueing and reports whether it did.
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -8,6 +8,14 @@
 // MaxWait is the estimate of Wait for a service without slots, and its upper bound.
 const MaxWait = time.Hour
 
+const (
+	// waitRounds bounds the rounds in which WaitFor lengthens its estimate: the longer
+	// the wait, the more do other teams add meanwhile.
+	waitRounds = 8
+	// waitPrecision is the inverse of the lengthening at which WaitFor stops.
+	waitPrecision = 20
+)
+
 // Wait estimates how long a task of the class that arrives now waits for a slot: by the
 // work that is queued in its class, what is left of the running tasks, and the number
 // of slots for the class.
@@ -54,16 +62,28 @@
 		// A team that has used more than the others waits until they have caught up.
 		mine += own.weight * max(0, own.virtual-c.active.top().virtual)
 	}
-	return s.drain(now, t.Class, c.ahead(now, own, mine, s.drain(now, t.Class, c.work+before)))
+	for _, x := range c.list {
+		x.decay(now)
+	}
+	wait := s.drain(now, t.Class, c.work+before)
+	for range waitRounds {
+		longer := s.drain(now, t.Class, c.ahead(own, mine, wait))
+		if longer <= wait+wait/waitPrecision {
+			return longer
+		}
+		wait = longer
+	}
+	return wait
 }
 
 // ahead returns the work that starts within the given time before a task of the team
-// that has the given work of its own team before it, in seconds.
-func (c *classQueue) ahead(now time.Time, own *team, mine float64, within time.Duration) time.Duration {
+// that has the given work of its own team before it, in seconds. The offered work of the
+// teams must be current.
+func (c *classQueue) ahead(own *team, mine float64, within time.Duration) time.Duration {
 	sum := mine
 	for _, t := range c.list {
 		if t != own {
-			demand := t.work.Seconds() + t.rate(now)*within.Seconds()
+			demand := t.work.Seconds() + t.offered*within.Seconds()
 			sum += min(demand, mine*t.weight/own.weight)
 		}
 	}
