--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -22,7 +22,6 @@
 	list    []*team     // all teams, in a fixed order
 	active  heap[*team] // teams with queued tasks
 	virtual float64     // virtual time of the latest start, in seconds
-	weights float64     // sum over the active teams
 	tasks   int
 	work    time.Duration // sum of the costs of the tasks
 	pruneAt int
@@ -95,9 +94,6 @@
 		}
 	}
 	if t, ok := c.teams[name]; ok {
-		if c.active.contains(t) {
-			c.weights += w - t.weight
-		}
 		t.weight = w
 		return t
 	}
@@ -195,23 +191,26 @@
 	if !c.active.contains(t) {
 		t.virtual = max(t.virtual, c.virtual)
 		c.active.push(t)
-		c.weights += t.weight
 	}
 	return g
 }
 
 // offer counts added work.
 func (t *team) offer(now time.Time, cost time.Duration) {
-	t.offered = t.rate(now) + cost.Seconds()/offeredWindow.Seconds()
-	t.offeredAt = now
+	t.decay(now)
+	t.offered += cost.Seconds() / offeredWindow.Seconds()
 }
 
-// rate returns the offered work per second.
-func (t *team) rate(now time.Time) float64 {
-	if t.offered == 0 {
-		return 0
+// decay makes the average of the offered work current.
+func (t *team) decay(now time.Time) {
+	passed := now.Sub(t.offeredAt)
+	if passed <= 0 {
+		return
+	}
+	t.offeredAt = now
+	if t.offered > 0 {
+		t.offered *= math.Exp(-passed.Seconds() / offeredWindow.Seconds())
 	}
-	return t.offered * math.Exp(-now.Sub(t.offeredAt).Seconds()/offeredWindow.Seconds())
 }
 
 // merge takes over an earlier deadline or time of queueing and reports whether it did.
@@ -272,7 +271,6 @@
 	g.job.removeGroup(g)
 	if t.jobs.len() == 0 {
 		c.active.remove(t)
-		c.weights -= t.weight
 	}
 }
 
