--- /dev/null
+++ b/registrar/model_test.go
@@ -0,0 +1,385 @@
+package registrar
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+)
+
+const modelRegister = "env-trial"
+
+// variant names a fault that is put into the model on purpose.
+type variant int
+
+const (
+	correct variant = iota
+	// voteWhileEmpty starts a wiped replica without repair.
+	voteWhileEmpty
+	// skipSync answers promises and votes that a crash then loses.
+	skipSync
+	// reuseBallot proposes another value in the ballot that was used before a crash.
+	reuseBallot
+	// ignoreEpochs counts promises and votes that were given before a repair.
+	ignoreEpochs
+)
+
+// message is a request or a reply under way. A message that is never delivered is lost.
+type message struct {
+	to      string
+	request *Request
+	reply   *Reply
+	code    string
+}
+
+// host is one replica with its proposer.
+type host struct {
+	replica Replica
+	// disk is what a crash leaves behind. It differs from the state only with skipSync.
+	disk   State
+	round  *Round
+	rounds int
+	epoch  uint64
+	// repair holds the replies to the repair request of the current epoch.
+	repair map[string]Reply
+	code   string
+}
+
+// world is a state of the whole system. Hosts and messages are shared between worlds and
+// copied before they are modified.
+type world struct {
+	variant variant
+	names   []string
+	hosts   map[string]*host
+	net     []message
+	// decided holds the change identifiers that were decided for each version, by a round or
+	// on a replica. Two identifiers for one version are a violation.
+	decided map[uint64]string
+	problem string
+	crashes int
+	wipes   int
+	// lossy names the hosts whose disks can be lost.
+	lossy []string
+	// quiet leaves out the messages that spread a decision.
+	quiet bool
+}
+
+func newWorld(v variant, rounds map[string]int, crashes, wipes int, names ...string) *world {
+	w := &world{
+		variant: v,
+		names:   names,
+		hosts:   map[string]*host{},
+		decided: map[uint64]string{},
+		crashes: crashes,
+		wipes:   wipes,
+	}
+	for _, name := range names {
+		s := newState()
+		s.Initial = names
+		h := &host{
+			replica: Replica{ID: name},
+			disk:    s.clone(),
+			rounds:  rounds[name],
+		}
+		h.replica.Install(s)
+		w.hosts[name] = h
+	}
+	return w
+}
+
+func (w *world) clone() *world {
+	c := *w
+	c.hosts = maps.Clone(w.hosts)
+	c.net = slices.Clone(w.net)
+	c.decided = maps.Clone(w.decided)
+	return &c
+}
+
+// touch copies a host so that it can be modified.
+func (w *world) touch(name string) *host {
+	h := *w.hosts[name]
+	h.code = ""
+	ready := h.replica.Ready
+	s := h.replica.State.clone()
+	s.restore()
+	h.replica.State = s
+	h.replica.Ready = ready
+	if h.round != nil {
+		r := *h.round
+		r.Replies = maps.Clone(r.Replies)
+		h.round = &r
+	}
+	h.repair = maps.Clone(h.repair)
+	w.hosts[name] = &h
+	return &h
+}
+
+// step takes a protocol step on a host and applies its record at once.
+func (w *world) step(h *host, r Request) Reply {
+	reply, record := h.replica.Step(r)
+	if record != nil {
+		if err := h.replica.Apply(record); err != nil {
+			panic(err)
+		}
+		if w.variant != skipSync || record.Kind == recordLearn {
+			h.disk = h.replica.State.clone()
+		}
+		if record.Kind == recordLearn {
+			for _, a := range record.Decided.Trail {
+				w.decide(a.Version, a.ID)
+			}
+		}
+	}
+	if w.variant == ignoreEpochs {
+		reply.Epochs = nil
+	}
+	return reply
+}
+
+func (w *world) decide(version uint64, id string) {
+	if known, ok := w.decided[version]; ok && known != id {
+		w.problem = fmt.Sprintf("version %d is decided as %s and as %s", version, known, id)
+	}
+	w.decided[version] = id
+}
+
+func (w *world) send(h *host, r Request) {
+	for _, name := range w.names {
+		if name != h.replica.ID {
+			w.net = append(w.net, message{
+				to:      name,
+				request: &r,
+			})
+		}
+	}
+}
+
+func proposal(id string, version uint64) *Proposal {
+	return &Proposal{
+		Value: []byte(id),
+		Audit: AuditEntry{
+			Register: modelRegister,
+			ID:       id,
+			Version:  version,
+			Digest:   Digest([]byte(id)),
+		},
+	}
+}
+
+// propose starts a round on a host; an older round of it is abandoned, as after a timeout.
+func (w *world) propose(name string) {
+	h := w.touch(name)
+	h.rounds--
+	s := h.replica.State.get(modelRegister)
+	h.round = &Round{
+		Replicas: w.names,
+		Register: modelRegister,
+		Version:  s.Version + 1,
+		Own:      proposal(fmt.Sprintf("%s%d", name, s.Version), s.Version+1),
+		Ballot: Ballot{
+			Round:   s.Promised.Round + 1,
+			Replica: name,
+		},
+	}
+	q := h.round.Request()
+	w.take(h, w.step(h, q))
+	w.send(h, q)
+}
+
+// take gives a reply to the proposer of a host.
+func (w *world) take(h *host, reply Reply) {
+	if h.round == nil || reply.Ballot != h.round.Ballot {
+		return
+	}
+	if reply.Status == ReplyBehind {
+		w.forward(h, reply)
+		return
+	}
+	verdict := h.round.Deliver(reply)
+	if verdict == Propose {
+		q := h.round.Request()
+		verdict = h.round.Deliver(w.step(h, q))
+		w.send(h, q)
+	}
+	switch verdict {
+	case Chosen:
+		p := h.round.Proposal
+		w.decide(p.Audit.Version, p.Audit.ID)
+		w.learn(h, p)
+		h.round = nil
+	case Stale:
+		w.step(h, Request{
+			Kind:     KindLearn,
+			Register: modelRegister,
+			Decided:  reply.Decided,
+		})
+		h.round = nil
+	case Outbid, Void:
+		h.round = nil
+	case Wait, Propose:
+	}
+}
+
+func (w *world) learn(h *host, p *Proposal) {
+	q := Request{
+		Kind:     KindLearn,
+		From:     h.replica.ID,
+		Register: modelRegister,
+		Decided: &Decided{
+			Register: modelRegister,
+			Version:  p.Audit.Version,
+			Value:    p.Value,
+			Trail:    []AuditEntry{p.Audit},
+		},
+	}
+	w.step(h, q)
+	if !w.quiet {
+		w.send(h, q)
+	}
+}
+
+// forward sends what a replica misses, then the request again.
+func (w *world) forward(h *host, reply Reply) {
+	s := h.replica.State.get(modelRegister)
+	d := s.since(modelRegister, reply.Version)
+	if d == nil {
+		return
+	}
+	q := h.round.Request()
+	w.net = append(w.net,
+		message{
+			to: reply.From,
+			request: &Request{
+				Kind:     KindLearn,
+				From:     h.replica.ID,
+				Register: modelRegister,
+				Decided:  d,
+			},
+		},
+		message{
+			to:      reply.From,
+			request: &q,
+		})
+}
+
+// deliver takes one message off the network, or leaves a copy of it there.
+func (w *world) deliver(i int, duplicate bool) {
+	m := w.net[i]
+	if !duplicate {
+		w.net = slices.Delete(w.net, i, i+1)
+	}
+	h := w.touch(m.to)
+	if m.request != nil {
+		reply := w.step(h, *m.request)
+		if w.wanted(m.request.From, &reply) {
+			w.net = append(w.net, message{
+				to:    m.request.From,
+				reply: &reply,
+			})
+		}
+		return
+	}
+	if m.reply.Kind != KindRepair {
+		w.take(h, *m.reply)
+		return
+	}
+	if h.replica.Ready || m.reply.Status != ReplyOK || m.reply.Ballot.Round != h.epoch {
+		return
+	}
+	h.repair[m.reply.From] = *m.reply
+	s, err := MergeQuorum(m.to, h.epoch, slices.Collect(maps.Values(h.repair)))
+	if err == nil {
+		s.Epochs[m.to] = h.epoch
+		h.replica.Install(s)
+		h.disk = h.replica.State.clone()
+		h.repair = nil
+	}
+}
+
+// wanted reports whether a reply can still have an effect; others are dropped at once.
+func (w *world) wanted(to string, reply *Reply) bool {
+	h := w.hosts[to]
+	switch {
+	case reply.Status == ReplyUnavailable || reply.Status == ReplyInvalid || reply.Kind == KindLearn:
+		return false
+	case reply.Kind == KindRepair:
+		return !h.replica.Ready
+	}
+	return h.round != nil && h.round.Ballot == reply.Ballot && h.round.Request().Kind == reply.Kind
+}
+
+// crash ends a process; it starts again from its disk.
+func (w *world) crash(name string) {
+	w.crashes--
+	h := w.touch(name)
+	used := h.round
+	h.round = nil
+	h.replica.Install(h.disk.clone())
+	if w.variant != reuseBallot || used == nil {
+		return
+	}
+	used.Accepting = true
+	used.Replies = nil
+	used.Proposal = proposal(name+"-other", used.Version)
+	h.round = used
+	q := used.Request()
+	used.Deliver(w.step(h, q))
+	w.send(h, q)
+}
+
+// mayWipe allows a loss only while all other replicas vote: a majority keeps its state.
+func (w *world) mayWipe(name string) bool {
+	if !slices.Contains(w.lossy, name) {
+		return false
+	}
+	for _, h := range w.hosts {
+		if !h.replica.Ready {
+			return false
+		}
+	}
+	return w.wipes > 0
+}
+
+// wipe ends a process and empties its disk; the new process begins with a repair.
+func (w *world) wipe(name string) {
+	w.wipes--
+	h := w.touch(name)
+	h.round = nil
+	s := newState()
+	if w.variant == voteWhileEmpty {
+		s.Initial = w.names
+		h.replica.Install(s)
+		return
+	}
+	h.replica = Replica{
+		ID:    name,
+		State: s,
+	}
+	h.repair = map[string]Reply{}
+	h.epoch = 1
+	for _, other := range w.hosts {
+		h.epoch = max(h.epoch, other.replica.State.Epochs[name]+1)
+	}
+	w.send(h, Request{
+		Kind:  KindRepair,
+		From:  name,
+		Epoch: h.epoch,
+		// The reply repeats the ballot, which tells the epochs of repairs apart.
+		Ballot: Ballot{Round: h.epoch},
+	})
+}
+
+// settle drops requests that can have no effect any more. On a replica that is not lost any
+// more, promises and versions only grow, so that a refused request stays refused.
+func (w *world) settle() {
+	w.net = slices.DeleteFunc(w.net, func(m message) bool {
+		if m.request == nil {
+			return !w.wanted(m.to, m.reply)
+		}
+		h := w.hosts[m.to]
+		if !h.replica.Ready || w.wipes > 0 && slices.Contains(w.lossy, m.to) || w.variant == skipSync {
+			return false
+		}
+		reply, record := h.replica.Step(*m.request)
+		return record == nil && reply.Status != ReplyBehind && !w.wanted(m.request.From, &reply)
+	})
+}
--- /dev/null
+++ b/registrar/propose.go
@@ -0,0 +1,230 @@
+package registrar
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// The pause between two rounds is random, so that one of several proposers gets
+	// through. Its upper bound doubles from minPause to maxPause.
+	minPause = 2 * time.Millisecond
+	maxPause = 100 * time.Millisecond
+	// learnTimeout bounds the calls that spread a decision after it was answered.
+	learnTimeout = 2 * time.Second
+)
+
+// run makes one round for a version and spreads its decision. It returns Wait if too few
+// replicas answered. The caller holds the lock of the register.
+func (g *Registrar) run(ctx context.Context, register string, version uint64, own *Proposal) Verdict {
+	members, set := g.Members()
+	if !slices.Contains(members, g.cfg.ID) {
+		return Wait
+	}
+	r := Round{
+		Replicas:   members,
+		SetVersion: set,
+		Register:   register,
+		Version:    version,
+		Own:        own,
+	}
+	verdict, ok := g.prepare(&r)
+	if !ok {
+		return Wait
+	}
+	for verdict == Propose || verdict == Wait {
+		q := r.Request()
+		if verdict == Propose {
+			verdict = r.Deliver(g.step(q))
+		}
+		if verdict == Wait {
+			verdict = g.collect(ctx, &r, q)
+		}
+		if verdict == Wait {
+			return Wait
+		}
+	}
+	if verdict == Chosen {
+		g.spread(members, set, &Decided{
+			Register: register,
+			Version:  version,
+			Value:    r.Proposal.Value,
+			Trail:    []AuditEntry{r.Proposal.Audit},
+			Whole:    version == 1,
+		})
+	}
+	return verdict
+}
+
+// prepare picks a ballot above all that this replica has promised and promises it here,
+// which makes it unique even after a restart. It returns false if this replica does not vote.
+func (g *Registrar) prepare(r *Round) (Verdict, bool) {
+	for range maxRounds {
+		r.Ballot = Ballot{
+			Round:   max(g.register(r.Register).Promised.Round, r.Ballot.Round) + 1,
+			Replica: g.cfg.ID,
+		}
+		reply := g.step(r.Request())
+		verdict := r.Deliver(reply)
+		if verdict != Outbid {
+			return verdict, verdict != Wait || reply.Status == ReplyOK
+		}
+	}
+	return Outbid, true
+}
+
+// collect sends the message of the current phase to the other replicas until there is a
+// verdict. It returns Wait if all have answered without one.
+func (g *Registrar) collect(ctx context.Context, r *Round, q Request) Verdict {
+	for reply := range g.broadcast(ctx, r.Replicas, q, false) {
+		switch verdict := r.Deliver(reply); verdict {
+		case Wait:
+		case Outbid:
+			// A higher promise here makes the next ballot higher than the other proposer's.
+			g.outbid(r, reply.Promised)
+			return verdict
+		case Stale:
+			if reply.Decided != nil {
+				g.learn(reply.Decided)
+			}
+			return verdict
+		case Propose, Chosen, Void:
+			return verdict
+		}
+	}
+	return Wait
+}
+
+// outbid promises, here only, the next own ballot above the given one.
+func (g *Registrar) outbid(r *Round, promised Ballot) {
+	q := r.Request()
+	q.Kind = KindPrepare
+	q.Proposal = nil
+	q.Ballot = Ballot{
+		Round:   promised.Round,
+		Replica: g.cfg.ID,
+	}
+	g.step(q)
+}
+
+// learn takes over a decision on this replica.
+func (g *Registrar) learn(d *Decided) {
+	g.step(Request{
+		Kind:     KindLearn,
+		From:     g.cfg.ID,
+		Register: d.Register,
+		Decided:  d,
+	})
+}
+
+// spread stores a decision here and sends it to the others without waiting for them.
+func (g *Registrar) spread(members []string, set uint64, d *Decided) {
+	g.learn(d)
+	ctx, cancel := context.WithTimeout(g.ctx, learnTimeout)
+	replies := g.broadcast(ctx, members, Request{
+		Kind:       KindLearn,
+		From:       g.cfg.ID,
+		Register:   d.Register,
+		SetVersion: set,
+		Decided:    d,
+	}, false)
+	g.calls.Go(func() {
+		defer cancel()
+		for range replies {
+		}
+	})
+}
+
+// broadcast sends a request to all replicas but, unless self is set, this one. The channel
+// has room for all replies and is closed after the last call has ended.
+func (g *Registrar) broadcast(ctx context.Context, replicas []string, q Request, self bool) <-chan Reply {
+	replies := make(chan Reply, len(replicas))
+	var sent sync.WaitGroup
+	for _, name := range replicas {
+		if name == g.cfg.ID {
+			if self {
+				replies <- g.step(q)
+			}
+			continue
+		}
+		sent.Add(1)
+		g.calls.Go(func() {
+			defer sent.Done()
+			if reply, err := g.call(ctx, name, q); err == nil {
+				replies <- reply
+			}
+		})
+	}
+	g.calls.Go(func() {
+		sent.Wait()
+		close(replies)
+	})
+	return replies
+}
+
+// call sends a request to one replica. A replica that is behind is sent what it misses and
+// asked again.
+func (g *Registrar) call(ctx context.Context, replica string, q Request) (Reply, error) {
+	reply, err := g.cfg.Call(ctx, replica, q)
+	if err != nil || reply.Status != ReplyBehind {
+		return reply, err
+	}
+	for register, version := range map[string]uint64{
+		ReplicaSet: reply.SetVersion,
+		q.Register: reply.Version,
+	} {
+		s := g.register(register)
+		d := s.since(register, version)
+		if d == nil {
+			continue
+		}
+		if _, err := g.cfg.Call(ctx, replica, Request{
+			Kind:     KindLearn,
+			From:     g.cfg.ID,
+			Register: register,
+			Decided:  d,
+		}); err != nil {
+			return Reply{}, err
+		}
+	}
+	return g.cfg.Call(ctx, replica, q)
+}
+
+// lock waits for the right to run rounds for a register.
+func (g *Registrar) lock(ctx context.Context, register string) (unlock func(), ok bool) {
+	g.proposersMu.Lock()
+	held := g.proposers[register]
+	if held == nil {
+		held = make(chan struct{}, 1)
+		g.proposers[register] = held
+	}
+	g.proposersMu.Unlock()
+	select {
+	case held <- struct{}{}:
+		return func() { <-held }, true
+	case <-ctx.Done():
+		return nil, false
+	}
+}
+
+// pause waits for a random time before each attempt but the first. It returns false if ctx
+// has ended.
+func (g *Registrar) pause(ctx context.Context, attempt int) bool {
+	if attempt == 0 || ctx.Err() != nil {
+		return ctx.Err() == nil
+	}
+	bound := min(minPause<<min(attempt-1, 16), maxPause)
+	g.proposersMu.Lock()
+	wait := time.Duration(g.random.Int64N(int64(bound)))
+	g.proposersMu.Unlock()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
