registrar: check histories, recovery, bootstrap and set changes

Cause: answers under concurrent clients, restarts and disk losses were not checked on the Registrar itself. Change paused for 1 ms on average after its own decision. After a repair, Local could show an older version than before the loss, because the newest one was copied only as a vote.

Change pauses only before a further attempt. Repair decides open versions after it has copied the state. Close is safe while calls are started.

--- a/registrar/change.go
+++ b/registrar/change.go
@@ -37,13 +37,16 @@
 	}
 	defer unlock()
 	for attempt := range maxRounds {
-		if !g.Ready() || !g.pause(ctx, attempt) {
+		if !g.Ready() {
 			break
 		}
 		res, known, err := g.answer(&c)
 		if known {
 			return res, err
 		}
+		if !g.pause(ctx, attempt) {
+			break
+		}
 		verdict, err := g.propose(ctx, &c, own)
 		if err != nil {
 			return Result{}, err
@@ -149,8 +152,9 @@
 		return false
 	}
 	defer unlock()
-	for attempt := range maxRounds {
-		if !g.pause(ctx, attempt) {
+	outbids := 0
+	for range maxRounds {
+		if !g.pause(ctx, outbids) {
 			return false
 		}
 		switch g.run(ctx, register, g.Local(register).Version+1, nil) {
@@ -158,7 +162,9 @@
 			return true
 		case Wait:
 			return false
-		case Propose, Chosen, Outbid, Stale:
+		case Outbid:
+			outbids++
+		case Propose, Chosen, Stale:
 		}
 	}
 	return false
--- a/registrar/cluster_test.go
+++ b/registrar/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -47,6 +48,24 @@
 	return nil
 }
 
+func (d *disk) fail() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failing = true
+}
+
+// end makes the disk fail for the process that used it, as if the process were killed, and
+// returns a disk with the same content for the next process.
+func (d *disk) end() *disk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failing = true
+	return &disk{
+		snapshot: d.snapshot,
+		records:  slices.Clip(d.records),
+	}
+}
+
 // cluster connects replicas in memory. Its methods are safe for concurrent use.
 type cluster struct {
 	names []string
@@ -156,6 +175,7 @@
 	node := c.node(name)
 	c.mu.Lock()
 	delete(c.nodes, name)
+	c.disks[name] = c.disks[name].end()
 	c.mu.Unlock()
 	if node != nil {
 		node.Close()
--- /dev/null
+++ b/registrar/history_test.go
@@ -0,0 +1,205 @@
+package registrar_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift/registrar"
+)
+
+// call is the input of one operation in a history: a change, or a read if the ID is empty.
+type call struct {
+	id       string
+	expected uint64
+}
+
+// answer is the output of one operation.
+type answer struct {
+	status  registrar.Status
+	version uint64
+	id      string
+	err     error
+}
+
+// registerModel specifies one register. Its state is the list of accepted identifiers.
+var registerModel = (&porcupine.NondeterministicModel{
+	Init: func() []any { return []any{""} },
+	Step: func(state, input, output any) []any {
+		ids := strings.Fields(state.(string))
+		in, out := input.(call), output.(answer)
+		same := []any{state}
+		after := []any{strings.Join(append(ids, in.id), " ")}
+		fits := uint64(len(ids)) == in.expected
+		decided := in.expected < uint64(len(ids))
+		switch {
+		case in.id == "" && out.status == registrar.Unavailable:
+			return same
+		case in.id == "" && int(out.version) == len(ids) && (len(ids) == 0 || ids[len(ids)-1] == out.id):
+			return same
+		case in.id == "":
+			return nil
+		case out.status == registrar.Unavailable && fits:
+			return append(same, after...)
+		case out.status == registrar.Unavailable:
+			return same
+		case out.status == registrar.Accepted && fits:
+			return after
+		case out.status == registrar.Accepted && decided && ids[in.expected] == in.id:
+			return same
+		case out.status == registrar.Conflict && decided && ids[in.expected] == out.id && out.id != in.id:
+			return same
+		}
+		return nil
+	},
+	Equal: func(a, b any) bool { return a == b },
+}).ToModel()
+
+// recorder collects the operations of concurrent clients on one register.
+type recorder struct {
+	clock      atomic.Int64
+	mu         sync.Mutex
+	operations []porcupine.Operation
+}
+
+func (r *recorder) record(client int, in call, do func() answer) answer {
+	began := r.clock.Add(1)
+	out := do()
+	ended := r.clock.Add(1)
+	if out.status == registrar.Unavailable {
+		ended = math.MaxInt64 // it may still take effect
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.operations = append(r.operations, porcupine.Operation{
+		ClientId: client,
+		Input:    in,
+		Call:     began,
+		Output:   out,
+		Return:   ended,
+	})
+	return out
+}
+
+func (r *recorder) change(t testing.TB, c *cluster, client int, through, id string, expected uint64) answer {
+	return r.record(client, call{
+		id:       id,
+		expected: expected,
+	}, func() answer {
+		node := c.node(through)
+		if node == nil {
+			return answer{status: registrar.Unavailable}
+		}
+		res, err := node.Change(t.Context(), start, change("env-trial", id, expected))
+		return answer{
+			status:  res.Status,
+			version: res.Version,
+			id:      res.Winner.ID,
+			err:     err,
+		}
+	})
+}
+
+func (r *recorder) read(t testing.TB, c *cluster, client int, through string) answer {
+	return r.record(client, call{}, func() answer {
+		node := c.node(through)
+		if node == nil {
+			return answer{status: registrar.Unavailable}
+		}
+		e, err := node.Read(t.Context(), start, "env-trial")
+		if err != nil {
+			return answer{status: registrar.Unavailable}
+		}
+		return answer{
+			version: e.Version,
+			id:      strings.TrimPrefix(string(e.Value), "value of "),
+		}
+	})
+}
+
+// Guards against answers that contradict each other while messages are lost, replicas
+// restart and disks are lost under concurrent clients.
+func TestHistoriesAreLinearizable(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			g := NewWithT(t)
+			c := startCluster(t, "a", "b", "c")
+			var randomMu sync.Mutex
+			random := rand.New(rand.NewPCG(seed, 1))
+			draw := func(n int) int {
+				randomMu.Lock()
+				defer randomMu.Unlock()
+				return random.IntN(n)
+			}
+			c.setLoss(func(_, _ string, _ registrar.Request, _ bool) bool { return draw(20) == 0 })
+			var r recorder
+			var clients sync.WaitGroup
+			for client := range 4 {
+				clients.Go(func() {
+					var newest uint64
+					for i := range 15 {
+						out := r.read(t, c, client, c.names[draw(3)])
+						newest = max(newest, out.version)
+						id := fmt.Sprintf("%d-%d", client, i)
+						for range 3 {
+							out = r.change(t, c, client, c.names[draw(3)], id, newest)
+							if out.status != registrar.Unavailable {
+								break
+							}
+						}
+						if out.status == registrar.Accepted {
+							newest = out.version
+						}
+					}
+				})
+			}
+			for i := range 6 {
+				name := c.names[draw(3)]
+				if i%2 == 0 {
+					g.Expect(c.restart(name)).To(Succeed())
+					continue
+				}
+				g.Expect(c.wipe(name)).To(Succeed())
+				for c.node(name).Repair(t.Context(), start) != nil {
+					continue // a message was lost
+				}
+			}
+			clients.Wait()
+			accepted := 0
+			for _, op := range r.operations {
+				out := op.Output.(answer)
+				g.Expect(out.err).NotTo(HaveOccurred())
+				if out.status == registrar.Accepted {
+					accepted++
+				}
+			}
+			t.Logf("%d operations, %d accepted", len(r.operations), accepted)
+			g.Expect(accepted).To(BeNumerically(">", 0))
+			g.Expect(porcupine.CheckOperations(registerModel, r.operations)).To(BeTrue())
+		})
+	}
+}
+
+// Guards against a history check that accepts everything: a and b decide a change, a loses
+// it because its records were not synced, and a and c decide another one.
+func TestHistoryCheckFindsSkippedSync(t *testing.T) {
+	g := NewWithT(t)
+	c := startCluster(t, "a", "b", "c")
+	var r recorder
+	c.setLoss(func(_, to string, _ registrar.Request, _ bool) bool { return to == "c" })
+	g.Expect(r.change(t, c, 0, "a", "first", 0).status).To(Equal(registrar.Accepted))
+	c.stop("b")
+	c.stop("a")
+	c.disks["a"].records = nil
+	g.Expect(c.start("a", false, false)).To(Succeed())
+	c.setLoss(nil)
+	g.Expect(r.change(t, c, 1, "c", "second", 0).status).To(Equal(registrar.Accepted))
+	g.Expect(porcupine.CheckOperations(registerModel, r.operations)).To(BeFalse())
+}
--- /dev/null
+++ b/registrar/members_test.go
@@ -0,0 +1,90 @@
+package registrar_test
+
+import (
+	"errors"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift/registrar"
+)
+
+func setChange(expected uint64, replicas ...string) registrar.Change {
+	c := change(registrar.ReplicaSet, "set", expected)
+	c.ID += string(registrar.EncodeReplicas(replicas))
+	c.Value = registrar.EncodeReplicas(replicas)
+	return c
+}
+
+// Guards against a set change that leaves a decided version on a minority of a later set:
+// the set moves from a, b, c to c, d, e, of which a and b know nothing at the end.
+func TestReplicaSetMovesWithoutLoss(t *testing.T) {
+	g := NewWithT(t)
+	c := startCluster(t, "a", "b", "c")
+	c.setLoss(func(_, to string, _ registrar.Request, _ bool) bool { return to == "c" })
+	c.mustChange(t, "a", "env-trial", 0, 4)
+	c.setLoss(nil)
+	var version uint64
+	move := func(through string, set ...string) {
+		t.Helper()
+		res, err := c.node(through).Change(t.Context(), start, setChange(version, set...))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(res.Status).To(Equal(registrar.Accepted))
+		version++
+		members, known := c.node(through).Members()
+		g.Expect(members).To(Equal(set))
+		g.Expect(known).To(Equal(version))
+	}
+	add := func(name string) {
+		c.names = append(c.names, name)
+		c.disks[name] = &disk{}
+		g.Expect(c.start(name, true, false)).To(Succeed())
+		g.Expect(c.node(name).Repair(t.Context(), start)).To(Succeed())
+	}
+	add("d")
+	move("a", "a", "b", "c", "d")
+	move("b", "b", "c", "d")
+	c.stop("a")
+	add("e")
+	move("d", "b", "c", "d", "e")
+	move("c", "c", "d", "e")
+	c.stop("b")
+	e, err := c.node("e").Read(t.Context(), start, "env-trial")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(e.Version).To(Equal(uint64(4)))
+	c.mustChange(t, "e", "env-trial", 4, 2)
+
+	g.Expect(c.wipe("c")).To(Succeed())
+	g.Expect(c.node("c").Repair(t.Context(), start)).To(Succeed())
+	g.Expect(c.node("c").Local("env-trial").Version).To(Equal(uint64(6)))
+	g.Expect(c.node("c").History("env-trial", 0, 10)).To(HaveLen(6))
+}
+
+// Guards against a removed replica that still reads or decides in the old set.
+func TestRemovedReplicaDecidesNothing(t *testing.T) {
+	g := NewWithT(t)
+	c := startCluster(t, "a", "b", "c")
+	c.setLoss(func(from, to string, _ registrar.Request, _ bool) bool { return to == "c" || from == "c" })
+	res, err := c.node("a").Change(t.Context(), start, setChange(0, "a", "b"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(res.Status).To(Equal(registrar.Accepted))
+	c.mustChange(t, "a", "env-trial", 0, 1)
+	c.setLoss(nil)
+	e, err := c.node("c").Read(t.Context(), start, "env-trial")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(e.Version).To(Equal(uint64(1)))
+	res, err = c.node("c").Change(t.Context(), start, change("env-trial", "x", 1))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(res.Status).To(Equal(registrar.Unavailable))
+}
+
+// Guards against a set whose majorities need not have a member in common with the old ones.
+func TestReplicaSetChangesByOne(t *testing.T) {
+	g := NewWithT(t)
+	c := startCluster(t, "a", "b", "c")
+	for _, set := range [][]string{{"a"}, {"a", "b", "d"}, {"a", "b", "c"}, {"a", "b", "c", "d", "e"}, {"a", "b", "c", "c"}, {}} {
+		_, err := c.node("a").Change(t.Context(), start, setChange(0, set...))
+		var invalid *registrar.InvalidError
+		g.Expect(errors.As(err, &invalid)).To(BeTrue(), "%v", set)
+	}
+}
--- a/registrar/propose.go
+++ b/registrar/propose.go
@@ -130,11 +130,14 @@
 		SetVersion: set,
 		Decided:    d,
 	}, false)
-	g.calls.Go(func() {
+	started := g.spawn(func() {
 		defer cancel()
 		for range replies {
 		}
 	})
+	if !started {
+		cancel()
+	}
 }
 
 // broadcast sends a request to all replicas but, unless self is set, this one. The channel
@@ -150,23 +153,43 @@
 			continue
 		}
 		sent.Add(1)
-		g.calls.Go(func() {
+		started := g.spawn(func() {
 			defer sent.Done()
 			if reply, err := g.call(ctx, name, q); err == nil {
 				replies <- reply
 			}
 		})
+		if !started {
+			sent.Done()
+		}
 	}
-	g.calls.Go(func() {
+	finish := func() {
 		sent.Wait()
 		close(replies)
-	})
+	}
+	if !g.spawn(finish) {
+		finish()
+	}
 	return replies
 }
 
+// spawn starts a goroutine that Close waits for. It returns false after Close.
+func (g *Registrar) spawn(f func()) bool {
+	g.callsMu.Lock()
+	defer g.callsMu.Unlock()
+	if g.closed {
+		return false
+	}
+	g.calls.Go(f)
+	return true
+}
+
 // call sends a request to one replica. A replica that is behind is sent what it misses and
 // asked again.
 func (g *Registrar) call(ctx context.Context, replica string, q Request) (Reply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(g.ctx, cancel)()
 	reply, err := g.cfg.Call(ctx, replica, q)
 	if err != nil || reply.Status != ReplyBehind {
 		return reply, err
@@ -209,7 +232,7 @@
 	}
 }
 
-// pause waits for a random time before each attempt but the first. It returns false if ctx
+// pause waits for a random time unless attempt is 0. It returns false if ctx
 // has ended.
 func (g *Registrar) pause(ctx context.Context, attempt int) bool {
 	if attempt == 0 || ctx.Err() != nil {
--- a/registrar/read.go
+++ b/registrar/read.go
@@ -31,13 +31,13 @@
 // holds the lock of the register.
 func (g *Registrar) catchUp(ctx context.Context, register string) error {
 	for attempt := range maxRounds {
-		if !g.pause(ctx, attempt) {
-			break
-		}
 		open, err := g.refresh(ctx, register)
 		if err != nil || !open {
 			return err
 		}
+		if !g.pause(ctx, attempt) {
+			break
+		}
 		if g.run(ctx, register, g.Local(register).Version+1, nil) == Wait {
 			break
 		}
--- /dev/null
+++ b/registrar/recovery_test.go
@@ -0,0 +1,166 @@
+package registrar_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift/registrar"
+)
+
+// Guards against versions, answers or audit entries that a restart loses, and against a
+// journal that grows without a snapshot.
+func TestRestartKeepsEverything(t *testing.T) {
+	for changes, names := range map[uint64][]string{
+		1:   {"a", "b", "c"},
+		300: {"a", "b", "c"},
+		700: {"a", "b", "c"},
+		// A single replica stores the same records in a fraction of the time.
+		10_000: {"a"},
+	} {
+		t.Run(fmt.Sprint(changes), func(t *testing.T) {
+			g := NewWithT(t)
+			c := startCluster(t, names...)
+			c.mustChange(t, "a", "env-production", 0, changes)
+			before := c.node("a").History("env-production", 0, int(changes))
+			g.Expect(before).To(HaveLen(int(changes)))
+			c.stop("a")
+			g.Expect(len(c.disks["a"].records)).To(BeNumerically("<", 1000))
+			began := time.Now()
+			g.Expect(c.start("a", false, false)).To(Succeed())
+			t.Logf("restart after %d changes: %v", changes, time.Since(began))
+			g.Expect(c.node("a").Ready()).To(BeTrue())
+			g.Expect(c.node("a").Local("env-production").Version).To(Equal(changes))
+			g.Expect(c.node("a").History("env-production", 0, int(changes))).To(Equal(before))
+			res, err := c.node("a").Change(t.Context(), start, change("env-production", "c0", 0))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(res.Winner).To(Equal(before[0]))
+			c.mustChange(t, "a", "env-production", changes, 1)
+		})
+	}
+}
+
+// Guards against answers about what a full or broken disk did not store.
+func TestFailedAppendEndsVoting(t *testing.T) {
+	g := NewWithT(t)
+	c := startCluster(t, "a", "b", "c")
+	c.mustChange(t, "a", "env-trial", 0, 1)
+	c.disks["b"].fail()
+	c.mustChange(t, "a", "env-trial", 1, 1)
+	g.Expect(c.node("c").Sync(t.Context(), start)).To(Succeed())
+
+	reply := c.node("b").Handle(start, registrar.Request{
+		Kind:     registrar.KindPrepare,
+		From:     "a",
+		Register: "env-trial",
+		Version:  c.node("b").Local("env-trial").Version + 1,
+		Ballot: registrar.Ballot{
+			Round:   99,
+			Replica: "a",
+		},
+	})
+	g.Expect(reply.Status).To(Equal(registrar.ReplyUnavailable))
+	var failed *registrar.StorageError
+	g.Expect(errors.As(c.node("b").Failed(), &failed)).To(BeTrue())
+	g.Expect(failed.Err).To(Equal(errDisk))
+	res, err := c.node("b").Change(t.Context(), start, change("env-trial", "x", 2))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(res.Status).To(Equal(registrar.Unavailable))
+	_, err = c.node("b").Read(t.Context(), start, "env-trial")
+	g.Expect(err).To(HaveOccurred())
+	c.disks["c"].fail()
+	res, err = c.node("a").Change(t.Context(), start, change("env-trial", "y", 2))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(res.Status).To(Equal(registrar.Unavailable), "one voting replica of three is no majority")
+}
+
+// Guards against a replica that votes with a part of its state.
+func TestDamagedFolderIsRepaired(t *testing.T) {
+	for name, damage := range map[string]func(d *disk){
+		"snapshot": func(d *disk) { d.snapshot = d.snapshot[:len(d.snapshot)/2] },
+		"record":   func(d *disk) { d.records[0] = []byte{0xc1} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := startCluster(t, "a", "b", "c")
+			c.mustChange(t, "a", "env-trial", 0, 3)
+			c.stop("a")
+			damage(c.disks["a"])
+			var damaged *registrar.DamageError
+			g.Expect(errors.As(c.start("a", false, false), &damaged)).To(BeTrue())
+			g.Expect(c.start("a", true, false)).To(Succeed())
+			g.Expect(c.node("a").Ready()).To(BeFalse())
+			g.Expect(c.node("a").Local("env-trial").Version).To(BeZero())
+			g.Expect(c.node("a").Repair(t.Context(), start)).To(Succeed())
+			g.Expect(c.node("a").Local("env-trial").Version).To(Equal(uint64(3)))
+			g.Expect(c.node("a").History("env-trial", 0, 10)).To(HaveLen(3))
+			g.Expect(c.restart("a")).To(Succeed())
+			g.Expect(c.node("a").Ready()).To(BeTrue())
+		})
+	}
+}
+
+// Guards against a folder without a snapshot that counts as state.
+func TestBlankFolderCountsAsEmpty(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster("a", "b", "c")
+	g.Expect(c.start("a", false, false)).To(Succeed())
+	g.Expect(c.node("a").Ready()).To(BeFalse())
+}
+
+// Guards against a new set that starts while a replica may hold data, and against a lost
+// replica that is bootstrapped by mistake and then votes without its state.
+func TestBootstrap(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster("a", "b", "c")
+	t.Cleanup(c.close)
+	var refused *registrar.RepairError
+	g.Expect(c.start("a", true, true)).To(Succeed())
+	g.Expect(c.start("b", true, true)).To(Succeed())
+	g.Expect(errors.As(c.node("a").Repair(t.Context(), start), &refused)).To(BeTrue(), "c has not answered")
+	g.Expect(c.start("c", true, false)).To(Succeed())
+	g.Expect(errors.As(c.node("a").Repair(t.Context(), start), &refused)).To(BeTrue(), "c may have been lost")
+	c.stop("c")
+	g.Expect(c.start("c", true, true)).To(Succeed())
+	for _, name := range c.names {
+		g.Expect(c.node(name).Repair(t.Context(), start)).To(Succeed())
+	}
+
+	c.setLoss(func(_, to string, _ registrar.Request, _ bool) bool { return to == "c" })
+	c.mustChange(t, "a", "env-trial", 0, 1)
+	c.setLoss(nil)
+	c.stop("a")
+	c.disks["a"] = &disk{}
+	g.Expect(c.start("a", true, true)).To(Succeed())
+	g.Expect(c.node("a").Repair(t.Context(), start)).To(Succeed())
+	g.Expect(c.node("a").Local("env-trial").Version + c.node("b").Local("env-trial").Version).To(BeNumerically(">", 0))
+	e, err := c.node("c").Read(t.Context(), start, "env-trial")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(e.Version).To(Equal(uint64(1)))
+}
+
+// Guards against a set of one replica that can be started but not restarted.
+func TestSingleReplica(t *testing.T) {
+	g := NewWithT(t)
+	c := startCluster(t, "a")
+	c.mustChange(t, "a", "env-trial", 0, 3)
+	g.Expect(c.restart("a")).To(Succeed())
+	c.mustChange(t, "a", "env-trial", 3, 1)
+	g.Expect(c.wipe("a")).To(Succeed())
+	g.Expect(c.node("a").Repair(t.Context(), start)).NotTo(Succeed())
+}
+
+// Guards against a call that does not end with its context.
+func TestContextEndsChange(t *testing.T) {
+	g := NewWithT(t)
+	c := startCluster(t, "a", "b", "c")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	res, err := c.node("a").Change(ctx, start, change("env-trial", "x", 0))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(res.Status).To(Equal(registrar.Unavailable))
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -51,7 +51,10 @@
 	// ctx ends with Close; calls that outlive the method that started them use it.
 	ctx    context.Context
 	cancel context.CancelFunc
-	calls  sync.WaitGroup
+	// callsMu orders the start of a call and Close.
+	callsMu sync.Mutex
+	closed  bool
+	calls   sync.WaitGroup
 
 	// steps is held from the decision of a step until its record is stored and applied.
 	steps   sync.Mutex
@@ -146,9 +149,12 @@
 	return nil
 }
 
-// Close ends the calls that are still under way and waits for them. The registrar must not
-// be used to propose afterwards.
+// Close ends the calls to other replicas that are under way, waits for them and starts no
+// new ones. Changes then get the answer Unavailable.
 func (g *Registrar) Close() {
+	g.callsMu.Lock()
+	g.closed = true
+	g.callsMu.Unlock()
 	g.cancel()
 	g.calls.Wait()
 }
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -1,6 +1,7 @@
 package registrar_test
 
 import (
+	"errors"
 	"sync"
 	"testing"
 
@@ -99,3 +100,107 @@
 	}
 	c.mustChange(t, "c", "env-trial", 5, 1)
 }
+
+// Guards against answers to changes that cannot be decided or were forgotten.
+func TestChangeErrors(t *testing.T) {
+	g := NewWithT(t)
+	c := startCluster(t, "a", "b", "c")
+	c.mustChange(t, "a", "view-lekki", 0, 150)
+	var ahead *registrar.AheadError
+	_, err := c.node("b").Change(t.Context(), start, change("view-lekki", "x", 151))
+	g.Expect(errors.As(err, &ahead)).To(BeTrue())
+	g.Expect(ahead.Version).To(Equal(uint64(150)))
+	var forgotten *registrar.ForgottenError
+	_, err = c.node("a").Change(t.Context(), start, change("view-lekki", "c49", 49))
+	g.Expect(errors.As(err, &forgotten)).To(BeTrue())
+	res, err := c.node("a").Change(t.Context(), start, change("view-lekki", "c50", 50))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(res.Status).To(Equal(registrar.Accepted))
+	var reused *registrar.ReusedError
+	_, err = c.node("a").Change(t.Context(), start, change("view-lekki", "c149", 150))
+	g.Expect(errors.As(err, &reused)).To(BeTrue())
+	var invalid *registrar.InvalidError
+	_, err = c.node("a").Change(t.Context(), start, change("view-lekki", "", 150))
+	g.Expect(errors.As(err, &invalid)).To(BeTrue())
+	g.Expect(c.node("a").History("view-lekki", 0, 1000)).To(HaveLen(100))
+}
+
+// Guards against pages of the audit trail with gaps or wrong content.
+func TestHistoryPages(t *testing.T) {
+	g := NewWithT(t)
+	c := startCluster(t, "a", "b", "c")
+	c.mustChange(t, "a", "env-trial", 0, 7)
+	page := c.node("a").History("env-trial", 2, 3)
+	g.Expect(page).To(HaveLen(3))
+	g.Expect(page[0]).To(Equal(registrar.AuditEntry{
+		Register: "env-trial",
+		ID:       "c2",
+		Who:      "op-c2",
+		Version:  3,
+		Digest:   registrar.Digest([]byte("value of c2")),
+		At:       start,
+		Outcome:  "accepted",
+	}))
+	g.Expect(c.node("a").History("env-trial", 5, 10)).To(HaveLen(2))
+	g.Expect(c.node("a").History("env-trial", 7, 10)).To(BeEmpty())
+	g.Expect(c.node("a").History("none", 0, 10)).To(BeEmpty())
+}
+
+// Guards against entries that go back on any host, and against a callback under a lock.
+func TestEntriesSpreadInOrder(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster("a", "b", "c")
+	var mu sync.Mutex
+	newest := map[string]uint64{}
+	backwards := 0
+	c.learned = func(name string, e registrar.Entry) {
+		// Both calls would block if the callback were made under a lock.
+		_ = c.node(name).Local(e.Register)
+		_, _ = c.node(name).Change(t.Context(), start, change(e.Register, "late", 0))
+		mu.Lock()
+		defer mu.Unlock()
+		if e.Version <= newest[name+e.Register] {
+			backwards++
+		}
+		newest[name+e.Register] = e.Version
+	}
+	for _, name := range c.names {
+		g.Expect(c.start(name, true, true)).To(Succeed())
+	}
+	t.Cleanup(c.close)
+	for _, name := range c.names {
+		g.Expect(c.node(name).Repair(t.Context(), start)).To(Succeed())
+	}
+	c.mustChange(t, "a", "env-trial", 0, 1)
+	var wait sync.WaitGroup
+	for _, register := range []string{"env-production", "view-ikeja"} {
+		wait.Go(func() { c.mustChange(t, "b", register, 0, 50) })
+	}
+	wait.Wait()
+	g.Expect(c.node("c").Sync(t.Context(), start)).To(Succeed())
+	g.Expect(c.node("c").Versions()).To(Equal(map[string]uint64{
+		"env-trial":      1,
+		"env-production": 50,
+		"view-ikeja":     50,
+	}))
+	mu.Lock()
+	g.Expect(backwards).To(BeZero())
+	g.Expect(newest["benv-production"]).To(Equal(uint64(50)))
+	mu.Unlock()
+
+	var cache registrar.Cache
+	entries := c.node("c").Entries(map[string]uint64{"view-ikeja": 50})
+	g.Expect(entries).To(HaveLen(2))
+	for _, e := range entries {
+		g.Expect(cache.Offer(e)).To(BeTrue())
+		g.Expect(cache.Offer(e)).To(BeFalse())
+	}
+	g.Expect(cache.Offer(registrar.Entry{
+		Register: "env-trial",
+		Version:  2,
+		Value:    []byte("damaged"),
+		Digest:   entries[1].Digest,
+	})).To(BeFalse())
+	g.Expect(cache.Get("env-trial")).To(Equal(c.node("c").Local("env-trial")))
+	g.Expect(c.node("c").Entries(cache.Versions())).To(HaveLen(1))
+}
--- a/registrar/repair.go
+++ b/registrar/repair.go
@@ -26,7 +26,7 @@
 // not counting itself, or starts a new set if Config.Bootstrap is set and no other replica
 // holds data. It does nothing on a replica that votes. Errors are of type *RepairError and
 // *StorageError; after a *RepairError the caller tries again later.
-func (g *Registrar) Repair(ctx context.Context, _ time.Time) error {
+func (g *Registrar) Repair(ctx context.Context, now time.Time) error {
 	defer g.flush()
 	g.repairing.Lock()
 	defer g.repairing.Unlock()
@@ -58,7 +58,31 @@
 		g.forwardSet(ctx, replies, merged)
 		return err
 	}
-	return g.install(merged, epoch)
+	if err := g.install(merged, epoch); err != nil {
+		return err
+	}
+	g.finish(ctx, now)
+	return nil
+}
+
+// finish decides the versions that were voted for when the state was copied. A version that
+// this replica had learned before it was lost may be among them; without this, Local would
+// show an older one until the next change. The replica votes in any case.
+func (g *Registrar) finish(ctx context.Context, now time.Time) {
+	g.mu.RLock()
+	var open []string
+	for name, s := range g.replica.State.Registers {
+		if s.Accepted != nil {
+			open = append(open, name)
+		}
+	}
+	g.mu.RUnlock()
+	slices.Sort(open)
+	for _, name := range open {
+		if _, err := g.Read(ctx, now, name); err != nil {
+			return
+		}
+	}
 }
 
 // ask sends a repair request to all replicas but this one and waits for all calls.
