registrar: check replica set changes under loss

Cause: the fence between replica sets and the completion of the previous set change were covered by one test that passed without either.

Change: histories of concurrent clients while the set moves from a, b, c to a, d, e, with encoded messages and also with five replicas; tests for votes in an old set and for a set change that must complete the previous one. Config.Call documents that it must end by itself.

--- a/registrar/cluster_test.go
+++ b/registrar/cluster_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"sesamedrift.example/sesamedrift/registrar"
 )
@@ -74,6 +75,8 @@
 	nodes map[string]*registrar.Registrar
 	// lose decides which messages are lost; a lost reply means that the request arrived.
 	lose func(from, to string, r registrar.Request, reply bool) bool
+	// encoded makes messages pass through their encoding.
+	encoded bool
 	// learned is set as Config.Learned of all replicas.
 	learned func(name string, e registrar.Entry)
 }
@@ -144,13 +147,46 @@
 	if ctx.Err() != nil || node == nil || c.lost(from, to, r, false) {
 		return registrar.Reply{}, errLost
 	}
-	reply := node.Handle(start, r)
+	reply := node.Handle(start, c.encode(r))
+	if c.encoded {
+		var decoded registrar.Reply
+		recode(&reply, &decoded)
+		reply = decoded
+	}
 	if c.lost(from, to, r, true) {
 		return registrar.Reply{}, errLost
 	}
 	return reply, nil
 }
 
+func (c *cluster) encode(r registrar.Request) registrar.Request {
+	if !c.encoded {
+		return r
+	}
+	var decoded registrar.Request
+	recode(&r, &decoded)
+	return decoded
+}
+
+// recode encodes a message and decodes it into another one.
+func recode(from, to any) {
+	data, err := msgpack.Marshal(from)
+	if err == nil {
+		err = msgpack.Unmarshal(data, to)
+	}
+	if err != nil {
+		panic(err)
+	}
+}
+
+// add makes room for a further replica.
+func (c *cluster) add(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.names = append(c.names, name)
+	c.disks[name] = &disk{}
+}
+
 func (c *cluster) lost(from, to string, r registrar.Request, reply bool) bool {
 	c.mu.Lock()
 	lose := c.lose
--- a/registrar/history_test.go
+++ b/registrar/history_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -124,65 +125,142 @@
 	})
 }
 
+// run is a set of replicas that loses one message in twenty, with concurrent clients.
+type run struct {
+	*cluster
+	recorder
+	randomMu sync.Mutex
+	random   *rand.Rand
+	clients  sync.WaitGroup
+}
+
+func startRun(t *testing.T, seed uint64, names ...string) *run {
+	r := &run{
+		cluster: startCluster(t, names...),
+		random:  rand.New(rand.NewPCG(seed, 1)),
+	}
+	r.encoded = true
+	r.setLoss(func(_, _ string, _ registrar.Request, _ bool) bool { return r.draw(20) == 0 })
+	return r
+}
+
+func (r *run) draw(n int) int {
+	r.randomMu.Lock()
+	defer r.randomMu.Unlock()
+	return r.random.IntN(n)
+}
+
+// startClients starts clients that read and change through any of the named replicas. A
+// change without answer is sent again, up to three times in all.
+func (r *run) startClients(t *testing.T, names ...string) {
+	for client := range 4 {
+		r.clients.Go(func() {
+			var newest uint64
+			for i := range 15 {
+				out := r.read(t, r.cluster, client, names[r.draw(len(names))])
+				newest = max(newest, out.version)
+				id := fmt.Sprintf("%d-%d", client, i)
+				for range 3 {
+					out = r.change(t, r.cluster, client, names[r.draw(len(names))], id, newest)
+					if out.status != registrar.Unavailable {
+						break
+					}
+				}
+				if out.status == registrar.Accepted {
+					newest = out.version
+				}
+			}
+		})
+	}
+}
+
+// check waits for the clients and checks what they saw.
+func (r *run) check(t *testing.T) {
+	g := NewWithT(t)
+	r.clients.Wait()
+	accepted := 0
+	for _, op := range r.operations {
+		out := op.Output.(answer)
+		g.Expect(out.err).NotTo(HaveOccurred())
+		if out.status == registrar.Accepted {
+			accepted++
+		}
+	}
+	t.Logf("%d operations, %d accepted", len(r.operations), accepted)
+	g.Expect(accepted).To(BeNumerically(">", 0))
+	g.Expect(porcupine.CheckOperations(registerModel, r.operations)).To(BeTrue())
+}
+
+// repair repeats Repair, because messages are lost.
+func (r *run) repair(t *testing.T, name string) {
+	for r.node(name).Repair(t.Context(), start) != nil {
+		continue
+	}
+}
+
 // Guards against answers that contradict each other while messages are lost, replicas
 // restart and disks are lost under concurrent clients.
 func TestHistoriesAreLinearizable(t *testing.T) {
-	for seed := range uint64(8) {
+	for seed := range uint64(12) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			g := NewWithT(t)
-			c := startCluster(t, "a", "b", "c")
-			var randomMu sync.Mutex
-			random := rand.New(rand.NewPCG(seed, 1))
-			draw := func(n int) int {
-				randomMu.Lock()
-				defer randomMu.Unlock()
-				return random.IntN(n)
-			}
-			c.setLoss(func(_, _ string, _ registrar.Request, _ bool) bool { return draw(20) == 0 })
-			var r recorder
-			var clients sync.WaitGroup
-			for client := range 4 {
-				clients.Go(func() {
-					var newest uint64
-					for i := range 15 {
-						out := r.read(t, c, client, c.names[draw(3)])
-						newest = max(newest, out.version)
-						id := fmt.Sprintf("%d-%d", client, i)
-						for range 3 {
-							out = r.change(t, c, client, c.names[draw(3)], id, newest)
-							if out.status != registrar.Unavailable {
-								break
-							}
-						}
-						if out.status == registrar.Accepted {
-							newest = out.version
-						}
-					}
-				})
-			}
+			names := []string{"a", "b", "c", "d", "e"}[:3+seed%2*2]
+			r := startRun(t, seed, names...)
+			r.startClients(t, names...)
 			for i := range 6 {
-				name := c.names[draw(3)]
+				name := names[r.draw(len(names))]
 				if i%2 == 0 {
-					g.Expect(c.restart(name)).To(Succeed())
+					g.Expect(r.restart(name)).To(Succeed())
 					continue
 				}
-				g.Expect(c.wipe(name)).To(Succeed())
-				for c.node(name).Repair(t.Context(), start) != nil {
-					continue // a message was lost
-				}
+				g.Expect(r.wipe(name)).To(Succeed())
+				r.repair(t, name)
 			}
-			clients.Wait()
-			accepted := 0
-			for _, op := range r.operations {
-				out := op.Output.(answer)
-				g.Expect(out.err).NotTo(HaveOccurred())
-				if out.status == registrar.Accepted {
-					accepted++
+			r.check(t)
+		})
+	}
+}
+
+// Guards against answers that contradict each other while the replica set moves from a, b, c
+// to d, e, a and removed replicas are still asked.
+func TestHistoriesAcrossSetChanges(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			g := NewWithT(t)
+			r := startRun(t, seed, "a", "b", "c")
+			all := []string{"a", "b", "c", "d", "e"}
+			for _, name := range all[3:] {
+				r.add(name)
+				g.Expect(r.start(name, true, false)).To(Succeed())
+			}
+			r.startClients(t, all...)
+			members := all[:3]
+			for version, next := range [][]string{
+				{"a", "b", "c", "d"},
+				{"b", "c", "d"},
+				{"b", "c", "d", "e"},
+				{"c", "d", "e"},
+				{"a", "c", "d", "e"},
+				{"a", "d", "e"},
+			} {
+				for _, name := range next {
+					if !slices.Contains(members, name) {
+						g.Expect(r.wipe(name)).To(Succeed())
+						r.repair(t, name)
+					}
+				}
+				c := setChange(uint64(version), next...)
+				for {
+					res, err := r.node(members[r.draw(len(members))]).Change(t.Context(), start, c)
+					g.Expect(err).NotTo(HaveOccurred())
+					g.Expect(res.Status).NotTo(Equal(registrar.Conflict))
+					if res.Status == registrar.Accepted {
+						break
+					}
 				}
+				members = next
 			}
-			t.Logf("%d operations, %d accepted", len(r.operations), accepted)
-			g.Expect(accepted).To(BeNumerically(">", 0))
-			g.Expect(porcupine.CheckOperations(registerModel, r.operations)).To(BeTrue())
+			r.check(t)
 		})
 	}
 }
--- a/registrar/members_test.go
+++ b/registrar/members_test.go
@@ -36,8 +36,7 @@
 		g.Expect(known).To(Equal(version))
 	}
 	add := func(name string) {
-		c.names = append(c.names, name)
-		c.disks[name] = &disk{}
+		c.add(name)
 		g.Expect(c.start(name, true, false)).To(Succeed())
 		g.Expect(c.node(name).Repair(t.Context(), start)).To(Succeed())
 	}
@@ -78,6 +77,50 @@
 	g.Expect(res.Status).To(Equal(registrar.Unavailable))
 }
 
+// Guards against a set change before what was decided in an older set is known to a majority
+// of the current one: the version is decided by a and b, and c is left alone.
+func TestSetChangeCompletesThePreviousOne(t *testing.T) {
+	g := NewWithT(t)
+	c := startCluster(t, "a", "b", "c")
+	c.setLoss(func(from, to string, _ registrar.Request, _ bool) bool { return to == "c" || from == "c" })
+	c.mustChange(t, "a", "env-trial", 0, 1)
+	c.setLoss(nil)
+	c.stop("a")
+	for version, set := range [][]string{{"b", "c"}, {"c"}} {
+		res, err := c.node("b").Change(t.Context(), start, setChange(uint64(version), set...))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(res.Status).To(Equal(registrar.Accepted))
+	}
+	_, err := c.node("c").Read(t.Context(), start, registrar.ReplicaSet)
+	g.Expect(err).NotTo(HaveOccurred())
+	c.stop("b")
+	e, err := c.node("c").Read(t.Context(), start, "env-trial")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(e.Version).To(Equal(uint64(1)))
+}
+
+// Guards against votes in a set that is two changes old: b and c are a majority of the first
+// set, but a alone decides by now.
+func TestOldSetDecidesNothing(t *testing.T) {
+	g := NewWithT(t)
+	c := startCluster(t, "a", "b", "c")
+	c.setLoss(func(from, to string, _ registrar.Request, _ bool) bool { return to == "c" || from == "c" })
+	for version, set := range [][]string{{"a", "b"}, {"a"}} {
+		res, err := c.node("a").Change(t.Context(), start, setChange(uint64(version), set...))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(res.Status).To(Equal(registrar.Accepted))
+	}
+	c.mustChange(t, "a", "env-trial", 0, 1)
+	c.setLoss(func(from, to string, _ registrar.Request, _ bool) bool { return to == "a" || from == "a" })
+	for _, name := range []string{"b", "c"} {
+		res, err := c.node(name).Change(t.Context(), start, change("env-trial", "x", 0))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(res.Status).To(Equal(registrar.Unavailable))
+		e, err := c.node(name).Read(t.Context(), start, "env-trial")
+		g.Expect(err).To(HaveOccurred(), "read version %d", e.Version)
+	}
+}
+
 // Guards against a set whose majorities need not have a member in common with the old ones.
 func TestReplicaSetChangesByOne(t *testing.T) {
 	g := NewWithT(t)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -36,8 +36,9 @@
 	// Bootstrap says that the set has never run. It has an effect only on an empty replica;
 	// see the package comment.
 	Bootstrap bool
-	// Call sends a request to another replica. It must be safe for concurrent use and return
-	// when ctx is done.
+	// Call sends a request to another replica. It must be safe for concurrent use, return
+	// when ctx is done and end by itself after a bounded time: a call to a replica that does
+	// not answer may outlive the method that made it. Requests may arrive more than once.
 	Call func(ctx context.Context, replica string, r Request) (Reply, error)
 	// Learned is called, if set, after a newer version is known and stored here: with rising
 	// versions for each register, one call at a time, under no lock. It must not block.
