registrar: refuse proposals that could not be learned

Cause: an accepted proposal with a wrong digest, register or replica set would be decided and then refused by every Learn, which blocks the register. The test for the completion of a set change depended on a message still under way.

Change: Accept and Learn check register, version, digest and replica set. The test stops replica a before messages pass again. The package comment names the size of catch-up messages.

Conclusion: a malformed message changes nothing that is stored.

--- a/registrar/doc.go
+++ b/registrar/doc.go
@@ -7,8 +7,9 @@
 // Of all changes that expect the same version exactly one is accepted, and this answer is
 // the same through every replica and after every restart, because the answer to a change
 // follows from the decided version Expected+1 alone. Read returns a version that is at
-// least as new as every answered change. Local may be older but never goes back. Nothing is
-// answered that is not stored: the reply to a step is sent after its record is durable.
+// least as new as every answered change. Local may be older but does not go back while the
+// process runs or after a restart with its state. Nothing is answered that is not stored:
+// the reply to a step is sent after its record is durable.
 //
 // The guarantees hold while messages are lost, delayed, reordered or delivered twice, while
 // processes crash and restart, and while fewer than a majority of the replicas have lost
@@ -62,5 +63,7 @@
 // The audit trail of a register holds its last 10,000 versions, that of a register whose
 // name begins with "view-" its last 100. The trail is also the memory for change
 // identifiers: a change that is sent again after so many newer versions gets a
-// *ForgottenError. A change that loses leaves no audit entry.
+// *ForgottenError. A change that loses leaves no audit entry. A reply to a repair or a catch-up
+// carries whole trails, about 2 MB for a full one; the transport must accept messages of
+// that size. Values and audit entries are shared between calls and must not be modified.
 package registrar
--- a/registrar/members_test.go
+++ b/registrar/members_test.go
@@ -84,8 +84,8 @@
 	c := startCluster(t, "a", "b", "c")
 	c.setLoss(func(from, to string, _ registrar.Request, _ bool) bool { return to == "c" || from == "c" })
 	c.mustChange(t, "a", "env-trial", 0, 1)
-	c.setLoss(nil)
 	c.stop("a")
+	c.setLoss(nil)
 	for version, set := range [][]string{{"b", "c"}, {"c"}} {
 		res, err := c.node("b").Change(t.Context(), start, setChange(uint64(version), set...))
 		g.Expect(err).NotTo(HaveOccurred())
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -204,3 +204,52 @@
 	g.Expect(cache.Get("env-trial")).To(Equal(c.node("c").Local("env-trial")))
 	g.Expect(c.node("c").Entries(cache.Versions())).To(HaveLen(1))
 }
+
+// Guards against a malformed request that a replica stores and that then blocks a register.
+func TestMalformedRequestsChangeNothing(t *testing.T) {
+	g := NewWithT(t)
+	c := startCluster(t, "a", "b", "c")
+	good := registrar.Proposal{
+		Value: []byte("v"),
+		Audit: registrar.AuditEntry{
+			Register: "env-trial",
+			ID:       "x",
+			Version:  1,
+			Digest:   registrar.Digest([]byte("v")),
+		},
+	}
+	damaged, otherVersion, otherRegister, set := good, good, good, good
+	damaged.Value = []byte("w")
+	otherVersion.Audit.Version = 2
+	otherRegister.Audit.Register = "env-production"
+	set.Audit.Register = registrar.ReplicaSet
+	for _, p := range []*registrar.Proposal{nil, &damaged, &otherVersion, &otherRegister, &set} {
+		request := registrar.Request{
+			Kind:     registrar.KindAccept,
+			From:     "b",
+			Register: "env-trial",
+			Version:  1,
+			Ballot: registrar.Ballot{
+				Round:   1,
+				Replica: "b",
+			},
+			Proposal: p,
+		}
+		if p == &set {
+			request.Register = registrar.ReplicaSet
+		}
+		g.Expect(c.node("a").Handle(start, request).Status).To(Equal(registrar.ReplyInvalid))
+		request.Kind = registrar.KindLearn
+		if p != nil {
+			request.Decided = &registrar.Decided{
+				Register: request.Register,
+				Version:  1,
+				Value:    p.Value,
+				Trail:    []registrar.AuditEntry{p.Audit},
+			}
+		}
+		g.Expect(c.node("a").Handle(start, request).Status).To(Equal(registrar.ReplyInvalid))
+	}
+	g.Expect(c.node("a").Handle(start, registrar.Request{Kind: "other"}).Status).To(Equal(registrar.ReplyInvalid))
+	c.mustChange(t, "a", "env-trial", 0, 1)
+}
--- a/registrar/replica.go
+++ b/registrar/replica.go
@@ -61,7 +61,7 @@
 	if !ok {
 		return reply, nil
 	}
-	if r.Proposal == nil || r.Proposal.Audit.Version != r.Version {
+	if !r.Proposal.valid(r.Register, r.Version) {
 		reply.Status = ReplyInvalid
 		return reply, nil
 	}
@@ -79,6 +79,22 @@
 	}
 }
 
+// valid reports whether the proposal can be learned once it is decided. A proposal that is
+// accepted but cannot be learned would block the register for good.
+func (p *Proposal) valid(register string, version uint64) bool {
+	return p != nil && p.Audit.Register == register && p.Audit.Version == version &&
+		p.Audit.Digest == Digest(p.Value) && validValue(register, p.Value)
+}
+
+// validValue reports whether this package can use the value of a register of its own.
+func validValue(register string, value []byte) bool {
+	if register != ReplicaSet {
+		return true
+	}
+	_, err := DecodeReplicas(value)
+	return err == nil
+}
+
 // Learn takes over a decided version if it is newer and its trail has no gap to the own one.
 func (p *Replica) Learn(r Request) (Reply, *Record) {
 	reply := p.reply(r, ReplyOK)
@@ -111,11 +127,11 @@
 	}
 	first := d.Version - uint64(len(d.Trail)) + 1
 	for i := range d.Trail {
-		if d.Trail[i].Version != first+uint64(i) {
+		if d.Trail[i].Version != first+uint64(i) || d.Trail[i].Register != d.Register {
 			return false
 		}
 	}
-	return d.Trail[len(d.Trail)-1].Digest == Digest(d.Value)
+	return d.Trail[len(d.Trail)-1].Digest == Digest(d.Value) && validValue(d.Register, d.Value)
 }
 
 // Read reports the newest version and the vote for the next one, or, for the empty
