registrar: test that a silent replica holds nothing up

Cause: no test showed that Change and Read return while one replica does not answer, nor that Close leaves no goroutine behind.

Change: a test with one replica whose calls hang until the end, with goleak.

No code of the package changed.

Conclusion: a minority that hangs delays no answer.

--- a/registrar/recovery_test.go
+++ b/registrar/recovery_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
 
 	"sesamedrift.example/sesamedrift/registrar"
 )
@@ -164,3 +165,29 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(res.Status).To(Equal(registrar.Unavailable))
 }
+
+// Guards against a replica that does not answer and holds up the others, and against calls
+// that go on after Close.
+func TestSilentReplicaHoldsNothingUp(t *testing.T) {
+	g := NewWithT(t)
+	before := goleak.IgnoreCurrent()
+	c := startCluster(t, "a", "b", "c")
+	release := make(chan struct{})
+	c.setLoss(func(_, to string, _ registrar.Request, _ bool) bool {
+		if to == "c" {
+			<-release
+		}
+		return to == "c"
+	})
+	c.mustChange(t, "a", "env-trial", 0, 5)
+	e, err := c.node("b").Read(t.Context(), start, "env-trial")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(e.Version).To(Equal(uint64(5)))
+	close(release)
+	node := c.node("a")
+	c.close()
+	g.Expect(goleak.Find(before)).To(Succeed())
+	res, err := node.Change(t.Context(), start, change("env-trial", "x", 5))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(res.Status).To(Equal(registrar.Unavailable))
+}
