--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -36,8 +36,9 @@
 	// Bootstrap says that the set has never run. It has an effect only on an empty replica;
 	// see the package comment.
 	Bootstrap bool
-	// Call sends a request to another replica. It must be safe for concurrent use and return
-	// when ctx is done.
+	// Call sends a request to another replica. It must be safe for concurrent use, return
+	// when ctx is done and end by itself after a bounded time: a call to a replica that does
+	// not answer may outlive the method that made it. Requests may arrive more than once.
 	Call func(ctx context.Context, replica string, r Request) (Reply, error)
 	// Learned is called, if set, after a newer version is known and stored here: with rising
 	// versions for each register, one call at a time, under no lock. It must not block.
@@ -51,7 +52,10 @@
 	// ctx ends with Close; calls that outlive the method that started them use it.
 	ctx    context.Context
 	cancel context.CancelFunc
-	calls  sync.WaitGroup
+	// callsMu orders the start of a call and Close.
+	callsMu sync.Mutex
+	closed  bool
+	calls   sync.WaitGroup
 
 	// steps is held from the decision of a step until its record is stored and applied.
 	steps   sync.Mutex
@@ -146,9 +150,12 @@
 	return nil
 }
 
-// Close ends the calls that are still under way and waits for them. The registrar must not
-// be used to propose afterwards.
+// Close ends the calls to other replicas that are under way, waits for them and starts no
+// new ones. Changes then get the answer Unavailable.
 func (g *Registrar) Close() {
+	g.callsMu.Lock()
+	g.closed = true
+	g.callsMu.Unlock()
 	g.cancel()
 	g.calls.Wait()
 }
