--- /dev/null
+++ b/commander/commander.go
@@ -0,0 +1,150 @@
+// Package commander is the command line of sesamedrift.
+//
+// Run returns the exit code: 0 for success and a complete outcome, otherwise the code of
+// the outcome or of the error as listed in docs/operations.md. Commands print to the
+// given writers only, so that the package can be embedded and tested.
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/client"
+)
+
+// Streams are the standard streams of one run.
+type Streams struct {
+	In  io.Reader
+	Out io.Writer
+	Err io.Writer
+}
+
+// commandLine is one run of the command line.
+type commandLine struct {
+	Streams
+	now func() time.Time
+}
+
+// exitError ends a command with an exit code.
+type exitError struct {
+	code    int
+	message string
+}
+
+// Error returns the message.
+func (e *exitError) Error() string { return e.message }
+
+func usageError(format string, args ...any) error {
+	return &exitError{
+		code:    sesamedrift.ExitUsage,
+		message: fmt.Sprintf(format, args...),
+	}
+}
+
+// Run runs the command line. args begins with the program's name. The context ends on
+// the signal that asks for a planned stop.
+func Run(ctx context.Context, args []string, s Streams) int {
+	c := &commandLine{
+		Streams: s,
+		now:     time.Now,
+	}
+	err := c.root().Run(ctx, args)
+	if err == nil {
+		return 0
+	}
+	code := exitCode(err)
+	if message := err.Error(); message != "" {
+		// Nothing is left to do when the error stream is closed.
+		_, _ = fmt.Fprintln(s.Err, "sesamedrift: "+message)
+	}
+	return code
+}
+
+func exitCode(err error) int {
+	var exit *exitError
+	var api *client.APIError
+	var invalid *sesamedrift.InvalidError
+	switch {
+	case errors.As(err, &exit):
+		return exit.code
+	case errors.As(err, &api):
+		return apiExitCode(api.Code)
+	case errors.As(err, &invalid):
+		return sesamedrift.ExitUsage
+	}
+	return sesamedrift.ExitError
+}
+
+func apiExitCode(code client.Code) int {
+	switch code {
+	case client.CodeBadRequest, client.CodeUnauthorized, client.CodeNotFound, client.CodeTooLarge:
+		return sesamedrift.ExitUsage
+	case client.CodeKeyConflict, client.CodeVersionConflict:
+		return sesamedrift.ExitConflict
+	case client.CodeKeyExpired:
+		return sesamedrift.ExitExpired
+	default:
+		return sesamedrift.ExitError
+	}
+}
+
+func (c *commandLine) root() *cli.Command {
+	return &cli.Command{
+		Name:      "sesamedrift",
+		Usage:     "dispatch sub-second tasks, each started at most once",
+		Reader:    c.In,
+		Writer:    c.Out,
+		ErrWriter: c.Err,
+		// Run prints errors and chooses the exit code.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return usageError("%v", err)
+		},
+		Commands: []*cli.Command{
+			c.hostCommand(),
+			c.executorCommand(),
+			c.configCommand(),
+			c.submitCommand(),
+			c.cancelCommand(),
+			c.statusCommand(),
+			c.demoCommand(),
+		},
+	}
+}
+
+// printJSON writes one indented JSON value.
+func (c *commandLine) printJSON(v any) error {
+	e := json.NewEncoder(c.Out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+func (c *commandLine) printf(format string, args ...any) {
+	// A closed output stream must not change what the command does.
+	_, _ = fmt.Fprintf(c.Out, format, args...)
+}
+
+var jsonFlag = &cli.BoolFlag{
+	Name:  "json",
+	Usage: "print JSON",
+}
+
+var hostsFlag = &cli.StringSliceFlag{
+	Name:    "host",
+	Usage:   "base `URL` of a host; may be given several times",
+	Value:   []string{"http://127.0.0.1:8080"},
+	Sources: cli.EnvVars("SESAMEDRIFT_HOST"),
+}
+
+var tokenFlag = &cli.StringFlag{
+	Name:    "token",
+	Usage:   "operator `TOKEN`",
+	Sources: cli.EnvVars("SESAMEDRIFT_TOKEN"),
+}
--- /dev/null
+++ b/commander/config.go
@@ -0,0 +1,351 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/client"
+	"sesamedrift.example/sesamedrift/validator"
+)
+
+const (
+	environmentUsage = "`NAME` of the environment: trial or production"
+	historyLimit     = 50
+)
+
+func (c *commandLine) configCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "config",
+		Usage: "check, apply, show, compare and promote environment documents",
+		Commands: []*cli.Command{
+			c.configCheck(),
+			c.configApply(),
+			c.configShow(),
+			c.configDiff(),
+			c.configPromote(),
+			c.configHistory(),
+		},
+	}
+}
+
+func (c *commandLine) configCheck() *cli.Command {
+	return &cli.Command{
+		Name:        "check",
+		Usage:       "check a document and list every problem",
+		ArgsUsage:   "FILE",
+		Description: "Example:\n   sesamedrift config check examples/ajara.json",
+		Flags:       []cli.Flag{jsonFlag},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			data, err := os.ReadFile(cmd.Args().First())
+			if err != nil {
+				return usageError("%v", err)
+			}
+			document, err := validator.ParseEnvironment(data)
+			if err != nil {
+				return usageError("%s is not accepted:\n%v", cmd.Args().First(), err)
+			}
+			if cmd.Bool("json") {
+				return c.printJSON(document)
+			}
+			c.printf("%s is accepted: environment %s, %d services, %d teams, %d failure domains\n",
+				cmd.Args().First(), document.Name, len(document.Services), len(document.Teams), len(document.Domains))
+			return nil
+		},
+	}
+}
+
+var changeFlags = []cli.Flag{
+	hostsFlag,
+	tokenFlag,
+	jsonFlag,
+	&cli.StringFlag{
+		Name:  "id",
+		Usage: "`ID` of a change that is sent again after its answer was lost",
+	},
+	&cli.Uint64Flag{
+		Name:     "expected",
+		Usage:    "`VERSION` that the change replaces, 0 for the first",
+		Required: true,
+	},
+	&cli.StringFlag{
+		Name:    "who",
+		Usage:   "`NAME` of the operator, for the audit trail",
+		Sources: cli.EnvVars("SESAMEDRIFT_OPERATOR", "USER"),
+		Value:   "unknown",
+	},
+}
+
+func (c *commandLine) configApply() *cli.Command {
+	return &cli.Command{
+		Name:      "apply",
+		Usage:     "replace the document of its environment",
+		ArgsUsage: "FILE",
+		Description: "A conflict means that another change took the version; look at it before you try again.\n\n" +
+			"Example:\n   sesamedrift config apply --expected 0 --who ana examples/ajara.json",
+		Flags: changeFlags,
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			data, err := os.ReadFile(cmd.Args().First())
+			if err != nil {
+				return usageError("%v", err)
+			}
+			document, err := validator.ParseEnvironment(data)
+			if err != nil {
+				return usageError("%s is not accepted:\n%v", cmd.Args().First(), err)
+			}
+			api, err := c.client(cmd)
+			if err != nil {
+				return err
+			}
+			change := changeOf(cmd)
+			change.Environment = document.Name
+			change.Document = data
+			result, err := api.Apply(ctx, change)
+			if err != nil {
+				return err
+			}
+			return c.printChange(cmd, result)
+		},
+	}
+}
+
+func (c *commandLine) configPromote() *cli.Command {
+	return &cli.Command{
+		Name:  "promote",
+		Usage: "make the accepted trial document the production document",
+		Description: "The promotion conditions are part of the trial document.\n\n" +
+			"Example:\n   sesamedrift config promote --expected 3 --who ana",
+		Flags: changeFlags,
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			api, err := c.client(cmd)
+			if err != nil {
+				return err
+			}
+			result, err := api.Promote(ctx, changeOf(cmd))
+			if err != nil {
+				return err
+			}
+			return c.printChange(cmd, result)
+		},
+	}
+}
+
+func changeOf(cmd *cli.Command) client.Change {
+	return client.Change{
+		ID:       cmd.String("id"),
+		Expected: cmd.Uint64("expected"),
+		Who:      cmd.String("who"),
+	}
+}
+
+func (c *commandLine) printChange(cmd *cli.Command, r client.ChangeResult) error {
+	if cmd.Bool("json") {
+		if err := c.printJSON(r); err != nil {
+			return err
+		}
+	}
+	switch r.Status {
+	case client.ChangeAccepted:
+		if !cmd.Bool("json") {
+			c.printf("accepted as version %d (change %s), in force on %s\n",
+				r.Version, r.ID, strings.Join(r.InForceOn, ", "))
+		}
+		return nil
+	case client.ChangeConflict:
+		winner := "another change"
+		if r.Winner != nil {
+			winner = fmt.Sprintf("change %s of %s", r.Winner.ID, r.Winner.Who)
+		}
+		return &exitError{
+			code:    sesamedrift.ExitConflict,
+			message: fmt.Sprintf("conflict: %s is version %d (digest %s)", winner, r.Version, r.Digest),
+		}
+	case client.ChangeUnavailable:
+		return &exitError{
+			code:    sesamedrift.ExitError,
+			message: "no majority of the replicas answered; send the change again with --id " + r.ID,
+		}
+	default:
+		panic("commander: change status " + string(r.Status) + " is not known")
+	}
+}
+
+func (c *commandLine) configShow() *cli.Command {
+	return &cli.Command{
+		Name:        "show",
+		Usage:       "print the document in force and on which hosts it is",
+		ArgsUsage:   "trial|production",
+		Description: "Example:\n   sesamedrift config show production",
+		Flags:       []cli.Flag{hostsFlag, jsonFlag},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			state, err := c.environment(ctx, cmd)
+			if err != nil {
+				return err
+			}
+			if cmd.Bool("json") {
+				return c.printJSON(state)
+			}
+			c.printf("version %d, digest %s, in force on %s\n",
+				state.Version, state.Digest, strings.Join(state.InForceOn, ", "))
+			return c.printJSON(state.Document)
+		},
+	}
+}
+
+func (c *commandLine) environment(ctx context.Context, cmd *cli.Command) (client.EnvironmentState, error) {
+	api, err := c.client(cmd)
+	if err != nil {
+		return client.EnvironmentState{}, err
+	}
+	return api.Environment(ctx, cmd.Args().First())
+}
+
+func (c *commandLine) configDiff() *cli.Command {
+	return &cli.Command{
+		Name:        "diff",
+		Usage:       "compare a document with the one in force",
+		ArgsUsage:   "FILE",
+		Description: "Example:\n   sesamedrift config diff examples/ajara.json",
+		Flags:       []cli.Flag{hostsFlag, jsonFlag},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			data, err := os.ReadFile(cmd.Args().First())
+			if err != nil {
+				return usageError("%v", err)
+			}
+			document, err := validator.ParseEnvironment(data)
+			if err != nil {
+				return usageError("%s is not accepted:\n%v", cmd.Args().First(), err)
+			}
+			api, err := c.client(cmd)
+			if err != nil {
+				return err
+			}
+			state, err := api.Environment(ctx, document.Name)
+			if err != nil {
+				return err
+			}
+			changes, err := validator.Diff(state.Document, data)
+			if err != nil {
+				return err
+			}
+			if cmd.Bool("json") {
+				return c.printJSON(changes)
+			}
+			c.printf("%d differences from version %d\n", len(changes), state.Version)
+			for _, d := range changes {
+				c.printf("%s: %s -> %s\n", d.Path, d.Before, d.After)
+			}
+			return nil
+		},
+	}
+}
+
+func (c *commandLine) configHistory() *cli.Command {
+	return &cli.Command{
+		Name:        "history",
+		Usage:       "print the audit trail of an environment",
+		ArgsUsage:   "trial|production",
+		Description: "Example:\n   sesamedrift config history production --after 100",
+		Flags: []cli.Flag{
+			hostsFlag,
+			jsonFlag,
+			&cli.Uint64Flag{
+				Name:  "after",
+				Usage: "begin after `VERSION`",
+			},
+			&cli.IntFlag{
+				Name:  "limit",
+				Usage: "print at most `N` entries",
+				Value: historyLimit,
+			},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			api, err := c.client(cmd)
+			if err != nil {
+				return err
+			}
+			entries, err := api.History(ctx, cmd.Args().First(), cmd.Uint64("after"), cmd.Int("limit"))
+			if err != nil {
+				return err
+			}
+			if cmd.Bool("json") {
+				return c.printJSON(entries)
+			}
+			for _, e := range entries {
+				c.printf("%d %s %s %s %s %s\n", e.Version, e.At.Format("2006-01-02T15:04:05Z07:00"), e.Who, e.ID, e.Outcome, e.Digest)
+			}
+			return nil
+		},
+	}
+}
+
+func (c *commandLine) statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "status",
+		Usage:       "print hosts, leases, upstreams, queues and versions",
+		Description: "Example:\n   sesamedrift status --host http://127.0.0.1:8080",
+		Flags:       []cli.Flag{hostsFlag, jsonFlag},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			api, err := c.client(cmd)
+			if err != nil {
+				return err
+			}
+			raw, err := api.Status(ctx)
+			if err != nil {
+				return err
+			}
+			if cmd.Bool("json") {
+				return c.printJSON(raw)
+			}
+			return c.printStatus(raw)
+		},
+	}
+}
+
+// hostLine is what the table of hosts shows of one host.
+type hostLine struct {
+	Host      string            `json:"host"`
+	Domain    string            `json:"domain"`
+	Ready     bool              `json:"ready"`
+	View      uint64            `json:"view"`
+	Lease     bool              `json:"lease"`
+	Votes     bool              `json:"votes"`
+	Versions  map[string]uint64 `json:"versions"`
+	Queued    int               `json:"queued"`
+	Running   int               `json:"running"`
+	Upstreams []struct {
+		Upstream string `json:"upstream"`
+		State    string `json:"state"`
+	} `json:"upstreams"`
+}
+
+func (c *commandLine) printStatus(raw json.RawMessage) error {
+	var s struct {
+		hostLine
+		Hosts       []hostLine `json:"hosts"`
+		Unreachable []string   `json:"unreachable"`
+		CutOff      bool       `json:"cut-off"`
+	}
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return fmt.Errorf("status: %w", err)
+	}
+	c.printf("%-16s %-12s %-5s %5s %-5s %-5s %7s %7s %9s %10s\n",
+		"host", "domain", "ready", "view", "lease", "votes", "queued", "running", "upstreams", "production")
+	for _, h := range append([]hostLine{s.hostLine}, s.Hosts...) {
+		c.printf("%-16s %-12s %-5t %5d %-5t %-5t %7d %7d %9d %10d\n",
+			h.Host, h.Domain, h.Ready, h.View, h.Lease, h.Votes, h.Queued, h.Running, len(h.Upstreams),
+			h.Versions["env-production"])
+	}
+	if len(s.Unreachable) > 0 {
+		c.printf("unreachable: %s\n", strings.Join(s.Unreachable, ", "))
+	}
+	if s.CutOff {
+		c.printf("cut off: no majority of the replicas can be asked\n")
+	}
+	return nil
+}
--- /dev/null
+++ b/commander/executor.go
@@ -0,0 +1,122 @@
+package commander
+
+import (
+	"context"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"sesamedrift.example/sesamedrift/executor"
+)
+
+// leaveTimeout bounds the planned stop of an executor.
+const leaveTimeout = 30 * time.Second
+
+func (c *commandLine) executorCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "executor",
+		Usage: "run a stand-in upstream that sleeps for the run time of each task",
+		Description: "The payload {\"run-time\":\"80ms\",\"echo\":\"text\"} runs for 80 ms; {\"fail\":\"why\"} fails.\n" +
+			"On a signal the executor announces that it leaves and finishes its running tasks.\n\n" +
+			"Example:\n" +
+			"   sesamedrift executor --id worker-1 --service proofing --host http://127.0.0.1:8080",
+		Flags: []cli.Flag{
+			hostsFlag,
+			&cli.StringFlag{
+				Name:     "id",
+				Usage:    "`NAME` of the upstream",
+				Required: true,
+			},
+			&cli.StringFlag{
+				Name:     "service",
+				Usage:    "`NAME` of the service",
+				Required: true,
+			},
+			&cli.StringFlag{
+				Name:  "address",
+				Usage: "`IP:PORT` to listen on",
+				Value: "127.0.0.1:0",
+			},
+			&cli.IntFlag{
+				Name:  "slots",
+				Usage: "tasks at the same time",
+				Value: 8,
+			},
+			&cli.IntFlag{
+				Name:  "connections",
+				Usage: "connections at the same time",
+				Value: 64,
+			},
+			&cli.DurationFlag{
+				Name:  "ttl",
+				Usage: "time to live of an announcement",
+				Value: 3 * time.Second,
+			},
+			&cli.FloatFlag{
+				Name:  "slowdown",
+				Usage: "multiply run times by `FACTOR`",
+				Value: 1,
+			},
+			&cli.BoolFlag{
+				Name:  "fail-all",
+				Usage: "fail every task at once",
+			},
+			&cli.BoolFlag{
+				Name:  "hang",
+				Usage: "never answer before the lease ends",
+			},
+			&cli.DurationFlag{
+				Name:  "die-after",
+				Usage: "stop without notice after `DURATION`",
+			},
+			&cli.DurationFlag{
+				Name:  "leave-after",
+				Usage: "leave after `DURATION`",
+			},
+		},
+		Action: c.runExecutor,
+	}
+}
+
+func (c *commandLine) runExecutor(ctx context.Context, cmd *cli.Command) error {
+	e, err := executor.New(executor.Config{
+		ID:          cmd.String("id"),
+		Address:     cmd.String("address"),
+		Hosts:       cmd.StringSlice("host"),
+		Service:     cmd.String("service"),
+		Incarnation: uint64(c.now().UnixNano()),
+		Slots:       cmd.Int("slots"),
+		Connections: cmd.Int("connections"),
+		TTL:         cmd.Duration("ttl"),
+		Faults: executor.Faults{
+			Slowdown: cmd.Float("slowdown"),
+			FailAll:  cmd.Bool("fail-all"),
+			Hang:     cmd.Bool("hang"),
+		},
+	})
+	if err != nil {
+		return usageError("%v", err)
+	}
+	c.printf("executor %s listens on %s\n", cmd.String("id"), e.Address())
+	select {
+	case <-ctx.Done():
+	case <-after(cmd.Duration("leave-after")):
+	case <-after(cmd.Duration("die-after")):
+		return e.Close()
+	}
+	leaving, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	err = e.Leave(leaving)
+	if closeErr := e.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+// after returns a channel that is ready after d, or never if d is zero.
+func after(d time.Duration) <-chan time.Time {
+	if d <= 0 {
+		return nil
+	}
+	return time.After(d)
+}
--- /dev/null
+++ b/commander/submit.go
@@ -0,0 +1,179 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/client"
+)
+
+func (c *commandLine) submitCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "submit",
+		Usage:     "submit a request or a job and wait for its outcome",
+		ArgsUsage: "[PAYLOAD ...]",
+		Description: "Each argument is the payload of one task; \"-\" stands for standard input and\n" +
+			"@FILE for the content of a file. The exit code is that of the outcome.\n\n" +
+			"Example:\n" +
+			"   sesamedrift submit --service proofing --kind preview --team brand '{\"run-time\":\"80ms\"}'",
+		Flags: []cli.Flag{
+			hostsFlag,
+			jsonFlag,
+			&cli.StringFlag{
+				Name:     "service",
+				Usage:    "`NAME` of the service",
+				Required: true,
+			},
+			&cli.StringFlag{
+				Name:     "kind",
+				Usage:    "`NAME` of the kind of work",
+				Required: true,
+			},
+			&cli.StringFlag{
+				Name:     "team",
+				Usage:    "`NAME` of the team",
+				Required: true,
+			},
+			&cli.StringFlag{
+				Name:  "key",
+				Usage: "request `KEY` of an earlier submission that is sent again",
+			},
+			&cli.StringFlag{
+				Name:  "created",
+				Usage: "creation `TIME` (RFC 3339) of a key that is no UUIDv7",
+			},
+			&cli.DurationFlag{
+				Name:  "timeout",
+				Usage: "give up after `DURATION`; the default is that of the kind",
+			},
+		},
+		Action: c.submit,
+	}
+}
+
+func (c *commandLine) submit(ctx context.Context, cmd *cli.Command) error {
+	payloads, err := c.payloads(cmd.Args().Slice())
+	if err != nil {
+		return err
+	}
+	s := sesamedrift.Submission{
+		Service:  cmd.String("service"),
+		Kind:     cmd.String("kind"),
+		Team:     cmd.String("team"),
+		Payloads: payloads,
+	}
+	if timeout := cmd.Duration("timeout"); timeout > 0 {
+		s.Deadline = c.now().Add(timeout)
+	}
+	if text := cmd.String("key"); text != "" {
+		if s.Key, err = sesamedrift.ParseKey(text, cmd.String("created")); err != nil {
+			return usageError("%v", err)
+		}
+	}
+	api, err := c.client(cmd)
+	if err != nil {
+		return err
+	}
+	o, err := api.Submit(ctx, s)
+	if err != nil {
+		return err
+	}
+	return c.printOutcome(cmd, o)
+}
+
+// printOutcome prints an outcome and returns an error with its exit code.
+func (c *commandLine) printOutcome(cmd *cli.Command, o sesamedrift.Outcome) error {
+	if cmd.Bool("json") {
+		if err := c.printJSON(o); err != nil {
+			return err
+		}
+	} else {
+		c.printf("%s %s\n", o.Key, o.Status)
+		for _, a := range o.Answers {
+			c.printf("%s\n", a)
+		}
+	}
+	if code := o.Status.ExitCode(); code != 0 {
+		message := o.Reason
+		if o.RetryAfter > 0 {
+			message += fmt.Sprintf(" (try again after %s)", o.RetryAfter.Round(time.Millisecond))
+		}
+		return &exitError{
+			code:    code,
+			message: fmt.Sprintf("%s: %s", o.Status, message),
+		}
+	}
+	return nil
+}
+
+func (c *commandLine) payloads(args []string) ([][]byte, error) {
+	payloads := make([][]byte, 0, len(args))
+	for _, a := range args {
+		p, err := c.payload(a)
+		if err != nil {
+			return nil, usageError("payload %q: %v", a, err)
+		}
+		payloads = append(payloads, p)
+	}
+	return payloads, nil
+}
+
+func (c *commandLine) payload(arg string) ([]byte, error) {
+	switch {
+	case arg == "-":
+		return io.ReadAll(c.In)
+	case len(arg) > 1 && arg[0] == '@':
+		return os.ReadFile(arg[1:])
+	}
+	return []byte(arg), nil
+}
+
+func (c *commandLine) cancelCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "cancel",
+		Usage:     "cancel a submission",
+		ArgsUsage: "KEY",
+		Description: "Example:\n" +
+			"   sesamedrift cancel riga-a.0197c0de-0000-7000-8000-000000000001",
+		Flags: []cli.Flag{
+			hostsFlag,
+			&cli.StringFlag{
+				Name:  "created",
+				Usage: "creation `TIME` (RFC 3339) of a key that is no UUIDv7",
+			},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			key, err := sesamedrift.ParseKey(cmd.Args().First(), cmd.String("created"))
+			if err != nil {
+				return usageError("%v", err)
+			}
+			api, err := c.client(cmd)
+			if err != nil {
+				return err
+			}
+			if err := api.Cancel(ctx, key); err != nil {
+				return err
+			}
+			c.printf("%s is being cancelled\n", key)
+			return nil
+		},
+	}
+}
+
+func (c *commandLine) client(cmd *cli.Command) (*client.Client, error) {
+	api, err := client.New(client.Config{
+		Hosts:         cmd.StringSlice("host"),
+		OperatorToken: cmd.String("token"),
+		Now:           c.now,
+	})
+	if err != nil {
+		return nil, usageError("%v", err)
+	}
+	return api, nil
+}
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -88,6 +88,14 @@
 	}
 }
 
+// SetEjectShare changes Config.EjectShare.
+func (d *Detector) SetEjectShare(share float64) {
+	if !(share > 0 && share <= 1) {
+		share = defaultEjectShare
+	}
+	d.cfg.EjectShare = share
+}
+
 // Add makes an upstream known, so that it counts for EjectShare. Report and Observe do
 // so as well.
 func (d *Detector) Add(id, serviceName string) { d.upstream(id, serviceName) }
--- /dev/null
+++ b/launcher/launcher.go
@@ -0,0 +1,462 @@
+// Package launcher runs several hosts and stand-in upstreams in one process, on loopback.
+//
+// It serves demonstrations, load tests and tests of the whole system. The hosts are real:
+// they talk to each other over TCP and keep their data folders. A Deployment is safe for
+// concurrent use; Close must be called once.
+package launcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"sesamedrift.example/sesamedrift/client"
+	"sesamedrift.example/sesamedrift/executor"
+	"sesamedrift.example/sesamedrift/scheduler"
+	"sesamedrift.example/sesamedrift/server"
+	"sesamedrift.example/sesamedrift/validator"
+)
+
+const (
+	// OperatorToken authorises changes of the environments of every deployment.
+	OperatorToken = "loopback-operator-token"
+	// PeerToken is the token that the hosts of every deployment share.
+	PeerToken = "loopback-peer-token-0001"
+
+	defaultTTL = 3 * time.Second
+	pollEvery  = 10 * time.Millisecond
+)
+
+// Config describes a deployment.
+type Config struct {
+	// Domains are the names of the failure domains.
+	Domains []string
+	// Hosts is the number of hosts of each failure domain, in the order of Domains. The
+	// first host of each of the first 1 or 3 domains has a data folder.
+	Hosts []int
+	// Upstreams is the number of upstreams of each failure domain.
+	Upstreams int
+	Slots     int
+	Service   string
+	// Document is the environment document to apply, as JSON.
+	Document []byte
+	// Folder holds the data folders.
+	Folder string
+	Log    *slog.Logger
+	Policy scheduler.Policy
+	// Distance is the one-way delay between two failure domains.
+	Distance time.Duration
+	// OnStart is called at each start of a task on any upstream if it is set.
+	OnStart func(upstream, taskID string, attempt int)
+	TTL     time.Duration
+	Seed    uint64
+	// Adjust may change the settings of a host before it starts.
+	Adjust func(s *validator.Settings)
+}
+
+// Deployment is a running system.
+type Deployment struct {
+	cfg      Config
+	settings []validator.Settings
+
+	mu          sync.Mutex
+	hosts       map[string]*server.Host
+	upstreams   map[string]*executor.Executor
+	incarnation uint64
+}
+
+// New starts the hosts, waits until they are members of their views, applies the document
+// and starts the upstreams.
+func New(ctx context.Context, cfg Config) (*Deployment, error) {
+	if len(cfg.Domains) == 0 || len(cfg.Hosts) != len(cfg.Domains) {
+		return nil, errors.New("launcher: one number of hosts is needed for each failure domain")
+	}
+	if cfg.TTL == 0 {
+		cfg.TTL = defaultTTL
+	}
+	d := &Deployment{
+		cfg:       cfg,
+		hosts:     map[string]*server.Host{},
+		upstreams: map[string]*executor.Executor{},
+	}
+	var err error
+	if d.settings, err = plan(cfg); err != nil {
+		return nil, err
+	}
+	if err := d.start(ctx); err != nil {
+		return nil, errors.Join(err, d.Close())
+	}
+	return d, nil
+}
+
+func (d *Deployment) start(ctx context.Context) error {
+	for _, s := range d.settings {
+		if err := d.StartHost(s.Host); err != nil {
+			return err
+		}
+	}
+	if err := d.apply(ctx); err != nil {
+		return err
+	}
+	for _, domain := range d.cfg.Domains {
+		for i := range d.cfg.Upstreams {
+			if err := d.StartUpstream(fmt.Sprintf("%s-worker-%d", domain, i+1), domain, executor.Faults{}); err != nil {
+				return err
+			}
+		}
+	}
+	return d.waitReady(ctx)
+}
+
+// plan returns the settings of every host, with free ports.
+func plan(cfg Config) ([]validator.Settings, error) {
+	replicas := 1
+	if len(cfg.Domains) >= 3 {
+		replicas = 3
+	}
+	var all []validator.Settings
+	for i, domain := range cfg.Domains {
+		for n := range cfg.Hosts[i] {
+			ports, err := freePorts(2)
+			if err != nil {
+				return nil, err
+			}
+			name := fmt.Sprintf("%s-%d", domain, n+1)
+			s := validator.Settings{
+				Host:           name,
+				Domain:         domain,
+				HTTPAddress:    ports[0],
+				PeerAddress:    ports[1],
+				Replica:        n == 0 && i < replicas,
+				OperatorToken:  OperatorToken,
+				PeerToken:      PeerToken,
+				LogLevel:       "info",
+				HeartbeatEvery: validator.Duration(100 * time.Millisecond),
+				SuspectAfter:   validator.Duration(500 * time.Millisecond),
+				LeaseTime:      validator.Duration(600 * time.Millisecond),
+				DriftMargin:    validator.Duration(100 * time.Millisecond),
+				ClockMargin:    validator.Duration(2 * time.Second),
+			}
+			if s.Replica {
+				s.Bootstrap = true
+				s.DataFolder = filepath.Join(cfg.Folder, name)
+			}
+			if cfg.Adjust != nil {
+				cfg.Adjust(&s)
+			}
+			all = append(all, s)
+		}
+	}
+	for i := range all {
+		all[i].Peers = peersOf(all, i)
+	}
+	return all, nil
+}
+
+func peersOf(all []validator.Settings, self int) []validator.Peer {
+	var peers []validator.Peer
+	for i, s := range all {
+		if i == self {
+			continue
+		}
+		peers = append(peers, validator.Peer{
+			Host:        s.Host,
+			Domain:      s.Domain,
+			Address:     s.PeerAddress,
+			HTTPAddress: s.HTTPAddress,
+			Replica:     s.Replica,
+		})
+	}
+	return peers
+}
+
+// freePorts returns loopback addresses with ports that were free a moment ago.
+func freePorts(n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		var lc net.ListenConfig
+		l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("launcher: no free port: %w", err)
+		}
+		defer func() { _ = l.Close() }()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
+
+// StartHost starts a host of the plan, as a new incarnation.
+func (d *Deployment) StartHost(name string) error {
+	s, err := d.Settings(name)
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	d.incarnation++
+	incarnation := d.incarnation
+	d.mu.Unlock()
+	h, err := server.New(server.Config{
+		Settings:    s,
+		Incarnation: incarnation,
+		Log:         d.cfg.Log,
+		Now:         time.Now,
+		Policy:      d.cfg.Policy,
+		Delay:       d.delay(s.Domain),
+		Seed:        d.cfg.Seed + incarnation,
+	})
+	if err != nil {
+		return fmt.Errorf("launcher: host %q: %w", name, err)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hosts[name] = h
+	return nil
+}
+
+func (d *Deployment) delay(from string) func(domain string) time.Duration {
+	if d.cfg.Distance == 0 {
+		return nil
+	}
+	return func(domain string) time.Duration {
+		if domain == from {
+			return 0
+		}
+		return d.cfg.Distance
+	}
+}
+
+// Settings returns the settings of a host.
+func (d *Deployment) Settings(name string) (validator.Settings, error) {
+	for _, s := range d.settings {
+		if s.Host == name {
+			return s, nil
+		}
+	}
+	return validator.Settings{}, fmt.Errorf("launcher: there is no host %q", name)
+}
+
+// HostNames returns the names of all hosts of the plan.
+func (d *Deployment) HostNames() []string {
+	names := make([]string, 0, len(d.settings))
+	for _, s := range d.settings {
+		names = append(names, s.Host)
+	}
+	return names
+}
+
+// URLs returns the base URLs of the hosts of a failure domain, or of all if it is empty.
+func (d *Deployment) URLs(domain string) []string {
+	var urls []string
+	for _, s := range d.settings {
+		if domain == "" || s.Domain == domain {
+			urls = append(urls, "http://"+s.HTTPAddress)
+		}
+	}
+	return urls
+}
+
+// Client returns a client of the hosts of a failure domain, or of all if it is empty.
+func (d *Deployment) Client(domain string) (*client.Client, error) {
+	return client.New(client.Config{
+		Hosts:         d.URLs(domain),
+		OperatorToken: OperatorToken,
+	})
+}
+
+// take removes a host from the running ones.
+func (d *Deployment) take(name string) (*server.Host, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h, ok := d.hosts[name]
+	if !ok {
+		return nil, fmt.Errorf("launcher: the host %q does not run", name)
+	}
+	delete(d.hosts, name)
+	return h, nil
+}
+
+// KillHost ends a host at once.
+func (d *Deployment) KillHost(name string) error {
+	h, err := d.take(name)
+	if err != nil {
+		return err
+	}
+	h.Kill()
+	return nil
+}
+
+// StopHost performs a planned stop of a host.
+func (d *Deployment) StopHost(ctx context.Context, name string) error {
+	h, err := d.take(name)
+	if err != nil {
+		return err
+	}
+	return h.Stop(ctx)
+}
+
+// StartUpstream starts a stand-in upstream in a failure domain.
+func (d *Deployment) StartUpstream(name, domain string, f executor.Faults) error {
+	d.mu.Lock()
+	d.incarnation++
+	incarnation := d.incarnation
+	d.mu.Unlock()
+	cfg := executor.Config{
+		ID:          name,
+		Address:     "127.0.0.1:0",
+		Hosts:       d.URLs(domain),
+		Service:     d.cfg.Service,
+		Incarnation: incarnation,
+		Slots:       d.cfg.Slots,
+		Connections: 64,
+		TTL:         d.cfg.TTL,
+		Faults:      f,
+	}
+	if d.cfg.OnStart != nil {
+		cfg.OnStart = func(taskID string, attempt int) { d.cfg.OnStart(name, taskID, attempt) }
+	}
+	e, err := executor.New(cfg)
+	if err != nil {
+		return fmt.Errorf("launcher: %w", err)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.upstreams[name] = e
+	return nil
+}
+
+// Upstream returns a running upstream, or nil.
+func (d *Deployment) Upstream(name string) *executor.Executor {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.upstreams[name]
+}
+
+// KillUpstream ends an upstream at once.
+func (d *Deployment) KillUpstream(name string) error {
+	d.mu.Lock()
+	e, ok := d.upstreams[name]
+	delete(d.upstreams, name)
+	d.mu.Unlock()
+	if !ok {
+		return fmt.Errorf("launcher: the upstream %q does not run", name)
+	}
+	return e.Close()
+}
+
+// apply records the document as soon as the replicas answer.
+func (d *Deployment) apply(ctx context.Context) error {
+	api, err := d.Client("")
+	if err != nil {
+		return err
+	}
+	document, err := validator.ParseEnvironment(d.cfg.Document)
+	if err != nil {
+		return err
+	}
+	return poll(ctx, func() error {
+		r, err := api.Apply(ctx, client.Change{
+			Environment: document.Name,
+			ID:          "launcher",
+			Who:         "launcher",
+			Document:    d.cfg.Document,
+		})
+		if err == nil && r.Status != client.ChangeAccepted {
+			err = fmt.Errorf("launcher: document: %s", r.Status)
+		}
+		return err
+	})
+}
+
+// waitReady waits until every host takes submissions and every upstream has an owner.
+func (d *Deployment) waitReady(ctx context.Context) error {
+	for _, s := range d.settings {
+		if err := d.WaitHost(ctx, s.Host); err != nil {
+			return err
+		}
+	}
+	return poll(ctx, func() error {
+		owned := 0
+		for _, h := range d.running() {
+			owned += h.Owned()
+		}
+		if want := len(d.cfg.Domains) * d.cfg.Upstreams; owned < want {
+			return fmt.Errorf("launcher: %d of %d upstreams have an owner", owned, want)
+		}
+		return nil
+	})
+}
+
+func (d *Deployment) running() []*server.Host {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := make([]*server.Host, 0, len(d.hosts))
+	for _, h := range d.hosts {
+		all = append(all, h)
+	}
+	return all
+}
+
+// Counters returns the totals over the running hosts.
+func (d *Deployment) Counters() server.Counters {
+	var total server.Counters
+	for _, h := range d.running() {
+		total.Add(h.Counters())
+	}
+	return total
+}
+
+// WaitHost waits until a host takes submissions.
+func (d *Deployment) WaitHost(ctx context.Context, name string) error {
+	s, err := d.Settings(name)
+	if err != nil {
+		return err
+	}
+	api, err := client.New(client.Config{Hosts: []string{"http://" + s.HTTPAddress}})
+	if err != nil {
+		return err
+	}
+	return poll(ctx, func() error {
+		_, err := api.Ready(ctx)
+		return err
+	})
+}
+
+// poll repeats f until it succeeds or ctx is done.
+func poll(ctx context.Context, f func() error) error {
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		t := time.NewTimer(pollEvery)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return errors.Join(ctx.Err(), err)
+		}
+	}
+}
+
+// Close ends everything that still runs.
+func (d *Deployment) Close() error {
+	d.mu.Lock()
+	hosts, upstreams := d.hosts, d.upstreams
+	d.hosts, d.upstreams = map[string]*server.Host{}, map[string]*executor.Executor{}
+	d.mu.Unlock()
+	var all sync.WaitGroup
+	for _, h := range hosts {
+		all.Go(h.Kill)
+	}
+	all.Wait()
+	var err error
+	for _, e := range upstreams {
+		err = errors.Join(err, e.Close())
+	}
+	return err
+}
--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -27,10 +27,18 @@
 // NewBudget returns a Budget without starts. The share is 0.05 unless it is between 0
 // and 1.
 func NewBudget(share float64) *Budget {
+	b := &Budget{}
+	b.SetShare(share)
+	return b
+}
+
+// SetShare changes the share of retries; values that are not between 0 and 1 stand for
+// 0.05.
+func (b *Budget) SetShare(share float64) {
 	if !(share > 0 && share <= 1) {
 		share = defaultRetryShare
 	}
-	return &Budget{share: share}
+	b.share = share
 }
 
 // Start counts the first start of a task.
--- a/messenger/kinds.go
+++ b/messenger/kinds.go
@@ -37,6 +37,8 @@
 	KindStatus Kind = 15
 	// KindInstallView carries a view that was decided.
 	KindInstallView Kind = 16
+	// KindRelease says that the caller of a forwarded submission has gone.
+	KindRelease Kind = 17
 )
 
 var kindNames = map[Kind]string{
@@ -56,6 +58,7 @@
 	KindHandover:       "handover",
 	KindStatus:         "status",
 	KindInstallView:    "install-view",
+	KindRelease:        "release",
 }
 
 // String returns the name of the kind in kebab case, or its number.
--- /dev/null
+++ b/server/claims.go
@@ -0,0 +1,100 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"sesamedrift.example/sesamedrift/claimer"
+	"sesamedrift.example/sesamedrift/leaser"
+	"sesamedrift.example/sesamedrift/messenger"
+	"sesamedrift.example/sesamedrift/reporter"
+)
+
+// defaultRetention is the retention time of keys before a document is in force.
+const defaultRetention = 10 * time.Minute
+
+// claimRequest is a message to the claim table of a member.
+type claimRequest struct {
+	Request claimer.Request `msgpack:"request"`
+	// From is the host that asks.
+	From string `msgpack:"from"`
+}
+
+// claimReply answers a claimRequest, with the slots of the member.
+type claimReply struct {
+	Reply claimer.Reply `msgpack:"reply"`
+	Slots slotReport    `msgpack:"slots"`
+}
+
+// newClaims makes the claim table of this host and the claimer that uses the tables of
+// all members.
+func newClaims(h *Host) (*claimer.Table, *claimer.Claimer) {
+	margin := h.cfg.Settings.ClockMargin.Std()
+	table := claimer.NewTable(defaultRetention)
+	table.MaxAnswerBytes = answerBytes
+	table.ClockMargin = margin
+	return table, claimer.New(claimer.Config{
+		Self:        h.self,
+		View:        h.members.view,
+		Table:       table,
+		Retention:   defaultRetention,
+		ClockMargin: margin,
+		Call:        h.callMember,
+	})
+}
+
+func (h *Host) callMember(ctx context.Context, m leaser.Member, r claimer.Request) (claimer.Reply, error) {
+	reply, err := ask[claimReply](ctx, h, m.Host, messenger.KindClaim, claimRequest{
+		Request: r,
+		From:    h.cfg.Settings.Host,
+	})
+	var notSent *messenger.NotSentError
+	switch {
+	case errors.As(err, &notSent):
+		return claimer.Reply{}, &claimer.NotSentError{
+			Member: m.Host,
+			Err:    err,
+		}
+	case err != nil:
+		return claimer.Reply{}, err
+	}
+	h.heardSlots(m.Host, reply.Slots)
+	return reply.Reply, nil
+}
+
+func (h *Host) serveClaim(in claimRequest) (claimReply, error) {
+	return claimReply{
+		Reply: h.table.Handle(h.now(), h.members.view(), in.Request),
+		Slots: h.slots.report(in.From),
+	}, nil
+}
+
+// syncClaims reads the claims of the former view, until this host has them all.
+func (h *Host) syncClaims(ctx context.Context) {
+	v := h.members.view()
+	if h.synced() || !v.Has(h.self) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	complete, err := h.claims.Sync(ctx, h.now(), formerView(v))
+	if err == nil && !complete {
+		reporter.Log(ctx, h.log, reporter.HorizonRaised, "view", v.Number)
+	}
+}
+
+// synced reports whether this host answers claims in its view, or has none to answer in.
+func (h *Host) synced() bool {
+	v := h.members.view()
+	return !v.Has(h.self) || h.table.Synced() >= v.Number
+}
+
+// formerView returns the view before v.
+func formerView(v leaser.View) leaser.View {
+	return leaser.View{
+		Domain:  v.Domain,
+		Number:  v.Number - 1,
+		Members: v.Former,
+	}
+}
--- /dev/null
+++ b/server/configuration.go
@@ -0,0 +1,246 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sesamedrift.example/sesamedrift/messenger"
+	"sesamedrift.example/sesamedrift/registrar"
+	"sesamedrift.example/sesamedrift/reporter"
+	"sesamedrift.example/sesamedrift/validator"
+)
+
+const (
+	// environmentPrefix begins the names of the registers that hold documents.
+	environmentPrefix = "env-"
+	// exchangeEvery is the time between two exchanges with each host of another domain.
+	exchangeEvery = 500 * time.Millisecond
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = time.Second
+)
+
+// inForce is a document that is in force on this host.
+type inForce struct {
+	Version  uint64
+	Digest   string
+	Document validator.Environment
+	Since    time.Time
+}
+
+// documents holds the documents in force. It is safe for concurrent use.
+type documents struct {
+	mu  sync.RWMutex
+	all map[string]*inForce // by environment
+}
+
+func (d *documents) get(name string) *inForce {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.all[name]
+}
+
+// set puts a document in force unless a newer one is.
+func (d *documents) set(name string, f *inForce) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if old := d.all[name]; old != nil && old.Version >= f.Version {
+		return false
+	}
+	d.all[name] = f
+	return true
+}
+
+// exchange carries what a host knows, and what the other side lacks.
+type exchange struct {
+	Host     string            `msgpack:"host"`
+	Slots    slotReport        `msgpack:"slots"`
+	Versions map[string]uint64 `msgpack:"versions"`
+	Entries  []registrar.Entry `msgpack:"entries"`
+}
+
+// environment returns the document in force, or an error if there is none.
+func (h *Host) environment(name string) (*inForce, *Error) {
+	if name != validator.Trial && name != validator.Production {
+		return nil, badRequest("no such environment: "+name, validator.Problem{
+			Path:    environmentHeader,
+			Value:   name,
+			Message: "want trial or production",
+		})
+	}
+	if f := h.documents.get(name); f != nil {
+		return f, nil
+	}
+	return nil, notReady("no document of the environment " + name + " is in force")
+}
+
+// domains returns the names of the failure domains of all documents in force.
+func (h *Host) domains() []string {
+	for _, name := range []string{validator.Production, validator.Trial} {
+		if f := h.documents.get(name); f != nil {
+			return f.Document.DomainNames()
+		}
+	}
+	return []string{h.cfg.Settings.Domain}
+}
+
+// learn takes a register's entry that a replica has decided or a peer has sent.
+func (h *Host) learn(e registrar.Entry) {
+	if !h.entries.Offer(e) {
+		return
+	}
+	ctx := context.Background()
+	switch e.Register {
+	case environmentPrefix + validator.Trial, environmentPrefix + validator.Production:
+		h.enforce(ctx, e)
+	case viewPrefix + h.cfg.Settings.Domain:
+		h.background.Go(func() { h.installEntry(ctx, e) })
+	}
+}
+
+// enforce puts a recorded document in force.
+func (h *Host) enforce(ctx context.Context, e registrar.Entry) {
+	document, err := validator.ParseEnvironment(e.Value)
+	if err != nil {
+		reporter.Log(ctx, h.log, reporter.ConfigurationRejected, "register", e.Register, "version", e.Version, "error", err)
+		return
+	}
+	f := &inForce{
+		Version:  e.Version,
+		Digest:   e.Digest,
+		Document: document,
+		Since:    h.now(),
+	}
+	if !h.documents.set(document.Name, f) {
+		return
+	}
+	reporter.Log(ctx, h.log, reporter.ConfigurationInForce, "environment", document.Name, "version", e.Version, "digest", e.Digest)
+	h.dispatcher.post(func(now time.Time) { h.dispatcher.configure(now, document, h.cfg.Settings.Domain, h.peerDomains()) })
+}
+
+// heard takes what a peer reported with a message.
+func (h *Host) heard(host string, r slotReport, versions map[string]uint64) {
+	h.heardSlots(host, r)
+	mine := h.entries.Versions()
+	for register, version := range versions {
+		if version > mine[register] {
+			h.pullEntries(host)
+			return
+		}
+	}
+}
+
+// pullEntries fetches newer entries from a peer; at most one fetch is under way.
+func (h *Host) pullEntries(host string) {
+	if !h.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	h.background.Go(func() {
+		defer h.pulling.Store(false)
+		// A peer that cannot be reached is asked again after its next message.
+		_, _ = h.exchangeWith(context.Background(), host, nil)
+	})
+}
+
+// exchangeWith exchanges versions and entries with a peer and reports the versions that
+// the peer has.
+func (h *Host) exchangeWith(ctx context.Context, host string, push []registrar.Entry) (map[string]uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	reply, err := ask[exchange](ctx, h, host, messenger.KindEntries, exchange{
+		Host:     h.cfg.Settings.Host,
+		Slots:    h.slots.report(host),
+		Versions: h.entries.Versions(),
+		Entries:  push,
+	})
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range reply.Entries {
+		h.learn(e)
+	}
+	h.heardSlots(host, reply.Slots)
+	return reply.Versions, nil
+}
+
+// heardSlots takes a peer's report of its slots.
+func (h *Host) heardSlots(host string, r slotReport) {
+	if r.Services != nil {
+		h.dispatcher.post(func(now time.Time) { h.dispatcher.peers.learn(now, host, r) })
+	}
+}
+
+func (h *Host) serveEntries(in exchange) (exchange, error) {
+	for _, e := range in.Entries {
+		h.learn(e)
+	}
+	h.heardSlots(in.Host, in.Slots)
+	return exchange{
+		Host:     h.cfg.Settings.Host,
+		Slots:    h.slots.report(in.Host),
+		Versions: h.entries.Versions(),
+		Entries:  h.newerThan(in.Versions),
+	}, nil
+}
+
+// newerThan returns the documents that a host with these versions lacks. Views are left
+// out: hosts read them from the replicas.
+func (h *Host) newerThan(versions map[string]uint64) []registrar.Entry {
+	var newer []registrar.Entry
+	for _, name := range []string{validator.Trial, validator.Production} {
+		e := h.entries.Get(environmentPrefix + name)
+		if e.Version > versions[environmentPrefix+name] {
+			newer = append(newer, e)
+		}
+	}
+	return newer
+}
+
+// exchangeUntil exchanges versions and free slots with the hosts of other failure
+// domains, and with the own domain until a document is in force, until ctx is done.
+func (h *Host) exchangeUntil(ctx context.Context) {
+	for {
+		for _, p := range h.cfg.Settings.Peers {
+			if p.Domain == h.cfg.Settings.Domain && h.documents.get(validator.Production) != nil {
+				continue
+			}
+			if h.exchanging.begin(p.Host) {
+				h.background.Go(func() {
+					defer h.exchanging.end(p.Host)
+					// A peer that cannot be reached is asked again in the next round.
+					_, _ = h.exchangeWith(ctx, p.Host, nil)
+				})
+			}
+		}
+		if !sleep(ctx, exchangeEvery) {
+			return
+		}
+	}
+}
+
+// publish pushes an entry to every other host and returns the hosts, this one included,
+// on which the version is in force.
+func (h *Host) publish(ctx context.Context, e registrar.Entry) []string {
+	h.learn(e)
+	type answer struct {
+		host string
+		ok   bool
+	}
+	answers := make(chan answer, len(h.cfg.Settings.Peers))
+	for _, p := range h.cfg.Settings.Peers {
+		h.background.Go(func() {
+			versions, err := h.exchangeWith(ctx, p.Host, []registrar.Entry{e})
+			answers <- answer{
+				host: p.Host,
+				ok:   err == nil && versions[e.Register] >= e.Version,
+			}
+		})
+	}
+	hosts := []string{h.cfg.Settings.Host}
+	for range h.cfg.Settings.Peers {
+		if a := <-answers; a.ok {
+			hosts = append(hosts, a.host)
+		}
+	}
+	return hosts
+}
--- /dev/null
+++ b/server/directory.go
@@ -0,0 +1,405 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"sesamedrift.example/sesamedrift/detector"
+	"sesamedrift.example/sesamedrift/leaser"
+	"sesamedrift.example/sesamedrift/messenger"
+	"sesamedrift.example/sesamedrift/reporter"
+	"sesamedrift.example/sesamedrift/scheduler"
+	"sesamedrift.example/sesamedrift/validator"
+)
+
+const (
+	// takeoverTimeout bounds the question which tasks run on an upstream.
+	takeoverTimeout = 500 * time.Millisecond
+	// recheckEvery is the time between two such questions while tasks of a former owner
+	// run on an upstream.
+	recheckEvery = 250 * time.Millisecond
+	// expireEvery is the time between two looks for upstreams that have expired.
+	expireEvery = 100 * time.Millisecond
+	minTTL      = 100 * time.Millisecond
+	maxTTL      = time.Minute
+	// maxSlots bounds what one upstream may announce.
+	maxSlots = 4096
+)
+
+// directory guards the list of upstreams, and notes how far each peer's list is known.
+type directory struct {
+	mu    sync.Mutex
+	list  *leaser.Directory
+	known map[string]uint64 // by peer
+	busy  map[string]bool   // peers that are being asked
+}
+
+// directoryRequest asks for the changes after a sequence.
+type directoryRequest struct {
+	Since uint64 `msgpack:"since"`
+}
+
+// directoryReply has the changes, and the sequence to ask with the next time.
+type directoryReply struct {
+	Changes []directoryChange `msgpack:"changes"`
+	Next    uint64            `msgpack:"next"`
+}
+
+// directoryChange is an announcement with its age in place of its time, since the clocks
+// of two hosts may differ by more than a time to live.
+type directoryChange struct {
+	Announcement leaser.Announcement `msgpack:"announcement"`
+	Age          time.Duration       `msgpack:"age"`
+}
+
+// upstreamBody is the body of POST /v1/upstreams.
+type upstreamBody struct {
+	Upstream    string `json:"upstream"`
+	Address     string `json:"address"`
+	Service     string `json:"service"`
+	Environment string `json:"environment"`
+	Incarnation uint64 `json:"incarnation"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	State       string `json:"state"`
+	TTL         string `json:"ttl"`
+}
+
+// announcement checks the body and lists every problem.
+func (b *upstreamBody) announcement() (leaser.Announcement, *Error) {
+	var problems []validator.Problem
+	add := func(path, value, message string) {
+		problems = append(problems, validator.Problem{Path: path, Value: value, Message: message})
+	}
+	if b.Upstream == "" {
+		add("upstream", b.Upstream, "want the name of the upstream")
+	}
+	if b.Service == "" {
+		add("service", b.Service, "want the name of a service")
+	}
+	if b.Environment == "" {
+		b.Environment = validator.Production
+	}
+	if b.Environment != validator.Production && b.Environment != validator.Trial {
+		add("environment", b.Environment, "want trial or production")
+	}
+	host, _, err := net.SplitHostPort(b.Address)
+	if err != nil || net.ParseIP(host) == nil {
+		add("address", b.Address, "want an IP address and a port")
+	}
+	if b.Slots < 1 || b.Slots > maxSlots {
+		add("slots", strconv.Itoa(b.Slots), "want 1 to "+strconv.Itoa(maxSlots))
+	}
+	if b.Connections < 1 || b.Connections > maxSlots {
+		add("connections", strconv.Itoa(b.Connections), "want 1 to "+strconv.Itoa(maxSlots))
+	}
+	state := leaser.UpstreamState(b.State)
+	if state != leaser.Serving && state != leaser.Leaving {
+		add("state", b.State, "want serving or leaving")
+	}
+	ttl, err := time.ParseDuration(b.TTL)
+	if err != nil || ttl < minTTL || ttl > maxTTL {
+		add("ttl", b.TTL, "want a duration from "+minTTL.String()+" to "+maxTTL.String())
+	}
+	if len(problems) > 0 {
+		return leaser.Announcement{}, badRequest("the announcement is not accepted", problems...)
+	}
+	return leaser.Announcement{
+		Upstream:    b.Upstream,
+		Address:     b.Address,
+		Service:     serviceName(b.Environment, b.Service),
+		Incarnation: b.Incarnation,
+		Slots:       b.Slots,
+		Connections: b.Connections,
+		State:       state,
+		TTL:         ttl,
+	}, nil
+}
+
+// serviceName returns the name under which the scheduler knows a service of an
+// environment.
+func serviceName(environment, service string) string { return environment + "/" + service }
+
+func (h *Host) postUpstream(w http.ResponseWriter, r *http.Request) {
+	var body upstreamBody
+	if err := readJSON(w, r, maxControlBody, &body); err != nil {
+		writeError(w, err)
+		return
+	}
+	a, e := body.announcement()
+	if e != nil {
+		writeError(w, e)
+		return
+	}
+	if err := h.announce(a); err != nil {
+		writeError(w, &Error{
+			Status:  http.StatusConflict,
+			Code:    "version-conflict",
+			Message: err.Error(),
+		})
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// announce takes in an announcement. A lower incarnation than the known one is an error.
+func (h *Host) announce(a leaser.Announcement) error {
+	h.directory.mu.Lock()
+	changed, err := h.directory.list.Announce(h.now(), a)
+	h.directory.mu.Unlock()
+	if err != nil || !changed {
+		return err
+	}
+	reporter.Log(context.Background(), h.log, reporter.UpstreamAnnounced,
+		"upstream", a.Upstream, "service", a.Service, "state", a.State, "incarnation", a.Incarnation)
+	h.dispatcher.post(h.syncUpstreams)
+	return nil
+}
+
+func (h *Host) directorySeq() uint64 {
+	h.directory.mu.Lock()
+	defer h.directory.mu.Unlock()
+	return h.directory.list.Seq()
+}
+
+func (h *Host) serveDirectory(in directoryRequest) (directoryReply, error) {
+	now := h.now()
+	h.directory.mu.Lock()
+	changes, next := h.directory.list.Since(in.Since)
+	h.directory.mu.Unlock()
+	reply := directoryReply{
+		Changes: make([]directoryChange, 0, len(changes)),
+		Next:    next,
+	}
+	for _, a := range changes {
+		reply.Changes = append(reply.Changes, directoryChange{
+			Announcement: a,
+			Age:          now.Sub(a.At),
+		})
+	}
+	return reply, nil
+}
+
+// pullDirectory fetches the changes of a peer's list, if its sequence is not the known
+// one and it is not being asked already.
+func (h *Host) pullDirectory(host string, seq uint64) {
+	d := &h.directory
+	d.mu.Lock()
+	since := d.known[host]
+	if seq == since || d.busy[host] {
+		d.mu.Unlock()
+		return
+	}
+	d.busy[host] = true
+	d.mu.Unlock()
+	h.background.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+		defer cancel()
+		reply, err := ask[directoryReply](ctx, h, host, messenger.KindDirectory, directoryRequest{Since: since})
+		d.mu.Lock()
+		delete(d.busy, host)
+		if err == nil {
+			d.known[host] = reply.Next
+		}
+		d.mu.Unlock()
+		now := h.now()
+		for _, c := range reply.Changes {
+			c.Announcement.At = now.Add(-c.Age)
+			var stale *leaser.StaleError
+			if err := h.announce(c.Announcement); err != nil && !errors.As(err, &stale) {
+				panic("server: announcement: " + err.Error())
+			}
+		}
+	})
+}
+
+// expireUntil drops upstreams that are no longer announced and old claims, until ctx is
+// done.
+func (h *Host) expireUntil(ctx context.Context) {
+	for sleep(ctx, expireEvery) {
+		now := h.now()
+		h.directory.mu.Lock()
+		expired := h.directory.list.Expire(now)
+		h.directory.mu.Unlock()
+		for _, a := range expired {
+			reporter.Log(ctx, h.log, reporter.UpstreamExpired, "upstream", a.Upstream, "service", a.Service)
+		}
+		h.table.Expire(now)
+		h.dispatcher.post(h.syncUpstreams)
+	}
+}
+
+// syncUpstreams makes the queue's upstreams those that this host may start work on. It
+// is a command of the dispatcher.
+func (h *Host) syncUpstreams(now time.Time) {
+	d := h.dispatcher
+	h.directory.mu.Lock()
+	all := h.directory.list.All()
+	h.directory.mu.Unlock()
+	announced := make(map[string]bool, len(all))
+	clear(d.announced)
+	for _, a := range all {
+		announced[a.Upstream] = true
+		if a.State == leaser.Serving {
+			d.announced[a.Service] = true
+		}
+		owns := h.members.owns(now, a.Upstream)
+		u, known := d.upstreams[a.Upstream]
+		switch {
+		case !owns && known:
+			d.drop(now, a.Upstream)
+		case owns && known && a.Incarnation != u.Incarnation:
+			u.cancel(errUpstreamRestarted)
+			d.drop(now, a.Upstream)
+			h.takeOver(now, a)
+		case owns && known:
+			if u.State != a.State || u.Slots != a.Slots || u.Connections != a.Connections {
+				u.Announcement = a
+				d.refresh(now, a.Upstream)
+			}
+		case owns:
+			h.takeOver(now, a)
+		}
+	}
+	for name := range d.upstreams {
+		if !announced[name] {
+			d.drop(now, name)
+		}
+	}
+}
+
+// takeOver asks an upstream which tasks run there, and then adds it to the queue with
+// their slots taken.
+func (h *Host) takeOver(now time.Time, a leaser.Announcement) {
+	d := h.dispatcher
+	if until := d.taking[a.Upstream]; now.Before(until) {
+		return
+	}
+	d.taking[a.Upstream] = now.Add(takeoverTimeout)
+	h.background.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), takeoverTimeout)
+		defer cancel()
+		running, err := h.runner.running(ctx, a)
+		d.post(func(now time.Time) {
+			delete(d.taking, a.Upstream)
+			if err != nil || !h.members.owns(now, a.Upstream) || d.upstreams[a.Upstream] != nil {
+				return
+			}
+			d.add(now, a, running)
+		})
+	})
+}
+
+// recheck asks the upstreams on which tasks of a former owner run, and frees the slots of
+// those that have ended.
+func (h *Host) recheckUntil(ctx context.Context) {
+	for sleep(ctx, recheckEvery) {
+		var occupied []leaser.Announcement
+		if h.dispatcher.call(func(time.Time) { occupied = h.dispatcher.occupiedUpstreams() }) != nil {
+			return
+		}
+		for _, a := range occupied {
+			h.recheck(ctx, a)
+		}
+	}
+}
+
+func (h *Host) recheck(ctx context.Context, a leaser.Announcement) {
+	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
+	defer cancel()
+	running, err := h.runner.running(ctx, a)
+	if err != nil {
+		return
+	}
+	h.dispatcher.post(func(now time.Time) { h.dispatcher.vacate(now, a.Upstream, running) })
+}
+
+// add makes an upstream usable, with the slots of running tasks taken.
+func (d *dispatcher) add(now time.Time, a leaser.Announcement, running map[string]time.Time) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	u := &owned{
+		Announcement: a,
+		ctx:          ctx,
+		cancel:       cancel,
+		occupied:     map[string]bool{},
+	}
+	d.upstreams[a.Upstream] = u
+	d.services[a.Service] = true
+	d.health.Add(a.Upstream, a.Service)
+	d.refresh(now, a.Upstream)
+	for id, ends := range running {
+		if d.queue.Occupy(now, a.Upstream, id, ends) {
+			u.occupied[id] = true
+		}
+	}
+}
+
+// drop takes an upstream out of the queue. What runs there goes on.
+func (d *dispatcher) drop(now time.Time, upstream string) {
+	delete(d.upstreams, upstream)
+	d.health.Drop(upstream)
+	d.queue.Drop(now, upstream)
+}
+
+// vacate frees the slots of tasks of a former owner that have ended.
+func (d *dispatcher) vacate(now time.Time, upstream string, running map[string]time.Time) {
+	u := d.upstreams[upstream]
+	if u == nil {
+		return
+	}
+	for id := range u.occupied {
+		if _, ok := running[id]; !ok {
+			delete(u.occupied, id)
+			d.queue.Done(now, id)
+		}
+	}
+}
+
+func (d *dispatcher) occupiedUpstreams() []leaser.Announcement {
+	var all []leaser.Announcement
+	for _, u := range d.upstreams {
+		if len(u.occupied) > 0 {
+			all = append(all, u.Announcement)
+		}
+	}
+	return all
+}
+
+// refresh tells the queue the present state of an upstream.
+func (d *dispatcher) refresh(now time.Time, upstream string) {
+	u := d.upstreams[upstream]
+	if u == nil {
+		return
+	}
+	u.shown = d.state(now, u)
+	d.queue.Set(now, scheduler.Upstream{
+		ID:          u.Upstream,
+		Service:     u.Service,
+		Slots:       u.Slots,
+		Connections: u.Connections,
+		Weight:      d.health.Weight(upstream),
+		State:       u.shown,
+	})
+}
+
+// state combines what an upstream says of itself with its health.
+func (d *dispatcher) state(now time.Time, u *owned) scheduler.State {
+	if u.State == leaser.Leaving {
+		return scheduler.Leaving
+	}
+	switch s := d.health.State(now, u.Upstream); s {
+	case detector.Healthy:
+		return scheduler.Serving
+	case detector.Ejected:
+		return scheduler.Ejected
+	case detector.Probing:
+		return scheduler.Probing
+	default:
+		panic("server: upstream state " + string(s) + " is not known")
+	}
+}
--- /dev/null
+++ b/server/dispatcher.go
@@ -0,0 +1,459 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/detector"
+	"sesamedrift.example/sesamedrift/estimator"
+	"sesamedrift.example/sesamedrift/leaser"
+	"sesamedrift.example/sesamedrift/limiter"
+	"sesamedrift.example/sesamedrift/reporter"
+	"sesamedrift.example/sesamedrift/scheduler"
+)
+
+const (
+	// commandRing bounds the commands that wait for the dispatcher.
+	commandRing = 4096
+	// tickEvery is how often the dispatcher looks for work that cannot finish in time.
+	tickEvery = 10 * time.Millisecond
+)
+
+var errDispatcherStopped = errors.New("the host has stopped")
+
+// command is one step of the dispatcher. It runs on the dispatcher's goroutine and must
+// not block.
+type command func(now time.Time)
+
+// dispatcher owns the queue, the learned run times, the quotas and the health of
+// upstreams of one host. One goroutine runs all its methods, except post and call.
+type dispatcher struct {
+	now      func() time.Time
+	log      *slog.Logger
+	commands chan command
+	stopped  chan struct{}
+
+	queue  *scheduler.Queue
+	times  *estimator.Estimator
+	quotas *limiter.Quotas
+	budget *limiter.Budget
+	hints  *limiter.Hints
+	health *detector.Detector
+
+	// spillMargin is how much shorter the way to another failure domain must be than
+	// the wait here.
+	spillMargin time.Duration
+
+	// attempt runs one attempt on an upstream and reports by post. It must not block.
+	attempt func(j *job, index int, run taskRun, u owned)
+	// forward offers a queued task to a peer with free slots; it reports by post.
+	forward func(j *job, t scheduler.Task, run taskRun, host string)
+	// owns reports whether this host may start work on an upstream.
+	owns func(now time.Time, upstream string) bool
+	// finish records the outcome and wakes the callers. It must not block.
+	finish func(j *job, o sesamedrift.Outcome)
+	// changed publishes the free slots after each command.
+	changed func(now time.Time)
+
+	jobs      map[string]*job            // by identity
+	upstreams map[string]*owned          // upstreams in the queue, by name
+	foreign   map[string]*visitor        // tasks that peers forwarded here, by task identifier
+	running   int                        // attempts on upstreams and peers
+	orphans   map[string]*job            // jobs that no caller waits for, by identity
+	taking    map[string]time.Time       // upstreams that are asked what runs there, until when
+	weights   map[string]float64         // of teams
+	teams     map[string]map[string]bool // by environment
+	known     map[string]bool            // services of the documents in force
+	services  map[string]bool            // services with upstreams here
+	announced map[string]bool            // services with upstreams in the failure domain
+	received  map[string]uint64          // forwarded tasks that arrived, by peer
+	seq       uint64                     // number of the last published state
+	published time.Time                  // when the metrics were last updated
+	peers     *peerSlots
+	stats     Counters
+}
+
+// owned is an upstream that this host may start work on.
+type owned struct {
+	leaser.Announcement
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// shown is the state that the queue knows.
+	shown scheduler.State
+	// occupied holds the tasks of a former owner that still run here.
+	occupied map[string]bool
+}
+
+// visitor is a task that a peer forwarded to this host.
+type visitor struct {
+	run    taskRun
+	start  func(u owned)
+	cancel context.CancelFunc
+	placed bool
+	// answers takes the result; it has room for it.
+	answers chan taskAnswer
+}
+
+// post hands a command to the dispatcher. It blocks while the ring is full and reports
+// whether the command will run.
+func (d *dispatcher) post(c command) bool {
+	select {
+	case d.commands <- c:
+		return true
+	case <-d.stopped:
+		return false
+	}
+}
+
+// call runs a command on the dispatcher and waits for it.
+func (d *dispatcher) call(c command) error {
+	ran := make(chan struct{})
+	if !d.post(func(now time.Time) {
+		c(now)
+		close(ran)
+	}) {
+		return errDispatcherStopped
+	}
+	select {
+	case <-ran:
+		return nil
+	case <-d.stopped:
+		return errDispatcherStopped
+	}
+}
+
+// loop runs commands until ctx is done. It places tasks after each batch of commands, so
+// that a burst of arrivals costs one pass.
+func (d *dispatcher) loop(ctx context.Context) {
+	defer close(d.stopped)
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case c := <-d.commands:
+			now := d.now()
+			c(now)
+			d.batch(now)
+			d.place(now)
+		case <-ticker.C:
+			now := d.now()
+			d.tick(now)
+			d.place(now)
+		case <-ctx.Done():
+			return
+		}
+		d.changed(d.now())
+	}
+}
+
+func (d *dispatcher) batch(now time.Time) {
+	for range len(d.commands) {
+		c := <-d.commands
+		c(now)
+	}
+}
+
+// place starts queued tasks on free slots, first on this host's own upstreams, then on
+// peers.
+func (d *dispatcher) place(now time.Time) {
+	for {
+		a, ok := d.queue.Next(now)
+		if !ok {
+			break
+		}
+		d.start(now, a)
+	}
+	d.offer(now)
+}
+
+func (d *dispatcher) start(now time.Time, a scheduler.Assignment) {
+	u := d.upstreams[a.Upstream]
+	if u == nil || !d.owns(now, a.Upstream) {
+		// The lease ended since the upstreams were last looked at.
+		d.queue.Done(now, a.Task.ID)
+		d.queue.Return(now, a.Task)
+		d.drop(now, a.Upstream)
+		return
+	}
+	if v, ok := d.foreign[a.Task.ID]; ok {
+		v.placed = true
+		v.start(*u)
+		return
+	}
+	j := d.jobs[a.Task.Job]
+	run := d.sending(now, j, a.Task)
+	d.attempt(j, a.Task.Index, run, *u)
+}
+
+// sending notes that an attempt leaves this host and returns what is to be sent.
+func (d *dispatcher) sending(now time.Time, j *job, t scheduler.Task) taskRun {
+	state := &j.tasks[t.Index]
+	state.attempt++
+	j.sent++
+	d.running++
+	d.stats.Starts++
+	d.budget.Start(now)
+	lease := j.kind.MaxRunTime.Std()
+	if left := j.deadline.Sub(now); left < lease {
+		lease = left
+	}
+	return taskRun{
+		TaskID:  t.ID,
+		Attempt: state.attempt,
+		Service: j.service,
+		Kind:    j.kind.Name,
+		Payload: j.sub.Payloads[t.Index],
+		Lease:   max(lease, time.Millisecond),
+	}
+}
+
+// ended takes the result of an attempt that this host started or forwarded.
+func (d *dispatcher) ended(now time.Time, j *job, index int, a taskAnswer) {
+	t := &j.tasks[index]
+	id := j.taskID(index)
+	d.running--
+	d.learn(now, j.service, j.kind.Name, a)
+	if a.Unreachable {
+		d.drop(now, a.Upstream)
+	}
+	if j.finished {
+		d.queue.Done(now, id)
+		if a.Result == runSucceeded {
+			d.stats.Late++
+		}
+		return
+	}
+	switch a.Result {
+	case runSucceeded:
+		d.queue.Done(now, id)
+		t.answer = a.Answer
+		j.remaining--
+		if j.remaining == 0 {
+			d.complete(j)
+		}
+	case runFailed:
+		d.queue.Done(now, id)
+		d.conclude(now, j, sesamedrift.Failed, index, a.Reason)
+	case runNotStarted:
+		j.sent--
+		d.stats.Rejected++
+		d.requeue(now, j, index, a)
+	case runLost:
+		d.stats.Lost++
+		if j.repeatable() {
+			d.again(now, j, index, a.Reason)
+			return
+		}
+		d.queue.Done(now, id)
+		d.conclude(now, j, sesamedrift.Unknown, index, "the upstream was lost while the task ran: "+a.Reason)
+	case runStopped:
+		d.queue.Done(now, id)
+		d.conclude(now, j, sesamedrift.Failed, index, "the task was stopped")
+	case runBarred:
+		d.queue.Done(now, id)
+		d.conclude(now, j, sesamedrift.Unknown, index, "another host may run the submission: "+a.Reason)
+	}
+}
+
+// learn feeds the result of an attempt to the learned run times and to the health of
+// the upstream.
+func (d *dispatcher) learn(now time.Time, service, kind string, a taskAnswer) {
+	if a.Upstream == "" {
+		return
+	}
+	switch a.Result {
+	case runSucceeded:
+		d.times.Observe(now, service, kind, a.Took)
+		d.report(now, a.Upstream, service, kind, true, a.Took)
+	case runFailed, runLost, runNotStarted:
+		d.report(now, a.Upstream, service, kind, false, a.Took)
+	case runStopped, runBarred:
+	}
+}
+
+// requeue puts a task back that was not started. A task that a peer did not start is
+// simply queued again; the retry budget counts attempts at upstreams.
+func (d *dispatcher) requeue(now time.Time, j *job, index int, a taskAnswer) {
+	if a.Upstream != "" {
+		d.again(now, j, index, a.Reason)
+		return
+	}
+	d.queue.Done(now, j.taskID(index))
+	d.queue.Return(now, d.task(now, j, index))
+}
+
+// again puts a task back into the queue, if the retry budget and the deadline allow it.
+func (d *dispatcher) again(now time.Time, j *job, index int, reason string) {
+	id := j.taskID(index)
+	d.queue.Done(now, id)
+	if !d.budget.Allow(now) {
+		d.concludeUnsent(now, j, index, "no retry left: "+reason)
+		return
+	}
+	if !d.queue.Return(now, d.task(now, j, index)) {
+		panic("server: the task " + id + " is queued twice")
+	}
+}
+
+// concludeUnsent ends a job whose task cannot be placed: as not run if nothing started.
+func (d *dispatcher) concludeUnsent(now time.Time, j *job, index int, reason string) {
+	switch {
+	case j.notRun():
+		d.conclude(now, j, sesamedrift.Refused, sesamedrift.NoTask, "not run: "+reason)
+	case j.repeatable():
+		// The earlier attempt of this task may have run.
+		d.conclude(now, j, sesamedrift.Unknown, index, reason)
+	default:
+		d.conclude(now, j, sesamedrift.Failed, index, reason)
+	}
+}
+
+func (d *dispatcher) complete(j *job) {
+	d.stats.Complete++
+	d.end(j, sesamedrift.Outcome{
+		Key:     j.sub.Key.String(),
+		Digest:  j.digest,
+		Status:  sesamedrift.Complete,
+		Task:    sesamedrift.NoTask,
+		Answers: j.answers(),
+	})
+}
+
+// conclude ends a job without an answer: its queued tasks leave the queue and its
+// running ones are stopped.
+func (d *dispatcher) conclude(now time.Time, j *job, status sesamedrift.Status, index int, reason string) {
+	if j.finished {
+		return
+	}
+	o := sesamedrift.NotComplete(&j.sub, status, reason)
+	o.Task = index
+	switch status {
+	case sesamedrift.Refused:
+		d.stats.Refused++
+		o.RetryAfter = d.hint(now, j)
+	case sesamedrift.Failed:
+		d.stats.Failed++
+	case sesamedrift.Unknown:
+		d.stats.Unknown++
+	case sesamedrift.Cancelled:
+		d.stats.Cancelled++
+	case sesamedrift.Complete:
+		panic("server: a job without all answers cannot be complete")
+	}
+	d.queue.Cancel(now, j.identity)
+	d.end(j, o)
+}
+
+func (d *dispatcher) end(j *job, o sesamedrift.Outcome) {
+	j.finished = true
+	j.cancel()
+	d.finish(j, o)
+}
+
+// forget drops a job whose outcome has been recorded.
+func (d *dispatcher) forget(j *job) {
+	if d.jobs[j.identity] == j {
+		delete(d.jobs, j.identity)
+	}
+}
+
+// task returns the scheduler's description of a task.
+func (d *dispatcher) task(now time.Time, j *job, index int) scheduler.Task {
+	e := d.times.Estimate(now, j.service, j.kind.Name)
+	return scheduler.Task{
+		ID:        j.taskID(index),
+		Job:       j.identity,
+		Index:     index,
+		Team:      j.team,
+		Service:   j.service,
+		Kind:      j.kind.Name,
+		Class:     e.Class,
+		Deadline:  j.deadline,
+		Estimate:  e.P50,
+		Slow:      e.P95,
+		LongAfter: e.LongAfter,
+		Queued:    now,
+	}
+}
+
+// allTasks returns the scheduler's description of every task of a job.
+func (d *dispatcher) allTasks(now time.Time, j *job) []scheduler.Task {
+	tasks := make([]scheduler.Task, len(j.tasks))
+	for i := range j.tasks {
+		tasks[i] = d.task(now, j, i)
+	}
+	return tasks
+}
+
+// enqueue adds all tasks of a job to the queue, or concludes the job as not run.
+func (d *dispatcher) enqueue(now time.Time, j *job) {
+	if err := d.queue.Add(now, d.allTasks(now, j)); err != nil {
+		d.conclude(now, j, sesamedrift.Refused, sesamedrift.NoTask, "not run: "+err.Error())
+	}
+}
+
+// tick ends work that cannot finish in time and moves tasks past their estimate to the
+// long class.
+func (d *dispatcher) tick(now time.Time) {
+	for _, t := range d.queue.Expire(now) {
+		if v, ok := d.foreign[t.ID]; ok {
+			d.withdraw(now, t.ID, v, errExpired)
+			continue
+		}
+		if j, ok := d.jobs[t.Job]; ok {
+			d.concludeUnsent(now, j, t.Index, "the deadline cannot be met")
+		}
+	}
+	for name, u := range d.upstreams {
+		if d.state(now, u) != u.shown {
+			d.refresh(now, name)
+		}
+	}
+	for _, r := range d.queue.Late(now) {
+		d.queue.Reclass(now, r.Task.ID, scheduler.Long)
+		d.times.Exceeds(now, r.Task.Service, r.Task.Kind, now.Sub(r.Started))
+	}
+	for id, j := range d.orphans {
+		d.checkOrphan(now, id, j)
+	}
+}
+
+// checkOrphan cancels a job that no caller has waited for during the grace time.
+func (d *dispatcher) checkOrphan(now time.Time, id string, j *job) {
+	switch {
+	case j.finished || j.waiters.Load() > 0:
+		delete(d.orphans, id)
+	case now.Sub(j.orphaned) >= j.grace:
+		delete(d.orphans, id)
+		d.conclude(now, j, sesamedrift.Cancelled, sesamedrift.NoTask, "no caller waits for the answer")
+	}
+}
+
+// leave notes that a caller no longer waits for a job.
+func (d *dispatcher) leave(now time.Time, j *job) {
+	if j.waiters.Load() > 0 || j.finished {
+		return
+	}
+	j.orphaned = now
+	d.orphans[j.identity] = j
+}
+
+// report tells the detector about an attempt and applies a change of state.
+func (d *dispatcher) report(now time.Time, upstream, service, kind string, ok bool, took time.Duration) {
+	before := d.health.State(now, upstream)
+	d.health.Report(now, upstream, service, kind, ok)
+	if ok {
+		d.health.Observe(now, upstream, service, kind, took)
+	}
+	after := d.health.State(now, upstream)
+	if before == after {
+		return
+	}
+	if after == detector.Ejected {
+		reporter.Log(context.Background(), d.log, reporter.UpstreamEjected, "upstream", upstream, "service", service)
+	}
+	d.refresh(now, upstream)
+}
--- /dev/null
+++ b/server/environments.go
@@ -0,0 +1,440 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/messenger"
+	"sesamedrift.example/sesamedrift/registrar"
+	"sesamedrift.example/sesamedrift/reporter"
+	"sesamedrift.example/sesamedrift/validator"
+)
+
+const (
+	defaultHistory = 50
+	maxHistory     = 1000
+)
+
+// changeResponse answers a change of an environment.
+type changeResponse struct {
+	Status    registrar.Status `json:"status"`
+	Version   uint64           `json:"version"`
+	Digest    string           `json:"digest"`
+	Winner    *auditRecord     `json:"winner,omitempty"`
+	InForceOn []string         `json:"in-force-on"`
+}
+
+// environmentResponse answers GET /v1/environments/{name}.
+type environmentResponse struct {
+	Version   uint64          `json:"version"`
+	Digest    string          `json:"digest"`
+	Document  json.RawMessage `json:"document"`
+	InForceOn []string        `json:"in-force-on"`
+}
+
+// auditRecord is one entry of the audit trail.
+type auditRecord struct {
+	Register string    `json:"register"`
+	ID       string    `json:"id"`
+	Who      string    `json:"who"`
+	Version  uint64    `json:"version"`
+	Digest   string    `json:"digest"`
+	At       time.Time `json:"at"`
+	Outcome  string    `json:"outcome"`
+}
+
+func record(a registrar.AuditEntry) auditRecord {
+	return auditRecord{
+		Register: a.Register,
+		ID:       a.ID,
+		Who:      a.Who,
+		Version:  a.Version,
+		Digest:   a.Digest,
+		At:       a.At,
+		Outcome:  a.Outcome,
+	}
+}
+
+// changeOptions are the headers of a change.
+type changeOptions struct {
+	id       string
+	who      string
+	expected uint64
+}
+
+func readChangeOptions(r *http.Request) (changeOptions, *Error) {
+	o := changeOptions{
+		id:  r.Header.Get(changeIDHeader),
+		who: r.Header.Get(changedByHeader),
+	}
+	var problems []validator.Problem
+	if o.id == "" {
+		problems = append(problems, validator.Problem{
+			Path:    changeIDHeader,
+			Message: "want an identifier, unique for each change; the same when a change is sent again",
+		})
+	}
+	if o.who == "" {
+		problems = append(problems, validator.Problem{
+			Path:    changedByHeader,
+			Message: "want the name of the operator",
+		})
+	}
+	text := r.Header.Get(expectedHeader)
+	expected, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		problems = append(problems, validator.Problem{
+			Path:    expectedHeader,
+			Value:   text,
+			Message: "want the version that the change replaces, 0 for the first",
+		})
+	}
+	o.expected = expected
+	if len(problems) > 0 {
+		return o, badRequest("the headers of the change are not accepted", problems...)
+	}
+	return o, nil
+}
+
+func environmentName(r *http.Request) (string, *Error) {
+	name := mux.Vars(r)["name"]
+	if name != validator.Trial && name != validator.Production {
+		return "", notFound("no such environment: " + name + "; there are trial and production")
+	}
+	return name, nil
+}
+
+func (h *Host) putEnvironment(w http.ResponseWriter, r *http.Request) {
+	name, e := environmentName(r)
+	if e != nil {
+		writeError(w, e)
+		return
+	}
+	options, e := readChangeOptions(r)
+	if e != nil {
+		writeError(w, e)
+		return
+	}
+	body, e := readBody(w, r, maxControlBody)
+	if e != nil {
+		writeError(w, e)
+		return
+	}
+	value, e := checkDocument(name, body)
+	if e != nil {
+		writeError(w, e)
+		return
+	}
+	h.changeEnvironment(w, r, name, options, value)
+}
+
+// checkDocument returns the normalised document, or every problem of it.
+func checkDocument(name string, body []byte) ([]byte, *Error) {
+	document, err := validator.ParseEnvironment(body)
+	if err != nil {
+		return nil, documentError(err)
+	}
+	if document.Name != name {
+		return nil, badRequest("the document is of another environment", validator.Problem{
+			Path:    "/name",
+			Value:   document.Name,
+			Message: "want " + name,
+		})
+	}
+	value, err := validator.Canonical(body)
+	if err != nil {
+		return nil, documentError(err)
+	}
+	return value, nil
+}
+
+// changeEnvironment records a change, puts it in force and answers the operator.
+func (h *Host) changeEnvironment(w http.ResponseWriter, r *http.Request, name string, o changeOptions, value []byte) {
+	result, err := h.change(r.Context(), registrar.Change{
+		Register: environmentPrefix + name,
+		ID:       o.id,
+		Who:      o.who,
+		Expected: o.expected,
+		Value:    value,
+	})
+	if err != nil {
+		writeError(w, notReady("the change was not decided: "+err.Error()+"; send it again with the same "+changeIDHeader))
+		return
+	}
+	response := changeResponse{
+		Status:    result.Status,
+		Version:   result.Version,
+		Digest:    result.Digest,
+		InForceOn: []string{},
+	}
+	reporter.Log(r.Context(), h.log, reporter.ConfigurationChanged,
+		"environment", name, "who", o.who, "id", o.id, "status", result.Status, "version", result.Version)
+	switch result.Status {
+	case registrar.Accepted:
+		response.InForceOn = h.publish(r.Context(), registrar.Entry{
+			Register: environmentPrefix + name,
+			Version:  result.Version,
+			Value:    value,
+			Digest:   result.Digest,
+		})
+		writeJSON(w, http.StatusOK, response)
+	case registrar.Conflict:
+		winner := record(result.Winner)
+		response.Winner = &winner
+		writeJSON(w, http.StatusConflict, response)
+	case registrar.Unavailable:
+		writeJSON(w, http.StatusServiceUnavailable, response)
+	default:
+		panic("server: change status " + string(result.Status) + " is not known")
+	}
+}
+
+func (h *Host) getEnvironment(w http.ResponseWriter, r *http.Request) {
+	name, e := environmentName(r)
+	if e != nil {
+		writeError(w, e)
+		return
+	}
+	register := environmentPrefix + name
+	entry := h.entries.Get(register)
+	if entry.Version == 0 {
+		writeError(w, notFound("no document of the environment "+name+" is in force on this host"))
+		return
+	}
+	response := environmentResponse{
+		Version:   entry.Version,
+		Digest:    entry.Digest,
+		Document:  entry.Value,
+		InForceOn: []string{h.cfg.Settings.Host},
+	}
+	for host, s := range h.askStatus(r.Context()) {
+		if s.Versions[register] >= entry.Version {
+			response.InForceOn = append(response.InForceOn, host)
+		}
+	}
+	writeJSON(w, http.StatusOK, response)
+}
+
+func (h *Host) getHistory(w http.ResponseWriter, r *http.Request) {
+	name, e := environmentName(r)
+	if e != nil {
+		writeError(w, e)
+		return
+	}
+	after, e := queryNumber(r, "after", 0)
+	if e != nil {
+		writeError(w, e)
+		return
+	}
+	limit, e := queryNumber(r, "limit", defaultHistory)
+	if e != nil {
+		writeError(w, e)
+		return
+	}
+	entries, err := h.history(r.Context(), environmentPrefix+name, after, int(min(limit, maxHistory)))
+	if err != nil {
+		writeError(w, notReady(err.Error()))
+		return
+	}
+	records := make([]auditRecord, 0, len(entries))
+	for _, a := range entries {
+		records = append(records, record(a))
+	}
+	writeJSON(w, http.StatusOK, records)
+}
+
+func queryNumber(r *http.Request, name string, missing uint64) (uint64, *Error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return missing, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 63)
+	if err != nil {
+		return 0, badField(&sesamedrift.InvalidError{
+			Field: name,
+			Value: text,
+			Want:  "a whole number of 0 or more",
+		})
+	}
+	return n, nil
+}
+
+func (h *Host) postPromote(w http.ResponseWriter, r *http.Request) {
+	options, e := readChangeOptions(r)
+	if e != nil {
+		writeError(w, e)
+		return
+	}
+	entry, err := h.read(r.Context(), environmentPrefix+validator.Trial)
+	switch {
+	case err != nil:
+		writeError(w, notReady("the trial document could not be read: "+err.Error()))
+		return
+	case entry.Version == 0:
+		writeError(w, notFound("there is no trial document"))
+		return
+	}
+	h.learn(entry)
+	if e := h.promotable(r.Context(), entry); e != nil {
+		writeError(w, e)
+		return
+	}
+	value, e := asProduction(entry.Value)
+	if e != nil {
+		writeError(w, e)
+		return
+	}
+	h.changeEnvironment(w, r, validator.Production, options, value)
+}
+
+// asProduction returns the trial document as a document of the production environment.
+// Only the name differs.
+func asProduction(trial []byte) ([]byte, *Error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(trial, &fields); err != nil {
+		return nil, documentError(err)
+	}
+	fields["name"] = json.RawMessage(`"` + validator.Production + `"`)
+	body, err := json.Marshal(fields)
+	if err != nil {
+		return nil, documentError(err)
+	}
+	return checkDocument(validator.Production, body)
+}
+
+// promotable checks the promotion conditions of the trial document over all hosts that
+// can be asked.
+func (h *Host) promotable(ctx context.Context, entry registrar.Entry) *Error {
+	document, err := validator.ParseEnvironment(entry.Value)
+	if err != nil {
+		return documentError(err)
+	}
+	total := h.trials.count(entry.Version)
+	for _, s := range h.askStatus(ctx) {
+		if s.Trial.Version == entry.Version {
+			total.add(s.Trial)
+		}
+	}
+	p := document.Promotion
+	var problems []validator.Problem
+	if total.Ended < p.MinSubmissions {
+		problems = append(problems, validator.Problem{
+			Path:    "/promotion/min-submissions",
+			Value:   strconv.Itoa(total.Ended),
+			Message: fmt.Sprintf("want %d submissions that ended under this version", p.MinSubmissions),
+		})
+	}
+	if share := total.share(); share < p.MinSuccessShare {
+		problems = append(problems, validator.Problem{
+			Path:    "/promotion/min-success-share",
+			Value:   strconv.FormatFloat(share, 'f', 3, 64),
+			Message: fmt.Sprintf("want a share of %.3f that were complete", p.MinSuccessShare),
+		})
+	}
+	f := h.documents.get(validator.Trial)
+	if f == nil || f.Version != entry.Version || h.now().Sub(f.Since) < p.MinAge.Std() {
+		problems = append(problems, validator.Problem{
+			Path:    "/promotion/min-age",
+			Message: "want the version in force on this host for " + p.MinAge.Std().String(),
+		})
+	}
+	if len(problems) > 0 {
+		e := badRequest("the trial document may not be promoted yet", problems...)
+		e.Status = http.StatusConflict
+		e.Code = "not-promotable"
+		return e
+	}
+	return nil
+}
+
+// trials counts the submissions that ended under the trial document in force.
+type trials struct {
+	mu    sync.Mutex
+	total trialCount
+}
+
+// trialCount is the number of submissions that ended under one version of the trial
+// document, and of those that were complete.
+type trialCount struct {
+	Version  uint64 `msgpack:"version" json:"version"`
+	Ended    int    `msgpack:"ended" json:"ended"`
+	Complete int    `msgpack:"complete" json:"complete"`
+}
+
+func (t *trialCount) add(o trialCount) {
+	t.Ended += o.Ended
+	t.Complete += o.Complete
+}
+
+// share returns the share of complete submissions, or 0 if there are none.
+func (t *trialCount) share() float64 {
+	if t.Ended == 0 {
+		return 0
+	}
+	return float64(t.Complete) / float64(t.Ended)
+}
+
+// note counts a submission that ended. Counts of older versions are dropped.
+func (t *trials) note(version uint64, o sesamedrift.Outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if version < t.total.Version {
+		return
+	}
+	if version > t.total.Version {
+		t.total = trialCount{Version: version}
+	}
+	t.total.Ended++
+	if o.Status == sesamedrift.Complete {
+		t.total.Complete++
+	}
+}
+
+// count returns the count of a version.
+func (t *trials) count(version uint64) trialCount {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.total.Version != version {
+		return trialCount{Version: version}
+	}
+	return t.total
+}
+
+func documentError(err error) *Error {
+	var problems *validator.ProblemsError
+	if errors.As(err, &problems) {
+		return badRequest("the document is not accepted", problems.Problems...)
+	}
+	return badRequest("the document is not accepted: " + err.Error())
+}
+
+// askStatus asks every peer for its status.
+func (h *Host) askStatus(ctx context.Context) map[string]hostStatus {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	all := map[string]hostStatus{}
+	for _, p := range h.cfg.Settings.Peers {
+		calls.Go(func() {
+			s, err := ask[hostStatus](ctx, h, p.Host, messenger.KindStatus, nothing{})
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all[p.Host] = s
+		})
+	}
+	calls.Wait()
+	return all
+}
--- /dev/null
+++ b/server/failure_test.go
@@ -0,0 +1,326 @@
+package server_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/client"
+	"sesamedrift.example/sesamedrift/launcher"
+)
+
+// oneDomain has three hosts, so that one of them may die.
+func oneDomain() launcher.Config {
+	return launcher.Config{
+		Domains:   []string{"ikeja"},
+		Hosts:     []int{3},
+		Upstreams: 3,
+	}
+}
+
+// threeDomains has one host and one upstream in each failure domain.
+func threeDomains() launcher.Config {
+	return launcher.Config{
+		Domains:   []string{"ikeja", "lekki", "apapa"},
+		Hosts:     []int{1, 1, 1},
+		Upstreams: 1,
+	}
+}
+
+// Guards against a partial or foreign answer of a job whose tasks run on several hosts.
+func TestJobAnswersAreWhole(t *testing.T) {
+	d := deploy(t, oneDomain())
+	s := work("check", "20ms", 60)
+	o, err := d.at("ikeja-1").Submit(d.ctx, s)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), o.Reason)
+	d.g.Expect(o.Answers).To(HaveLen(60))
+	d.g.Expect(d.starts.total()).To(Equal(60))
+	d.g.Expect(d.starts.most()).To(Equal(1))
+}
+
+// Guards against a second start when a submission that runs is sent again to another
+// host, and when one that has ended is.
+func TestResubmissionToAnotherHostJoins(t *testing.T) {
+	d := deploy(t, oneDomain())
+	s := work("booking", "300ms", 1)
+	var err error
+	s.Key, err = d.at("ikeja-1").NewKey(d.ctx)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	outcomes := make([]sesamedrift.Outcome, 3)
+	var all sync.WaitGroup
+	for i, host := range []string{"ikeja-1", "ikeja-2", "ikeja-3"} {
+		all.Go(func() {
+			var err error
+			outcomes[i], err = d.at(host).Submit(d.ctx, s)
+			d.g.Expect(err).NotTo(HaveOccurred())
+		})
+	}
+	all.Wait()
+	later, err := d.at("ikeja-2").Submit(d.ctx, s)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	for _, o := range append(outcomes, later) {
+		d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), o.Reason)
+		d.g.Expect(o.Answers).To(Equal(later.Answers))
+	}
+	d.g.Expect(d.starts.total()).To(Equal(1))
+}
+
+// Guards against an answer for another payload under the same key.
+func TestSameKeyWithAnotherPayloadIsAConflict(t *testing.T) {
+	d := deploy(t, oneDomain())
+	s := work("booking", "10ms", 1)
+	o, err := d.at("ikeja-1").Submit(d.ctx, s)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	s.Key, err = sesamedrift.ParseKey(o.Key, "")
+	d.g.Expect(err).NotTo(HaveOccurred())
+	s.Payloads[0] = []byte(`{"run-time":"11ms"}`)
+	_, err = d.at("ikeja-2").Submit(d.ctx, s)
+	var api *client.APIError
+	d.g.Expect(errors.As(err, &api)).To(BeTrue())
+	d.g.Expect(api.Code).To(Equal(client.CodeKeyConflict))
+	d.g.Expect(d.starts.total()).To(Equal(1))
+}
+
+// Guards against a second start of a booking whose host died while it ran.
+func TestCoordinatorDiesAfterTheStart(t *testing.T) {
+	d := deploy(t, oneDomain())
+	s := work("booking", "400ms", 1)
+	var err error
+	s.Key, err = d.at("ikeja-2").NewKey(d.ctx)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	first := make(chan error, 1)
+	go func() {
+		_, err := d.at("ikeja-2").Submit(d.ctx, s)
+		first <- err
+	}()
+	d.g.Eventually(d.starts.total, testTimeout).Should(Equal(1))
+	d.g.Expect(d.KillHost("ikeja-2")).To(Succeed())
+	d.g.Expect(<-first).To(HaveOccurred())
+	o := d.untilDecided(s, "ikeja-1")
+	d.g.Expect(o.Status).To(Equal(sesamedrift.Unknown))
+	d.g.Expect(d.starts.total()).To(Equal(1))
+}
+
+// untilDecided submits until the domain has dealt with the death of a host: until then
+// the claim names a coordinator that cannot be asked.
+func (d *deployment) untilDecided(s sesamedrift.Submission, host string) sesamedrift.Outcome {
+	var o sesamedrift.Outcome
+	d.g.Eventually(func() uint64 { return d.view(host) }, testTimeout).Should(BeNumerically(">", 1))
+	d.g.Eventually(func() error {
+		var err error
+		o, err = d.at(host).Submit(d.ctx, s)
+		return err
+	}, testTimeout).Should(Succeed())
+	return o
+}
+
+// Guards against a domain that serves nothing after one of its hosts died.
+func TestDomainServesAfterAHostDied(t *testing.T) {
+	d := deploy(t, oneDomain())
+	d.g.Expect(d.KillHost("ikeja-3")).To(Succeed())
+	d.g.Eventually(func() int { return d.ownedBy("ikeja-1") + d.ownedBy("ikeja-2") }, testTimeout).Should(Equal(3))
+	o, err := d.at("ikeja-1").Submit(d.ctx, work("check", "10ms", 30))
+	d.g.Expect(err).NotTo(HaveOccurred())
+	d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), o.Reason)
+	d.g.Expect(d.StartHost("ikeja-3")).To(Succeed())
+	d.g.Expect(d.WaitHost(d.ctx, "ikeja-3")).To(Succeed())
+	o, err = d.at("ikeja-3").Submit(d.ctx, work("check", "10ms", 30))
+	d.g.Expect(err).NotTo(HaveOccurred())
+	d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), o.Reason)
+}
+
+// Guards against a request that is cut by a planned stop.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	d := deploy(t, oneDomain())
+	outcomes := make(chan sesamedrift.Outcome, 8)
+	for range cap(outcomes) {
+		go func() {
+			o, err := d.at("ikeja-2").Submit(d.ctx, work("booking", "300ms", 2))
+			if err != nil {
+				o.Reason = err.Error()
+			}
+			outcomes <- o
+		}()
+	}
+	d.g.Eventually(d.starts.total, testTimeout).Should(Equal(2 * cap(outcomes)))
+	d.g.Expect(d.StopHost(d.ctx, "ikeja-2")).To(Succeed())
+	for range cap(outcomes) {
+		o := <-outcomes
+		d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), o.Reason)
+	}
+	d.g.Eventually(func() int { return d.ownedBy("ikeja-1") + d.ownedBy("ikeja-3") }, testTimeout).Should(Equal(3))
+}
+
+// Guards against a booking that is sent again after its upstream died, and against an
+// idempotent check that is not.
+func TestUpstreamDiesWhileTasksRun(t *testing.T) {
+	cfg := oneDomain()
+	cfg.Upstreams = 1
+	d := deploy(t, cfg)
+	type result struct {
+		kind string
+		o    sesamedrift.Outcome
+	}
+	results := make(chan result, 2)
+	for _, kind := range []string{"booking", "check"} {
+		go func() {
+			o, err := d.at("ikeja-1").Submit(d.ctx, work(kind, "500ms", 1))
+			if err != nil {
+				o.Reason = err.Error()
+			}
+			results <- result{
+				kind: kind,
+				o:    o,
+			}
+		}()
+	}
+	d.g.Eventually(d.starts.total, testTimeout).Should(Equal(2))
+	d.g.Expect(d.StartUpstream("ikeja-worker-2", "ikeja", noFaults)).To(Succeed())
+	d.g.Eventually(func() int { return d.ownedByAll() }, testTimeout).Should(Equal(2))
+	d.g.Expect(d.KillUpstream("ikeja-worker-1")).To(Succeed())
+	for range cap(results) {
+		r := <-results
+		switch r.kind {
+		case "booking":
+			d.g.Expect(r.o.Status).To(Equal(sesamedrift.Unknown), r.o.Reason)
+		case "check":
+			d.g.Expect(r.o.Status).To(Equal(sesamedrift.Complete), r.o.Reason)
+		}
+	}
+	d.g.Expect(d.starts.total()).To(Equal(3))
+}
+
+// Guards against new work on an upstream that is leaving, and against a task that it
+// cuts.
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	cfg := oneDomain()
+	cfg.Upstreams = 1
+	d := deploy(t, cfg)
+	leaving := d.Upstream("ikeja-worker-1")
+	running := make(chan sesamedrift.Outcome, 1)
+	go func() {
+		o, err := d.at("ikeja-1").Submit(d.ctx, work("booking", "300ms", 1))
+		if err != nil {
+			o.Reason = err.Error()
+		}
+		running <- o
+	}()
+	d.g.Eventually(d.starts.total, testTimeout).Should(Equal(1))
+	d.g.Expect(leaving.Leave(d.ctx)).To(Succeed())
+	o := <-running
+	d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), o.Reason)
+	d.g.Eventually(func() int { return d.free() }, testTimeout).Should(Equal(0))
+	s := work("booking", "10ms", 1)
+	s.Deadline = time.Now().Add(500 * time.Millisecond)
+	o, err := d.at("ikeja-1").Submit(d.ctx, s)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	d.g.Expect(o.Status).To(Equal(sesamedrift.Refused))
+	d.g.Expect(d.starts.total()).To(Equal(1))
+}
+
+// Guards against work that goes on although its caller has gone, and against a slot that
+// it keeps.
+func TestWorkWithoutReceiverIsStopped(t *testing.T) {
+	cfg := oneDomain()
+	cfg.Upstreams = 1
+	d := deploy(t, cfg)
+	ctx, cancel := context.WithCancel(d.ctx)
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		s := work("heavy-check", "19s", 8)
+		s.Deadline = time.Now().Add(25 * time.Second)
+		_, err := d.at("ikeja-1").Submit(ctx, s)
+		d.g.Expect(err).To(HaveOccurred())
+	}()
+	d.g.Eventually(d.starts.total, testTimeout).Should(Equal(8))
+	cancel()
+	<-gone
+	// The grace time of the document is 2 s; the tasks would run for 19 s.
+	d.g.Eventually(func() int { return d.free() }, 10*time.Second).Should(Equal(8))
+}
+
+// Guards against a cancelled job that runs on.
+func TestCancelAtAnotherHost(t *testing.T) {
+	d := deploy(t, oneDomain())
+	s := work("heavy-check", "15s", 40)
+	s.Deadline = time.Now().Add(30 * time.Second)
+	var err error
+	s.Key, err = d.at("ikeja-1").NewKey(d.ctx)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	ended := make(chan sesamedrift.Outcome, 1)
+	go func() {
+		o, err := d.at("ikeja-1").Submit(d.ctx, s)
+		if err != nil {
+			o.Reason = err.Error()
+		}
+		ended <- o
+	}()
+	d.g.Eventually(d.starts.total, testTimeout).Should(BeNumerically(">=", 1))
+	d.g.Expect(d.at("ikeja-3").Cancel(d.ctx, s.Key)).To(Succeed())
+	o := <-ended
+	d.g.Expect(o.Status).To(Equal(sesamedrift.Cancelled), o.Reason)
+	d.g.Eventually(func() int { return d.free() }, testTimeout).Should(Equal(24))
+}
+
+// Guards against a second start of a submission that is sent to another failure domain
+// than its home.
+func TestResubmissionToAnotherDomainJoins(t *testing.T) {
+	d := deploy(t, threeDomains())
+	s := work("booking", "200ms", 1)
+	var err error
+	s.Key, err = d.at("lekki-1").NewKey(d.ctx)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	var all sync.WaitGroup
+	for _, host := range []string{"ikeja-1", "lekki-1", "apapa-1"} {
+		all.Go(func() {
+			o, err := d.at(host).Submit(d.ctx, s)
+			d.g.Expect(err).NotTo(HaveOccurred())
+			d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), o.Reason)
+		})
+	}
+	all.Wait()
+	d.g.Expect(d.starts.total()).To(Equal(1))
+}
+
+// Guards against "not run" for a submission whose home domain cannot be asked, and
+// against a domain that serves no fresh work while another one is gone.
+func TestHomeDomainIsGone(t *testing.T) {
+	d := deploy(t, threeDomains())
+	s := work("booking", "10ms", 1)
+	var err error
+	s.Key, err = d.at("lekki-1").NewKey(d.ctx)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	d.g.Expect(d.KillHost("lekki-1")).To(Succeed())
+	o, err := d.at("ikeja-1").Submit(d.ctx, s)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	d.g.Expect(o.Status).To(Equal(sesamedrift.Unknown))
+	o, err = d.at("ikeja-1").Submit(d.ctx, work("booking", "10ms", 1))
+	d.g.Expect(err).NotTo(HaveOccurred())
+	d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), o.Reason)
+	d.g.Expect(d.starts.total()).To(Equal(1))
+}
+
+// Guards against a key that is run again after its domain has lost all memory.
+func TestDomainLosesAllMemory(t *testing.T) {
+	d := deploy(t, threeDomains())
+	s := work("booking", "10ms", 1)
+	o, err := d.at("lekki-1").Submit(d.ctx, s)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), o.Reason)
+	s.Key, err = sesamedrift.ParseKey(o.Key, "")
+	d.g.Expect(err).NotTo(HaveOccurred())
+	d.g.Expect(d.KillHost("lekki-1")).To(Succeed())
+	d.g.Expect(d.StartHost("lekki-1")).To(Succeed())
+	d.g.Expect(d.WaitHost(d.ctx, "lekki-1")).To(Succeed())
+	o, err = d.at("lekki-1").Submit(d.ctx, s)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	d.g.Expect(o.Status).To(Equal(sesamedrift.Unknown))
+	d.g.Expect(d.starts.total()).To(Equal(1))
+}
--- /dev/null
+++ b/server/forward.go
@@ -0,0 +1,339 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/claimer"
+	"sesamedrift.example/sesamedrift/leaser"
+	"sesamedrift.example/sesamedrift/messenger"
+)
+
+const (
+	// answerMargin is added to the time for which a forwarded call waits, so that the
+	// host that runs the submission gives up first.
+	answerMargin = 500 * time.Millisecond
+	// findTimeout bounds the search for a submission that has no deadline of its own.
+	findTimeout = time.Minute
+)
+
+// lookup names a submission on its way to its home or to its coordinator.
+type lookup struct {
+	Key sesamedrift.Key `msgpack:"key"`
+	Try int             `msgpack:"try"`
+	// Here says that the receiver is the coordinator and must not ask others.
+	Here bool `msgpack:"here"`
+	// Release has the same meaning as in request.
+	Release string `msgpack:"release"`
+}
+
+// identity returns the name of the claim of the submission.
+func (l lookup) identity() string { return tryIdentity(l.Key, l.Try) }
+
+// submitTo forwards a submission to a host of its home domain. A submission that may
+// have been delivered is not offered to another host.
+func (h *Host) submitTo(ctx context.Context, home string, r *request) (sesamedrift.Outcome, *Error) {
+	forwarded := *r
+	forwarded.Release = uuid.NewString()
+	reply, err := h.askAny(ctx, home, r.Submission.Deadline.Add(answerMargin), forwarded.Release, messenger.KindSubmit, forwarded)
+	if err == nil {
+		return unpack(reply)
+	}
+	return sesamedrift.NotComplete(&r.Submission, sesamedrift.Unknown,
+		"the home domain "+home+" could not be asked: "+err.Error()), nil
+}
+
+// askAny calls the hosts of a domain in turn until one has certainly got the message.
+func (h *Host) askAny(ctx context.Context, domain string, until time.Time, release string, kind messenger.Kind, in any) (response, error) {
+	call, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	err := errors.New("the settings name no host of the domain")
+	for _, host := range h.peersIn(domain) {
+		var reply response
+		reply, err = h.askReleasing(ctx, call, host, release, kind, in)
+		var notSent *messenger.NotSentError
+		if !errors.As(err, &notSent) {
+			return reply, err
+		}
+	}
+	return response{}, err
+}
+
+// askReleasing calls a peer on behalf of a caller. When the caller goes (ctx is done) the
+// peer is told, and the call goes on only until its answer is dropped.
+func (h *Host) askReleasing(ctx, call context.Context, host, release string, kind messenger.Kind, in any) (response, error) {
+	stop := context.AfterFunc(ctx, func() {
+		h.tell(host, messenger.KindRelease, releaseNotice{Release: release})
+	})
+	defer stop()
+	return ask[response](call, h, host, kind, in)
+}
+
+// releaseNotice says that the caller of a forwarded call has gone.
+type releaseNotice struct {
+	Release string `msgpack:"release"`
+}
+
+// nothing is the reply to a message that needs none.
+type nothing struct{}
+
+func (h *Host) serveRelease(in releaseNotice) (nothing, error) {
+	h.releases.end(in.Release)
+	return nothing{}, nil
+}
+
+func (h *Host) serveSubmit(ctx context.Context, in request) (response, error) {
+	env, e := h.environment(in.Environment)
+	if e != nil {
+		return response{Error: e}, nil
+	}
+	if e := h.accepting(); e != nil {
+		return response{Error: e}, nil
+	}
+	ctx, done := h.releases.begin(ctx, in.Release)
+	defer done()
+	return pack(h.coordinate(ctx, env, &in)), nil
+}
+
+func (h *Host) serveFind(ctx context.Context, in lookup) (response, error) {
+	ctx, done := h.releases.begin(ctx, in.Release)
+	defer done()
+	if in.Here {
+		return pack(h.findHere(ctx, in)), nil
+	}
+	return pack(h.findAtHome(ctx, in)), nil
+}
+
+func (h *Host) serveCancel(ctx context.Context, in lookup) (response, error) {
+	if in.Here {
+		if !h.cancelHere(in.identity()) {
+			return response{Error: notFound("the submission does not run here")}, nil
+		}
+		return response{}, nil
+	}
+	return response{Error: h.cancelAtHome(ctx, in)}, nil
+}
+
+// find returns the outcome of a submission, waiting for it if it runs.
+func (h *Host) find(ctx context.Context, key sesamedrift.Key, try int) (sesamedrift.Outcome, *Error) {
+	home, e := h.homeOf(key)
+	if e != nil {
+		return sesamedrift.Outcome{}, e
+	}
+	l := lookup{
+		Key:     key,
+		Try:     try,
+		Release: uuid.NewString(),
+	}
+	if home == h.cfg.Settings.Domain {
+		return h.findAtHome(ctx, l)
+	}
+	reply, err := h.askAny(ctx, home, h.now().Add(findTimeout), l.Release, messenger.KindFind, l)
+	if err == nil {
+		return unpack(reply)
+	}
+	return keyUnknown(key, "the home domain "+home+" could not be asked: "+err.Error()), nil
+}
+
+func (h *Host) findAtHome(ctx context.Context, l lookup) (sesamedrift.Outcome, *Error) {
+	if j := h.jobHere(l.identity()); j != nil {
+		return h.wait(ctx, j)
+	}
+	round, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	d, err := h.claims.Find(round, h.now(), l.identity())
+	if err != nil {
+		return keyUnknown(l.Key, err.Error()), nil
+	}
+	switch d.Status {
+	case claimer.Recorded:
+		o := d.Outcome
+		o.Key = l.Key.String()
+		return o, nil
+	case claimer.Joined:
+		return h.findAt(ctx, d.Coordinator, l)
+	case claimer.Expired:
+		return sesamedrift.Outcome{}, keyExpired(l.Key.String(), defaultRetention)
+	case claimer.Unknown, claimer.Unavailable:
+		return keyUnknown(l.Key, "the submission may have run"), nil
+	case claimer.Absent:
+		return sesamedrift.Outcome{}, notFound("no submission has this key")
+	case claimer.Granted, claimer.Conflict:
+		panic("server: a search cannot end with " + string(d.Status))
+	default:
+		panic("server: decision " + string(d.Status) + " is not known")
+	}
+}
+
+// findAt asks the coordinator of a submission.
+func (h *Host) findAt(ctx context.Context, m leaser.Member, l lookup) (sesamedrift.Outcome, *Error) {
+	if m.Host == h.cfg.Settings.Host {
+		// The job ended between the two steps; its outcome is recorded by now.
+		return h.recorded(ctx, l)
+	}
+	l.Here = true
+	call, cancel := context.WithTimeout(context.Background(), findTimeout)
+	defer cancel()
+	reply, err := h.askReleasing(ctx, call, m.Host, l.Release, messenger.KindFind, l)
+	if err != nil {
+		return keyUnknown(l.Key, "the host that runs the submission could not be asked: "+err.Error()), nil
+	}
+	if reply.Error != nil && reply.Error.Code == "not-found" {
+		return h.recorded(ctx, l)
+	}
+	return unpack(reply)
+}
+
+// recorded returns the recorded outcome of a submission that has just ended.
+func (h *Host) recorded(ctx context.Context, l lookup) (sesamedrift.Outcome, *Error) {
+	round, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	d, err := h.claims.Find(round, h.now(), l.identity())
+	if err != nil || d.Status != claimer.Recorded {
+		return keyUnknown(l.Key, "the submission has no recorded outcome"), nil
+	}
+	o := d.Outcome
+	o.Key = l.Key.String()
+	return o, nil
+}
+
+func (h *Host) findHere(ctx context.Context, l lookup) (sesamedrift.Outcome, *Error) {
+	j := h.jobHere(l.identity())
+	if j == nil {
+		return sesamedrift.Outcome{}, notFound("the submission does not run here")
+	}
+	select {
+	case <-j.claimed:
+	case <-ctx.Done():
+	}
+	if !j.runsHere() {
+		h.release(j)
+		return sesamedrift.Outcome{}, notCoordinator()
+	}
+	return h.wait(ctx, j)
+}
+
+// join waits for a job that another host coordinates.
+func (h *Host) join(j *job, m leaser.Member) response {
+	ctx, cancel := context.WithDeadline(context.Background(), j.deadline.Add(answerMargin))
+	defer cancel()
+	stop := context.AfterFunc(j.ctx, cancel)
+	defer stop()
+	l := lookup{
+		Key:     j.sub.Key,
+		Try:     j.try,
+		Release: uuid.NewString(),
+	}
+	return pack(h.findAt(ctx, m, l))
+}
+
+// jobHere returns the job with the identity, with one more waiting caller, or nil.
+func (h *Host) jobHere(identity string) *job {
+	var j *job
+	err := h.dispatcher.call(func(time.Time) {
+		if j = h.dispatcher.jobs[identity]; j != nil {
+			j.waiters.Add(1)
+		}
+	})
+	if err != nil {
+		return nil
+	}
+	return j
+}
+
+// cancel ends a submission on behalf of its caller.
+func (h *Host) cancelByKey(ctx context.Context, key sesamedrift.Key, try int) *Error {
+	home, e := h.homeOf(key)
+	if e != nil {
+		return e
+	}
+	l := lookup{
+		Key: key,
+		Try: try,
+	}
+	if home == h.cfg.Settings.Domain {
+		return h.cancelAtHome(ctx, l)
+	}
+	reply, err := h.askAny(ctx, home, h.now().Add(claimTimeout), "", messenger.KindCancel, l)
+	if err != nil {
+		return notReady("the home domain " + home + " could not be asked: " + err.Error())
+	}
+	return reply.Error
+}
+
+func (h *Host) cancelAtHome(ctx context.Context, l lookup) *Error {
+	if h.cancelHere(l.identity()) {
+		return nil
+	}
+	ctx, done := context.WithTimeout(ctx, claimTimeout)
+	defer done()
+	d, err := h.claims.Find(ctx, h.now(), l.identity())
+	switch {
+	case err != nil:
+		return notReady("the claim could not be read: " + err.Error())
+	case d.Status == claimer.Recorded:
+		return nil
+	case d.Status != claimer.Joined || d.Coordinator.Host == h.cfg.Settings.Host:
+		return notFound("no running submission has this key")
+	}
+	l.Here = true
+	reply, err := ask[response](ctx, h, d.Coordinator.Host, messenger.KindCancel, l)
+	if err != nil {
+		return notReady("the host that runs the submission could not be asked: " + err.Error())
+	}
+	return reply.Error
+}
+
+// cancelHere cancels a job of this host and reports whether there is one.
+func (h *Host) cancelHere(identity string) bool {
+	found := false
+	err := h.dispatcher.call(func(now time.Time) {
+		if j := h.dispatcher.jobs[identity]; j != nil {
+			found = true
+			h.dispatcher.conclude(now, j, sesamedrift.Cancelled, sesamedrift.NoTask, "cancelled by the caller")
+		}
+	})
+	return err == nil && found
+}
+
+// homeOf returns the home domain of a key under the production document.
+func (h *Host) homeOf(key sesamedrift.Key) (string, *Error) {
+	domains := h.domains()
+	home := key.Home(domains)
+	for _, d := range domains {
+		if d == home {
+			return home, nil
+		}
+	}
+	return "", notFound("the key " + key.String() + " has no home among the failure domains")
+}
+
+func keyUnknown(key sesamedrift.Key, reason string) sesamedrift.Outcome {
+	return sesamedrift.Outcome{
+		Key:    key.String(),
+		Status: sesamedrift.Unknown,
+		Reason: reason,
+		Task:   sesamedrift.NoTask,
+	}
+}
+
+func pack(o sesamedrift.Outcome, e *Error) response {
+	if e != nil {
+		return response{Error: e}
+	}
+	return response{Outcome: &o}
+}
+
+func unpack(r response) (sesamedrift.Outcome, *Error) {
+	if r.Error != nil || r.Outcome == nil {
+		if r.Error == nil {
+			r.Error = notReady("the peer's reply has no outcome")
+		}
+		return sesamedrift.Outcome{}, r.Error
+	}
+	return *r.Outcome, nil
+}
--- /dev/null
+++ b/server/membership.go
@@ -0,0 +1,292 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"sesamedrift.example/sesamedrift/leaser"
+	"sesamedrift.example/sesamedrift/messenger"
+	"sesamedrift.example/sesamedrift/registrar"
+	"sesamedrift.example/sesamedrift/reporter"
+)
+
+const (
+	// viewPrefix begins the names of the registers that hold views.
+	viewPrefix = "view-"
+	// leaveTimeout bounds the view change of a planned stop.
+	leaveTimeout = 3 * time.Second
+	// leaveRetry is the time between two tries of the view change of a planned stop.
+	leaveRetry = 50 * time.Millisecond
+	// syncTimeout bounds one merge of the claims of the former view.
+	syncTimeout = 2 * time.Second
+)
+
+// heartbeatRequest is a heartbeat with the sender's slots.
+type heartbeatRequest struct {
+	Heartbeat leaser.Heartbeat `msgpack:"heartbeat"`
+	Slots     slotReport       `msgpack:"slots"`
+}
+
+// heartbeatReply acknowledges a heartbeat, with the slots of the member.
+type heartbeatReply struct {
+	Ack   leaser.Ack `msgpack:"ack"`
+	Slots slotReport `msgpack:"slots"`
+}
+
+// membership guards the leaser, which is not safe for concurrent use, and notes what has
+// been reported about it.
+type membership struct {
+	mu     sync.Mutex
+	leaser *leaser.Leaser
+	held   bool
+	// waiting holds the peers that have not answered the last heartbeat.
+	waiting map[string]bool
+}
+
+// with runs f under the lock.
+func (m *membership) with(f func(l *leaser.Leaser)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f(m.leaser)
+}
+
+func (m *membership) view() leaser.View {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaser.View()
+}
+
+func (m *membership) holds(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaser.Holds(now)
+}
+
+func (m *membership) owns(now time.Time, upstream string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaser.Owns(now, upstream)
+}
+
+// heartbeatUntil sends heartbeats and reports changes of the lease until ctx is done.
+func (h *Host) heartbeatUntil(ctx context.Context) {
+	ticker := time.NewTicker(h.cfg.Settings.HeartbeatEvery.Std())
+	defer ticker.Stop()
+	for {
+		h.heartbeat(ctx)
+		h.reportLease(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// heartbeat sends one heartbeat to each member and, while this host is no member, to
+// each host of the domain. A peer that has not answered the last one is left out, so
+// that at most one message for each peer waits.
+func (h *Host) heartbeat(ctx context.Context) {
+	h.members.mu.Lock()
+	beat := h.members.leaser.Heartbeat(h.now())
+	to := map[string]bool{}
+	for _, m := range h.members.leaser.Recipients() {
+		to[m.Host] = true
+	}
+	if !h.members.leaser.View().Has(h.self) {
+		for _, host := range h.peersIn(h.cfg.Settings.Domain) {
+			to[host] = true
+		}
+	}
+	for host := range to {
+		if h.members.waiting[host] {
+			delete(to, host)
+			continue
+		}
+		h.members.waiting[host] = true
+	}
+	h.members.mu.Unlock()
+	beat.Versions = h.entries.Versions()
+	beat.DirectorySeq = h.directorySeq()
+	for host := range to {
+		h.background.Go(func() { h.heartbeatTo(ctx, host, beat) })
+	}
+}
+
+func (h *Host) heartbeatTo(ctx context.Context, host string, beat leaser.Heartbeat) {
+	ctx, cancel := context.WithTimeout(ctx, h.cfg.Settings.LeaseTime.Std())
+	defer cancel()
+	reply, err := ask[heartbeatReply](ctx, h, host, messenger.KindHeartbeat, heartbeatRequest{
+		Heartbeat: beat,
+		Slots:     h.slots.report(host),
+	})
+	h.members.mu.Lock()
+	delete(h.members.waiting, host)
+	if err == nil {
+		h.members.leaser.Acked(h.now(), reply.Ack)
+	}
+	h.members.mu.Unlock()
+	if err == nil {
+		h.heard(host, reply.Slots, reply.Ack.Versions)
+		h.pullDirectory(host, reply.Ack.DirectorySeq)
+	}
+}
+
+func (h *Host) serveHeartbeat(in heartbeatRequest) (heartbeatReply, error) {
+	now := h.now()
+	beat := in.Heartbeat
+	var ack leaser.Ack
+	h.members.with(func(l *leaser.Leaser) {
+		if !l.View().Has(beat.From) {
+			l.Joining(now, beat.From)
+		}
+		ack = l.Answer(now, beat)
+	})
+	ack.Versions = h.entries.Versions()
+	ack.DirectorySeq = h.directorySeq()
+	h.heard(beat.From.Host, in.Slots, beat.Versions)
+	h.pullDirectory(beat.From.Host, beat.DirectorySeq)
+	return heartbeatReply{
+		Ack:   ack,
+		Slots: h.slots.report(beat.From.Host),
+	}, nil
+}
+
+func (h *Host) reportLease(ctx context.Context) {
+	holds := h.members.holds(h.now())
+	h.members.mu.Lock()
+	changed := holds != h.members.held
+	h.members.held = holds
+	h.members.mu.Unlock()
+	switch {
+	case changed && holds:
+		reporter.Log(ctx, h.log, reporter.LeaseHeld, "view", h.members.view().Number)
+	case changed:
+		reporter.Log(ctx, h.log, reporter.LeaseLost, "view", h.members.view().Number)
+	}
+	if changed {
+		h.dispatcher.post(h.syncUpstreams)
+	}
+}
+
+// changeViewsUntil reads and proposes views of the failure domain until ctx is done.
+func (h *Host) changeViewsUntil(ctx context.Context) {
+	h.readView(ctx)
+	ticker := time.NewTicker(h.cfg.Settings.HeartbeatEvery.Std())
+	defer ticker.Stop()
+	for {
+		h.changeView(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (h *Host) changeView(ctx context.Context) {
+	var behind, propose bool
+	var next leaser.View
+	h.members.with(func(l *leaser.Leaser) {
+		behind = l.Newest() > l.View().Number
+		if !behind {
+			next, propose = l.Next(h.now())
+		}
+	})
+	switch {
+	case behind:
+		h.readView(ctx)
+	case !h.synced():
+		// The claims of a view are read before the next view is proposed.
+		h.syncClaims(ctx)
+	case propose:
+		h.recordView(ctx, next)
+	}
+}
+
+// readView installs the newest view that the replicas know.
+func (h *Host) readView(ctx context.Context) {
+	entry, err := h.read(ctx, viewPrefix+h.cfg.Settings.Domain)
+	if err != nil || entry.Version == 0 {
+		return
+	}
+	h.installEntry(ctx, entry)
+}
+
+// installEntry installs the view in a register's entry.
+func (h *Host) installEntry(ctx context.Context, entry registrar.Entry) {
+	var v leaser.View
+	if err := messenger.Decode(entry.Value, &v); err != nil {
+		reporter.Log(ctx, h.log, reporter.ViewProposalFailed, "error", err)
+		return
+	}
+	h.install(ctx, v)
+}
+
+func (h *Host) install(ctx context.Context, v leaser.View) {
+	changed := false
+	h.members.with(func(l *leaser.Leaser) {
+		changed = v.Number > l.View().Number
+		l.Install(h.now(), v)
+	})
+	if !changed {
+		return
+	}
+	hosts := make([]string, 0, len(v.Members))
+	for _, m := range v.Members {
+		hosts = append(hosts, m.Host)
+	}
+	reporter.Log(ctx, h.log, reporter.ViewInstalled, "view", v.Number, "members", hosts, "horizon", v.Horizon)
+	h.syncClaims(ctx)
+	h.dispatcher.post(h.syncUpstreams)
+}
+
+// recordView changes the view register and installs the view that holds afterwards. It
+// reports whether the given view was accepted.
+func (h *Host) recordView(ctx context.Context, next leaser.View) bool {
+	value, err := messenger.Encode(next)
+	if err != nil {
+		panic("server: view cannot be encoded: " + err.Error())
+	}
+	result, err := h.change(ctx, registrar.Change{
+		Register: viewPrefix + h.cfg.Settings.Domain,
+		ID:       uuid.NewString(),
+		Who:      h.cfg.Settings.Host,
+		Expected: next.Number - 1,
+		Value:    value,
+	})
+	switch {
+	case err != nil:
+		reporter.Log(ctx, h.log, reporter.ViewProposalFailed, "view", next.Number, "error", err)
+		return false
+	case result.Status == registrar.Accepted:
+		h.install(ctx, next)
+		return true
+	default:
+		h.readView(ctx)
+		return false
+	}
+}
+
+// leave hands the upstreams of this host to the others in a planned stop.
+func (h *Host) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	for {
+		var next leaser.View
+		var member bool
+		h.members.with(func(l *leaser.Leaser) {
+			next = l.Leave(h.now())
+			member = l.View().Has(h.self)
+		})
+		if !member || next.Number > 0 && (len(next.Members) == 0 || h.recordView(ctx, next)) {
+			return
+		}
+		if !sleep(ctx, leaveRetry) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/server/peers.go
@@ -0,0 +1,144 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"sesamedrift.example/sesamedrift/messenger"
+	"sesamedrift.example/sesamedrift/validator"
+)
+
+// errUnknownPeer is returned for a host that is not in the settings.
+var errUnknownPeer = errors.New("the settings name no such peer")
+
+// peer is another host of the settings, with its connection.
+type peer struct {
+	validator.Peer
+	conn *messenger.Peer
+}
+
+// newPeers makes one connection for each peer of the settings. Connections are dialled
+// when they are first used.
+func newPeers(cfg Config, local messenger.Hello) map[string]*peer {
+	all := make(map[string]*peer, len(cfg.Settings.Peers))
+	for _, p := range cfg.Settings.Peers {
+		c := messenger.Config{Local: local}
+		if cfg.Delay != nil {
+			c.Delay = func() time.Duration { return cfg.Delay(p.Domain) }
+		}
+		all[p.Host] = &peer{
+			Peer: p,
+			conn: messenger.NewPeer(p.Address, c),
+		}
+	}
+	return all
+}
+
+// ask calls a peer and decodes its reply. Errors are those of messenger.Peer.Call; for
+// an unknown host and a request that cannot be encoded it is *messenger.NotSentError.
+func ask[Out any](ctx context.Context, h *Host, host string, kind messenger.Kind, in any) (Out, error) {
+	var out Out
+	p, ok := h.peers[host]
+	if !ok {
+		return out, &messenger.NotSentError{Err: fmt.Errorf("host %q: %w", host, errUnknownPeer)}
+	}
+	body, err := messenger.Encode(in)
+	if err != nil {
+		return out, &messenger.NotSentError{Err: err}
+	}
+	reply, err := p.conn.Call(ctx, kind, body)
+	if err != nil {
+		return out, err
+	}
+	if err := messenger.Decode(reply, &out); err != nil {
+		return out, &messenger.LostError{Err: err}
+	}
+	return out, nil
+}
+
+// tell sends a one-way message. A message that cannot be sent is dropped.
+func (h *Host) tell(host string, kind messenger.Kind, in any) {
+	p, ok := h.peers[host]
+	if !ok {
+		return
+	}
+	body, err := messenger.Encode(in)
+	if err != nil {
+		panic("server: message cannot be encoded: " + err.Error())
+	}
+	_ = p.conn.Send(kind, body)
+}
+
+// peersIn returns the hosts of a failure domain, without this host.
+func (h *Host) peersIn(domain string) []string {
+	var hosts []string
+	for _, p := range h.cfg.Settings.Peers {
+		if p.Domain == domain {
+			hosts = append(hosts, p.Host)
+		}
+	}
+	return hosts
+}
+
+// peerDomains returns the failure domain of each peer.
+func (h *Host) peerDomains() map[string]string {
+	domains := make(map[string]string, len(h.peers))
+	for host, p := range h.peers {
+		domains[host] = p.Domain
+	}
+	return domains
+}
+
+// serve decodes a request, handles it and encodes the reply.
+func serve[In, Out any](body []byte, handle func(In) (Out, error)) ([]byte, error) {
+	var in In
+	if err := messenger.Decode(body, &in); err != nil {
+		return nil, err
+	}
+	out, err := handle(in)
+	if err != nil {
+		return nil, err
+	}
+	return messenger.Encode(out)
+}
+
+// handlePeer answers one message of a peer.
+func (h *Host) handlePeer(ctx context.Context, from messenger.Hello, kind messenger.Kind, body []byte) ([]byte, error) {
+	if p, ok := h.peers[from.Host]; !ok || p.Domain != from.Domain {
+		return nil, fmt.Errorf("host %q of domain %q: %w", from.Host, from.Domain, errUnknownPeer)
+	}
+	switch kind {
+	case messenger.KindHeartbeat:
+		return serve(body, h.serveHeartbeat)
+	case messenger.KindClaim:
+		return serve(body, h.serveClaim)
+	case messenger.KindRegister:
+		return serve(body, h.serveRegister)
+	case messenger.KindRegisterChange:
+		return serve(body, func(in registerChange) (registerResult, error) { return h.serveRegisterChange(ctx, in) })
+	case messenger.KindRegisterRead:
+		return serve(body, func(in registerRead) (registerEntry, error) { return h.serveRegisterRead(ctx, in) })
+	case messenger.KindEntries:
+		return serve(body, h.serveEntries)
+	case messenger.KindDirectory:
+		return serve(body, h.serveDirectory)
+	case messenger.KindSubmit:
+		return serve(body, func(in request) (response, error) { return h.serveSubmit(ctx, in) })
+	case messenger.KindFind:
+		return serve(body, func(in lookup) (response, error) { return h.serveFind(ctx, in) })
+	case messenger.KindCancel:
+		return serve(body, func(in lookup) (response, error) { return h.serveCancel(ctx, in) })
+	case messenger.KindRelease:
+		return serve(body, h.serveRelease)
+	case messenger.KindRunTask:
+		return serve(body, func(in forwardedTask) (forwardedAnswer, error) { return h.serveRunTask(ctx, in) })
+	case messenger.KindStopTask:
+		return serve(body, h.serveStopTask)
+	case messenger.KindStatus:
+		return serve(body, h.serveStatus)
+	default:
+		return nil, fmt.Errorf("message kind %d is not known", kind)
+	}
+}
--- /dev/null
+++ b/server/registers.go
@@ -0,0 +1,313 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"sesamedrift.example/sesamedrift/journaler"
+	"sesamedrift.example/sesamedrift/messenger"
+	"sesamedrift.example/sesamedrift/registrar"
+	"sesamedrift.example/sesamedrift/reporter"
+)
+
+const (
+	// registerCallTimeout bounds one message of the quorum protocol, synced write included.
+	registerCallTimeout = 2 * time.Second
+	// registerChangeTimeout bounds a whole change or majority read.
+	registerChangeTimeout = 5 * time.Second
+	// repairEvery is the time between two tries to repair an empty replica.
+	repairEvery = time.Second
+	// replicaSyncEvery is the time between two exchanges of a replica with the others.
+	replicaSyncEvery = 2 * time.Second
+	// journalFolder is the part of the data folder that holds the registers.
+	journalFolder = "registers"
+)
+
+// registerCall is one message of the quorum protocol.
+type registerCall struct {
+	Request registrar.Request `msgpack:"request"`
+}
+
+// registerReply answers a registerCall.
+type registerReply struct {
+	Reply registrar.Reply `msgpack:"reply"`
+}
+
+// registerChange asks a replica to propose a change.
+type registerChange struct {
+	Change registrar.Change `msgpack:"change"`
+}
+
+// registerResult answers a registerChange. Message is set if the change is not valid.
+type registerResult struct {
+	Result  registrar.Result `msgpack:"result"`
+	Message string           `msgpack:"message"`
+}
+
+// registerRead asks a replica for a majority read and for the audit trail.
+type registerRead struct {
+	Register string `msgpack:"register"`
+	History  bool   `msgpack:"history"`
+	After    uint64 `msgpack:"after"`
+	Limit    int    `msgpack:"limit"`
+}
+
+// registerEntry answers a registerRead.
+type registerEntry struct {
+	Entry   registrar.Entry        `msgpack:"entry"`
+	History []registrar.AuditEntry `msgpack:"history"`
+	OK      bool                   `msgpack:"ok"`
+}
+
+// errNoReplica is returned when no host with a disk can be asked.
+var errNoReplica = errors.New("no replica of the registers can be reached")
+
+// openReplica opens the journal and the registers of a host with a disk.
+func (h *Host) openReplica() error {
+	s := h.cfg.Settings
+	dir := filepath.Join(s.DataFolder, journalFolder)
+	journal, recovery, damaged, err := openJournal(h, dir)
+	if err != nil {
+		return err
+	}
+	h.journal = journal
+	if recovery.TornBytes > 0 {
+		reporter.Log(context.Background(), h.log, reporter.JournalTornTail, "bytes", recovery.TornBytes)
+	}
+	cfg := registrar.Config{
+		ID:          s.Host,
+		Replicas:    s.Replicas(),
+		Append:      journal.Append,
+		Snapshot:    journal.Snapshot,
+		Snapshotted: recovery.Snapshot,
+		Records:     recovery.Records,
+		Empty:       recovery.Snapshot == nil,
+		Bootstrap:   s.Bootstrap && !damaged,
+		Call:        h.callReplica,
+		Learned:     h.learn,
+	}
+	h.registers, err = registrar.New(cfg)
+	var unreadable *registrar.DamageError
+	if errors.As(err, &unreadable) {
+		reporter.Log(context.Background(), h.log, reporter.JournalDamaged, "error", err)
+		cfg.Empty = true
+		cfg.Bootstrap = false
+		h.registers, err = registrar.New(cfg)
+	}
+	if err != nil {
+		return fmt.Errorf("registers: %w", err)
+	}
+	for _, e := range h.registers.Entries(nil) {
+		h.learn(e)
+	}
+	return nil
+}
+
+// openJournal opens the journal. A damaged one is kept aside, and the replica starts
+// empty, to be repaired from the others; the third result says so.
+func openJournal(h *Host, dir string) (*journaler.Journal, journaler.Recovery, bool, error) {
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		return nil, journaler.Recovery{}, false, fmt.Errorf("data folder: %w", err)
+	}
+	cfg := journaler.Config{Dir: dir}
+	journal, recovery, err := journaler.Open(cfg)
+	var damaged *journaler.DamageError
+	if errors.As(err, &damaged) {
+		reporter.Log(context.Background(), h.log, reporter.JournalDamaged, "error", err)
+		journal, recovery, err = journaler.StartOver(cfg)
+	}
+	if err != nil {
+		return nil, journaler.Recovery{}, false, fmt.Errorf("journal: %w", err)
+	}
+	return journal, recovery, damaged != nil, nil
+}
+
+func (h *Host) callReplica(ctx context.Context, replica string, r registrar.Request) (registrar.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, registerCallTimeout)
+	defer cancel()
+	reply, err := ask[registerReply](ctx, h, replica, messenger.KindRegister, registerCall{Request: r})
+	return reply.Reply, err
+}
+
+func (h *Host) serveRegister(in registerCall) (registerReply, error) {
+	if h.registers == nil {
+		return registerReply{}, errNoReplica
+	}
+	return registerReply{Reply: h.registers.Handle(h.now(), in.Request)}, nil
+}
+
+func (h *Host) serveRegisterChange(ctx context.Context, in registerChange) (registerResult, error) {
+	if h.registers == nil || !h.registers.Ready() {
+		return registerResult{}, errNoReplica
+	}
+	if !registerName(in.Change.Register) {
+		return registerResult{Message: "there is no register " + in.Change.Register}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, registerChangeTimeout)
+	defer cancel()
+	result, err := h.registers.Change(ctx, h.now(), in.Change)
+	if err != nil {
+		return registerResult{Message: err.Error()}, nil
+	}
+	return registerResult{Result: result}, nil
+}
+
+// registerName reports whether hosts use a register of this name, so that a mistake of a
+// peer does not fill the journal with others.
+func registerName(name string) bool {
+	return strings.HasPrefix(name, environmentPrefix) || strings.HasPrefix(name, viewPrefix)
+}
+
+func (h *Host) serveRegisterRead(ctx context.Context, in registerRead) (registerEntry, error) {
+	if h.registers == nil || !h.registers.Ready() {
+		return registerEntry{}, errNoReplica
+	}
+	ctx, cancel := context.WithTimeout(ctx, registerChangeTimeout)
+	defer cancel()
+	if in.History {
+		return registerEntry{
+			History: h.registers.History(in.Register, in.After, in.Limit),
+			OK:      true,
+		}, nil
+	}
+	entry, err := h.registers.Read(ctx, h.now(), in.Register)
+	if err != nil {
+		return registerEntry{}, err
+	}
+	return registerEntry{
+		Entry: entry,
+		OK:    true,
+	}, nil
+}
+
+// replicas returns the hosts with disks, this host first if it is one that votes, then
+// those of the own failure domain.
+func (h *Host) replicas() []string {
+	var near, far []string
+	for _, p := range h.cfg.Settings.Peers {
+		switch {
+		case !p.Replica:
+		case p.Domain == h.cfg.Settings.Domain:
+			near = append(near, p.Host)
+		default:
+			far = append(far, p.Host)
+		}
+	}
+	all := slices.Concat(near, far)
+	if h.registers != nil && h.registers.Ready() {
+		all = append([]string{h.cfg.Settings.Host}, all...)
+	}
+	return all
+}
+
+// change proposes a change of a register through the replicas, one after another until
+// one of them has an answer. A change may be proposed by several replicas, since it is
+// known by its identifier.
+func (h *Host) change(ctx context.Context, c registrar.Change) (registrar.Result, error) {
+	return throughReplicas(ctx, h, func(ctx context.Context, replica string) (registrar.Result, bool, error) {
+		var reply registerResult
+		var err error
+		if replica == h.cfg.Settings.Host {
+			reply, err = h.serveRegisterChange(ctx, registerChange{Change: c})
+		} else {
+			reply, err = ask[registerResult](ctx, h, replica, messenger.KindRegisterChange, registerChange{Change: c})
+		}
+		if err == nil && reply.Message != "" {
+			return registrar.Result{}, true, errors.New(reply.Message)
+		}
+		return reply.Result, reply.Result.Status != registrar.Unavailable, err
+	})
+}
+
+// read returns the newest version of a register by a majority read.
+func (h *Host) read(ctx context.Context, register string) (registrar.Entry, error) {
+	return throughReplicas(ctx, h, func(ctx context.Context, replica string) (registrar.Entry, bool, error) {
+		reply, err := h.readAt(ctx, replica, registerRead{Register: register})
+		return reply.Entry, reply.OK, err
+	})
+}
+
+// history returns audit entries of a register.
+func (h *Host) history(ctx context.Context, register string, after uint64, limit int) ([]registrar.AuditEntry, error) {
+	in := registerRead{
+		Register: register,
+		History:  true,
+		After:    after,
+		Limit:    limit,
+	}
+	return throughReplicas(ctx, h, func(ctx context.Context, replica string) ([]registrar.AuditEntry, bool, error) {
+		reply, err := h.readAt(ctx, replica, in)
+		return reply.History, reply.OK, err
+	})
+}
+
+func (h *Host) readAt(ctx context.Context, replica string, in registerRead) (registerEntry, error) {
+	if replica == h.cfg.Settings.Host {
+		return h.serveRegisterRead(ctx, in)
+	}
+	return ask[registerEntry](ctx, h, replica, messenger.KindRegisterRead, in)
+}
+
+// throughReplicas asks one replica after another until one gives a final answer.
+func throughReplicas[Out any](ctx context.Context, h *Host, try func(ctx context.Context, replica string) (Out, bool, error)) (Out, error) {
+	var last Out
+	err := errNoReplica
+	for _, replica := range h.replicas() {
+		var final bool
+		attempt, cancel := context.WithTimeout(ctx, registerChangeTimeout)
+		last, final, err = try(attempt, replica)
+		cancel()
+		if final || ctx.Err() != nil {
+			return last, err
+		}
+	}
+	if err == nil {
+		err = errNoReplica
+	}
+	return last, err
+}
+
+// repairUntil repairs this replica from the others if its folder was empty or damaged.
+func (h *Host) repairUntil(ctx context.Context) {
+	for !h.registers.Ready() {
+		round, cancel := context.WithTimeout(ctx, registerChangeTimeout)
+		err := h.registers.Repair(round, h.now())
+		cancel()
+		if err == nil {
+			reporter.Log(ctx, h.log, reporter.ReplicaRepaired)
+			return
+		}
+		if !sleep(ctx, repairEvery) {
+			return
+		}
+	}
+}
+
+// syncReplicaUntil fetches what this replica has missed from the others until ctx is
+// done.
+func (h *Host) syncReplicaUntil(ctx context.Context) {
+	for sleep(ctx, replicaSyncEvery) {
+		round, cancel := context.WithTimeout(ctx, registerChangeTimeout)
+		// A replica that cannot be reached is asked again in the next round.
+		_ = h.registers.Sync(round, h.now())
+		cancel()
+	}
+}
+
+// sleep waits and reports whether ctx is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/server/remote.go
@@ -0,0 +1,287 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"sesamedrift.example/sesamedrift/messenger"
+	"sesamedrift.example/sesamedrift/scheduler"
+)
+
+// forwardedTask is a task on its way to a peer that has a free slot.
+type forwardedTask struct {
+	Run      taskRun       `msgpack:"run"`
+	Team     string        `msgpack:"team"`
+	Class    string        `msgpack:"class"`
+	Estimate time.Duration `msgpack:"estimate"`
+	// From is the host that forwards the task.
+	From string `msgpack:"from"`
+}
+
+// forwardedAnswer is the result of a forwarded task, with the free slots that the peer
+// has left.
+type forwardedAnswer struct {
+	Answer taskAnswer `msgpack:"answer"`
+	Slots  slotReport `msgpack:"slots"`
+}
+
+// taskNotice names a task that a peer is to stop.
+type taskNotice struct {
+	TaskID string `msgpack:"task-id"`
+}
+
+// roundTrips is the number of one-way distances that a forwarded task adds.
+const roundTrips = 2
+
+// offer forwards queued tasks to peers with free slots, and moves some to peers of the
+// failure domain with shorter queues. A peer of another failure domain gets a task only if
+// the task would wait here for longer than the way there and back.
+func (d *dispatcher) offer(now time.Time) {
+	if d.queue.Len() == 0 {
+		return
+	}
+	for service := range d.known {
+		if d.queued(now, service) > 0 {
+			d.offerFree(now, service)
+		}
+		if d.queued(now, service) > 0 {
+			d.balance(now, service)
+		}
+	}
+}
+
+func (d *dispatcher) queued(now time.Time, service string) int {
+	s := d.queue.Stats(now, service)
+	return s.ShortQueued + s.LongQueued
+}
+
+// offerFree forwards tasks to free slots of peers.
+func (d *dispatcher) offerFree(now time.Time, service string) {
+	wait := d.queue.Wait(now, service, scheduler.Short)
+	worthwhile := func(distance time.Duration) bool {
+		return distance == 0 || wait > roundTrips*distance+d.spillMargin
+	}
+	for {
+		host, n := d.peers.free(now, service, worthwhile)
+		if host == "" || d.forwardTasks(now, host, service, n) < n {
+			return
+		}
+	}
+}
+
+// balance moves queued tasks to the peer with the shortest queue.
+func (d *dispatcher) balance(now time.Time, service string) {
+	host, r := d.peers.shortest(now, service)
+	if host == "" {
+		return
+	}
+	if n := moved(d.queue.Stats(now, service), r); n > 0 {
+		d.forwardTasks(now, host, service, n)
+	}
+}
+
+// forwardTasks sends up to n queued tasks of a service to a peer and returns how many.
+// Tasks that peers forwarded here stay.
+func (d *dispatcher) forwardTasks(now time.Time, host, service string, n int) int {
+	sent := 0
+	for _, t := range d.queue.Take(now, service, n) {
+		if _, foreign := d.foreign[t.ID]; foreign {
+			d.queue.Return(now, t)
+			continue
+		}
+		d.send(now, host, t)
+		sent++
+	}
+	return sent
+}
+
+func (d *dispatcher) send(now time.Time, host string, t scheduler.Task) {
+	j := d.jobs[t.Job]
+	run := d.sending(now, j, t)
+	d.stats.Forwards++
+	d.peers.forwarded(host, t.Service)
+	d.forward(j, t, run, host)
+}
+
+// forwardTask runs an attempt on a peer. It is called by the dispatcher.
+func (h *Host) forwardTask(j *job, t scheduler.Task, run taskRun, host string) {
+	h.background.Go(func() {
+		a := h.forwardAndWait(j, t, run, host)
+		h.dispatcher.post(func(now time.Time) { h.dispatcher.ended(now, j, t.Index, a) })
+	})
+}
+
+func (h *Host) forwardAndWait(j *job, t scheduler.Task, run taskRun, host string) taskAnswer {
+	if err := j.mayStart(); err != nil {
+		return barred(err)
+	}
+	ctx, cancel := context.WithTimeout(j.ctx, run.Lease+leaseGrace+answerMargin)
+	defer cancel()
+	reply, err := ask[forwardedAnswer](ctx, h, host, messenger.KindRunTask, forwardedTask{
+		Run:      run,
+		Team:     t.Team,
+		Class:    string(t.Class),
+		Estimate: t.Estimate,
+		From:     h.cfg.Settings.Host,
+	})
+	var notSent *messenger.NotSentError
+	switch {
+	case errors.As(err, &notSent):
+		h.dispatcher.post(func(time.Time) { h.dispatcher.peers.forget(host) })
+		return notStarted(err)
+	case err != nil && j.ctx.Err() != nil:
+		h.tell(host, messenger.KindStopTask, taskNotice{TaskID: run.TaskID})
+		return taskAnswer{Result: runStopped}
+	case err != nil:
+		return taskAnswer{Result: runLost, Reason: err.Error()}
+	}
+	h.dispatcher.post(func(now time.Time) {
+		h.dispatcher.peers.learn(now, host, reply.Slots)
+		if reply.Answer.Result == runNotStarted {
+			h.dispatcher.peers.get(host).refused[t.Service] = true
+		}
+	})
+	return reply.Answer
+}
+
+func notStarted(err error) taskAnswer {
+	return taskAnswer{
+		Result: runNotStarted,
+		Reason: err.Error(),
+	}
+}
+
+// serveRunTask queues a task of a peer here and answers when it has ended.
+func (h *Host) serveRunTask(ctx context.Context, in forwardedTask) (forwardedAnswer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	v := &visitor{
+		run:     in.Run,
+		cancel:  cancel,
+		answers: make(chan taskAnswer, 1),
+	}
+	v.start = func(u owned) {
+		h.background.Go(func() {
+			a := h.attemptOn(ctx, u, in.Run)
+			h.dispatcher.post(func(now time.Time) { h.dispatcher.visitEnded(now, v, a) })
+		})
+	}
+	if err := h.dispatcher.call(func(now time.Time) { h.dispatcher.visit(now, in, v) }); err != nil {
+		return forwardedAnswer{Answer: notStarted(err)}, nil
+	}
+	select {
+	case a := <-v.answers:
+		return forwardedAnswer{
+			Answer: a,
+			Slots:  h.slots.report(in.From),
+		}, nil
+	case <-h.dispatcher.stopped:
+		return forwardedAnswer{}, errDispatcherStopped
+	}
+}
+
+// visit queues a task of a peer. A task that cannot be queued is answered at once.
+func (d *dispatcher) visit(now time.Time, in forwardedTask, v *visitor) {
+	d.received[in.From]++
+	if _, ok := d.foreign[in.Run.TaskID]; ok {
+		v.answers <- notStarted(errTaskHere)
+		return
+	}
+	t := scheduler.Task{
+		ID:       in.Run.TaskID,
+		Job:      in.Run.TaskID,
+		Team:     in.Team,
+		Service:  in.Run.Service,
+		Kind:     in.Run.Kind,
+		Class:    scheduler.Class(in.Class),
+		Deadline: now.Add(in.Run.Lease),
+		Estimate: in.Estimate,
+		Queued:   now,
+	}
+	if d.queue.Stats(now, t.Service).Slots == 0 {
+		v.answers <- notStarted(errNoSlots)
+		return
+	}
+	if err := d.queue.Add(now, []scheduler.Task{t}); err != nil {
+		v.answers <- notStarted(err)
+		return
+	}
+	d.foreign[t.ID] = v
+}
+
+var (
+	errTaskHere = errors.New("the peer runs the task already")
+	errNoSlots  = errors.New("the peer owns no upstream of the service")
+	errExpired  = errors.New("the deadline cannot be met at the peer")
+	errWithdrew = errors.New("the task was withdrawn")
+)
+
+// withdraw takes a queued task of a peer out of the queue.
+func (d *dispatcher) withdraw(now time.Time, id string, v *visitor, reason error) {
+	d.queue.Cancel(now, id)
+	delete(d.foreign, id)
+	v.answers <- notStarted(reason)
+}
+
+// visitEnded frees the slot of a peer's task.
+func (d *dispatcher) visitEnded(now time.Time, v *visitor, a taskAnswer) {
+	d.queue.Done(now, v.run.TaskID)
+	delete(d.foreign, v.run.TaskID)
+	v.answers <- a
+	d.learn(now, v.run.Service, v.run.Kind, a)
+	if a.Unreachable {
+		d.drop(now, a.Upstream)
+	}
+}
+
+func (h *Host) serveStopTask(in taskNotice) (nothing, error) {
+	h.dispatcher.post(func(now time.Time) {
+		v, ok := h.dispatcher.foreign[in.TaskID]
+		switch {
+		case !ok:
+		case v.placed:
+			v.cancel()
+		default:
+			h.dispatcher.withdraw(now, in.TaskID, v, errWithdrew)
+		}
+	})
+	return nothing{}, nil
+}
+
+// runHere runs an attempt on an upstream of this host. It is called by the dispatcher.
+func (h *Host) runHere(j *job, index int, run taskRun, u owned) {
+	h.background.Go(func() {
+		var a taskAnswer
+		if err := j.mayStart(); err != nil {
+			a = barred(err)
+		} else {
+			a = h.attemptOn(j.ctx, u, run)
+		}
+		h.dispatcher.post(func(now time.Time) { h.dispatcher.ended(now, j, index, a) })
+	})
+}
+
+func barred(err error) taskAnswer {
+	return taskAnswer{
+		Result: runBarred,
+		Reason: err.Error(),
+	}
+}
+
+// attemptOn runs an attempt on an upstream until ctx ends or the upstream is lost.
+func (h *Host) attemptOn(ctx context.Context, u owned, run taskRun) taskAnswer {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(u.ctx, func() { cancel(context.Cause(u.ctx)) })
+	defer stop()
+	a := h.runner.run(ctx, h.now, u.Announcement, run)
+	if a.Result == runStopped && errors.Is(context.Cause(ctx), errUpstreamRestarted) {
+		a.Result = runLost
+		a.Reason = errUpstreamRestarted.Error()
+	}
+	return a
+}
+
+// errUpstreamRestarted ends the attempts on an upstream that announced a new incarnation.
+var errUpstreamRestarted = errors.New("the upstream restarted")
--- /dev/null
+++ b/server/requests.go
@@ -0,0 +1,110 @@
+package server
+
+import (
+	"context"
+	"sync"
+)
+
+// requests counts the requests in flight.
+type requests struct {
+	mu   sync.Mutex
+	n    int
+	idle chan struct{} // closed when n is zero, or nil if nobody waits
+}
+
+func (r *requests) begin() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.n++
+}
+
+func (r *requests) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.n--
+	if r.n == 0 && r.idle != nil {
+		close(r.idle)
+		r.idle = nil
+	}
+}
+
+// wait returns when no request is in flight or ctx is done.
+func (r *requests) wait(ctx context.Context) error {
+	r.mu.Lock()
+	if r.n == 0 {
+		r.mu.Unlock()
+		return nil
+	}
+	if r.idle == nil {
+		r.idle = make(chan struct{})
+	}
+	idle := r.idle
+	r.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// releases holds the callers that wait for forwarded calls, so that their departure can
+// be passed on.
+type releases struct {
+	mu  sync.Mutex
+	all map[string]context.CancelFunc
+}
+
+func newReleases() *releases {
+	return &releases{all: map[string]context.CancelFunc{}}
+}
+
+// begin returns a context that ends when the caller with the identifier has gone.
+func (r *releases) begin(ctx context.Context, id string) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	if id == "" {
+		return ctx, cancel
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all[id] = cancel
+	return ctx, func() { r.end(id) }
+}
+
+// end cancels the context of the caller with the identifier.
+func (r *releases) end(id string) {
+	r.mu.Lock()
+	cancel, ok := r.all[id]
+	delete(r.all, id)
+	r.mu.Unlock()
+	if ok {
+		cancel()
+	}
+}
+
+// busyHosts holds the peers with which an exchange is under way.
+type busyHosts struct {
+	mu  sync.Mutex
+	all map[string]bool
+}
+
+func newBusyHosts() *busyHosts {
+	return &busyHosts{all: map[string]bool{}}
+}
+
+// begin reports whether no exchange with the host was under way.
+func (b *busyHosts) begin(host string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.all[host] {
+		return false
+	}
+	b.all[host] = true
+	return true
+}
+
+func (b *busyHosts) end(host string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.all, host)
+}
--- /dev/null
+++ b/server/runner.go
@@ -0,0 +1,236 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"sesamedrift.example/sesamedrift/leaser"
+)
+
+// Headers of the upstream protocol.
+const (
+	taskIDHeader    = "Task-Id"
+	attemptHeader   = "Attempt"
+	taskLeaseHeader = "Task-Lease"
+	serviceHeader   = "Service"
+	kindHeader      = "Kind"
+)
+
+const (
+	upstreamDialTimeout = 500 * time.Millisecond
+	upstreamIdleTimeout = 90 * time.Second
+	// leaseGrace is how long a host waits for the answer of a task after its lease has
+	// ended at the upstream.
+	leaseGrace = 250 * time.Millisecond
+	// stopTimeout bounds the request that stops a task.
+	stopTimeout = time.Second
+	// maxErrorBody bounds how much of an upstream's error is read.
+	maxErrorBody = 16 << 10
+)
+
+// runResult is what became of one attempt at one task.
+type runResult int
+
+const (
+	// runSucceeded: the upstream answered, and the answer belongs to this attempt.
+	runSucceeded runResult = iota
+	// runFailed: the upstream ran the task, and it failed.
+	runFailed
+	// runNotStarted: the upstream certainly did not start the task.
+	runNotStarted
+	// runLost: the task may have started, and its answer will not come.
+	runLost
+	// runStopped: the task was started and then stopped by this host.
+	runStopped
+	// runBarred: the claim no longer allows this host to start the task.
+	runBarred
+)
+
+// taskRun describes one attempt at one task.
+type taskRun struct {
+	TaskID  string        `msgpack:"task-id"`
+	Attempt int           `msgpack:"attempt"`
+	Service string        `msgpack:"service"`
+	Kind    string        `msgpack:"kind"`
+	Payload []byte        `msgpack:"payload"`
+	Lease   time.Duration `msgpack:"lease"`
+}
+
+// taskAnswer is the result of one attempt.
+type taskAnswer struct {
+	Result   runResult `msgpack:"result"`
+	Answer   []byte    `msgpack:"answer"`
+	Reason   string    `msgpack:"reason"`
+	Upstream string    `msgpack:"upstream"`
+	// Unreachable says that the connection to the upstream failed.
+	Unreachable bool          `msgpack:"unreachable"`
+	Took        time.Duration `msgpack:"took"`
+}
+
+// runner sends tasks to upstreams. It is safe for concurrent use.
+type runner struct {
+	http      *http.Client
+	maxAnswer int64
+	sent      atomic.Int64
+	rejected  atomic.Int64
+}
+
+func newRunner(maxAnswer int64, connections int) *runner {
+	dialer := &net.Dialer{Timeout: upstreamDialTimeout}
+	return &runner{
+		maxAnswer: maxAnswer,
+		http: &http.Client{
+			Transport: &http.Transport{
+				DialContext:         dialer.DialContext,
+				MaxConnsPerHost:     connections,
+				MaxIdleConnsPerHost: connections,
+				IdleConnTimeout:     upstreamIdleTimeout,
+				DisableCompression:  true,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+func (r *runner) close() { r.http.CloseIdleConnections() }
+
+// run performs one attempt and returns when the upstream has answered, the lease is
+// over, or ctx is done. When ctx is done the task is stopped at the upstream.
+func (r *runner) run(ctx context.Context, now func() time.Time, u leaser.Announcement, t taskRun) taskAnswer {
+	started := now()
+	answer := r.attempt(ctx, u, t)
+	answer.Upstream = u.Upstream
+	answer.Took = now().Sub(started)
+	if answer.Result == runLost && ctx.Err() != nil {
+		answer.Result = runStopped
+		r.stop(u, t.TaskID)
+	}
+	return answer
+}
+
+func (r *runner) attempt(ctx context.Context, u leaser.Announcement, t taskRun) taskAnswer {
+	ctx, cancel := context.WithTimeout(ctx, t.Lease+leaseGrace)
+	defer cancel()
+	var wrote atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		// Headers that were written may have reached the upstream, so that the task
+		// may have started.
+		WroteHeaderField: func(string, []string) { wrote.Store(true) },
+		WroteHeaders:     func() { wrote.Store(true) },
+	})
+	target := "http://" + u.Address + "/tasks"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(t.Payload))
+	if err != nil {
+		return taskAnswer{Result: runNotStarted, Reason: err.Error()}
+	}
+	req.Header.Set(taskIDHeader, t.TaskID)
+	req.Header.Set(attemptHeader, strconv.Itoa(t.Attempt))
+	req.Header.Set(taskLeaseHeader, t.Lease.String())
+	req.Header.Set(serviceHeader, t.Service)
+	req.Header.Set(kindHeader, t.Kind)
+	// Without GetBody the transport never sends the request a second time by itself.
+	req.GetBody = nil
+	r.sent.Add(1)
+	resp, err := r.http.Do(req)
+	if err != nil {
+		a := taskAnswer{
+			Result:      runLost,
+			Reason:      err.Error(),
+			Unreachable: ctx.Err() == nil,
+		}
+		if !wrote.Load() {
+			a.Result = runNotStarted
+		}
+		return a
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return r.read(resp, t)
+}
+
+func (r *runner) read(resp *http.Response, t taskRun) taskAnswer {
+	if resp.StatusCode != http.StatusOK {
+		return r.readError(resp)
+	}
+	if resp.Header.Get(taskIDHeader) != t.TaskID || resp.Header.Get(attemptHeader) != strconv.Itoa(t.Attempt) {
+		return taskAnswer{Result: runLost, Reason: "the upstream's answer belongs to another attempt"}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, r.maxAnswer+1))
+	if err != nil {
+		return taskAnswer{Result: runLost, Reason: fmt.Sprintf("the upstream's answer broke off: %v", err)}
+	}
+	if int64(len(body)) > r.maxAnswer {
+		return taskAnswer{Result: runFailed, Reason: fmt.Sprintf("the upstream's answer is longer than %d bytes", r.maxAnswer)}
+	}
+	return taskAnswer{Result: runSucceeded, Answer: body}
+}
+
+func (r *runner) readError(resp *http.Response) taskAnswer {
+	var e struct {
+		Code    string `json:"code"`
+		Message string `json:"message"`
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+	if err != nil || json.Unmarshal(body, &e) != nil {
+		e.Message = "status " + resp.Status
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable && e.Code == "not-started" {
+		r.rejected.Add(1)
+		return taskAnswer{Result: runNotStarted, Reason: e.Message}
+	}
+	return taskAnswer{Result: runFailed, Reason: e.Message}
+}
+
+// stop asks the upstream to stop the task. An upstream that cannot be reached ends the
+// task with its lease.
+func (r *runner) stop(u leaser.Announcement, taskID string) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	target := "http://" + u.Address + "/tasks/" + url.PathEscape(taskID)
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, target, nil)
+	if err != nil {
+		return
+	}
+	if resp, err := r.http.Do(req); err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
+// running returns the tasks that run on the upstream, with the time at which each ends
+// at the latest.
+func (r *runner) running(ctx context.Context, u leaser.Announcement) (map[string]time.Time, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+u.Address+"/tasks", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := r.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.New("list of running tasks: status " + resp.Status)
+	}
+	var tasks []struct {
+		Task string    `json:"task"`
+		Ends time.Time `json:"ends"`
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(&tasks); err != nil {
+		return nil, fmt.Errorf("list of running tasks: %w", err)
+	}
+	ends := make(map[string]time.Time, len(tasks))
+	for _, t := range tasks {
+		ends[t.Task] = t.Ends
+	}
+	return ends, nil
+}
--- /dev/null
+++ b/server/setup.go
@@ -0,0 +1,129 @@
+package server
+
+import (
+	"time"
+
+	"sesamedrift.example/sesamedrift/detector"
+	"sesamedrift.example/sesamedrift/estimator"
+	"sesamedrift.example/sesamedrift/leaser"
+	"sesamedrift.example/sesamedrift/limiter"
+	"sesamedrift.example/sesamedrift/scheduler"
+	"sesamedrift.example/sesamedrift/validator"
+)
+
+const (
+	// spillMargin is how much shorter the way to another failure domain must be than the
+	// wait here. It covers the age of the free-slot counts.
+	spillMargin = 5 * time.Millisecond
+	// slotsUsable is how long a peer's free-slot counts are believed.
+	slotsUsable = time.Second
+	minHint     = 50 * time.Millisecond
+	maxHint     = 30 * time.Second
+)
+
+func newMembership(cfg Config, self leaser.Member) *membership {
+	s := cfg.Settings
+	return &membership{
+		waiting: map[string]bool{},
+		leaser: leaser.New(leaser.Config{
+			Self:           self,
+			Domain:         s.Domain,
+			LeaseTime:      s.LeaseTime.Std(),
+			HeartbeatEvery: s.HeartbeatEvery.Std(),
+			SuspectAfter:   s.SuspectAfter.Std(),
+			DriftMargin:    s.DriftMargin.Std(),
+		}),
+	}
+}
+
+func newDispatcher(cfg Config, h *Host) *dispatcher {
+	d := &dispatcher{
+		now:         cfg.Now,
+		log:         h.log,
+		commands:    make(chan command, commandRing),
+		stopped:     make(chan struct{}),
+		times:       estimator.New(estimator.Config{}),
+		quotas:      limiter.NewQuotas(),
+		budget:      limiter.NewBudget(0),
+		hints:       limiter.NewHints(cfg.Seed, minHint, maxHint),
+		health:      detector.New(detector.Config{}),
+		spillMargin: spillMargin,
+		attempt:     h.runHere,
+		forward:     h.forwardTask,
+		owns:        h.members.owns,
+		finish:      h.finish,
+		changed:     h.publishState,
+		jobs:        map[string]*job{},
+		upstreams:   map[string]*owned{},
+		foreign:     map[string]*visitor{},
+		orphans:     map[string]*job{},
+		taking:      map[string]time.Time{},
+		received:    map[string]uint64{},
+		known:       map[string]bool{},
+		announced:   map[string]bool{},
+		services:    map[string]bool{},
+		weights:     map[string]float64{},
+		teams:       map[string]map[string]bool{},
+		peers:       newPeerSlots(slotsUsable),
+	}
+	d.queue = scheduler.New(scheduler.Config{
+		Policy:     cfg.Policy,
+		Seed:       cfg.Seed,
+		TeamWeight: func(team string) float64 { return d.weights[team] },
+	})
+	return d
+}
+
+// configure applies a document that has come into force.
+func (d *dispatcher) configure(now time.Time, e validator.Environment, domain string, peerDomains map[string]string) {
+	before := d.teams[e.Name]
+	d.teams[e.Name] = map[string]bool{}
+	for _, t := range e.Teams {
+		name := teamName(e.Name, t.Name)
+		d.teams[e.Name][name] = true
+		d.weights[name] = t.Weight
+		d.quotas.Set(now, name, limiter.Quota{
+			Rate:   t.Rate,
+			Burst:  float64(t.Burst),
+			Weight: t.Weight,
+		})
+	}
+	for name := range before {
+		if !d.teams[e.Name][name] {
+			d.quotas.Drop(name)
+			delete(d.weights, name)
+		}
+	}
+	for _, s := range e.Services {
+		d.known[serviceName(e.Name, s.Name)] = true
+		d.queue.Configure(now, serviceName(e.Name, s.Name), scheduler.ServiceConfig{
+			MaxTasks:  s.MaxQueue,
+			LongShare: s.LongShare,
+		})
+	}
+	if e.Name != validator.Production {
+		return
+	}
+	d.budget.SetShare(e.Limits.RetryShare)
+	d.health.SetEjectShare(e.Limits.EjectShare)
+	for host, other := range peerDomains {
+		distance, _ := e.Distance(domain, other)
+		d.peers.get(host).distance = distance.Std()
+	}
+}
+
+// teamName returns the name under which the queue knows a team of an environment.
+func teamName(environment, team string) string { return environment + "/" + team }
+
+// abandon ends the jobs that are still there when the host has been killed.
+func (d *dispatcher) abandon() {
+	for _, j := range d.jobs {
+		j.cancel()
+	}
+	for _, u := range d.upstreams {
+		u.cancel(errDispatcherStopped)
+	}
+	for _, v := range d.foreign {
+		v.cancel()
+	}
+}
--- /dev/null
+++ b/server/slots.go
@@ -0,0 +1,261 @@
+package server
+
+import (
+	"sync/atomic"
+	"time"
+
+	"sesamedrift.example/sesamedrift/scheduler"
+)
+
+const (
+	// queueShare is the part of the difference between two queues that is moved at a
+	// time. The other hosts move tasks to the same peer.
+	queueShare = 2
+	// minMoved is the smallest number of tasks for which queues are balanced.
+	minMoved = 2
+	// waitStep is the step below which waits are not told apart between hosts.
+	waitStep = time.Millisecond
+)
+
+// serviceReport is what a host tells its peers about one service.
+type serviceReport struct {
+	Free   int           `msgpack:"free"`
+	Slots  int           `msgpack:"slots"`
+	Queued int           `msgpack:"queued"`
+	Wait   time.Duration `msgpack:"wait"`
+}
+
+// slotReport is what a host tells a peer about its slots. It travels on messages that
+// are sent anyway.
+type slotReport struct {
+	// Seq grows with each report of one incarnation.
+	Seq uint64 `msgpack:"seq"`
+	// Received counts the forwarded tasks of the addressed host that the report
+	// reckons with.
+	Received uint64                   `msgpack:"received"`
+	Services map[string]serviceReport `msgpack:"services"`
+}
+
+// slotState is the last published state of the dispatcher. It is never modified.
+type slotState struct {
+	seq      uint64
+	services map[string]serviceReport
+	received map[string]uint64
+}
+
+// slots publishes the state of the dispatcher to other goroutines.
+type slots struct {
+	state atomic.Pointer[slotState]
+}
+
+// report returns the report for a peer.
+func (s *slots) report(host string) slotReport {
+	state := s.state.Load()
+	if state == nil {
+		return slotReport{}
+	}
+	return slotReport{
+		Seq:      state.seq,
+		Received: state.received[host],
+		Services: state.services,
+	}
+}
+
+// free returns the free slots of each service.
+func (s *slots) free() map[string]int {
+	free := map[string]int{}
+	if state := s.state.Load(); state != nil {
+		for service, r := range state.services {
+			free[service] = r.Free
+		}
+	}
+	return free
+}
+
+// peerState is what this host knows of the slots of one peer.
+type peerState struct {
+	seen     time.Time
+	distance time.Duration
+	seq      uint64
+	services map[string]serviceReport
+	// sent counts all tasks that were forwarded; pending holds the services of those
+	// that the last report does not reckon with.
+	sent    uint64
+	pending []string
+	// refused holds the services for which the peer refused a task after its last report.
+	refused map[string]bool
+}
+
+// peerSlots holds what this host knows of the slots of its peers. The dispatcher owns it.
+type peerSlots struct {
+	all map[string]*peerState
+	// usable is how long a report is believed.
+	usable time.Duration
+}
+
+func newPeerSlots(usable time.Duration) *peerSlots {
+	return &peerSlots{
+		all:    map[string]*peerState{},
+		usable: usable,
+	}
+}
+
+func (p *peerSlots) get(host string) *peerState {
+	s, ok := p.all[host]
+	if !ok {
+		s = &peerState{refused: map[string]bool{}}
+		p.all[host] = s
+	}
+	return s
+}
+
+// learn takes a report of a peer. Reports that were overtaken by later ones are dropped.
+func (p *peerSlots) learn(now time.Time, host string, r slotReport) {
+	s := p.get(host)
+	if r.Services == nil || r.Seq < s.seq && r.Received <= s.sent && r.Received > 0 {
+		return
+	}
+	s.seen = now
+	s.seq = r.Seq
+	s.services = r.Services
+	clear(s.refused)
+	if r.Received > s.sent {
+		// The peer counts tasks of an earlier incarnation of this host.
+		s.sent = r.Received
+		s.pending = nil
+	}
+	if late := s.sent - r.Received; uint64(len(s.pending)) > late {
+		s.pending = s.pending[uint64(len(s.pending))-late:]
+	}
+}
+
+// forget drops what is known of a peer that did not answer.
+func (p *peerSlots) forget(host string) { p.get(host).services = nil }
+
+// forwarded notes that a task has been sent to the peer.
+func (p *peerSlots) forwarded(host, service string) {
+	s := p.get(host)
+	s.sent++
+	s.pending = append(s.pending, service)
+}
+
+// report returns the last report of a peer about a service, less what was forwarded
+// since.
+func (p *peerSlots) report(now time.Time, host, service string) (serviceReport, bool) {
+	s := p.all[host]
+	if s == nil || s.services == nil || now.Sub(s.seen) > p.usable {
+		return serviceReport{}, false
+	}
+	r, ok := s.services[service]
+	if !ok || r.Slots == 0 {
+		return serviceReport{}, false
+	}
+	for _, name := range s.pending {
+		if name != service {
+			continue
+		}
+		if r.Free > 0 {
+			r.Free--
+		} else {
+			r.Queued++
+		}
+	}
+	if s.refused[service] {
+		r.Free = 0
+	}
+	return r, true
+}
+
+// free returns the peer with the most free slots of a service among those for which
+// worthwhile is true, preferring near ones.
+func (p *peerSlots) free(now time.Time, service string, worthwhile func(distance time.Duration) bool) (string, int) {
+	var best string
+	var slots int
+	var distance time.Duration
+	for host, s := range p.all {
+		r, ok := p.report(now, host, service)
+		if !ok || r.Free <= 0 || !worthwhile(s.distance) {
+			continue
+		}
+		nearer := s.distance < distance
+		same := s.distance == distance
+		if best == "" || nearer || same && (r.Free > slots || r.Free == slots && host < best) {
+			best, slots, distance = host, r.Free, s.distance
+		}
+	}
+	return best, slots
+}
+
+// shortest returns the peer of the own failure domain with the least queued work for each
+// slot.
+func (p *peerSlots) shortest(now time.Time, service string) (string, serviceReport) {
+	var best string
+	var least serviceReport
+	for host, s := range p.all {
+		r, ok := p.report(now, host, service)
+		if !ok || s.distance > 0 || s.refused[service] {
+			continue
+		}
+		less, same := r.Queued*least.Slots, least.Queued*r.Slots
+		if best == "" || less < same || less == same && host < best {
+			best, least = host, r
+		}
+	}
+	return best, least
+}
+
+// wait returns the shortest wait at a peer, with the way there and back.
+func (p *peerSlots) wait(now time.Time, service string) time.Duration {
+	shortest := scheduler.MaxWait
+	for host, s := range p.all {
+		if r, ok := p.report(now, host, service); ok {
+			shortest = min(shortest, r.Wait+roundTrips*s.distance)
+		}
+	}
+	return shortest
+}
+
+// moved returns how many queued tasks go to a peer so that both queues are closer to the
+// same length for each slot.
+func moved(own scheduler.Stats, peer serviceReport) int {
+	queued := own.ShortQueued + own.LongQueued
+	if own.Slots == 0 {
+		return queued
+	}
+	surplus := (queued*peer.Slots - peer.Queued*own.Slots) / (own.Slots + peer.Slots)
+	if surplus < minMoved {
+		return 0
+	}
+	return (surplus + queueShare - 1) / queueShare
+}
+
+// publishState makes the state of the dispatcher known to the other goroutines. The
+// dispatcher calls it after each step.
+func (h *Host) publishState(now time.Time) {
+	d := h.dispatcher
+	d.seq++
+	state := &slotState{
+		seq:      d.seq,
+		services: make(map[string]serviceReport, len(d.services)),
+		received: make(map[string]uint64, len(d.received)),
+	}
+	for host, n := range d.received {
+		state.received[host] = n
+	}
+	if !h.stopping.Load() {
+		for service := range d.services {
+			s := d.queue.Stats(now, service)
+			state.services[service] = serviceReport{
+				Free:   s.Free,
+				Slots:  s.Slots,
+				Queued: s.ShortQueued + s.LongQueued,
+				Wait:   d.queue.Wait(now, service, scheduler.Short).Truncate(waitStep),
+			}
+		}
+	}
+	h.slots.state.Store(state)
+	if now.Sub(d.published) >= reportEvery {
+		d.published = now
+		h.metrics.update(d.stats, d.queue.Len(), d.running, len(d.upstreams))
+	}
+}
--- /dev/null
+++ b/server/starts_test.go
@@ -0,0 +1,37 @@
+package server_test
+
+import "sync"
+
+// starts counts how often each task was started on any upstream.
+type starts struct {
+	mu sync.Mutex
+	n  map[string]int
+}
+
+func (s *starts) note(_, taskID string, _ int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.n[taskID]++
+}
+
+// total returns the number of starts.
+func (s *starts) total() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, k := range s.n {
+		n += k
+	}
+	return n
+}
+
+// most returns the number of starts of the task that was started most often.
+func (s *starts) most() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most := 0
+	for _, k := range s.n {
+		most = max(most, k)
+	}
+	return most
+}
--- /dev/null
+++ b/server/status.go
@@ -0,0 +1,150 @@
+package server
+
+import (
+	"net/http"
+	"sort"
+	"time"
+
+	"sesamedrift.example/sesamedrift/leaser"
+	"sesamedrift.example/sesamedrift/validator"
+)
+
+// hostStatus is what one host says of itself.
+type hostStatus struct {
+	Host        string            `json:"host" msgpack:"host"`
+	Domain      string            `json:"domain" msgpack:"domain"`
+	Incarnation uint64            `json:"incarnation" msgpack:"incarnation"`
+	Ready       bool              `json:"ready" msgpack:"ready"`
+	View        uint64            `json:"view" msgpack:"view"`
+	Members     []string          `json:"members" msgpack:"members"`
+	Horizon     time.Time         `json:"horizon" msgpack:"horizon"`
+	Lease       bool              `json:"lease" msgpack:"lease"`
+	Replica     bool              `json:"replica" msgpack:"replica"`
+	Votes       bool              `json:"votes" msgpack:"votes"`
+	Versions    map[string]uint64 `json:"versions" msgpack:"versions"`
+	Queued      int               `json:"queued" msgpack:"queued"`
+	Running     int               `json:"running" msgpack:"running"`
+	Free        map[string]int    `json:"free" msgpack:"free"`
+	Upstreams   []upstreamStatus  `json:"upstreams" msgpack:"upstreams"`
+	Trial       trialCount        `json:"trial" msgpack:"trial"`
+	Counters    Counters          `json:"counters" msgpack:"counters"`
+}
+
+// upstreamStatus is one upstream that a host owns.
+type upstreamStatus struct {
+	Upstream string `json:"upstream" msgpack:"upstream"`
+	Service  string `json:"service" msgpack:"service"`
+	Address  string `json:"address" msgpack:"address"`
+	State    string `json:"state" msgpack:"state"`
+	Slots    int    `json:"slots" msgpack:"slots"`
+}
+
+// systemStatus is the answer to GET /v1/status: this host and those that it can reach.
+type systemStatus struct {
+	hostStatus
+	Hosts []hostStatus `json:"hosts"`
+	// Unreachable lists the peers that did not answer.
+	Unreachable []string `json:"unreachable"`
+	// CutOff says that no majority of the replicas can be asked, so that the host goes
+	// on with the configuration and the view that it has.
+	CutOff bool `json:"cut-off"`
+}
+
+func (h *Host) serveStatus(nothing) (hostStatus, error) { return h.status(), nil }
+
+func (h *Host) getStatus(w http.ResponseWriter, r *http.Request) {
+	s := systemStatus{
+		hostStatus:  h.status(),
+		Hosts:       []hostStatus{},
+		Unreachable: []string{},
+	}
+	answers := h.askStatus(r.Context())
+	reached, replicas := 0, 0
+	if s.Votes {
+		reached++
+	}
+	if s.Replica {
+		replicas++
+	}
+	for _, p := range h.cfg.Settings.Peers {
+		if p.Replica {
+			replicas++
+		}
+		answer, ok := answers[p.Host]
+		if !ok {
+			s.Unreachable = append(s.Unreachable, p.Host)
+			continue
+		}
+		if answer.Votes {
+			reached++
+		}
+		s.Hosts = append(s.Hosts, answer)
+	}
+	s.CutOff = reached <= replicas/2
+	writeJSON(w, http.StatusOK, s)
+}
+
+func (h *Host) status() hostStatus {
+	now := h.now()
+	var view leaser.View
+	var lease bool
+	h.members.with(func(l *leaser.Leaser) {
+		view = l.View()
+		lease = l.Holds(now)
+	})
+	s := hostStatus{
+		Host:        h.cfg.Settings.Host,
+		Domain:      h.cfg.Settings.Domain,
+		Incarnation: h.cfg.Incarnation,
+		Ready:       h.accepting() == nil,
+		View:        view.Number,
+		Members:     []string{},
+		Horizon:     view.Horizon,
+		Lease:       lease,
+		Replica:     h.registers != nil,
+		Votes:       h.registers != nil && h.registers.Ready(),
+		Versions:    h.entries.Versions(),
+		Free:        h.slots.free(),
+		Upstreams:   []upstreamStatus{},
+	}
+	for _, m := range view.Members {
+		s.Members = append(s.Members, m.Host)
+	}
+	if f := h.documents.get(validator.Trial); f != nil {
+		s.Trial = h.trials.count(f.Version)
+	}
+	// After the host has stopped, the fields of the dispatcher stay empty.
+	_ = h.dispatcher.call(func(now time.Time) {
+		d := h.dispatcher
+		s.Queued = d.queue.Len()
+		s.Running = d.running
+		s.Counters = d.stats
+		for _, u := range d.upstreams {
+			s.Upstreams = append(s.Upstreams, upstreamStatus{
+				Upstream: u.Upstream,
+				Service:  u.Service,
+				Address:  u.Address,
+				State:    string(d.state(now, u)),
+				Slots:    u.Slots,
+			})
+		}
+	})
+	sort.Slice(s.Upstreams, func(i, j int) bool { return s.Upstreams[i].Upstream < s.Upstreams[j].Upstream })
+	return s
+}
+
+// Owned returns the number of upstreams that this host may start work on.
+func (h *Host) Owned() int {
+	n := 0
+	// After the host has stopped it owns nothing.
+	_ = h.dispatcher.call(func(time.Time) { n = len(h.dispatcher.upstreams) })
+	return n
+}
+
+// Counters returns the totals since the start of the host.
+func (h *Host) Counters() Counters {
+	var c Counters
+	// After the host has stopped the totals are gone.
+	_ = h.dispatcher.call(func(time.Time) { c = h.dispatcher.stats })
+	return c
+}
--- /dev/null
+++ b/server/status_test.go
@@ -0,0 +1,54 @@
+package server_test
+
+import (
+	"encoding/json"
+
+	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift/executor"
+)
+
+var noFaults = executor.Faults{}
+
+// hostState is what the tests look at in the status of a host.
+type hostState struct {
+	View      uint64         `json:"view"`
+	Free      map[string]int `json:"free"`
+	Upstreams []struct {
+		Upstream string `json:"upstream"`
+	} `json:"upstreams"`
+}
+
+// state returns the status of a host, or nothing if it does not answer.
+func (d *deployment) state(host string) hostState {
+	var s hostState
+	raw, err := d.at(host).Status(d.ctx)
+	if err != nil {
+		return s
+	}
+	d.g.Expect(json.Unmarshal(raw, &s)).To(Succeed())
+	return s
+}
+
+func (d *deployment) view(host string) uint64 { return d.state(host).View }
+
+func (d *deployment) ownedBy(host string) int { return len(d.state(host).Upstreams) }
+
+func (d *deployment) ownedByAll() int {
+	n := 0
+	for _, host := range d.HostNames() {
+		n += d.ownedBy(host)
+	}
+	return n
+}
+
+// free returns the free slots of all hosts.
+func (d *deployment) free() int {
+	n := 0
+	for _, host := range d.HostNames() {
+		for _, k := range d.state(host).Free {
+			n += k
+		}
+	}
+	return n
+}
--- a/validator/validator_test.go
+++ b/validator/validator_test.go
@@ -18,7 +18,7 @@
 
 func parseByName(file string, data []byte) error {
 	var err error
-	if strings.HasPrefix(filepath.Base(file), "settings") || filepath.Base(file) == "host.json" {
+	if strings.HasPrefix(filepath.Base(file), "settings") || strings.HasSuffix(file, "host.json") {
 		_, err = ParseSettings(data)
 	} else {
 		_, err = ParseEnvironment(data)
@@ -57,7 +57,7 @@
 	g := NewWithT(t)
 	files, err := filepath.Glob("../examples/*.json")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(files).To(HaveLen(3))
+	g.Expect(files).To(HaveLen(4))
 	for _, file := range files {
 		data, err := os.ReadFile(file)
 		g.Expect(err).NotTo(HaveOccurred())
