Count forwarded tasks by number, and do not take a read timeout for a departure

Cause: by reading. A forwarded task that was lost on the way counted against the slots of its peer for good; the reports of a restarted peer were taken for old ones; a caller that waits longer than the read timeout of 30 s for its answer was taken for gone, so that long renders would have been cancelled; claims were looked through ten times a second.

Change: forwarded tasks carry a number that grows over restarts, reports carry the incarnation; the read deadline is lifted once the request is read; claims expire every 5 s; a refusal of a key that the host made is not recorded, since no other copy exists.

--- a/server/directory.go
+++ b/server/directory.go
@@ -25,8 +25,12 @@
 	recheckEvery = 250 * time.Millisecond
 	// expireEvery is the time between two looks for upstreams that have expired.
 	expireEvery = 100 * time.Millisecond
-	minTTL      = 100 * time.Millisecond
-	maxTTL      = time.Minute
+	// expireClaimsEvery is the time between two looks for old claims; a look costs time in
+	// proportion to their number.
+	expireClaimsEvery = 5 * time.Second
+
+	minTTL = 100 * time.Millisecond
+	maxTTL = time.Minute
 	// maxSlots bounds what one upstream may announce.
 	maxSlots = 4096
 )
@@ -221,6 +225,7 @@
 // expireUntil drops upstreams that are no longer announced and old claims, until ctx is
 // done.
 func (h *Host) expireUntil(ctx context.Context) {
+	claims := h.now()
 	for sleep(ctx, expireEvery) {
 		now := h.now()
 		h.directory.mu.Lock()
@@ -229,8 +234,11 @@
 		for _, a := range expired {
 			reporter.Log(ctx, h.log, reporter.UpstreamExpired, "upstream", a.Upstream, "service", a.Service)
 		}
-		h.table.Expire(now)
 		h.dispatcher.post(h.syncUpstreams)
+		if now.Sub(claims) >= expireClaimsEvery {
+			claims = now
+			h.claims.Expire(now)
+		}
 	}
 }
 
--- a/server/dispatcher.go
+++ b/server/dispatcher.go
@@ -50,7 +50,7 @@
 	// attempt runs one attempt on an upstream and reports by post. It must not block.
 	attempt func(j *job, index int, run taskRun, u owned)
 	// forward offers a queued task to a peer with free slots; it reports by post.
-	forward func(j *job, t scheduler.Task, run taskRun, host string)
+	forward func(j *job, t scheduler.Task, run taskRun, host string, n uint64)
 	// owns reports whether this host may start work on an upstream.
 	owns func(now time.Time, upstream string) bool
 	// finish records the outcome and wakes the callers. It must not block.
@@ -69,7 +69,8 @@
 	known     map[string]bool            // services of the documents in force
 	services  map[string]bool            // services with upstreams here
 	announced map[string]bool            // services with upstreams in the failure domain
-	received  map[string]uint64          // forwarded tasks that arrived, by peer
+	received  map[string]uint64          // number of the last task that arrived, by peer
+	forwards  uint64                     // number of the last task that was forwarded
 	seq       uint64                     // number of the last published state
 	published time.Time                  // when the metrics were last updated
 	peers     *peerSlots
--- a/server/host.go
+++ b/server/host.go
@@ -17,6 +17,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -119,6 +120,7 @@
 		documents:  documents{all: map[string]*inForce{}},
 		exchanging: newBusyHosts(),
 		releases:   newReleases(),
+		slots:      slots{incarnation: cfg.Incarnation},
 		cancel:     cancel,
 	}
 	h.directory = directory{
@@ -224,6 +226,8 @@
 		return notReady("the host is stopping")
 	case h.documents.get(validator.Production) == nil && h.documents.get(validator.Trial) == nil:
 		return notReady("no environment document is in force")
+	case !slices.Contains(h.domains(), h.cfg.Settings.Domain):
+		return notReady("the environment document does not name the failure domain " + h.cfg.Settings.Domain)
 	case !h.members.view().Has(h.self):
 		return notReady("the host is not yet a member of its failure domain's view")
 	case !h.synced():
--- a/server/remote.go
+++ b/server/remote.go
@@ -15,8 +15,10 @@
 	Team     string        `msgpack:"team"`
 	Class    string        `msgpack:"class"`
 	Estimate time.Duration `msgpack:"estimate"`
-	// From is the host that forwards the task.
-	From string `msgpack:"from"`
+	// From is the host that forwards the task, and Number grows with each task that it
+	// forwards, over restarts as well.
+	From   string `msgpack:"from"`
+	Number uint64 `msgpack:"number"`
 }
 
 // forwardedAnswer is the result of a forwarded task, with the free slots that the peer
@@ -76,8 +78,10 @@
 	if host == "" {
 		return
 	}
-	if n := moved(d.queue.Stats(now, service), r); n > 0 {
-		d.forwardTasks(now, host, service, n)
+	n := moved(d.queue.Stats(now, service), r)
+	if n > 0 && d.forwardTasks(now, host, service, n) == 0 {
+		// The head of the queue holds tasks of peers, which are not forwarded again.
+		d.peers.refuse(host, service)
 	}
 }
 
@@ -100,19 +104,23 @@
 	j := d.jobs[t.Job]
 	run := d.sending(now, j, t)
 	d.stats.Forwards++
-	d.peers.forwarded(host, t.Service)
-	d.forward(j, t, run, host)
+	d.forwards++
+	d.peers.forwarded(host, t.Service, d.forwards)
+	d.forward(j, t, run, host, d.forwards)
 }
 
 // forwardTask runs an attempt on a peer. It is called by the dispatcher.
-func (h *Host) forwardTask(j *job, t scheduler.Task, run taskRun, host string) {
+func (h *Host) forwardTask(j *job, t scheduler.Task, run taskRun, host string, n uint64) {
 	h.background.Go(func() {
-		a := h.forwardAndWait(j, t, run, host)
-		h.dispatcher.post(func(now time.Time) { h.dispatcher.ended(now, j, t.Index, a) })
+		a := h.forwardAndWait(j, t, run, host, n)
+		h.dispatcher.post(func(now time.Time) {
+			h.dispatcher.peers.answered(host, n)
+			h.dispatcher.ended(now, j, t.Index, a)
+		})
 	})
 }
 
-func (h *Host) forwardAndWait(j *job, t scheduler.Task, run taskRun, host string) taskAnswer {
+func (h *Host) forwardAndWait(j *job, t scheduler.Task, run taskRun, host string, n uint64) taskAnswer {
 	if err := j.mayStart(); err != nil {
 		return barred(err)
 	}
@@ -124,6 +132,7 @@
 		Class:    string(t.Class),
 		Estimate: t.Estimate,
 		From:     h.cfg.Settings.Host,
+		Number:   n,
 	})
 	var notSent *messenger.NotSentError
 	switch {
@@ -139,7 +148,7 @@
 	h.dispatcher.post(func(now time.Time) {
 		h.dispatcher.peers.learn(now, host, reply.Slots)
 		if reply.Answer.Result == runNotStarted {
-			h.dispatcher.peers.get(host).refused[t.Service] = true
+			h.dispatcher.peers.refuse(host, t.Service)
 		}
 	})
 	return reply.Answer
@@ -183,7 +192,7 @@
 
 // visit queues a task of a peer. A task that cannot be queued is answered at once.
 func (d *dispatcher) visit(now time.Time, in forwardedTask, v *visitor) {
-	d.received[in.From]++
+	d.received[in.From] = max(d.received[in.From], in.Number)
 	if _, ok := d.foreign[in.Run.TaskID]; ok {
 		v.answers <- notStarted(errTaskHere)
 		return
--- a/server/setup.go
+++ b/server/setup.go
@@ -59,6 +59,7 @@
 		orphans:     map[string]*job{},
 		taking:      map[string]time.Time{},
 		received:    map[string]uint64{},
+		forwards:    uint64(cfg.Now().UnixNano()),
 		known:       map[string]bool{},
 		announced:   map[string]bool{},
 		services:    map[string]bool{},
--- a/server/slots.go
+++ b/server/slots.go
@@ -28,10 +28,11 @@
 // slotReport is what a host tells a peer about its slots. It travels on messages that
 // are sent anyway.
 type slotReport struct {
-	// Seq grows with each report of one incarnation.
-	Seq uint64 `msgpack:"seq"`
-	// Received counts the forwarded tasks of the addressed host that the report
-	// reckons with.
+	// Incarnation is that of the reporting host; Seq grows with each of its reports.
+	Incarnation uint64 `msgpack:"incarnation"`
+	Seq         uint64 `msgpack:"seq"`
+	// Received is the number of the last forwarded task of the addressed host that the
+	// report reckons with.
 	Received uint64                   `msgpack:"received"`
 	Services map[string]serviceReport `msgpack:"services"`
 }
@@ -45,7 +46,8 @@
 
 // slots publishes the state of the dispatcher to other goroutines.
 type slots struct {
-	state atomic.Pointer[slotState]
+	incarnation uint64
+	state       atomic.Pointer[slotState]
 }
 
 // report returns the report for a peer.
@@ -55,9 +57,10 @@
 		return slotReport{}
 	}
 	return slotReport{
-		Seq:      state.seq,
-		Received: state.received[host],
-		Services: state.services,
+		Incarnation: s.incarnation,
+		Seq:         state.seq,
+		Received:    state.received[host],
+		Services:    state.services,
 	}
 }
 
@@ -74,14 +77,14 @@
 
 // peerState is what this host knows of the slots of one peer.
 type peerState struct {
-	seen     time.Time
-	distance time.Duration
-	seq      uint64
-	services map[string]serviceReport
-	// sent counts all tasks that were forwarded; pending holds the services of those
-	// that the last report does not reckon with.
-	sent    uint64
-	pending []string
+	seen        time.Time
+	distance    time.Duration
+	incarnation uint64
+	seq         uint64
+	services    map[string]serviceReport
+	// pending holds the forwarded tasks, by number, that are not answered and that the
+	// last report does not reckon with, with their services.
+	pending map[uint64]string
 	// refused holds the services for which the peer refused a task after its last report.
 	refused map[string]bool
 }
@@ -103,7 +106,10 @@
 func (p *peerSlots) get(host string) *peerState {
 	s, ok := p.all[host]
 	if !ok {
-		s = &peerState{refused: map[string]bool{}}
+		s = &peerState{
+			pending: map[uint64]string{},
+			refused: map[string]bool{},
+		}
 		p.all[host] = s
 	}
 	return s
@@ -112,20 +118,18 @@
 // learn takes a report of a peer. Reports that were overtaken by later ones are dropped.
 func (p *peerSlots) learn(now time.Time, host string, r slotReport) {
 	s := p.get(host)
-	if r.Services == nil || r.Seq < s.seq && r.Received <= s.sent && r.Received > 0 {
+	if r.Services == nil || r.Incarnation < s.incarnation || r.Incarnation == s.incarnation && r.Seq < s.seq {
 		return
 	}
 	s.seen = now
+	s.incarnation = r.Incarnation
 	s.seq = r.Seq
 	s.services = r.Services
 	clear(s.refused)
-	if r.Received > s.sent {
-		// The peer counts tasks of an earlier incarnation of this host.
-		s.sent = r.Received
-		s.pending = nil
-	}
-	if late := s.sent - r.Received; uint64(len(s.pending)) > late {
-		s.pending = s.pending[uint64(len(s.pending))-late:]
+	for n := range s.pending {
+		if n <= r.Received {
+			delete(s.pending, n)
+		}
 	}
 }
 
@@ -133,11 +137,13 @@
 func (p *peerSlots) forget(host string) { p.get(host).services = nil }
 
 // forwarded notes that a task has been sent to the peer.
-func (p *peerSlots) forwarded(host, service string) {
-	s := p.get(host)
-	s.sent++
-	s.pending = append(s.pending, service)
-}
+func (p *peerSlots) forwarded(host, service string, n uint64) { p.get(host).pending[n] = service }
+
+// answered notes that a forwarded task is with the peer no more.
+func (p *peerSlots) answered(host string, n uint64) { delete(p.get(host).pending, n) }
+
+// refuse notes that the peer takes no task of the service until its next report.
+func (p *peerSlots) refuse(host, service string) { p.get(host).refused[service] = true }
 
 // report returns the last report of a peer about a service, less what was forwarded
 // since.
--- /dev/null
+++ b/server/slots_test.go
@@ -0,0 +1,113 @@
+package server
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift/scheduler"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+const (
+	peerName    = "ikeja-2"
+	serviceUsed = "production/reseason-desk"
+)
+
+func reportOf(seq, received uint64, free, queued int) slotReport {
+	return slotReport{
+		Incarnation: 1,
+		Seq:         seq,
+		Received:    received,
+		Services: map[string]serviceReport{
+			serviceUsed: {
+				Free:   free,
+				Slots:  8,
+				Queued: queued,
+			},
+		},
+	}
+}
+
+// Guards against tasks for slots that are taken: forwarded tasks count against a report
+// until the peer's reports reckon with them or they are answered.
+func TestForwardedTasksCountAgainstReports(t *testing.T) {
+	g := NewWithT(t)
+	p := newPeerSlots(time.Second)
+	p.learn(start, peerName, reportOf(1, 0, 3, 0))
+	for n := range uint64(2) {
+		p.forwarded(peerName, serviceUsed, 100+n)
+	}
+	free := func() int {
+		r, _ := p.report(start, peerName, serviceUsed)
+		return r.Free
+	}
+	g.Expect(free()).To(Equal(1))
+	p.learn(start, peerName, reportOf(2, 100, 2, 0))
+	g.Expect(free()).To(Equal(1))
+	p.answered(peerName, 101)
+	g.Expect(free()).To(Equal(2))
+}
+
+// Guards against a report that was overtaken by a later one, and against a peer that
+// restarted and counts from the beginning.
+func TestReportsAreTakenInOrder(t *testing.T) {
+	g := NewWithT(t)
+	p := newPeerSlots(time.Second)
+	p.learn(start, peerName, reportOf(5, 0, 1, 0))
+	p.learn(start, peerName, reportOf(4, 0, 8, 0))
+	r, ok := p.report(start, peerName, serviceUsed)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(r.Free).To(Equal(1))
+	restarted := reportOf(1, 0, 8, 0)
+	restarted.Incarnation = 2
+	p.learn(start, peerName, restarted)
+	r, _ = p.report(start, peerName, serviceUsed)
+	g.Expect(r.Free).To(Equal(8))
+	_, ok = p.report(start.Add(2*time.Second), peerName, serviceUsed)
+	g.Expect(ok).To(BeFalse())
+}
+
+// Guards against queues that swing to and fro between two hosts, and against a host
+// without upstreams that keeps its tasks.
+func TestQueuesAreBalanced(t *testing.T) {
+	g := NewWithT(t)
+	own := scheduler.Stats{
+		ShortQueued: 30,
+		Slots:       8,
+	}
+	g.Expect(moved(own, serviceReport{Slots: 8, Queued: 10})).To(Equal(5))
+	g.Expect(moved(own, serviceReport{Slots: 8, Queued: 30})).To(BeZero())
+	g.Expect(moved(own, serviceReport{Slots: 8, Queued: 29})).To(BeZero())
+	own.Slots = 0
+	g.Expect(moved(own, serviceReport{Slots: 8, Queued: 100})).To(Equal(30))
+}
+
+// Guards against a caller that is taken for gone because the read timeout of its
+// connection ran out while it waited for its answer.
+func TestReadTimeoutDoesNotEndAWaitingCaller(t *testing.T) {
+	g := NewWithT(t)
+	const readTimeout = 50 * time.Millisecond
+	gone := make(chan bool, 1)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		withoutReadDeadline(w)
+		select {
+		case <-r.Context().Done():
+			gone <- true
+		case <-time.After(4 * readTimeout):
+			gone <- false
+		}
+	}))
+	s.Config.ReadTimeout = readTimeout
+	s.Start()
+	defer s.Close()
+	resp, err := http.Get(s.URL)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.Body.Close()).To(Succeed())
+	g.Expect(<-gone).To(BeFalse())
+	http.DefaultClient.CloseIdleConnections()
+}
--- a/server/submit.go
+++ b/server/submit.go
@@ -198,6 +198,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
 	defer cancel()
 	if r.Try > firstTry && !h.fence(ctx, env, r, j) {
+		close(j.claimed)
+		return
+	}
+	if !a.Admitted && r.HostKey {
+		// No other copy of the submission exists, so that nothing must be recorded.
+		close(j.claimed)
+		h.settle(j, a.refusal(j))
 		return
 	}
 	claim := claimer.Claim{
