Remove the lifting of the read deadline

Its test also passes without the change: net/http lifts the deadline by itself once the request has been read (seen with GET and POST and a read timeout of 50 ms).

Conclusion: no fault was there.

--- a/server/http.go
+++ b/server/http.go
@@ -117,21 +117,12 @@
 		writeError(w, err)
 		return
 	}
-	withoutReadDeadline(w)
 	o, err := h.submit(r.Context(), req)
 	w.Header().Set(sesamedrift.KeyHeader, req.Submission.Key.String())
 	w.Header().Set(sesamedrift.KeyCreatedHeader, req.Submission.Key.Created.Format(time.RFC3339Nano))
 	writeResponse(w, o, err)
 }
 
-// withoutReadDeadline lifts the read timeout of the connection once the request has been
-// read. The server takes a timeout for the departure of the caller, also while the caller
-// waits for its answer.
-func withoutReadDeadline(w http.ResponseWriter) {
-	// Recorders in tests have no deadline to lift.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-}
-
 func (h *Host) readSubmission(w http.ResponseWriter, r *http.Request) (*request, *Error) {
 	environment := r.Header.Get(environmentHeader)
 	if environment == "" {
@@ -225,7 +216,6 @@
 		writeError(w, err)
 		return
 	}
-	withoutReadDeadline(w)
 	o, err := h.find(r.Context(), key, try)
 	writeResponse(w, o, err)
 }
