Tell members of a recorded view at once, and beat as soon as it is installed

Cause: in a planned handover the new owners waited for a heartbeat to learn of the view, and for another one to hold its lease; the log showed 95 ms and 100 ms. A first try to tell the members cancelled its own calls, since the deferred cancel ran before the wait. A silent replica would have been waited for 5 s.

Change: the host that records a view sends it to the members; a host that installs a view, or gets a heartbeat of its view without holding the lease, sends heartbeats at once; another replica is asked after 500 ms.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -380,10 +380,7 @@
 		}
 	}
 	return poll(ctx, func() error {
-		owned := 0
-		for _, h := range d.running() {
-			owned += h.Owned()
-		}
+		owned := d.Owned()
 		if want := len(d.cfg.Domains) * d.cfg.Upstreams; owned < want {
 			return fmt.Errorf("launcher: %d of %d upstreams have an owner", owned, want)
 		}
@@ -401,6 +398,15 @@
 	return all
 }
 
+// Owned returns the number of upstreams that the running hosts may start work on.
+func (d *Deployment) Owned() int {
+	owned := 0
+	for _, h := range d.running() {
+		owned += h.Owned()
+	}
+	return owned
+}
+
 // Counters returns the totals over the running hosts.
 func (d *Deployment) Counters() server.Counters {
 	var total server.Counters
--- a/server/host.go
+++ b/server/host.go
@@ -85,6 +85,7 @@
 	slots      slots
 	metrics    *metrics
 
+	beat     chan struct{} // asks for a heartbeat before its time
 	pulling  atomic.Bool
 	stopping atomic.Bool
 	ready    atomic.Bool
@@ -120,6 +121,7 @@
 		documents:  documents{all: map[string]*inForce{}},
 		exchanging: newBusyHosts(),
 		releases:   newReleases(),
+		beat:       make(chan struct{}, 1),
 		slots:      slots{incarnation: cfg.Incarnation},
 		cancel:     cancel,
 	}
--- a/server/membership.go
+++ b/server/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,12 +81,21 @@
 		h.reportLease(ctx)
 		select {
 		case <-ticker.C:
+		case <-h.beat:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// beatNow asks for a heartbeat before its time.
+func (h *Host) beatNow() {
+	select {
+	case h.beat <- struct{}{}:
+	default:
+	}
+}
+
 // heartbeat sends one heartbeat to each member and, while this host is no member, to
 // each host of the domain. A peer that has not answered the last one is left out, so
 // that at most one message for each peer waits.
@@ -130,6 +140,7 @@
 	}
 	h.members.mu.Unlock()
 	if err == nil {
+		h.reportLease(ctx)
 		h.heard(host, reply.Slots, reply.Ack.Versions)
 		h.pullDirectory(host, reply.Ack.DirectorySeq)
 	}
@@ -139,12 +150,18 @@
 	now := h.now()
 	beat := in.Heartbeat
 	var ack leaser.Ack
+	holds := true
 	h.members.with(func(l *leaser.Leaser) {
 		if !l.View().Has(beat.From) {
 			l.Joining(now, beat.From)
 		}
 		ack = l.Answer(now, beat)
+		holds = beat.View != ack.View || l.Holds(now)
 	})
+	if !holds {
+		// The sender has installed the view; it will acknowledge a heartbeat now.
+		h.beatNow()
+	}
 	ack.Versions = h.entries.Versions()
 	ack.DirectorySeq = h.directorySeq()
 	h.heard(beat.From.Host, in.Slots, beat.Versions)
@@ -156,16 +173,17 @@
 }
 
 func (h *Host) reportLease(ctx context.Context) {
-	holds := h.members.holds(h.now())
 	h.members.mu.Lock()
+	holds := h.members.leaser.Holds(h.now())
+	view := h.members.leaser.View().Number
 	changed := holds != h.members.held
 	h.members.held = holds
 	h.members.mu.Unlock()
 	switch {
 	case changed && holds:
-		reporter.Log(ctx, h.log, reporter.LeaseHeld, "view", h.members.view().Number)
+		reporter.Log(ctx, h.log, reporter.LeaseHeld, "view", view)
 	case changed:
-		reporter.Log(ctx, h.log, reporter.LeaseLost, "view", h.members.view().Number)
+		reporter.Log(ctx, h.log, reporter.LeaseLost, "view", view)
 	}
 	if changed {
 		h.dispatcher.post(h.syncUpstreams)
@@ -240,6 +258,8 @@
 		hosts = append(hosts, m.Host)
 	}
 	reporter.Log(ctx, h.log, reporter.ViewInstalled, "view", v.Number, "members", hosts, "horizon", v.Horizon)
+	// The lease of the new view begins with heartbeats that are acknowledged in it.
+	h.beatNow()
 	h.syncClaims(ctx)
 	h.dispatcher.post(h.syncUpstreams)
 }
@@ -264,6 +284,7 @@
 		return false
 	case result.Status == registrar.Accepted:
 		h.install(ctx, next)
+		h.announceView(ctx, next)
 		return true
 	default:
 		h.readView(ctx)
@@ -271,6 +292,34 @@
 	}
 }
 
+// announceView tells the members of a recorded view and of the one before it, so that
+// they do not wait for the next heartbeat. A member that misses it reads the register.
+func (h *Host) announceView(ctx context.Context, v leaser.View) {
+	ctx, cancel := context.WithTimeout(ctx, h.cfg.Settings.LeaseTime.Std())
+	defer cancel()
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	told := map[string]bool{h.cfg.Settings.Host: true}
+	for _, m := range slices.Concat(v.Members, v.Former) {
+		if told[m.Host] {
+			continue
+		}
+		told[m.Host] = true
+		calls.Go(func() {
+			// A host that cannot be reached has died, or reads the register later.
+			_, _ = ask[nothing](ctx, h, m.Host, messenger.KindInstallView, v)
+		})
+	}
+}
+
+// serveInstallView installs a view that another member has recorded.
+func (h *Host) serveInstallView(v leaser.View) (nothing, error) {
+	if v.Domain == h.cfg.Settings.Domain {
+		h.background.Go(func() { h.install(context.Background(), v) })
+	}
+	return nothing{}, nil
+}
+
 // leave hands the upstreams of this host to the others in a planned stop.
 func (h *Host) leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
--- a/server/peers.go
+++ b/server/peers.go
@@ -136,6 +136,8 @@
 		return serve(body, func(in forwardedTask) (forwardedAnswer, error) { return h.serveRunTask(ctx, in) })
 	case messenger.KindStopTask:
 		return serve(body, h.serveStopTask)
+	case messenger.KindInstallView:
+		return serve(body, h.serveInstallView)
 	case messenger.KindStatus:
 		return serve(body, h.serveStatus)
 	default:
--- a/server/registers.go
+++ b/server/registers.go
@@ -21,6 +21,10 @@
 	registerCallTimeout = 2 * time.Second
 	// registerChangeTimeout bounds a whole change or majority read.
 	registerChangeTimeout = 5 * time.Second
+	// replicaTimeout is how long one replica is waited for before the next one is asked. It
+	// is a part of the time for which the upstreams of a dead host are idle, if a replica
+	// is silent at the same time.
+	replicaTimeout = 500 * time.Millisecond
 	// repairEvery is the time between two tries to repair an empty replica.
 	repairEvery = time.Second
 	// replicaSyncEvery is the time between two exchanges of a replica with the others.
@@ -260,7 +264,7 @@
 	err := errNoReplica
 	for _, replica := range h.replicas() {
 		var final bool
-		attempt, cancel := context.WithTimeout(ctx, registerChangeTimeout)
+		attempt, cancel := context.WithTimeout(ctx, replicaTimeout)
 		last, final, err = try(attempt, replica)
 		cancel()
 		if final || ctx.Err() != nil {
