claimer: test promises, lost claims and encoded messages

A promise lost with a view change, a promise dropped with a retracted claim, a first claim accepted after a promise, a lost claim that its host takes for unused and a horizon counted from evidence that is too new went unnoticed, as did a host that does not end the former view on its own table and a majority of tables that were never synced.

Change: focused tests for these seven. Random orders also record outcomes.

--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -173,6 +173,13 @@
 		Status: Unavailable,
 		Reason: reasonUnreached,
 	}))
+	g.Expect(c.node(0).t.Handle(start, leaser.View{
+		Number: 1,
+	}, Request{
+		Type:    TypeLookUp,
+		View:    1,
+		Created: start,
+	}).Status).To(Equal(WrongView), "its own table has ended the former view")
 	c.set(func() { c.node(1).down, c.node(2).down = false, false })
 	g.Expect(c.claim(1, Started).Status).To(Equal(Granted), "the others go on in the former view")
 	g.Expect(c.install(2, allMembers(3), member(0))).To(HaveKeyWithValue(member(0).Host, "true false"))
@@ -312,3 +319,110 @@
 		}
 	}
 }
+
+// Guards against a horizon that is too low: a member may accept a claim until it is known
+// to have ended the former view, so only what was known before the call may count.
+func TestHorizonCoversClaimsUntilTheFormerViewEnded(t *testing.T) {
+	g := NewWithT(t)
+	from := leaser.View{
+		Number:  1,
+		Members: allMembers(3),
+	}
+	view := leaser.View{
+		Number:  2,
+		Members: []leaser.Member{member(0), member(3)},
+	}
+	states := []tableState{{member: member(0)}, {member: member(1)}, {member: member(2)}}
+	for i := range 2 {
+		// Processes that lost their memory have ended the view, but hold no records.
+		states[i].read = true
+		states[i].from = member(i)
+		states[i].from.Incarnation = 2
+	}
+	v := judge(start, testMargin, view, from, states, false)
+	g.Expect(v.open).To(BeFalse())
+	g.Expect(v.ended).To(HaveLen(2))
+	states[0].endedBefore, states[1].endedBefore = true, true
+	v = judge(start, testMargin, view, from, states, false)
+	g.Expect(v.open).To(BeTrue())
+	g.Expect(v.complete).To(BeFalse())
+	g.Expect(v.horizon).To(Equal(start.Add(2 * testMargin)))
+	// Members that never synced for the former view know nothing of earlier views.
+	for i := range states {
+		states[i].read = true
+		states[i].from = member(i)
+		states[i].endedBefore = false
+	}
+	g.Expect(judge(start, testMargin, view, from, states, false).open).To(BeFalse())
+	states[2].synced = 1
+	g.Expect(judge(start, testMargin, view, from, states, false).complete).To(BeTrue())
+}
+
+// Guards against a host that runs a submission twice because it takes the record of its
+// own lost claim for one under which it started nothing.
+func TestOwnLostClaimIsNotRunAgain(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(5)
+	g.Expect(c.claim(0, Started).Status).To(Equal(Granted))
+	c.install(2, allMembers(5), allMembers(5)[1:]...)
+	c.set(func() { c.drop = func(_ string, r Request, _ bool) bool { return r.Type == TypeWrite } })
+	g.Expect(c.claim(1, Started).Status).To(Equal(Unknown))
+	c.set(func() {
+		c.drop = nil
+		c.node(1).down = true
+	})
+	rest := append(allMembers(1), allMembers(5)[2:]...)
+	for host, result := range c.install(3, allMembers(5)[1:], rest...) {
+		g.Expect(result).To(Equal("true false"), host)
+	}
+	var lost *LostError
+	g.Expect(errors.As(c.node(0).c.Finish(ctx, start, theKey, completeOutcome("seasoned")), &lost)).To(BeTrue())
+	g.Expect(c.claim(0, Started).Status).To(Equal(Unknown))
+	g.Expect(c.claim(2, Started).Status).To(Equal(Recorded))
+}
+
+// Guards against a promise that is forgotten when the view changes, or together with a
+// claim that its coordinator gave up: a former coordinator could then start what another
+// host has taken over.
+func TestPromisesAreKept(t *testing.T) {
+	g := NewWithT(t)
+	view := leaser.View{
+		Number:  1,
+		Members: allMembers(2),
+	}
+	claim := Claim{
+		Key:         theKey,
+		Created:     start,
+		Coordinator: member(0),
+		Phase:       Queued,
+	}
+	tables := []*Table{NewTable(testRetention), NewTable(testRetention)}
+	request := func(t *Table, kind RequestType, ballot uint64) ReplyStatus {
+		return t.Handle(start, view, Request{
+			Type:    kind,
+			View:    view.Number,
+			Key:     theKey,
+			Created: start,
+			Ballot:  ballot,
+			Claim:   claim,
+		}).Status
+	}
+	empty := NewTable(testRetention)
+	empty.open(1, time.Time{})
+	g.Expect(request(empty, TypeTakeOver, 1<<40)).To(Equal(Accepted))
+	g.Expect(request(empty, TypeClaim, 0)).To(Equal(Exists))
+	tables[0].open(1, time.Time{})
+	g.Expect(request(tables[0], TypeClaim, 0)).To(Equal(Accepted))
+	g.Expect(request(tables[0], TypeTakeOver, 1<<40)).To(Equal(Accepted))
+	tables[0].retract(theKey, member(0))
+	tables[1].Merge(tables[0].Handle(start, view, Request{
+		Type: TypeSync,
+		View: 2,
+	}).Records)
+	view.Number = 2
+	tables[1].open(2, time.Time{})
+	claim.Phase = Started
+	g.Expect(request(tables[1], TypeMark, 0)).To(Equal(Exists))
+	g.Expect(request(tables[1], TypeClaim, 0)).To(Equal(Exists))
+	g.Expect(request(tables[0], TypeClaim, 0)).To(Equal(WrongView), "the first table was read for the next view")
+}
--- a/claimer/cluster_test.go
+++ b/claimer/cluster_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/leaser"
 )
@@ -72,6 +74,19 @@
 
 var errDown = errors.New("connection refused")
 
+// transfer returns what arrives at another host.
+func transfer[T any](v T) T {
+	b, err := msgpack.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	var arrived T
+	if err := msgpack.Unmarshal(b, &arrived); err != nil {
+		panic(err)
+	}
+	return arrived
+}
+
 func (c *cluster) call(_ context.Context, m leaser.Member, r Request) (Reply, error) {
 	c.mu.Lock()
 	c.calls++
@@ -87,7 +102,7 @@
 	case drop != nil && drop(m.Host, r, false):
 		return Reply{}, errDown
 	}
-	reply := n.t.Handle(start, view, r)
+	reply := transfer(n.t.Handle(start, view, transfer(r)))
 	if drop != nil && drop(m.Host, r, true) {
 		return Reply{}, errDown
 	}
--- a/claimer/events_test.go
+++ b/claimer/events_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/leaser"
 )
 
@@ -16,6 +17,9 @@
 			add(fmt.Sprintf("host %d marks copy %d", w.s.copies[i], i), func(n *world) { n.again(i) })
 			add(fmt.Sprintf("host %d refuses copy %d", w.s.copies[i], i), func(n *world) { n.refuse(i) })
 		}
+		if c.op == nil && c.running && w.s.retry {
+			add(fmt.Sprintf("host %d finishes copy %d", w.s.copies[i], i), func(n *world) { n.finish(i) })
+		}
 		if c.op == nil && !c.claimed && !c.ended && h.alive && !w.busy(i) && w.viewOf(h.view).Has(h.c.cfg.Self) && (i == 0 || w.copies[0].op != nil || w.copies[0].ended || !w.hosts[w.s.copies[0]].alive) {
 			add(fmt.Sprintf("host %d gets copy %d", w.s.copies[i], i), func(n *world) { n.begin(i) })
 		}
@@ -99,6 +103,7 @@
 	for j, host := range w.s.copies {
 		if host == i {
 			w.copies[j].op = nil
+			w.copies[j].running = false
 			w.copies[j].ended = w.copies[j].ended || w.copies[j].gen > 0
 		}
 	}
@@ -125,3 +130,36 @@
 	}
 	return false
 }
+
+// refuse ends a claimed copy without a start.
+func (w *world) refuse(i int) {
+	host := w.host(w.s.copies[i])
+	claim, ok := host.c.active[theKey]
+	if !ok {
+		w.copies[i].ended = true
+		return
+	}
+	host.c.release(theKey)
+	claim.Outcome.Status = sesamedrift.Refused
+	w.record(i, claim)
+}
+
+// finish records the outcome of a copy that was started.
+func (w *world) finish(i int) {
+	claim, ok := w.hosts[w.s.copies[i]].c.active[theKey]
+	if !ok {
+		w.copies[i].running = false
+		return
+	}
+	claim.Outcome.Status = sesamedrift.Complete
+	w.record(i, claim)
+}
+
+func (w *world) record(i int, claim Claim) {
+	host := w.host(w.s.copies[i])
+	claim.Phase = Done
+	w.copies[i].gen++
+	w.owned[len(w.hosts)+i] = true
+	w.copies[i].op = host.c.begin(TypeRecord, w.viewOf(host.view), claim)
+	w.send(i)
+}
--- a/claimer/world_test.go
+++ b/claimer/world_test.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/leaser"
 )
 
@@ -92,6 +91,7 @@
 	gen     int
 	claimed bool
 	ended   bool
+	running bool // started, and its outcome was not recorded yet
 }
 
 // world is one state of a small case.
@@ -293,12 +293,16 @@
 			w.send(i)
 		}
 	case c.op.claim.Phase == Done && c.op.kind == TypeRecord:
-		c.ended = true
+		c.ended, c.running = true, false
+		if c.op.decision.Status == Granted || c.op.refused() {
+			host.forget(theKey)
+		}
 	case c.claimed: // the mark is finished
 		c.ended = true
 		switch {
 		case c.op.decision.Status == Granted:
 			host.hold(c.op.claim)
+			c.running = true
 			w.starts++
 		case c.op.refused():
 			host.forget(theKey)
@@ -313,7 +317,7 @@
 		case c.op.decision.Status != Granted:
 			c.ended = true
 		case c.op.claim.Phase == Started:
-			c.ended = true
+			c.ended, c.running = true, true
 			w.starts++
 		case !w.s.retry:
 			w.mark(i)
@@ -345,23 +349,6 @@
 	w.send(i)
 }
 
-// refuse ends a claimed copy without a start.
-func (w *world) refuse(i int) {
-	host := w.host(w.s.copies[i])
-	claim, ok := host.c.active[theKey]
-	if !ok {
-		w.copies[i].ended = true
-		return
-	}
-	host.c.release(theKey)
-	claim.Phase = Done
-	claim.Outcome.Status = sesamedrift.Refused
-	w.copies[i].gen++
-	w.owned[len(w.hosts)+i] = true
-	w.copies[i].op = host.c.begin(TypeRecord, w.viewOf(host.view), claim)
-	w.send(i)
-}
-
 func (w *world) begin(i int) {
 	host := w.host(w.s.copies[i])
 	claim := Claim{
