claimer: say in the package comment when Sync is done

Cause: the comment asked for Sync until it is complete, but a table that is open with a horizon never is.

Change: Sync is called until it returns no error.

--- a/claimer/doc.go
+++ b/claimer/doc.go
@@ -30,8 +30,8 @@
 //
 // The caller starts work only after Granted (phase started) or after Start returned nil,
 // and checks its lease (leaser.Leaser.Owns or Holds) between that and the start. It calls
-// Sync after it has installed a view, until it is complete, and proposes no view before
-// that. It answers the requests of other hosts with Table.Handle and calls
+// Sync after it has installed a view, until it returns no error, and proposes no view
+// before that. It answers the requests of other hosts with Table.Handle and calls
 // Claimer.Expire regularly.
 //
 // Unavailable means that no majority answered. This attempt will start nothing, but
