Make recorded refusals final for their try

Cause: a refusal released its key, so that a copy of the submission that was delayed in the network could run after its caller had been told "not run". A claim that records an outcome in place of a start was held as active, was taken for a recorded one before a majority had it, and a prepared one was taken for the record of a loss.

Change: claimer.Config.FinalRefusals, which the hosts set; a caller that wants to use its key again names the next try. Keys dated in the future are bad input.

Conclusion: "not run" stays true for late copies.

--- a/claimer/claim.go
+++ b/claimer/claim.go
@@ -50,6 +50,8 @@
 	Phase  Phase  `msgpack:"phase"`
 	// Outcome is set if the phase is Done.
 	Outcome sesamedrift.Outcome `msgpack:"outcome"`
+	// Final means that a refusal stands for good; see Config.FinalRefusals.
+	Final bool `msgpack:"final"`
 	// AnswerDropped means that the answers of the outcome are no longer held.
 	AnswerDropped bool `msgpack:"answer-dropped"`
 	// At is when the coordinator last changed the claim, by its own clock.
@@ -59,7 +61,7 @@
 // released reports whether the submission was refused without having run, so that it may
 // be claimed again.
 func (c Claim) released() bool {
-	return c.Phase == Done && c.Outcome.Status == sesamedrift.Refused
+	return c.Phase == Done && c.Outcome.Status == sesamedrift.Refused && !c.Final
 }
 
 func (c Claim) by(m leaser.Member) bool {
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -22,6 +22,10 @@
 	Table *Table
 	// Retention is the age up to which keys are accepted; it is that of the Table.
 	Retention time.Duration
+	// FinalRefusals makes a recorded refusal the answer to all later claims of the key, so
+	// that a copy of the submission that arrives late cannot run after "not run" was said.
+	// Without it, a key that was refused can be claimed again.
+	FinalRefusals bool
 	// ClockMargin is the largest difference between two clocks of hosts or clients.
 	ClockMargin time.Duration
 	// Call sends a request to the table of another member and returns its reply. It must
@@ -98,6 +102,7 @@
 	claim.Coordinator = c.cfg.Self
 	claim.Ballot = 0
 	claim.At = now
+	claim.Final = c.cfg.FinalRefusals
 	view := c.cfg.View()
 	if !view.Has(c.cfg.Self) {
 		return Decision{
@@ -115,6 +120,8 @@
 // given up is removed from its own table, as nothing will be started under it.
 func (c *Claimer) conclude(o *operation) {
 	switch {
+	case o.decision.Status == Granted && o.claim.Phase == Done:
+		// The claim records a final refusal; there is nothing to hold.
 	case o.decision.Status == Granted:
 		c.hold(o.claim)
 	case !o.ran:
@@ -324,6 +331,7 @@
 		c.release(key)
 	}
 	claim.Phase = Done
+	claim.Final = c.cfg.FinalRefusals
 	claim.Outcome = o
 	claim.At = now
 	if err := c.update(ctx, now, TypeRecord, claim); err != nil {
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -426,3 +426,36 @@
 	g.Expect(request(tables[1], TypeClaim, 0)).To(Equal(Exists))
 	g.Expect(request(tables[0], TypeClaim, 0)).To(Equal(WrongView), "the first table was read for the next view")
 }
+
+// Guards against a copy of a submission that arrives after its refusal and runs, where
+// refusals are final: for a claim that was given up and for one that was never granted.
+func TestFinalRefusalIsTheAnswerToLateCopies(t *testing.T) {
+	g := NewWithT(t)
+	refusal := sesamedrift.Outcome{
+		Status: sesamedrift.Refused,
+		Reason: "not run: queue is full",
+	}
+	c := newCluster(3)
+	for i := range 3 {
+		c.node(i).c.cfg.FinalRefusals = true
+	}
+	g.Expect(c.claim(0, Queued).Status).To(Equal(Granted))
+	g.Expect(c.node(0).c.Finish(ctx, start, theKey, refusal)).To(Succeed())
+	other := Claim{
+		Key:         "other",
+		Created:     start,
+		PayloadHash: "a",
+		Phase:       Done,
+		Outcome:     refusal,
+	}
+	d, err := c.node(2).c.Claim(ctx, start, other)
+	g.Expect(d.Status, err).To(Equal(Granted))
+	other.Phase = Started
+	for i := range 3 {
+		late := c.claim(i, Started)
+		g.Expect(late.Status).To(Equal(Recorded))
+		g.Expect(late.Outcome).To(Equal(refusal))
+		d, err = c.node(i).c.Claim(ctx, start, other)
+		g.Expect(d.Status, err).To(Equal(Recorded))
+	}
+}
--- a/claimer/operation.go
+++ b/claimer/operation.go
@@ -37,6 +37,8 @@
 	kind  RequestType
 	// ran is set if this process may have started the submission under an earlier claim.
 	ran bool
+	// loss is set when the claim that is written says that the outcome is lost.
+	loss bool
 
 	step    int
 	ballot  uint64
@@ -164,6 +166,10 @@
 		if o.states[i] != answered {
 			continue
 		}
+		if r.Status == Accepted && o.claim.Phase == Done {
+			// The member has just recorded the refusal that this claim carries.
+			continue
+		}
 		if c, ok := r.Record.done(); ok && !c.released() && (!found || c.better(best)) {
 			best, found = c, true
 		}
@@ -186,7 +192,7 @@
 	case TypeClaim, TypeMark, TypeRecord:
 		o.finish(o.granted())
 	case TypeWrite:
-		if o.claim.Phase == Done {
+		if o.loss {
 			o.finish(unknown(reasonLost))
 			return
 		}
@@ -222,7 +228,7 @@
 			return
 		}
 	case TypeTakeOver, TypeWrite:
-		if o.claim.Phase != Done && o.count(Exists) > 0 && o.tries < maxAttempts {
+		if !o.loss && o.count(Exists) > 0 && o.tries < maxAttempts {
 			o.prepare()
 			return
 		}
@@ -232,7 +238,7 @@
 		return
 	}
 	switch {
-	case o.kind == TypeWrite && o.claim.Phase == Done:
+	case o.kind == TypeWrite && o.loss:
 		o.finish(unknown(reasonLost))
 	case o.count(KeyExpired) > 0:
 		o.finish(Decision{
@@ -386,6 +392,7 @@
 
 // writeLoss writes with the prepared ballot that the outcome is unknown.
 func (o *operation) writeLoss() {
+	o.loss = true
 	o.claim.Ballot = o.ballot
 	o.claim.Phase = Done
 	o.claim.Outcome = sesamedrift.Outcome{
--- a/server/claims.go
+++ b/server/claims.go
@@ -40,7 +40,9 @@
 		Table:       table,
 		Retention:   defaultRetention,
 		ClockMargin: margin,
-		Call:        h.callMember,
+		// A caller that uses its key again after a refusal names the next try.
+		FinalRefusals: true,
+		Call:          h.callMember,
 	})
 }
 
--- a/server/submit.go
+++ b/server/submit.go
@@ -101,6 +101,13 @@
 		s.Key = sesamedrift.NewKey(now, h.cfg.Settings.Domain)
 		r.HostKey = true
 	}
+	if margin := h.cfg.Settings.ClockMargin.Std(); s.Key.Created.After(now.Add(margin)) {
+		return badField(&sesamedrift.InvalidError{
+			Field: sesamedrift.KeyHeader,
+			Value: s.Key.String(),
+			Want:  "a creation time that is not more than " + margin.String() + " after the time of the host",
+		})
+	}
 	if s.Deadline.IsZero() {
 		s.Deadline = now.Add(kind.Deadline.Std())
 	}
