Apply the retention time of the document to claims

Cause: the document's retention time was checked and shown, but claims used 10 min.

Change: the claim table takes the time when a document comes into force. When it grows, keys that may have been forgotten are answered unknown.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -20,8 +20,6 @@
 	View func() leaser.View
 	// Table is the table of this host; New makes it use Self and ClockMargin.
 	Table *Table
-	// Retention is the age up to which keys are accepted; it is that of the Table.
-	Retention time.Duration
 	// FinalRefusals makes a recorded refusal the answer to all later claims of the key, so
 	// that a copy of the submission that arrives late cannot run after "not run" was said.
 	// Without it, a key that was refused can be claimed again.
@@ -83,7 +81,7 @@
 			Now:     now,
 		}
 	}
-	if expired(now, claim.Created, c.cfg.Retention) {
+	if expired(now, claim.Created, c.cfg.Table.Retention()) {
 		return Decision{
 			Status: Expired,
 		}, nil
@@ -295,7 +293,7 @@
 		}
 	case claim.Phase == Started:
 		return nil
-	case expired(now, claim.Created, c.cfg.Retention):
+	case expired(now, claim.Created, c.cfg.Table.Retention()):
 		c.forget(key)
 		return &LostError{
 			Key:    key,
@@ -397,7 +395,7 @@
 			Want:  "the identity of a key, with its creation time",
 		}
 	}
-	if expired(now, created, c.cfg.Retention) {
+	if expired(now, created, c.cfg.Table.Retention()) {
 		return Decision{
 			Status: Expired,
 		}, nil
@@ -428,12 +426,12 @@
 func (c *Claimer) Expire(now time.Time) int {
 	c.mu.Lock()
 	for key, claim := range c.active {
-		if expired(now, claim.Created, c.cfg.Retention+c.cfg.ClockMargin) {
+		if expired(now, claim.Created, c.cfg.Table.Retention()+c.cfg.ClockMargin) {
 			delete(c.active, key)
 		}
 	}
 	for key, created := range c.ran {
-		if expired(now, created, c.cfg.Retention+c.cfg.ClockMargin) {
+		if expired(now, created, c.cfg.Table.Retention()+c.cfg.ClockMargin) {
 			delete(c.ran, key)
 		}
 	}
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -459,3 +459,23 @@
 		g.Expect(d.Status, err).To(Equal(Recorded))
 	}
 }
+
+// Guards against a key that was forgotten under a shorter retention time and runs again
+// after the time was made longer.
+func TestLongerRetentionDoesNotReviveForgottenKeys(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(3)
+	g.Expect(c.claim(0, Started).Status).To(Equal(Granted))
+	later := start.Add(testRetention + testMargin + time.Second)
+	for i := range 3 {
+		c.node(i).c.Expire(later)
+		c.node(i).t.SetRetention(later, 2*testRetention)
+	}
+	d, err := c.node(1).c.Claim(ctx, later, Claim{
+		Key:         theKey,
+		Created:     start,
+		PayloadHash: "a",
+		Phase:       Started,
+	})
+	g.Expect(d.Status, err).To(Equal(Unknown))
+}
--- a/claimer/cluster_test.go
+++ b/claimer/cluster_test.go
@@ -62,7 +62,6 @@
 			return n.view
 		},
 		Table:       n.t,
-		Retention:   testRetention,
 		ClockMargin: testMargin,
 		Call:        c.call,
 	})
--- a/claimer/example_test.go
+++ b/claimer/example_test.go
@@ -29,7 +29,6 @@
 			Self:        m,
 			View:        func() leaser.View { return view },
 			Table:       tables[m.Host],
-			Retention:   10 * time.Minute,
 			ClockMargin: time.Second,
 			Call: func(_ context.Context, to leaser.Member, r claimer.Request) (claimer.Reply, error) {
 				return tables[to.Host].Handle(now, view, r), nil
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -128,6 +128,24 @@
 	}
 }
 
+// Retention returns the age up to which keys are accepted.
+func (t *Table) Retention() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.retention
+}
+
+// SetRetention changes the age up to which keys are accepted. When it grows, keys that
+// may have been forgotten under the former value are Unknown unless their outcome is held.
+func (t *Table) SetRetention(now time.Time, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if forgotten := now.Add(-t.retention); d > t.retention && forgotten.After(t.horizon) {
+		t.horizon = forgotten
+	}
+	t.retention = d
+}
+
 // Handle answers a request of a member. The view is the present view of this host.
 // Requests that carry another view number, or that arrive before the table was synced for
 // the view, are answered with WrongView; sync requests of a higher view are answered, and
--- a/claimer/world_test.go
+++ b/claimer/world_test.go
@@ -168,7 +168,6 @@
 		c := New(Config{
 			Self:        member(i),
 			Table:       table,
-			Retention:   testRetention,
 			ClockMargin: testMargin,
 		})
 		table.open(1, time.Time{})
--- a/server/claims.go
+++ b/server/claims.go
@@ -38,7 +38,6 @@
 		Self:        h.self,
 		View:        h.members.view,
 		Table:       table,
-		Retention:   defaultRetention,
 		ClockMargin: margin,
 		// A caller that uses its key again after a refusal names the next try.
 		FinalRefusals: true,
--- a/server/configuration.go
+++ b/server/configuration.go
@@ -115,6 +115,9 @@
 		return
 	}
 	reporter.Log(ctx, h.log, reporter.ConfigurationInForce, "environment", document.Name, "version", e.Version, "digest", e.Digest)
+	if document.Name == validator.Production {
+		h.table.SetRetention(h.now(), document.Limits.Retention.Std())
+	}
 	h.dispatcher.post(func(now time.Time) { h.dispatcher.configure(now, document, h.cfg.Settings.Domain, h.peerDomains()) })
 }
 
--- a/server/forward.go
+++ b/server/forward.go
@@ -157,7 +157,7 @@
 	case claimer.Joined:
 		return h.findAt(ctx, d.Coordinator, l)
 	case claimer.Expired:
-		return sesamedrift.Outcome{}, keyExpired(l.Key.String(), defaultRetention)
+		return sesamedrift.Outcome{}, keyExpired(l.Key.String(), h.table.Retention())
 	case claimer.Unknown, claimer.Unavailable:
 		return keyUnknown(l.Key, "the submission may have run"), nil
 	case claimer.Absent:
--- a/server/submit.go
+++ b/server/submit.go
@@ -177,7 +177,7 @@
 		}
 		return h.wait(ctx, existing)
 	}
-	h.background.Go(func() { h.claimAndRun(env, r, j, admitted) })
+	h.background.Go(func() { h.claimAndRun(r, j, admitted) })
 	return h.wait(ctx, j)
 }
 
@@ -201,10 +201,10 @@
 }
 
 // claimAndRun claims the key of a job and then queues, joins or ends it.
-func (h *Host) claimAndRun(env *inForce, r *request, j *job, a admission) {
+func (h *Host) claimAndRun(r *request, j *job, a admission) {
 	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
 	defer cancel()
-	if r.Try > firstTry && !h.fence(ctx, env, r, j) {
+	if r.Try > firstTry && !h.fence(ctx, r, j) {
 		close(j.claimed)
 		return
 	}
@@ -234,9 +234,9 @@
 	case claimer.Granted:
 		h.run(j, a, claim)
 	case claimer.Joined, claimer.Unavailable:
-		h.joinOrClaim(env, r, j, a, claim, d)
+		h.joinOrClaim(r, j, a, claim, d)
 	default:
-		h.follow(env, j, d)
+		h.follow(j, d)
 	}
 }
 
@@ -253,7 +253,7 @@
 
 // joinOrClaim waits for the host that has the claim. If that host gave way to another
 // one in the meantime, or the claim was contested, the claim is tried again.
-func (h *Host) joinOrClaim(env *inForce, r *request, j *job, a admission, claim claimer.Claim, d claimer.Decision) {
+func (h *Host) joinOrClaim(r *request, j *job, a admission, claim claimer.Claim, d claimer.Decision) {
 	claim = withoutStart(claim)
 	for range maxJoins {
 		switch d.Status {
@@ -273,7 +273,7 @@
 			h.run(j, a, claim)
 			return
 		default:
-			h.follow(env, j, d)
+			h.follow(j, d)
 			return
 		}
 		if h.now().After(j.deadline) || !sleep(j.ctx, minJoinPause+rand.N(maxJoinPause-minJoinPause)) {
@@ -316,7 +316,7 @@
 }
 
 // follow answers a job that this host may not run, from the claim that exists.
-func (h *Host) follow(env *inForce, j *job, d claimer.Decision) {
+func (h *Host) follow(j *job, d claimer.Decision) {
 	switch d.Status {
 	case claimer.Recorded:
 		h.settle(j, own(d.Outcome, j))
@@ -325,7 +325,7 @@
 	case claimer.Conflict:
 		h.settleError(j, keyConflict(j.sub.Key.String()))
 	case claimer.Expired:
-		h.settleError(j, keyExpired(j.sub.Key.String(), env.Document.Limits.Retention.Std()))
+		h.settleError(j, keyExpired(j.sub.Key.String(), h.table.Retention()))
 	case claimer.Unknown:
 		h.settle(j, sesamedrift.NotComplete(&j.sub, sesamedrift.Unknown, "the submission may have run before"))
 	case claimer.Granted, claimer.Unavailable, claimer.Absent:
@@ -335,7 +335,7 @@
 
 // fence makes sure that the try before this one was refused and can start nothing any
 // more. It reports whether the present try may go on.
-func (h *Host) fence(ctx context.Context, env *inForce, r *request, j *job) bool {
+func (h *Host) fence(ctx context.Context, r *request, j *job) bool {
 	refusal := sesamedrift.NotComplete(&j.sub, sesamedrift.Refused, "not run: a later try took its place")
 	d, err := h.claims.Claim(ctx, h.now(), claimer.Claim{
 		Key:         tryIdentity(r.Submission.Key, r.Try-1),
@@ -351,7 +351,7 @@
 	if d.Status == claimer.Granted || d.Status == claimer.Recorded && d.Outcome.Status == sesamedrift.Refused {
 		return true
 	}
-	h.follow(env, j, d)
+	h.follow(j, d)
 	return false
 }
 
