--- /dev/null
+++ b/server/admission.go
@@ -0,0 +1,74 @@
+package server
+
+import (
+	"time"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/limiter"
+	"sesamedrift.example/sesamedrift/scheduler"
+)
+
+// admission is the decision on a new submission.
+type admission struct {
+	Admitted bool
+	// StartsNow says that there are free slots for every task.
+	StartsNow  bool
+	Reason     string
+	RetryAfter time.Duration
+}
+
+func (a admission) refusal(j *job) sesamedrift.Outcome {
+	o := sesamedrift.NotComplete(&j.sub, sesamedrift.Refused, "not run: "+a.Reason)
+	o.RetryAfter = a.RetryAfter
+	return o
+}
+
+// admit decides whether a new job is taken. A refused job uses nothing of its team's
+// quota.
+func (d *dispatcher) admit(now time.Time, j *job) admission {
+	e := d.times.Estimate(now, j.service, j.kind.Name)
+	wait := d.wait(now, j)
+	refuse := func(v limiter.Verdict, reason string) admission {
+		d.stats.Refused++
+		return admission{
+			Reason:     reason,
+			RetryAfter: d.hints.Hint(now, max(v.RetryAfter, wait)),
+		}
+	}
+	if d.health.KindFails(j.service, j.kind.Name) && !d.health.Trial(now, j.service, j.kind.Name) {
+		return refuse(limiter.Verdict{}, "every upstream fails this kind at present")
+	}
+	load := limiter.Load{
+		Wait:    wait,
+		Typical: e.P50,
+		Slow:    e.P95,
+		Samples: e.Samples,
+	}
+	if v := limiter.Decide(now, j.deadline, load); !v.Admitted {
+		return refuse(v, "the deadline cannot be met by the present estimate")
+	}
+	if q := d.quotas.Admit(now, j.team, len(j.tasks)); !q.Admitted {
+		return refuse(limiter.Verdict{RetryAfter: q.RetryAfter}, "the quota of the team is used up")
+	}
+	return admission{
+		Admitted:  true,
+		StartsNow: d.queue.Free(j.service) >= len(j.tasks),
+	}
+}
+
+// wait estimates the time until the last task of a new job starts. A task that cannot
+// start here moves to a peer where it starts earlier.
+func (d *dispatcher) wait(now time.Time, j *job) time.Duration {
+	wait := min(d.queue.WaitFor(now, d.allTasks(now, j)...), d.peers.wait(now, j.service))
+	if wait >= scheduler.MaxWait && d.announced[j.service] {
+		// The owner of the announced upstreams has not reported its slots yet.
+		return 0
+	}
+	return wait
+}
+
+// hint returns when a refused submission may be sent again.
+func (d *dispatcher) hint(now time.Time, j *job) time.Duration {
+	e := d.times.Estimate(now, j.service, j.kind.Name)
+	return d.hints.Hint(now, d.queue.Wait(now, j.service, e.Class))
+}
--- /dev/null
+++ b/server/claiming.go
@@ -0,0 +1,191 @@
+package server
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/claimer"
+)
+
+const (
+	// maxJoins bounds how often a submission looks for the host that runs it. Hosts that
+	// claim a key at the same time may each join another one that gives way too; the
+	// pause between two looks is random, so that one of them comes first.
+	maxJoins     = 20
+	minJoinPause = 2 * time.Millisecond
+	maxJoinPause = 30 * time.Millisecond
+)
+
+// claimAndRun claims the key of a job and then queues, joins or ends it.
+func (h *Host) claimAndRun(r *request, j *job, a admission) {
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	defer cancel()
+	if r.Try > firstTry && !h.fence(ctx, r, j) {
+		close(j.claimed)
+		return
+	}
+	if !a.Admitted && r.HostKey {
+		// No other copy of the submission exists, so that nothing must be recorded.
+		close(j.claimed)
+		h.settle(j, a.refusal(j))
+		return
+	}
+	claim := claimer.Claim{
+		Key:         j.identity,
+		Created:     r.Submission.Key.Created,
+		PayloadHash: j.digest,
+		Phase:       claimer.Queued,
+	}
+	switch {
+	case !a.Admitted:
+		claim.Phase = claimer.Done
+		claim.Outcome = a.refusal(j)
+	case a.StartsNow:
+		claim.Phase = claimer.Started
+	}
+	d := h.claim(ctx, claim)
+	j.granted.Store(d.Status == claimer.Granted)
+	close(j.claimed)
+	switch d.Status {
+	case claimer.Granted:
+		h.run(j, a, claim)
+	case claimer.Joined, claimer.Unavailable:
+		h.joinOrClaim(r, j, a, claim, d)
+	default:
+		h.follow(j, d)
+	}
+}
+
+func (h *Host) claim(ctx context.Context, claim claimer.Claim) claimer.Decision {
+	d, err := h.claims.Claim(ctx, h.now(), claim)
+	if err != nil {
+		return claimer.Decision{
+			Status: claimer.Unavailable,
+			Reason: err.Error(),
+		}
+	}
+	return d
+}
+
+// joinOrClaim waits for the host that has the claim. If that host gave way to another
+// one in the meantime, or the claim was contested, the claim is tried again.
+func (h *Host) joinOrClaim(r *request, j *job, a admission, claim claimer.Claim, d claimer.Decision) {
+	claim = withoutStart(claim)
+	for range maxJoins {
+		switch d.Status {
+		case claimer.Joined:
+			response := h.join(j, d.Coordinator)
+			if response.Error == nil || response.Error.Code != codeNotCoordinator {
+				h.settleResponse(j, response)
+				return
+			}
+		case claimer.Unavailable:
+			if !h.members.holds(h.now()) {
+				h.settle(j, unavailable(j, r.HostKey))
+				return
+			}
+		case claimer.Granted:
+			j.granted.Store(true)
+			h.run(j, a, claim)
+			return
+		default:
+			h.follow(j, d)
+			return
+		}
+		if h.now().After(j.deadline) || !sleep(j.ctx, minJoinPause+rand.N(maxJoinPause-minJoinPause)) {
+			break
+		}
+		ctx, cancel := context.WithTimeout(j.ctx, claimTimeout)
+		d = h.claim(ctx, claim)
+		cancel()
+	}
+	h.settle(j, unavailable(j, r.HostKey && d.Status == claimer.Unavailable))
+}
+
+// withoutStart returns the claim of a job whose slots may have been taken by others since
+// it was admitted.
+func withoutStart(c claimer.Claim) claimer.Claim {
+	if c.Phase == claimer.Started {
+		c.Phase = claimer.Queued
+	}
+	return c
+}
+
+// run queues a job whose claim was granted, or ends it if it was not admitted.
+func (h *Host) run(j *job, a admission, claim claimer.Claim) {
+	if !a.Admitted {
+		h.settle(j, claim.Outcome)
+		return
+	}
+	if claim.Phase == claimer.Queued {
+		j.markStarted = func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+			defer cancel()
+			return h.claims.Start(ctx, h.now(), j.identity)
+		}
+	}
+	h.dispatcher.post(func(now time.Time) {
+		if !j.finished {
+			h.dispatcher.enqueue(now, j)
+		}
+	})
+}
+
+// follow answers a job that this host may not run, from the claim that exists.
+func (h *Host) follow(j *job, d claimer.Decision) {
+	switch d.Status {
+	case claimer.Recorded:
+		h.settle(j, own(d.Outcome, j))
+	case claimer.Joined:
+		h.settleResponse(j, h.join(j, d.Coordinator))
+	case claimer.Conflict:
+		h.settleError(j, keyConflict(j.sub.Key.String()))
+	case claimer.Expired:
+		h.settleError(j, keyExpired(j.sub.Key.String(), h.table.Retention()))
+	case claimer.Unknown:
+		h.settle(j, sesamedrift.NotComplete(&j.sub, sesamedrift.Unknown, "the submission may have run before"))
+	case claimer.Granted, claimer.Unavailable, claimer.Absent:
+		panic("server: decision " + string(d.Status) + " has nothing to follow")
+	}
+}
+
+// fence makes sure that the try before this one was refused and can start nothing any
+// more. It reports whether the present try may go on.
+func (h *Host) fence(ctx context.Context, r *request, j *job) bool {
+	refusal := sesamedrift.NotComplete(&j.sub, sesamedrift.Refused, "not run: a later try took its place")
+	d, err := h.claims.Claim(ctx, h.now(), claimer.Claim{
+		Key:         tryIdentity(r.Submission.Key, r.Try-1),
+		Created:     r.Submission.Key.Created,
+		PayloadHash: j.digest,
+		Phase:       claimer.Done,
+		Outcome:     refusal,
+	})
+	if err != nil || d.Status == claimer.Unavailable {
+		h.settle(j, unavailable(j, false))
+		return false
+	}
+	if d.Status == claimer.Granted || d.Status == claimer.Recorded && d.Outcome.Status == sesamedrift.Refused {
+		return true
+	}
+	h.follow(j, d)
+	return false
+}
+
+// unavailable returns the outcome of a job whose claim did not reach a majority. Only a
+// key that this system made for this request is known to have no other copy.
+func unavailable(j *job, hostKey bool) sesamedrift.Outcome {
+	if hostKey {
+		o := sesamedrift.NotComplete(&j.sub, sesamedrift.Refused, "not run: no majority of the failure domain can be reached")
+		o.RetryAfter = time.Second
+		return o
+	}
+	return sesamedrift.NotComplete(&j.sub, sesamedrift.Unknown, "no majority of the failure domain can be reached")
+}
+
+// own returns a recorded outcome under the key text that the caller used.
+func own(o sesamedrift.Outcome, j *job) sesamedrift.Outcome {
+	o.Key = j.sub.Key.String()
+	return o
+}
