generator: add the load generator and sesamedrift load

Cause: nothing measured what callers see, or compared the policies.

Change: package generator draws arrivals from a seed, sends them to real hosts at their scheduled times and counts violations at upstreams and callers; the command prints the policies side by side with the bounds. The stand-in upstream reports the end of a task, so that running tasks can be compared with slots, and the launcher keeps the counters of hosts that ended.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -115,6 +115,7 @@
 			c.cancelCommand(),
 			c.statusCommand(),
 			c.demoCommand(),
+			c.loadCommand(),
 		},
 	}
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -53,6 +53,8 @@
 	Faults Faults
 	// OnStart is called at each start of a task if it is set.
 	OnStart func(taskID string, attempt int)
+	// OnEnd is called at each end of a task, before its slot is free, if it is set.
+	OnEnd func()
 }
 
 // Work is the payload that an executor understands. A payload of another form runs for
--- a/executor/run.go
+++ b/executor/run.go
@@ -84,6 +84,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running[id].cancel(nil)
+	if e.cfg.OnEnd != nil {
+		e.cfg.OnEnd()
+	}
 	delete(e.running, id)
 	if len(e.running) == 0 {
 		close(e.idle)
--- /dev/null
+++ b/generator/generator_test.go
@@ -0,0 +1,207 @@
+package generator
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/scheduler"
+	"sesamedrift.example/sesamedrift/validator"
+)
+
+var begin = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+// Guards against policies that are compared under different arrivals.
+func TestDrawRepeatsForASeed(t *testing.T) {
+	g := NewWithT(t)
+	for _, s := range Scenarios() {
+		for i := range s.Phases {
+			p := &s.Phases[i]
+			first := p.draw(7, 384, 8, 4)
+			g.Expect(first).NotTo(BeEmpty())
+			g.Expect(p.draw(7, 384, 8, 4)).To(Equal(first))
+			g.Expect(p.draw(8, 384, 8, 4)).NotTo(Equal(first))
+		}
+	}
+}
+
+// Guards against a load that differs from the one in the table's heading.
+func TestDrawOffersTheLoad(t *testing.T) {
+	g := NewWithT(t)
+	for _, s := range Scenarios() {
+		for i := range s.Phases {
+			p := s.Phases[i]
+			p.During = 200 * time.Second
+			var work time.Duration
+			last := time.Duration(0)
+			for _, j := range p.draw(7, 384, 8, 4) {
+				g.Expect(j.At).To(BeNumerically(">=", last))
+				last = j.At
+				work += j.Work()
+			}
+			g.Expect(work.Seconds() / 200 / 384).To(BeNumerically("~", p.Load(), 0.05*p.Load()))
+		}
+	}
+}
+
+// Guards against a comparison with and without long work over different short work.
+func TestLongWorkLeavesShortWorkAsItIs(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := Find("previews")
+	var short []Job
+	for _, j := range s.Phases[1].draw(7, 384, 8, 4) {
+		if !j.Kind.Long {
+			short = append(short, j)
+		}
+	}
+	g.Expect(short).To(Equal(s.Phases[0].draw(7, 384, 8, 4)))
+}
+
+// Guards against documents that hosts refuse.
+func TestDocumentsAreValid(t *testing.T) {
+	g := NewWithT(t)
+	for _, s := range Scenarios() {
+		data, err := s.document(384)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = validator.ParseEnvironment(data)
+		g.Expect(err).NotTo(HaveOccurred(), s.Name)
+	}
+}
+
+func answers(key string, indices ...int) [][]byte {
+	all := make([][]byte, 0, len(indices))
+	for _, i := range indices {
+		all = append(all, fmt.Appendf(nil, `{"echo":%q}`, echo(key, i)))
+	}
+	return all
+}
+
+func complete(key string, a [][]byte) sesamedrift.Outcome {
+	return sesamedrift.Outcome{Key: key, Status: sesamedrift.Complete, Answers: a}
+}
+
+// Guards against checks that pass whatever happens: each case breaks one invariant.
+func TestLedgerFindsViolations(t *testing.T) {
+	refused := sesamedrift.Outcome{Key: "a.1", Status: sesamedrift.Refused}
+	start := func(l *Ledger, upstream, task string, attempt int) { l.Start(begin, upstream, task, attempt) }
+	both := func(l *Ledger) {
+		start(l, "u", "a.1@t/0", 1)
+		start(l, "u", "a.1@t/1", 1)
+	}
+	cases := map[string]struct {
+		rule   Rule // empty if nothing is violated
+		breaks func(l *Ledger)
+	}{
+		"in order":                          {"", func(l *Ledger) { both(l); l.Outcome("a.1", complete("a.1", answers("a.1", 0, 1))) }},
+		"retry of a single idempotent task": {"", func(l *Ledger) { start(l, "u", "b.1@t/0", 1); start(l, "v", "b.1@t/0", 2) }},
+		"slots are used again":              {"", func(l *Ledger) { both(l); l.End("u"); start(l, "u", "b.1@t/0", 1) }},
+		"leaving for a short time":          {"", func(l *Ledger) { l.Leave(begin.Add(-leaveLimit), "u"); start(l, "u", "b.1@t/0", 1) }},
+		"refused twice":                     {"", func(l *Ledger) { l.Outcome("a.1", refused); l.Outcome("a.1", refused) }},
+
+		"task of a job twice":      {RuleStartedTwice, func(l *Ledger) { start(l, "u", "a.1@t/0", 1); start(l, "v", "a.1@t/0", 2) }},
+		"task in two tries":        {RuleStartedTwice, func(l *Ledger) { start(l, "u", "a.1@t/0", 1); start(l, "v", "a.1@t+2/0", 1) }},
+		"same attempt twice":       {RuleStartedTwice, func(l *Ledger) { start(l, "u", "b.1@t/0", 1); start(l, "v", "b.1@t/0", 1) }},
+		"not idempotent":           {RuleStartedTwice, func(l *Ledger) { start(l, "u", "c.1@t/0", 1); start(l, "v", "c.1@t/0", 2) }},
+		"partial answer":           {RuleAnswer, func(l *Ledger) { both(l); l.Outcome("a.1", complete("a.1", answers("a.1", 0))) }},
+		"answers in another order": {RuleAnswer, func(l *Ledger) { both(l); l.Outcome("a.1", complete("a.1", answers("a.1", 1, 0))) }},
+		"answer of another job":    {RuleAnswer, func(l *Ledger) { both(l); l.Outcome("a.1", complete("a.1", answers("b.1", 0, 1))) }},
+		"outcome of another job":   {RuleAnswer, func(l *Ledger) { both(l); l.Outcome("a.1", complete("b.1", answers("a.1", 0, 1))) }},
+		"answer that is no JSON":   {RuleAnswer, func(l *Ledger) { both(l); l.Outcome("a.1", complete("a.1", [][]byte{{}, {}})) }},
+		"answer without a start":   {RuleAnswer, func(l *Ledger) { l.Outcome("b.1", complete("b.1", answers("b.1", 0))) }},
+		"answer beside a failure": {RuleAnswer, func(l *Ledger) {
+			l.Outcome("a.1", sesamedrift.Outcome{Key: "a.1", Status: sesamedrift.Failed, Answers: answers("a.1", 0)})
+		}},
+		"answer to nobody":          {RuleAnswer, func(l *Ledger) { l.Outcome("d.1", refused) }},
+		"refused after a start":     {RuleRefused, func(l *Ledger) { both(l); l.Outcome("a.1", refused) }},
+		"started after a refusal":   {RuleRefused, func(l *Ledger) { l.Outcome("a.1", refused); start(l, "u", "a.1@t/1", 1) }},
+		"work for a leaving one":    {RuleLeaving, func(l *Ledger) { l.Leave(begin.Add(-leaveLimit-1), "u"); start(l, "u", "b.1@t/0", 1) }},
+		"more tasks than slots":     {RuleSlots, func(l *Ledger) { both(l); start(l, "u", "b.1@t/0", 1) }},
+		"start of an unknown key":   {RuleUnasked, func(l *Ledger) { start(l, "u", "d.1@t/0", 1) }},
+		"start of a task too many":  {RuleUnasked, func(l *Ledger) { start(l, "u", "b.1@t/1", 1) }},
+		"task identifier is broken": {RuleUnasked, func(l *Ledger) { start(l, "u", "b.1", 1) }},
+		"planned stop cuts":         {RuleInterrupted, func(l *Ledger) { l.Violate(RuleInterrupted, "cut") }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := NewLedger(2)
+			l.Submit("a.1", 2, true)
+			l.Submit("b.1", 1, true)
+			l.Submit("c.1", 1, false)
+			c.breaks(l)
+			a := l.Audit()
+			if c.rule == "" {
+				g.Expect(a.Examples).To(BeEmpty())
+				g.Expect(a.Broken()).To(BeZero())
+				return
+			}
+			g.Expect(a.Violations).To(HaveLen(1))
+			g.Expect(a.Violations[c.rule]).To(BeNumerically(">", 0))
+			g.Expect(a.Examples).NotTo(BeEmpty())
+		})
+	}
+}
+
+// Guards against response times that count from the sending, and against late answers
+// that count as goodput.
+func TestMeasureCountsFromTheSchedule(t *testing.T) {
+	g := NewWithT(t)
+	kind := Kind{Name: "k", Deadline: time.Second}
+	job := func(at time.Duration) Job {
+		return Job{At: at, Kind: kind, RunTimes: []time.Duration{100 * time.Millisecond, 50 * time.Millisecond}}
+	}
+	p := Phase{Name: "p", During: 3 * time.Second, WarmUp: time.Second}
+	r := measure(&p, 1, []Job{job(0), job(time.Second), job(time.Second), job(time.Second), job(time.Second)}, []sample{
+		{status: sesamedrift.Complete, ended: 100 * time.Millisecond},
+		{sent: 1500 * time.Millisecond, status: sesamedrift.Complete, ended: 1600 * time.Millisecond},
+		{status: sesamedrift.Complete, ended: 2001 * time.Millisecond},
+		{status: sesamedrift.Refused, reason: "not run: the deadline cannot be met by the present estimate"},
+		{status: sesamedrift.Refused, reason: expiredReason, retryAfter: time.Second},
+	})
+	g.Expect(r.Jobs).To(Equal(4))
+	g.Expect(r.Goodput).To(BeNumerically("~", 0.15/2, 1e-9))
+	g.Expect(r.Offered).To(BeNumerically("~", 4*0.15/2, 1e-9))
+	g.Expect(r.Ratio.Min()).To(BeNumerically("~", 6*ratioUnit, ratioUnit/100))
+	g.Expect(r.Accepted).To(Equal(3))
+	g.Expect(r.Late).To(Equal(2))
+	g.Expect(r.Expired).To(Equal(1))
+	g.Expect(r.Unhinted).To(Equal(1))
+}
+
+// Guards against a table that hides a missed bound or a violation.
+func TestTableMatchesGolden(t *testing.T) {
+	g := NewWithT(t)
+	s := Scenario{Name: "counter", Summary: "a summary", Note: "A note."}
+	result := func(p scheduler.Policy, ratio float64, audit Audit) Result {
+		return Result{
+			Scenario: "counter",
+			Policy:   p,
+			Seed:     7,
+			Slots:    384,
+			Audit:    audit,
+			Figures: []Figure{
+				atMost("response over ideal, median", ratio, maxMedianRatio),
+				atLeast("goodput", ratio, minGoodput),
+				plain("task starts", "", 16712),
+				plain("lag", "ms", 0.5),
+				atMost("violations", float64(audit.Broken()), 0),
+			},
+		}
+	}
+	var out bytes.Buffer
+	g.Expect(WriteTable(&out, &s, []Result{
+		result(scheduler.Sesame, 1.01, Audit{}),
+		result(scheduler.FIFORandom, 1.06, Audit{
+			Violations: map[Rule]int{RuleSlots: 1},
+			Examples:   []string{"slots: upstream u runs 9 tasks on 8 slots"},
+		}),
+	})).To(Succeed())
+	golden, err := os.ReadFile("testdata/table.golden")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out.String()).To(Equal(string(golden)))
+}
--- /dev/null
+++ b/generator/measure.go
@@ -0,0 +1,163 @@
+package generator
+
+import (
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/scheduler"
+	"sesamedrift.example/sesamedrift/server"
+)
+
+const (
+	// ratioUnit is the resolution at which ratios are recorded.
+	ratioUnit = 10000
+	// histogramDigits is the precision of the histograms.
+	histogramDigits = 3
+	maxRecorded     = int64(time.Hour / time.Microsecond)
+	// expiredReason is how a host refuses a job that it admitted and whose deadline
+	// passed in the queue.
+	expiredReason = "not run: the deadline cannot be met"
+)
+
+// Result is one run of a scenario under one policy.
+type Result struct {
+	Scenario string           `json:"scenario"`
+	Policy   scheduler.Policy `json:"policy"`
+	Seed     uint64           `json:"seed"`
+	Slots    int              `json:"slots"`
+	Figures  []Figure         `json:"figures"`
+	Phases   []PhaseResult    `json:"phases"`
+	Audit    Audit            `json:"audit"`
+}
+
+// PhaseResult is what was measured in one phase. Counts of jobs are over the arrivals
+// after the warm-up.
+type PhaseResult struct {
+	Name string `json:"name"`
+	// Load is the mean offered work in relation to the capacity as configured, Offered as
+	// drawn.
+	Load     float64                    `json:"load"`
+	Offered  float64                    `json:"offered"`
+	Outcomes map[sesamedrift.Status]int `json:"outcomes"`
+	// Failures counts jobs without an outcome, by reason.
+	Failures map[string]int `json:"failures"`
+	Jobs     int            `json:"jobs"`
+	// Goodput is the work of the answers in time, in relation to the capacity.
+	Goodput float64 `json:"goodput"`
+	// Accepted counts jobs that were not refused on arrival, Late those of them that were
+	// not answered completely within their deadline. Expired are the late ones whose
+	// deadline passed in the queue.
+	Accepted int `json:"accepted"`
+	Late     int `json:"late"`
+	Expired  int `json:"expired"`
+	// LostAnswers counts deliveries whose answer was lost.
+	LostAnswers int `json:"lost-answers"`
+	// Unhinted counts refusals without a retry hint.
+	Unhinted int `json:"unhinted"`
+
+	Starts     int             `json:"starts"`
+	Duplicates int             `json:"duplicates"`
+	Counters   server.Counters `json:"counters"`
+	CPU        time.Duration   `json:"cpu"`
+	Took       time.Duration   `json:"took"`
+
+	// Response and Ratio are the response times of complete short work in microseconds,
+	// and their ratio to the ideal in 1/ratioUnit.
+	Response *hdrhistogram.Histogram `json:"-"`
+	Ratio    *hdrhistogram.Histogram `json:"-"`
+	// Hints are the retry hints in microseconds.
+	Hints *hdrhistogram.Histogram `json:"-"`
+	// Lag is the delay between scheduled and actual sending, in microseconds.
+	Lag *hdrhistogram.Histogram `json:"-"`
+}
+
+// Wasted returns the messages that brought nobody an answer: rejected dispatches, answers
+// nobody waited for, and repeated starts. Hosts send no probes.
+func (p *PhaseResult) Wasted() float64 {
+	return float64(p.Counters.Wasted()) + float64(p.Duplicates)
+}
+
+// response returns a quantile of the response time of short work.
+func (p *PhaseResult) response(quantile float64) time.Duration {
+	return time.Duration(p.Response.ValueAtQuantile(quantile)) * time.Microsecond
+}
+
+func (p *PhaseResult) ratio(quantile float64) float64 {
+	return float64(p.Ratio.ValueAtQuantile(quantile)) / ratioUnit
+}
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxRecorded, histogramDigits) }
+
+func record(h *hdrhistogram.Histogram, value int64) {
+	// A clamped value is always in range.
+	_ = h.RecordValue(min(max(value, 1), maxRecorded))
+}
+
+// measure computes what the callers saw.
+func measure(p *Phase, slots int, jobs []Job, samples []sample) PhaseResult {
+	out := PhaseResult{
+		Name:     p.Name,
+		Load:     p.Load(),
+		Outcomes: map[sesamedrift.Status]int{},
+		Failures: map[string]int{},
+		Response: newHistogram(),
+		Ratio:    newHistogram(),
+		Hints:    newHistogram(),
+		Lag:      newHistogram(),
+	}
+	var offered, good time.Duration
+	for i := range jobs {
+		j, s := &jobs[i], &samples[i]
+		inTime := s.status == sesamedrift.Complete && s.ended-j.At <= j.Kind.Deadline
+		if inTime && s.ended >= p.WarmUp && s.ended < p.During {
+			good += j.Work()
+		}
+		if j.At < p.WarmUp {
+			continue
+		}
+		offered += j.Work()
+		out.note(j, s, inTime)
+	}
+	capacity := (p.During - p.WarmUp).Seconds() * float64(slots)
+	out.Offered = offered.Seconds() / capacity
+	out.Goodput = good.Seconds() / capacity
+	return out
+}
+
+// note adds one measured job.
+func (p *PhaseResult) note(j *Job, s *sample, inTime bool) {
+	p.Jobs++
+	p.LostAnswers += s.lost
+	record(p.Lag, (s.sent - j.At).Microseconds())
+	if s.status == "" {
+		p.Failures[s.failure]++
+	} else {
+		p.Outcomes[s.status]++
+	}
+	expired := s.status == sesamedrift.Refused && strings.HasPrefix(s.reason, expiredReason) &&
+		!strings.Contains(s.reason, "estimate")
+	if expired {
+		p.Expired++
+	}
+	if s.status == sesamedrift.Refused {
+		if s.retryAfter > 0 {
+			record(p.Hints, s.retryAfter.Microseconds())
+		} else {
+			p.Unhinted++
+		}
+	}
+	if s.status != sesamedrift.Refused || expired {
+		p.Accepted++
+		if !inTime {
+			p.Late++
+		}
+	}
+	if s.status == sesamedrift.Complete && !j.Kind.Long {
+		response := s.ended - j.At
+		record(p.Response, response.Microseconds())
+		record(p.Ratio, int64(float64(response)/float64(j.Longest())*ratioUnit))
+	}
+}
--- /dev/null
+++ b/generator/scenario.go
@@ -0,0 +1,271 @@
+package generator
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"sesamedrift.example/sesamedrift/validator"
+)
+
+const (
+	upstreamsPerDomain = 16
+	slotsPerUpstream   = 8
+	// unbound is a quota, in relation to the capacity, that no team reaches.
+	unbound = 100
+	// retention is the shortest time that the environment documents allow the kinds.
+	retention = 10 * time.Minute
+	// maxRunFactor is the lease of a task in relation to the longest run time of its
+	// kind, so that an upstream that is several times slower still finishes.
+	maxRunFactor = 8
+)
+
+// Scenario is a named load on a named deployment.
+type Scenario struct {
+	Name string
+	// Summary is one line for the help text.
+	Summary  string
+	Domains  []string
+	Hosts    []int
+	Service  string
+	Distance time.Duration
+	Teams    int
+	// Quota is the sum of the quotas of the teams in relation to the capacity.
+	Quota     float64
+	LongShare float64
+	// Kinds are all kinds of the environment document.
+	Kinds []Kind
+	// Phases follow each other on the same deployment.
+	Phases []Phase
+	// Note is printed below the table.
+	Note string
+	// figures computes what the scenario is about.
+	figures func(phases []PhaseResult) []Figure
+}
+
+// Phase is one load that lasts for a time.
+type Phase struct {
+	Name    string
+	Streams []Stream
+	During  time.Duration
+	// WarmUp is the time from the start whose arrivals are not measured. Violations are
+	// counted from the start.
+	WarmUp time.Duration
+	Faults []fault
+}
+
+// Load returns the mean of the offered work in relation to the capacity.
+func (p *Phase) Load() float64 {
+	var load float64
+	for i := range p.Streams {
+		load += p.Streams[i].Load
+	}
+	return load
+}
+
+// draw returns the arrivals of all streams. The arrivals of a stream do not depend on
+// the streams after it.
+func (p *Phase) draw(seed uint64, slots, hosts, teams int) []Job {
+	drawn := make([][]Job, 0, len(p.Streams))
+	for i := range p.Streams {
+		drawn = append(drawn, p.Streams[i].Draw(seed+uint64(i), slots, hosts, teams, p.During))
+	}
+	return merge(drawn...)
+}
+
+var counterKinds = []Kind{
+	{Name: "check", Weight: 5, Min: 50 * time.Millisecond, Max: 300 * time.Millisecond, Deadline: 2 * time.Second, Idempotent: true},
+	{Name: "price", Weight: 3, Min: 50 * time.Millisecond, Max: 150 * time.Millisecond, Deadline: 1500 * time.Millisecond, Idempotent: true},
+	{Name: "booking", Weight: 2, Min: 200 * time.Millisecond, Max: time.Second, Deadline: 3 * time.Second},
+}
+
+var previewKinds = []Kind{
+	{Name: "preview", Weight: 1, Min: 50 * time.Millisecond, Max: 200 * time.Millisecond, Deadline: 2 * time.Second, Idempotent: true},
+}
+
+var renderKinds = []Kind{
+	{Name: "render", Weight: 1, Min: 3 * time.Second, Max: 6 * time.Second, Deadline: time.Minute, Idempotent: true, Long: true},
+}
+
+// Scenarios returns all scenarios.
+func Scenarios() []Scenario {
+	return []Scenario{counter(), previews(), crest(), faults()}
+}
+
+// Find returns the scenario with the name.
+func Find(name string) (Scenario, bool) {
+	for _, s := range Scenarios() {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Scenario{}, false
+}
+
+func ajara(name, summary string) Scenario {
+	return Scenario{
+		Name:      name,
+		Summary:   summary,
+		Domains:   []string{"ikeja", "lekki", "apapa"},
+		Hosts:     []int{3, 3, 2},
+		Service:   "reseason-desk",
+		Distance:  500 * time.Microsecond,
+		Teams:     4,
+		Quota:     unbound,
+		LongShare: 0.5,
+		Kinds:     counterKinds,
+	}
+}
+
+func counter() Scenario {
+	s := ajara("counter", "jobs of 1 to 8 tasks of 50 ms to 1 s at 70 % load")
+	s.Phases = []Phase{{
+		Name: "counter",
+		Streams: []Stream{{
+			Kinds:    counterKinds,
+			MaxTasks: 8,
+			Load:     0.7,
+			Crest:    1.2,
+			Period:   4 * time.Second,
+		}},
+		During: 14 * time.Second,
+		WarmUp: 2 * time.Second,
+	}}
+	s.figures = counterFigures
+	return s
+}
+
+func previews() Scenario {
+	short := Stream{
+		Kinds:    previewKinds,
+		MaxTasks: 4,
+		Load:     0.45,
+		Crest:    1.2,
+		Period:   4 * time.Second,
+	}
+	long := Stream{
+		Kinds:    renderKinds,
+		MaxTasks: 1,
+		Load:     0.25,
+		Crest:    1,
+	}
+	const during, warmUp = 12 * time.Second, 4 * time.Second
+	return Scenario{
+		Name:      "previews",
+		Summary:   "previews of 50 to 200 ms without and with renders of 3 to 6 s on 25 % of the capacity",
+		Domains:   []string{"riga-a", "riga-b", "riga-c"},
+		Hosts:     []int{3, 3, 2},
+		Service:   "proofing",
+		Distance:  900 * time.Microsecond,
+		Teams:     4,
+		Quota:     unbound,
+		LongShare: 0.5,
+		Kinds:     append(append([]Kind{}, previewKinds...), renderKinds...),
+		Phases: []Phase{
+			{Name: "without", Streams: []Stream{short}, During: during, WarmUp: warmUp},
+			{Name: "with", Streams: []Stream{short, long}, During: during, WarmUp: warmUp},
+		},
+		figures: previewFigures,
+	}
+}
+
+func crest() Scenario {
+	s := ajara("crest", "offered load of 1, 2, 3 and 5 times the capacity")
+	s.Teams = 24
+	// Quotas above the capacity leave the decision to the admission by deadline.
+	s.Quota = 2
+	s.Note = "All policies run behind the same admission control, which refuses work that cannot meet its\n" +
+		"deadline; it hides most of what the baselines would do to goodput without it."
+	for _, load := range crestLoads {
+		s.Phases = append(s.Phases, Phase{
+			Name: fmt.Sprintf("%g times", load),
+			Streams: []Stream{{
+				Kinds:    counterKinds,
+				MaxTasks: 4,
+				Load:     load,
+				Crest:    1,
+			}},
+			During: 5 * time.Second,
+			WarmUp: 1500 * time.Millisecond,
+		})
+	}
+	s.figures = crestFigures
+	return s
+}
+
+var crestLoads = []float64{1, 2, 3, 5}
+
+func faults() Scenario {
+	s := ajara("faults", "70 % load with resubmissions, broken upstreams, a killed and a stopped host")
+	s.Phases = []Phase{{
+		Name: "faults",
+		Streams: []Stream{{
+			Kinds:    counterKinds,
+			MaxTasks: 8,
+			Load:     0.7,
+			Crest:    1.2,
+			Period:   4 * time.Second,
+			Resubmit: 0.1,
+		}},
+		During: 16 * time.Second,
+		Faults: faultPlan(),
+	}}
+	s.Note = "Counters of a killed or stopped host are read just before it ends."
+	s.figures = faultFigures
+	return s
+}
+
+// document returns the environment document of the scenario for a number of slots.
+func (s *Scenario) document(slots int) ([]byte, error) {
+	env := validator.Environment{
+		Name: validator.Production,
+		Limits: validator.Limits{
+			Retention:     validator.Duration(retention),
+			MaxTasks:      100,
+			MaxBody:       1 << 20,
+			RetryShare:    0.1,
+			EjectShare:    0.2,
+			ReceiverGrace: validator.Duration(time.Second),
+		},
+		Promotion: validator.Promotion{MinSubmissions: 1, MinSuccessShare: 0.5},
+	}
+	for _, from := range s.Domains {
+		d := validator.Domain{Name: from, Distance: map[string]validator.Duration{}}
+		for _, to := range s.Domains {
+			if to != from {
+				d.Distance[to] = validator.Duration(s.Distance)
+			}
+		}
+		env.Domains = append(env.Domains, d)
+	}
+	service := validator.Service{Name: s.Service, LongShare: s.LongShare, MaxQueue: 10000}
+	for _, k := range s.Kinds {
+		service.Kinds = append(service.Kinds, validator.Kind{
+			Name:       k.Name,
+			Idempotent: k.Idempotent,
+			Deadline:   validator.Duration(k.Deadline),
+			Expected:   validator.Duration(k.mean()),
+			MaxRunTime: validator.Duration(maxRunFactor * k.Max),
+		})
+	}
+	env.Services = []validator.Service{service}
+	quota := s.Quota * s.taskRate(slots) / float64(s.Teams)
+	for i := range s.Teams {
+		env.Teams = append(env.Teams, validator.Team{
+			Name:     teamName(i),
+			Rate:     quota,
+			Burst:    max(100, int(quota)),
+			Weight:   1,
+			Services: []string{s.Service},
+		})
+	}
+	return json.Marshal(env)
+}
+
+// taskRate returns the number of tasks per second that the slots can run.
+func (s *Scenario) taskRate(slots int) float64 {
+	one := Stream{Kinds: s.Kinds, MaxTasks: 1, Load: 1}
+	return one.jobRate(slots)
+}
+
+func teamName(i int) string { return fmt.Sprintf("team-%d", i+1) }
--- /dev/null
+++ b/generator/table.go
@@ -0,0 +1,84 @@
+package generator
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// WriteTable prints the results of one scenario side by side, one column for each policy.
+// Results must have the same figures.
+func WriteTable(w io.Writer, s *Scenario, results []Result) error {
+	if len(results) == 0 {
+		return nil
+	}
+	first := &results[0]
+	if _, err := fmt.Fprintf(w, "scenario %s: %s\nseed %d, %d slots\n\n", s.Name, s.Summary, first.Seed, first.Slots); err != nil {
+		return err
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	cells := []string{"figure", "bound"}
+	for i := range results {
+		cells = append(cells, string(results[i].Policy))
+	}
+	// The writer keeps the first error until Flush.
+	row := func() { _, _ = fmt.Fprintln(t, strings.TrimRight(strings.Join(cells, "\t"), "\t")) }
+	row()
+	for i := range first.Figures {
+		f := &first.Figures[i]
+		cells = []string{f.Name, f.bound()}
+		for n := range results {
+			cells = append(cells, results[n].Figures[i].cell())
+		}
+		row()
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	return writeNotes(w, s, results)
+}
+
+func writeNotes(w io.Writer, s *Scenario, results []Result) error {
+	var notes strings.Builder
+	if s.Note != "" {
+		notes.WriteString("\n" + s.Note + "\n")
+	}
+	for i := range results {
+		for _, v := range results[i].Audit.Examples {
+			fmt.Fprintf(&notes, "\n%s: violation: %s\n", results[i].Policy, v)
+		}
+	}
+	_, err := io.WriteString(w, notes.String())
+	return err
+}
+
+func (f *Figure) bound() string {
+	if f.Relation == None {
+		return "-"
+	}
+	return string(f.Relation) + " " + number(f.Bound)
+}
+
+func (f *Figure) cell() string {
+	text := number(f.Value)
+	if f.Unit != "" {
+		text += " " + f.Unit
+	}
+	switch {
+	case f.Relation == None:
+		return text
+	case f.Met():
+		return text + " pass"
+	default:
+		return text + " FAIL"
+	}
+}
+
+// number prints whole numbers without and others with three decimals.
+func number(v float64) string {
+	if v == float64(int64(v)) {
+		return fmt.Sprint(int64(v))
+	}
+	return fmt.Sprintf("%.3f", v)
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -53,8 +53,10 @@
 	Distance time.Duration
 	// OnStart is called at each start of a task on any upstream if it is set.
 	OnStart func(upstream, taskID string, attempt int)
-	TTL     time.Duration
-	Seed    uint64
+	// OnEnd is called at each end of a task on any upstream if it is set.
+	OnEnd func(upstream string)
+	TTL   time.Duration
+	Seed  uint64
 	// Adjust may change the settings of a host before it starts.
 	Adjust func(s *validator.Settings)
 }
@@ -68,6 +70,8 @@
 	hosts       map[string]*server.Host
 	upstreams   map[string]*executor.Executor
 	incarnation uint64
+	// ended holds the counters of hosts that were killed or stopped.
+	ended server.Counters
 }
 
 // New starts the hosts, waits until they are members of their views, applies the document
@@ -277,6 +281,7 @@
 		return nil, fmt.Errorf("launcher: the host %q does not run", name)
 	}
 	delete(d.hosts, name)
+	d.ended.Add(h.Counters())
 	return h, nil
 }
 
@@ -319,6 +324,9 @@
 	if d.cfg.OnStart != nil {
 		cfg.OnStart = func(taskID string, attempt int) { d.cfg.OnStart(name, taskID, attempt) }
 	}
+	if d.cfg.OnEnd != nil {
+		cfg.OnEnd = func() { d.cfg.OnEnd(name) }
+	}
 	e, err := executor.New(cfg)
 	if err != nil {
 		return fmt.Errorf("launcher: %w", err)
@@ -401,9 +409,12 @@
 	return all
 }
 
-// Counters returns the totals over the running hosts.
+// Counters returns the totals over all hosts. Those of a host that was killed or stopped
+// are the ones just before.
 func (d *Deployment) Counters() server.Counters {
-	var total server.Counters
+	d.mu.Lock()
+	total := d.ended
+	d.mu.Unlock()
 	for _, h := range d.running() {
 		total.Add(h.Counters())
 	}
