server: name the payload in an outcome of a joined submission

Cause: a host that joined a submission whose coordinator had died answered with an unknown outcome without a digest, since Host.join in forward.go looks up by key alone. The client takes such an answer for that of another request.

Change: join fills in the digest of the submission that it answers; a test sends a submission again to another host right after its coordinator was killed.

Conclusion: callers get unknown, as documented. The outcome stays unknown where the claim was only queued and could be taken over a moment later.

--- a/server/failure_test.go
+++ b/server/failure_test.go
@@ -107,6 +107,29 @@
 	d.g.Expect(d.starts.total()).To(Equal(1))
 }
 
+// Guards against an outcome that the caller cannot match with its submission, because the
+// host that runs the submission died and another host has not noticed yet.
+func TestResubmissionWhileTheCoordinatorCannotBeAsked(t *testing.T) {
+	d := deploy(t, oneDomain())
+	s := work("booking", "10s", 1)
+	s.Deadline = time.Now().Add(testTimeout)
+	var err error
+	s.Key, err = d.at("ikeja-2").NewKey(d.ctx)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	first := make(chan error, 1)
+	go func() {
+		_, err := d.at("ikeja-2").Submit(d.ctx, s)
+		first <- err
+	}()
+	d.g.Eventually(d.starts.total, testTimeout).Should(Equal(1))
+	d.g.Expect(d.KillHost("ikeja-2")).To(Succeed())
+	d.g.Expect(<-first).To(HaveOccurred())
+	o, err := d.at("ikeja-1").Submit(d.ctx, s)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	d.g.Expect(o.Status).To(Equal(sesamedrift.Unknown))
+	d.g.Expect(d.starts.total()).To(Equal(1))
+}
+
 // untilDecided submits until the domain has dealt with the death of a host: until then
 // the claim names a coordinator that cannot be asked.
 func (d *deployment) untilDecided(s sesamedrift.Submission, host string) sesamedrift.Outcome {
--- a/server/forward.go
+++ b/server/forward.go
@@ -228,7 +228,12 @@
 		Try:     j.try,
 		Release: uuid.NewString(),
 	}
-	return pack(h.findAt(ctx, m, l))
+	o, e := h.findAt(ctx, m, l)
+	if o.Status == sesamedrift.Unknown && o.Digest == "" {
+		// Outcomes that were looked up by key alone do not say what was submitted.
+		o.Digest = j.digest
+	}
+	return pack(o, e)
 }
 
 // jobHere returns the job with the identity, with one more waiting caller, or nil.
