Report lost upstreams and failed journals; remove an event that nothing logs

Cause: two events of the catalogue were never logged, and a replica whose disk had failed still said that it votes.

The event claim-taken-over is removed.

--- a/reporter/events.go
+++ b/reporter/events.go
@@ -88,12 +88,6 @@
 
 // Events of claims, 4xxx.
 var (
-	ClaimTakenOver = Event{
-		ID:    4001,
-		Name:  "claim-taken-over",
-		Level: slog.LevelInfo,
-		Text:  "This host runs a submission whose former coordinator had not started it.",
-	}
 	OutcomeNotRecorded = Event{
 		ID:    4002,
 		Name:  "outcome-not-recorded",
@@ -181,7 +175,6 @@
 	ConfigurationInForce,
 	ConfigurationRejected,
 	ConfigurationChanged,
-	ClaimTakenOver,
 	OutcomeNotRecorded,
 	UpstreamAnnounced,
 	UpstreamExpired,
--- a/server/dispatcher.go
+++ b/server/dispatcher.go
@@ -218,7 +218,7 @@
 	d.running--
 	d.learn(now, j.service, j.kind.Name, a)
 	if a.Unreachable {
-		d.drop(now, a.Upstream)
+		d.unreachable(now, a)
 	}
 	if j.finished {
 		d.queue.Done(now, id)
@@ -259,6 +259,12 @@
 	}
 }
 
+// unreachable takes an upstream out of the queue until it answers which tasks run there.
+func (d *dispatcher) unreachable(now time.Time, a taskAnswer) {
+	reporter.Log(context.Background(), d.log, reporter.UpstreamLost, "upstream", a.Upstream, "error", a.Reason)
+	d.drop(now, a.Upstream)
+}
+
 // learn feeds the result of an attempt to the learned run times and to the health of
 // the upstream.
 func (d *dispatcher) learn(now time.Time, service, kind string, a taskAnswer) {
--- a/server/registers.go
+++ b/server/registers.go
@@ -147,7 +147,7 @@
 }
 
 func (h *Host) serveRegisterChange(ctx context.Context, in registerChange) (registerResult, error) {
-	if h.registers == nil || !h.registers.Ready() {
+	if !h.votes() {
 		return registerResult{}, errNoReplica
 	}
 	if !registerName(in.Change.Register) {
@@ -169,7 +169,7 @@
 }
 
 func (h *Host) serveRegisterRead(ctx context.Context, in registerRead) (registerEntry, error) {
-	if h.registers == nil || !h.registers.Ready() {
+	if !h.votes() {
 		return registerEntry{}, errNoReplica
 	}
 	ctx, cancel := context.WithTimeout(ctx, registerChangeTimeout)
@@ -190,6 +190,11 @@
 	}, nil
 }
 
+// votes reports whether this host is a replica that takes part in decisions.
+func (h *Host) votes() bool {
+	return h.registers != nil && h.registers.Ready() && h.registers.Failed() == nil
+}
+
 // replicas returns the hosts with disks, this host first if it is one that votes, then
 // those of the own failure domain.
 func (h *Host) replicas() []string {
@@ -204,7 +209,7 @@
 		}
 	}
 	all := slices.Concat(near, far)
-	if h.registers != nil && h.registers.Ready() {
+	if h.votes() {
 		all = append([]string{h.cfg.Settings.Host}, all...)
 	}
 	return all
@@ -293,10 +298,15 @@
 	}
 }
 
-// syncReplicaUntil fetches what this replica has missed from the others until ctx is
-// done.
+// syncReplicaUntil fetches what this replica has missed from the others, and reports a
+// failed journal, until ctx is done.
 func (h *Host) syncReplicaUntil(ctx context.Context) {
+	reported := false
 	for sleep(ctx, replicaSyncEvery) {
+		if err := h.registers.Failed(); err != nil && !reported {
+			reported = true
+			reporter.Log(ctx, h.log, reporter.JournalFailed, "error", err)
+		}
 		round, cancel := context.WithTimeout(ctx, registerChangeTimeout)
 		// A replica that cannot be reached is asked again in the next round.
 		_ = h.registers.Sync(round, h.now())
--- a/server/remote.go
+++ b/server/remote.go
@@ -240,7 +240,7 @@
 	v.answers <- a
 	d.learn(now, v.run.Service, v.run.Kind, a)
 	if a.Unreachable {
-		d.drop(now, a.Upstream)
+		d.unreachable(now, a)
 	}
 }
 
--- a/server/status.go
+++ b/server/status.go
@@ -102,7 +102,7 @@
 		Horizon:     view.Horizon,
 		Lease:       lease,
 		Replica:     h.registers != nil,
-		Votes:       h.registers != nil && h.registers.Ready(),
+		Votes:       h.votes(),
 		Versions:    h.entries.Versions(),
 		Free:        h.slots.free(),
 		Upstreams:   []upstreamStatus{},
