--- a/commander/commander.go
+++ b/commander/commander.go
@@ -11,6 +11,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -48,6 +51,18 @@
 	}
 }
 
+// Main runs the command line of this process and returns its exit code. SIGINT and
+// SIGTERM ask for a planned stop.
+func Main() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return Run(ctx, os.Args, Streams{
+		In:  os.Stdin,
+		Out: os.Stdout,
+		Err: os.Stderr,
+	})
+}
+
 // Run runs the command line. args begins with the program's name. The context ends on
 // the signal that asks for a planned stop.
 func Run(ctx context.Context, args []string, s Streams) int {
--- a/commander/config.go
+++ b/commander/config.go
@@ -238,13 +238,21 @@
 			}
 			c.printf("%d differences from version %d\n", len(changes), state.Version)
 			for _, d := range changes {
-				c.printf("%s: %s -> %s\n", d.Path, d.Before, d.After)
+				c.printf("%s: %s -> %s\n", d.Path, orNone(d.Before), orNone(d.After))
 			}
 			return nil
 		},
 	}
 }
 
+// orNone returns the value, or a word for a field that is missing in one document.
+func orNone(value string) string {
+	if value == "" {
+		return "none"
+	}
+	return value
+}
+
 func (c *commandLine) configHistory() *cli.Command {
 	return &cli.Command{
 		Name:        "history",
--- a/commander/executor.go
+++ b/commander/executor.go
@@ -9,14 +9,12 @@
 	"sesamedrift.example/sesamedrift/executor"
 )
 
-// leaveTimeout bounds the planned stop of an executor.
-const leaveTimeout = 30 * time.Second
-
 func (c *commandLine) executorCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "executor",
 		Usage: "run a stand-in upstream that sleeps for the run time of each task",
-		Description: "The payload {\"run-time\":\"80ms\",\"echo\":\"text\"} runs for 80 ms; {\"fail\":\"why\"} fails.\n" +
+		Description: "The payload {\"run-time\":\"80ms\",\"echo\":\"text\"} runs for 80 ms; {\"fail\":\"why\"} fails;\n" +
+			"{\"hold\":true} runs until POST /release to the executor's address.\n" +
 			"On a signal the executor announces that it leaves and finishes its running tasks.\n\n" +
 			"Example:\n" +
 			"   sesamedrift executor --id worker-1 --service proofing --host http://127.0.0.1:8080",
@@ -104,9 +102,8 @@
 	case <-after(cmd.Duration("die-after")):
 		return e.Close()
 	}
-	leaving, cancel := context.WithTimeout(context.Background(), leaveTimeout)
-	defer cancel()
-	err = e.Leave(leaving)
+	// Each running task ends with its lease at the latest, so that this ends by itself.
+	err = e.Leave(context.Background())
 	if closeErr := e.Close(); err == nil {
 		err = closeErr
 	}
--- a/commander/host.go
+++ b/commander/host.go
@@ -14,9 +14,9 @@
 	"sesamedrift.example/sesamedrift/validator"
 )
 
-// stopTimeout bounds a planned stop. It is longer than the longest run time of most
-// kinds, so that no request in flight is cut.
-const stopTimeout = time.Minute
+// stopTimeout bounds a planned stop. Hosts accept no deadline above one hour, so that no
+// request in flight is cut.
+const stopTimeout = time.Hour + time.Minute
 
 func (c *commandLine) hostCommand() *cli.Command {
 	return &cli.Command{
@@ -24,7 +24,7 @@
 		Usage: "run one host until SIGINT or SIGTERM, then stop it gracefully",
 		Description: "The settings are described in docs/settings.md. Logs go to standard error as JSON.\n\n" +
 			"Example:\n" +
-			"   sesamedrift host --settings examples/settings.json",
+			"   sesamedrift host --settings examples/single-host.json",
 		Flags: []cli.Flag{
 			&cli.StringFlag{
 				Name:     "settings",
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -24,6 +24,9 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxPayload        = 8 << 20
+	// leaveGrace is how long hosts may still send work after they were told that the
+	// executor leaves (invariant P6 of docs/design.md).
+	leaveGrace = 2 * time.Second
 )
 
 // Faults changes how an executor behaves. The zero value is a healthy executor.
@@ -59,8 +62,10 @@
 // no time and is echoed.
 type Work struct {
 	RunTime string `json:"run-time"`
-	Fail    string `json:"fail,omitempty"`
-	Echo    string `json:"echo,omitempty"`
+	// Hold makes the task run until POST /release, in addition to its run time.
+	Hold bool   `json:"hold,omitempty"`
+	Fail string `json:"fail,omitempty"`
+	Echo string `json:"echo,omitempty"`
 }
 
 // Answer is what an executor returns for a task that succeeded.
@@ -102,6 +107,7 @@
 	state   string
 	running map[string]*execution
 	idle    chan struct{} // closed and replaced whenever running becomes empty
+	release chan struct{} // closed and replaced by POST /release
 }
 
 // New starts an executor: it listens, serves tasks and announces itself until Close.
@@ -124,6 +130,7 @@
 		state:    stateServing,
 		running:  map[string]*execution{},
 		idle:     make(chan struct{}),
+		release:  make(chan struct{}),
 	}
 	e.http = &http.Server{
 		Handler:           e.routes(),
@@ -148,22 +155,31 @@
 	e.faults = f
 }
 
-// Leave announces that the executor takes no new work and waits until running tasks
-// have ended or ctx is done.
+// Leave announces that the executor takes no new work. It returns when the hosts have had
+// the time to learn of it and running tasks have been answered, or when ctx is done. Work
+// that arrives in the meantime is still run.
 func (e *Executor) Leave(ctx context.Context) error {
 	e.mu.Lock()
 	e.state = stateLeaving
 	e.mu.Unlock()
+	grace := time.NewTimer(leaveGrace)
+	defer grace.Stop()
 	select {
 	case e.wake <- struct{}{}:
 	default:
 	}
+	select {
+	case <-grace.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	for {
 		e.mu.Lock()
 		n, idle := len(e.running), e.idle
 		e.mu.Unlock()
 		if n == 0 {
-			return nil
+			// The last answers may still be on their way.
+			return e.http.Shutdown(ctx)
 		}
 		select {
 		case <-idle:
@@ -186,9 +202,19 @@
 	r.HandleFunc("/tasks", e.run).Methods(http.MethodPost)
 	r.HandleFunc("/tasks", e.list).Methods(http.MethodGet)
 	r.HandleFunc("/tasks/{id}", e.stopTask).Methods(http.MethodDelete)
+	r.HandleFunc("/release", e.releaseTasks).Methods(http.MethodPost)
 	return r
 }
 
+// releaseTasks ends the hold of the tasks that run now.
+func (e *Executor) releaseTasks(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	close(e.release)
+	e.release = make(chan struct{})
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (e *Executor) list(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	tasks := make([]Running, 0, len(e.running))
--- a/executor/run.go
+++ b/executor/run.go
@@ -38,28 +38,35 @@
 	}
 	w.Header().Set(taskHeader, id)
 	w.Header().Set(attemptHeader, strconv.Itoa(attempt))
-	ctx, faults, err := e.begin(r.Context(), id, attempt, lease)
+	x, err := e.begin(r.Context(), id, attempt, lease)
 	if err != nil {
 		writeError(w, http.StatusServiceUnavailable, "not-started", err.Error())
 		return
 	}
 	defer e.end(id)
-	e.perform(ctx, w, payload, faults, Answer{
+	x.perform(w, payload, Answer{
 		Task:     id,
 		Attempt:  attempt,
 		Upstream: e.cfg.ID,
 	})
 }
 
-// begin takes a slot for the task. The context ends with the lease or the connection.
-func (e *Executor) begin(ctx context.Context, id string, attempt int, lease time.Duration) (context.Context, Faults, error) {
+// started is a task that has a slot.
+type started struct {
+	ctx     context.Context // ends with the lease or the connection
+	faults  Faults
+	release <-chan struct{}
+}
+
+// begin takes a slot for the task.
+func (e *Executor) begin(ctx context.Context, id string, attempt int, lease time.Duration) (*started, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if _, ok := e.running[id]; ok {
-		return nil, Faults{}, errors.New("the task runs here already")
+		return nil, errors.New("the task runs here already")
 	}
 	if len(e.running) >= e.cfg.Slots {
-		return nil, Faults{}, errNoSlot
+		return nil, errNoSlot
 	}
 	ctx, stop := context.WithTimeoutCause(ctx, lease, errLease)
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -77,7 +84,11 @@
 	if e.cfg.OnStart != nil {
 		e.cfg.OnStart(id, attempt)
 	}
-	return ctx, e.faults, nil
+	return &started{
+		ctx:     ctx,
+		faults:  e.faults,
+		release: e.release,
+	}, nil
 }
 
 func (e *Executor) end(id string) {
@@ -91,12 +102,12 @@
 	}
 }
 
-func (e *Executor) perform(ctx context.Context, w http.ResponseWriter, payload []byte, f Faults, answer Answer) {
+func (x *started) perform(w http.ResponseWriter, payload []byte, answer Answer) {
 	var work Work
 	if err := json.Unmarshal(payload, &work); err != nil {
 		work = Work{Echo: string(payload)}
 	}
-	if f.FailAll {
+	if x.faults.FailAll {
 		writeError(w, http.StatusInternalServerError, "task-failed", "this executor fails every task")
 		return
 	}
@@ -105,10 +116,14 @@
 		writeError(w, http.StatusInternalServerError, "task-failed", "run-time is not a duration of zero or more")
 		return
 	}
-	if f.Slowdown > 1 {
-		took = time.Duration(float64(took) * f.Slowdown)
+	if x.faults.Slowdown > 1 {
+		took = time.Duration(float64(took) * x.faults.Slowdown)
+	}
+	err = sleep(x.ctx, took, x.faults.Hang)
+	if err == nil && work.Hold {
+		err = x.hold()
 	}
-	if err := sleep(ctx, took, f.Hang); err != nil {
+	if err != nil {
 		writeError(w, http.StatusInternalServerError, "task-stopped", err.Error())
 		return
 	}
@@ -136,3 +151,13 @@
 		return context.Cause(ctx)
 	}
 }
+
+// hold waits until the task is released and returns the cause if ctx ended first.
+func (x *started) hold() error {
+	select {
+	case <-x.release:
+		return nil
+	case <-x.ctx.Done():
+		return context.Cause(x.ctx)
+	}
+}
