launcher: choose ports that no outgoing connection takes

Cause: the ports of all hosts were chosen before the first host started, from the range of outgoing connections and two at a time, so that a connection of an early host, or a later pair, could take the port of a host that had yet to start.

Change: the ports of a plan are chosen together, below the range that Linux uses for outgoing connections.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -10,8 +10,10 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"time"
 
@@ -30,6 +32,15 @@
 
 	defaultTTL = 3 * time.Second
 	pollEvery  = 10 * time.Millisecond
+
+	// firstPort and lastPort bound the ports of hosts. They lie below those that Linux
+	// gives to outgoing connections, so that a connection of one host does not take the
+	// port of a host that has yet to start.
+	firstPort    = 16384
+	lastPort     = 32767
+	portsPerHost = 2
+	// portTries bounds the search for one free port.
+	portTries = 100
 )
 
 // Config describes a deployment.
@@ -119,19 +130,24 @@
 	if len(cfg.Domains) >= 3 {
 		replicas = 3
 	}
+	hosts := 0
+	for _, n := range cfg.Hosts {
+		hosts += n
+	}
+	ports, err := freePorts(portsPerHost * hosts)
+	if err != nil {
+		return nil, err
+	}
 	var all []validator.Settings
 	for i, domain := range cfg.Domains {
 		for n := range cfg.Hosts[i] {
-			ports, err := freePorts(2)
-			if err != nil {
-				return nil, err
-			}
+			own := ports[portsPerHost*len(all):]
 			name := fmt.Sprintf("%s-%d", domain, n+1)
 			s := validator.Settings{
 				Host:           name,
 				Domain:         domain,
-				HTTPAddress:    ports[0],
-				PeerAddress:    ports[1],
+				HTTPAddress:    own[0],
+				PeerAddress:    own[1],
 				Replica:        n == 0 && i < replicas,
 				OperatorToken:  OperatorToken,
 				PeerToken:      PeerToken,
@@ -175,19 +191,26 @@
 	return peers
 }
 
-// freePorts returns loopback addresses with ports that were free a moment ago.
+// freePorts returns different loopback addresses with ports that were free a moment ago.
 func freePorts(n int) ([]string, error) {
-	var addresses []string
-	for range n {
+	addresses := make([]string, 0, n)
+	var err error
+	for range n * portTries {
+		if len(addresses) == n {
+			return addresses, nil
+		}
 		var lc net.ListenConfig
-		l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
+		var l net.Listener
+		port := strconv.Itoa(firstPort + rand.IntN(lastPort-firstPort+1))
+		l, err = lc.Listen(context.Background(), "tcp", net.JoinHostPort("127.0.0.1", port))
 		if err != nil {
-			return nil, fmt.Errorf("launcher: no free port: %w", err)
+			continue
 		}
+		// The ports stay taken until all have been chosen.
 		defer func() { _ = l.Close() }()
 		addresses = append(addresses, l.Addr().String())
 	}
-	return addresses, nil
+	return nil, fmt.Errorf("launcher: no free port: %w", err)
 }
 
 // StartHost starts a host of the plan, as a new incarnation.
