server: cut hosts off from each other in tests

Config.Link gives the state of the way to a peer: open, refused or silent. The launcher offers Cut, CutHost, CutDomain and Heal; without a cut it costs one atomic load for each message, and in a host without Link nothing. A handler can leave a message without a reply (messenger.ErrNoReply).

Tests: a failure domain that is cut off serves fresh submissions and its own keys and answers unknown for those of others; one host that is silently cut off; a one-way cut.

The tests of the package run in parallel. Each deployment has a loopback address of its own, so that no other deployment takes the port of a host that is down.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -101,6 +101,7 @@
 	faults  Faults
 	state   string
 	running map[string]*execution
+	full    int           // tasks that were refused because every slot was taken
 	idle    chan struct{} // closed and replaced whenever running becomes empty
 }
 
@@ -148,6 +149,13 @@
 	e.faults = f
 }
 
+// Full returns how many tasks were refused because every slot was taken.
+func (e *Executor) Full() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.full
+}
+
 // Leave announces that the executor takes no new work and waits until running tasks
 // have ended or ctx is done.
 func (e *Executor) Leave(ctx context.Context) error {
--- a/executor/run.go
+++ b/executor/run.go
@@ -59,6 +59,7 @@
 		return nil, Faults{}, errors.New("the task runs here already")
 	}
 	if len(e.running) >= e.cfg.Slots {
+		e.full++
 		return nil, Faults{}, errNoSlot
 	}
 	ctx, stop := context.WithTimeoutCause(ctx, lease, errLease)
--- /dev/null
+++ b/launcher/cuts.go
@@ -0,0 +1,76 @@
+package launcher
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"sesamedrift.example/sesamedrift/server"
+)
+
+// way is the direction from one host to another.
+type way struct {
+	from, to string
+}
+
+// cuts holds the ways between hosts that are not open. It is safe for concurrent use.
+type cuts struct {
+	mu sync.Mutex // held while all is replaced
+	// all is never changed, only replaced. It is nil while every way is open.
+	all atomic.Pointer[map[way]server.Link]
+}
+
+func (c *cuts) link(from, to string) server.Link {
+	all := c.all.Load()
+	if all == nil {
+		return server.LinkOpen
+	}
+	return (*all)[way{from: from, to: to}]
+}
+
+func (c *cuts) cut(from, to string, how server.Link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := map[way]server.Link{}
+	if all := c.all.Load(); all != nil {
+		next = maps.Clone(*all)
+	}
+	next[way{from: from, to: to}] = how
+	c.all.Store(&next)
+}
+
+// Cut cuts the way from one host to another: messages and replies in this direction do
+// not arrive. The other direction stays as it is.
+func (d *Deployment) Cut(from, to string, how server.Link) {
+	d.cuts.cut(from, to, how)
+}
+
+// CutHost cuts a host off from all others in both directions. Clients and upstreams still
+// reach it.
+func (d *Deployment) CutHost(name string, how server.Link) {
+	for _, s := range d.settings {
+		if s.Host != name {
+			d.Cut(name, s.Host, how)
+			d.Cut(s.Host, name, how)
+		}
+	}
+}
+
+// CutDomain cuts a failure domain off from all others in both directions.
+func (d *Deployment) CutDomain(domain string, how server.Link) {
+	for _, in := range d.settings {
+		for _, out := range d.settings {
+			if in.Domain == domain && out.Domain != domain {
+				d.Cut(in.Host, out.Host, how)
+				d.Cut(out.Host, in.Host, how)
+			}
+		}
+	}
+}
+
+// Heal opens all ways again.
+func (d *Deployment) Heal() {
+	d.cuts.mu.Lock()
+	defer d.cuts.mu.Unlock()
+	d.cuts.all.Store(nil)
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -11,8 +11,11 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"path/filepath"
+	"runtime"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sesamedrift.example/sesamedrift/client"
@@ -68,6 +71,8 @@
 	hosts       map[string]*server.Host
 	upstreams   map[string]*executor.Executor
 	incarnation uint64
+
+	cuts cuts
 }
 
 // New starts the hosts, waits until they are members of their views, applies the document
@@ -105,7 +110,7 @@
 	}
 	for _, domain := range d.cfg.Domains {
 		for i := range d.cfg.Upstreams {
-			if err := d.StartUpstream(fmt.Sprintf("%s-worker-%d", domain, i+1), domain, executor.Faults{}); err != nil {
+			if err := d.StartUpstream(UpstreamName(domain, i), domain, executor.Faults{}); err != nil {
 				return err
 			}
 		}
@@ -120,9 +125,10 @@
 		replicas = 3
 	}
 	var all []validator.Settings
+	ip := loopback()
 	for i, domain := range cfg.Domains {
 		for n := range cfg.Hosts[i] {
-			ports, err := freePorts(2)
+			ports, err := freePorts(ip, 2)
 			if err != nil {
 				return nil, err
 			}
@@ -175,12 +181,25 @@
 	return peers
 }
 
-// freePorts returns loopback addresses with ports that were free a moment ago.
-func freePorts(n int) ([]string, error) {
+// deployments counts the deployments of this process.
+var deployments atomic.Uint32
+
+// loopback returns an address of the loopback network. On Linux each deployment has its
+// own, so that the port of a host that is down is not taken by another deployment.
+func loopback() string {
+	if runtime.GOOS != "linux" {
+		return "127.0.0.1"
+	}
+	// Deployments of several processes, such as packages under test, differ by process.
+	return net.IPv4(127, byte(1+os.Getpid()%200), byte(os.Getpid()/200), byte(1+deployments.Add(1)%200)).String()
+}
+
+// freePorts returns addresses with ports that were free a moment ago.
+func freePorts(ip string, n int) ([]string, error) {
 	var addresses []string
 	for range n {
 		var lc net.ListenConfig
-		l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
+		l, err := lc.Listen(context.Background(), "tcp", net.JoinHostPort(ip, "0"))
 		if err != nil {
 			return nil, fmt.Errorf("launcher: no free port: %w", err)
 		}
@@ -208,6 +227,7 @@
 		Policy:      d.cfg.Policy,
 		Delay:       d.delay(s.Domain),
 		Seed:        d.cfg.Seed + incarnation,
+		Link:        func(to string) server.Link { return d.cuts.link(name, to) },
 	})
 	if err != nil {
 		return fmt.Errorf("launcher: host %q: %w", name, err)
@@ -460,3 +480,8 @@
 	}
 	return err
 }
+
+// UpstreamName returns the name of an upstream of a failure domain, counted from 0.
+func UpstreamName(domain string, i int) string {
+	return fmt.Sprintf("%s-worker-%d", domain, i+1)
+}
--- a/messenger/listener.go
+++ b/messenger/listener.go
@@ -280,7 +280,7 @@
 func (n *Listener) handle(ctx context.Context, l *link, f frame, slots chan struct{}) {
 	defer n.end(slots)
 	body, err := n.cfg.Handle(ctx, l.remote, f.kind, f.body)
-	if f.typ == frameOneWay {
+	if f.typ == frameOneWay || errors.Is(err, ErrNoReply) {
 		return
 	}
 	reply := frame{
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -25,6 +25,7 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -149,6 +150,10 @@
 	return nil
 }
 
+// ErrNoReply is returned by a Handler that leaves a request without a reply. The caller
+// waits until its context ends.
+var ErrNoReply = errors.New("no reply is sent")
+
 // Codes of errors that this package sends as *RemoteError.
 const (
 	// CodeInternal marks an error of a handler that was not a *RemoteError.
--- a/server/host.go
+++ b/server/host.go
@@ -58,6 +58,9 @@
 	Delay func(domain string) time.Duration
 	// Seed makes random choices repeatable.
 	Seed uint64
+	// Link, if set, gives the state of the way from this host to a peer. It is asked for
+	// each message and each reply; tests cut hosts off with it.
+	Link func(host string) Link
 }
 
 // Host is one running host. All methods are safe for concurrent use.
--- /dev/null
+++ b/server/load_test.go
@@ -0,0 +1,98 @@
+package server_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/launcher"
+)
+
+// load sends submissions to some hosts until it is stopped.
+type load struct {
+	d    *deployment
+	stop context.CancelFunc
+	all  sync.WaitGroup
+
+	mu       sync.Mutex
+	outcomes []sesamedrift.Outcome
+	complete map[string]int // by host
+}
+
+// startLoad sends bookings of 3 tasks to each of the hosts, 4 at a time.
+func (d *deployment) startLoad(hosts ...string) *load {
+	ctx, cancel := context.WithCancel(d.ctx)
+	l := &load{
+		d:        d,
+		stop:     cancel,
+		complete: map[string]int{},
+	}
+	for _, host := range hosts {
+		api := d.at(host)
+		for range 4 {
+			l.all.Go(func() {
+				for ctx.Err() == nil {
+					s := work("booking", "40ms", 3)
+					s.Key = key("ikeja")
+					o, err := api.Submit(d.ctx, s)
+					if err != nil {
+						// The host does not take submissions at the moment.
+						time.Sleep(10 * time.Millisecond)
+						continue
+					}
+					l.note(host, o)
+				}
+			})
+		}
+	}
+	return l
+}
+
+func (l *load) note(host string, o sesamedrift.Outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outcomes = append(l.outcomes, o)
+	if o.Status == sesamedrift.Complete {
+		l.complete[host]++
+	}
+}
+
+// completed returns the number of complete submissions that were sent to the host.
+func (l *load) completed(host string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.complete[host]
+}
+
+// serves waits until the host has completed further submissions.
+func (l *load) serves(host string) {
+	before := l.completed(host)
+	l.d.g.Eventually(func() int { return l.completed(host) }, testTimeout).Should(BeNumerically(">", before+5), host)
+}
+
+// end stops the load and checks every outcome against the starts at the upstreams: no
+// task started twice, every task of a complete submission started, none of a refused one
+// did, and no upstream was offered more tasks than it has slots.
+func (l *load) end() {
+	l.stop()
+	l.all.Wait()
+	g := l.d.g
+	g.Expect(l.d.starts.most()).To(BeNumerically("<=", 1))
+	for _, o := range l.outcomes {
+		switch o.Status {
+		case sesamedrift.Complete:
+			g.Expect(l.d.starts.of(o.Key)).To(Equal(3), o.Key)
+		case sesamedrift.Refused:
+			g.Expect(l.d.starts.of(o.Key)).To(BeZero(), o.Reason)
+		case sesamedrift.Failed, sesamedrift.Unknown, sesamedrift.Cancelled:
+		}
+	}
+	for i := range 3 {
+		if u := l.d.Upstream(launcher.UpstreamName("ikeja", i)); u != nil {
+			g.Expect(u.Full()).To(BeZero())
+		}
+	}
+}
--- /dev/null
+++ b/server/partition_test.go
@@ -0,0 +1,152 @@
+package server_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/launcher"
+	"sesamedrift.example/sesamedrift/server"
+)
+
+// largeDomain has three hosts in one failure domain and one in each of two others, so
+// that the first can be cut off from a majority of the replicas and each of its hosts
+// can be lost.
+func largeDomain() launcher.Config {
+	return launcher.Config{
+		Domains:   []string{"ikeja", "lekki", "apapa"},
+		Hosts:     []int{3, 1, 1},
+		Upstreams: 3,
+	}
+}
+
+var cutModes = map[string]server.Link{
+	"refused": server.LinkRefused,
+	"silent":  server.LinkSilent,
+}
+
+// Guards against a failure domain that stops to serve when it is cut off, against "not
+// run" for a key whose home cannot be asked, and against a second run after the healing.
+func TestDomainCutOffServes(t *testing.T) {
+	t.Parallel()
+	for name, how := range cutModes {
+		t.Run(name, func(t *testing.T) {
+			d := deploy(t, largeDomain())
+			theirs := work("booking", "10ms", 1)
+			theirs.Key = key("lekki")
+			own := theirs
+			own.Key = key("ikeja")
+			first := map[string]sesamedrift.Outcome{
+				"lekki": d.submit("ikeja-1", theirs),
+				"ikeja": d.submit("ikeja-2", own),
+			}
+			d.CutDomain("ikeja", how)
+			d.g.Eventually(func() bool { return d.state("ikeja-2").CutOff }, testTimeout).Should(BeTrue())
+			d.g.Expect(d.submit("ikeja-1", own).Answers).To(Equal(first["ikeja"].Answers))
+			d.g.Expect(d.submit("ikeja-3", theirs).Status).To(Equal(sesamedrift.Unknown))
+			late := d.servedShare(t)
+			d.g.Expect(d.submit("lekki-1", work("booking", "10ms", 1)).Status).To(Equal(sesamedrift.Complete))
+
+			d.Heal()
+			d.g.Eventually(func() bool { return d.state("ikeja-2").CutOff }, testTimeout).Should(BeFalse())
+			d.g.Eventually(func() [][]byte { return d.submit("ikeja-3", theirs).Answers }, testTimeout).Should(Equal(first["lekki"].Answers))
+			d.g.Expect(d.submit("apapa-1", own).Answers).To(Equal(first["ikeja"].Answers))
+			for _, s := range late {
+				d.g.Expect(d.submit("ikeja-1", s).Status).To(Equal(sesamedrift.Complete))
+			}
+			d.g.Expect(d.starts.most()).To(Equal(1))
+		})
+	}
+}
+
+// servedShare prints which share of fresh submissions the cut-off domain ikeja serves,
+// with a prefix in the key and without. It returns those that were not served.
+func (d *deployment) servedShare(t *testing.T) []sesamedrift.Submission {
+	t.Helper()
+	const n = 60
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	served := map[string]int{}
+	var late []sesamedrift.Submission
+	homes := 0
+	for _, prefix := range []string{"ikeja", ""} {
+		for i := range n {
+			s := work("check", "10ms", 1)
+			s.Key = sesamedrift.Key{
+				Domain:  prefix,
+				ID:      fmt.Sprintf("order-%d", i),
+				Created: time.UnixMilli(time.Now().UnixMilli()).UTC(),
+			}
+			if s.Key.Home([]string{"ikeja", "lekki", "apapa"}) == "ikeja" && prefix == "" {
+				homes++
+			}
+			all.Go(func() {
+				o := d.submit(fmt.Sprintf("ikeja-%d", i%3+1), s)
+				mu.Lock()
+				defer mu.Unlock()
+				if o.Status == sesamedrift.Complete {
+					served[prefix]++
+					return
+				}
+				d.g.Expect(o.Status).To(Equal(sesamedrift.Unknown), o.Reason)
+				late = append(late, s)
+			})
+		}
+	}
+	all.Wait()
+	t.Logf("cut-off domain serves %d of %d with a domain prefix, %d of %d plain keys", served["ikeja"], n, served[""], n)
+	d.g.Expect(served["ikeja"]).To(Equal(n))
+	d.g.Expect(served[""]).To(Equal(homes))
+	return late
+}
+
+// Guards against a host that goes on starting work after it was silently cut off, while
+// its upstreams have new owners.
+func TestSilentCutOfOneHost(t *testing.T) {
+	t.Parallel()
+	for _, host := range []string{"ikeja-3"} {
+		t.Run(host, func(t *testing.T) {
+			d := deploy(t, largeDomain())
+			l := d.startLoad("ikeja-1", "ikeja-2", "ikeja-3")
+			l.serves(host)
+			d.CutHost(host, server.LinkSilent)
+			d.g.Eventually(func() bool { return d.state(host).Lease }, testTimeout).Should(BeFalse())
+			d.g.Eventually(func() int {
+				return d.ownedBy("ikeja-1") + d.ownedBy("ikeja-2") + d.ownedBy("ikeja-3") - d.ownedBy(host)
+			}, testTimeout).Should(Equal(3))
+			d.g.Expect(d.ownedBy(host)).To(BeZero())
+			l.serves("ikeja-2")
+			d.Heal()
+			d.g.Eventually(func() bool { return d.state(host).Lease }, testTimeout).Should(BeTrue())
+			l.serves(host)
+			l.end()
+		})
+	}
+}
+
+// Guards against two owners of one upstream, and against a domain that serves nothing,
+// when messages between two hosts are lost in one direction only.
+func TestOneWayCut(t *testing.T) {
+	t.Parallel()
+	for name, how := range cutModes {
+		t.Run(name, func(t *testing.T) {
+			d := deploy(t, largeDomain())
+			l := d.startLoad("ikeja-1", "ikeja-2", "ikeja-3")
+			l.serves("ikeja-1")
+			before := d.view("ikeja-1")
+			d.Cut("ikeja-2", "ikeja-3", how)
+			d.g.Eventually(func() uint64 { return d.view("ikeja-1") }, testTimeout).Should(BeNumerically(">", before))
+			l.serves("ikeja-1")
+			d.Heal()
+			for _, host := range []string{"ikeja-1", "ikeja-2", "ikeja-3"} {
+				d.g.Eventually(func() []string { return d.state(host).Members }, testTimeout).Should(HaveLen(3))
+				l.serves(host)
+			}
+			l.end()
+		})
+	}
+}
--- a/server/peers.go
+++ b/server/peers.go
@@ -48,6 +48,9 @@
 	if err != nil {
 		return out, &messenger.NotSentError{Err: err}
 	}
+	if err := h.link(ctx, host); err != nil {
+		return out, err
+	}
 	reply, err := p.conn.Call(ctx, kind, body)
 	if err != nil {
 		return out, err
@@ -61,7 +64,7 @@
 // tell sends a one-way message. A message that cannot be sent is dropped.
 func (h *Host) tell(host string, kind messenger.Kind, in any) {
 	p, ok := h.peers[host]
-	if !ok {
+	if !ok || h.linkTo(host) != LinkOpen {
 		return
 	}
 	body, err := messenger.Encode(in)
@@ -104,8 +107,22 @@
 	return messenger.Encode(out)
 }
 
-// handlePeer answers one message of a peer.
+// handlePeer answers one message of a peer. While the way back is cut, the reply is lost.
 func (h *Host) handlePeer(ctx context.Context, from messenger.Hello, kind messenger.Kind, body []byte) ([]byte, error) {
+	reply, err := h.handleMessage(ctx, from, kind, body)
+	switch h.linkTo(from.Host) {
+	case LinkOpen:
+		return reply, err
+	case LinkRefused:
+		return nil, errLinkCut
+	case LinkSilent:
+		return nil, messenger.ErrNoReply
+	default:
+		panic("server: link state is not known")
+	}
+}
+
+func (h *Host) handleMessage(ctx context.Context, from messenger.Hello, kind messenger.Kind, body []byte) ([]byte, error) {
 	if p, ok := h.peers[from.Host]; !ok || p.Domain != from.Domain {
 		return nil, fmt.Errorf("host %q of domain %q: %w", from.Host, from.Domain, errUnknownPeer)
 	}
--- a/server/starts_test.go
+++ b/server/starts_test.go
@@ -1,6 +1,9 @@
 package server_test
 
-import "sync"
+import (
+	"strings"
+	"sync"
+)
 
 // starts counts how often each task was started on any upstream.
 type starts struct {
@@ -35,3 +38,16 @@
 	}
 	return most
 }
+
+// of returns the number of starts of tasks of the submissions with the key.
+func (s *starts) of(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for id, k := range s.n {
+		if strings.HasPrefix(id, key+"@") {
+			n += k
+		}
+	}
+	return n
+}
--- a/server/status_test.go
+++ b/server/status_test.go
@@ -13,6 +13,13 @@
 // hostState is what the tests look at in the status of a host.
 type hostState struct {
 	View      uint64         `json:"view"`
+	Ready     bool           `json:"ready"`
+	Lease     bool           `json:"lease"`
+	Votes     bool           `json:"votes"`
+	CutOff    bool           `json:"cut-off"`
+	Members   []string       `json:"members"`
+	Queued    int            `json:"queued"`
+	Running   int            `json:"running"`
 	Free      map[string]int `json:"free"`
 	Upstreams []struct {
 		Upstream string `json:"upstream"`
