server: propose a change through the next replica when one is unreachable

Cause: a call that failed had an empty status, which was taken for a final answer, so that a change was offered only to the first replica in the list, the one of the own failure domain. Its death stopped every view change of the domain.

Change: only an answer without an error is final.

A change of a configuration through a host of that domain had the same fault.

--- a/server/host_test.go
+++ b/server/host_test.go
@@ -1,9 +1,13 @@
 package server_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"log/slog"
+	"net/http"
 	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -13,6 +17,7 @@
 	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/client"
 	"sesamedrift.example/sesamedrift/launcher"
+	"sesamedrift.example/sesamedrift/validator"
 )
 
 // testTimeout bounds one test; it is far above what any of them takes.
@@ -88,6 +93,36 @@
 	return o
 }
 
+// post sends a submission as it is: without a key if it has none, and as the given try.
+func (d *deployment) post(host string, s sesamedrift.Submission, try int) sesamedrift.Outcome {
+	settings, err := d.Settings(host)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	body, err := json.Marshal(client.Request{
+		Service: s.Service,
+		Kind:    s.Kind,
+		Team:    s.Team,
+		Timeout: validator.Duration(time.Until(s.Deadline)),
+		Tasks:   s.Payloads,
+	})
+	d.g.Expect(err).NotTo(HaveOccurred())
+	url := "http://" + settings.HTTPAddress + "/v1/submissions"
+	r, err := http.NewRequestWithContext(d.ctx, http.MethodPost, url, bytes.NewReader(body))
+	d.g.Expect(err).NotTo(HaveOccurred())
+	r.Close = true
+	r.Header.Set("Sesamedrift-Try", strconv.Itoa(try))
+	if s.Key.ID != "" {
+		r.Header.Set(sesamedrift.KeyHeader, s.Key.String())
+		r.Header.Set(sesamedrift.KeyCreatedHeader, s.Key.Created.Format(time.RFC3339Nano))
+	}
+	resp, err := http.DefaultClient.Do(r)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	d.g.Expect(resp.Header.Get(client.OutcomeHeader)).NotTo(BeEmpty(), resp.Status)
+	var o sesamedrift.Outcome
+	d.g.Expect(json.NewDecoder(resp.Body).Decode(&o)).To(Succeed())
+	return o
+}
+
 // work returns a submission of tasks with the run time.
 func work(kind, runTime string, tasks int) sesamedrift.Submission {
 	s := sesamedrift.Submission{
--- a/server/registers.go
+++ b/server/registers.go
@@ -221,7 +221,7 @@
 		if err == nil && reply.Message != "" {
 			return registrar.Result{}, true, errors.New(reply.Message)
 		}
-		return reply.Result, reply.Result.Status != registrar.Unavailable, err
+		return reply.Result, err == nil && reply.Result.Status != registrar.Unavailable, err
 	})
 }
 
