--- a/executor/executor.go
+++ b/executor/executor.go
@@ -108,6 +108,7 @@
 	faults  Faults
 	state   string
 	running map[string]*execution
+	full    int           // tasks that were refused because every slot was taken
 	idle    chan struct{} // closed and replaced whenever running becomes empty
 	release chan struct{} // closed and replaced by POST /release
 }
@@ -157,6 +158,13 @@
 	e.faults = f
 }
 
+// Full returns how many tasks were refused because every slot was taken.
+func (e *Executor) Full() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.full
+}
+
 // Leave announces that the executor takes no new work. It returns when the hosts have had
 // the time to learn of it and running tasks have been answered, or when ctx is done. Work
 // that arrives in the meantime is still run.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -12,9 +12,12 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"os"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sesamedrift.example/sesamedrift/client"
@@ -83,6 +86,8 @@
 	incarnation uint64
 	// ended holds the counters of hosts that were killed or stopped.
 	ended server.Counters
+
+	cuts cuts
 }
 
 // New starts the hosts, waits until they are members of their views, applies the document
@@ -120,7 +125,7 @@
 	}
 	for _, domain := range d.cfg.Domains {
 		for i := range d.cfg.Upstreams {
-			if err := d.StartUpstream(fmt.Sprintf("%s-worker-%d", domain, i+1), domain, executor.Faults{}); err != nil {
+			if err := d.StartUpstream(UpstreamName(domain, i), domain, executor.Faults{}); err != nil {
 				return err
 			}
 		}
@@ -138,7 +143,7 @@
 	for _, n := range cfg.Hosts {
 		hosts += n
 	}
-	ports, err := freePorts(portsPerHost * hosts)
+	ports, err := freePorts(loopback(), portsPerHost*hosts)
 	if err != nil {
 		return nil, err
 	}
@@ -195,8 +200,21 @@
 	return peers
 }
 
+// deployments counts the deployments of this process.
+var deployments atomic.Uint32
+
+// loopback returns an address of the loopback network. On Linux each deployment has its
+// own, so that the port of a host that is down is not taken by another deployment.
+func loopback() string {
+	if runtime.GOOS != "linux" {
+		return "127.0.0.1"
+	}
+	// Deployments of several processes, such as packages under test, differ by process.
+	return net.IPv4(127, byte(1+os.Getpid()%200), byte(os.Getpid()/200), byte(1+deployments.Add(1)%200)).String()
+}
+
 // freePorts returns different loopback addresses with ports that were free a moment ago.
-func freePorts(n int) ([]string, error) {
+func freePorts(ip string, n int) ([]string, error) {
 	addresses := make([]string, 0, n)
 	var err error
 	for range n * portTries {
@@ -206,7 +224,7 @@
 		var lc net.ListenConfig
 		var l net.Listener
 		port := strconv.Itoa(firstPort + rand.IntN(lastPort-firstPort+1))
-		l, err = lc.Listen(context.Background(), "tcp", net.JoinHostPort("127.0.0.1", port))
+		l, err = lc.Listen(context.Background(), "tcp", net.JoinHostPort(ip, port))
 		if err != nil {
 			continue
 		}
@@ -235,6 +253,7 @@
 		Policy:      d.cfg.Policy,
 		Delay:       d.delay(s.Domain),
 		Seed:        d.cfg.Seed + incarnation,
+		Link:        func(to string) server.Link { return d.cuts.link(name, to) },
 	})
 	if err != nil {
 		return fmt.Errorf("launcher: host %q: %w", name, err)
@@ -500,3 +519,8 @@
 	}
 	return err
 }
+
+// UpstreamName returns the name of an upstream of a failure domain, counted from 0.
+func UpstreamName(domain string, i int) string {
+	return fmt.Sprintf("%s-worker-%d", domain, i+1)
+}
