Judge upstreams by their own tasks, and not by deadlines

Cause: by reading. A task that its deadline ended was counted as a failure of its upstream; results of forwarded tasks made the health of upstreams that a host does not own count for its share of ejected ones; a job that was cancelled before its claim was granted left a claim without outcome, so that a resubmission would have been answered unknown.

Change: the answer says that the lease ended, and counts only if it was the full lease of the kind; the owner judges; such a job's outcome is recorded.

Figures: TestOnlyFullLeasesCountAgainstAnUpstream fails with the former rule. The third case has no test.

--- a/server/claiming.go
+++ b/server/claiming.go
@@ -127,9 +127,12 @@
 		}
 	}
 	h.dispatcher.post(func(now time.Time) {
-		if !j.finished {
-			h.dispatcher.enqueue(now, j)
+		if j.finished {
+			// The job was cancelled before its claim was granted.
+			h.record(j)
+			return
 		}
+		h.dispatcher.enqueue(now, j)
 	})
 }
 
--- a/server/dispatcher.go
+++ b/server/dispatcher.go
@@ -208,6 +208,8 @@
 		Kind:    j.kind.Name,
 		Payload: j.sub.Payloads[t.Index],
 		Lease:   max(lease, time.Millisecond),
+		// The detector takes a task that used its full lease for a failure.
+		FullLease: j.kind.MaxRunTime.Std(),
 	}
 }
 
@@ -216,10 +218,7 @@
 	t := &j.tasks[index]
 	id := j.taskID(index)
 	d.running--
-	d.learn(now, j.service, j.kind.Name, a)
-	if a.Unreachable {
-		d.unreachable(now, a)
-	}
+	d.learn(now, j.service, j.kind.Name, j.kind.MaxRunTime.Std(), a)
 	if j.finished {
 		d.queue.Done(now, id)
 		if a.Result == runSucceeded {
@@ -266,17 +265,23 @@
 }
 
 // learn feeds the result of an attempt to the learned run times and to the health of
-// the upstream.
-func (d *dispatcher) learn(now time.Time, service, kind string, a taskAnswer) {
-	if a.Upstream == "" {
-		return
+// the upstream. full is the lease of a task that is not cut short by its deadline.
+func (d *dispatcher) learn(now time.Time, service, kind string, full time.Duration, a taskAnswer) {
+	if a.Unreachable {
+		d.unreachable(now, a)
+	}
+	if a.LeaseEnded {
+		d.times.Exceeds(now, service, kind, a.Took)
 	}
 	switch a.Result {
 	case runSucceeded:
 		d.times.Observe(now, service, kind, a.Took)
-		d.report(now, a.Upstream, service, kind, true, a.Took)
+		d.report(now, service, kind, a)
 	case runFailed, runLost, runNotStarted:
-		d.report(now, a.Upstream, service, kind, false, a.Took)
+		// A task that its deadline ended says nothing about its upstream.
+		if !a.LeaseEnded || a.Took >= full {
+			d.report(now, service, kind, a)
+		}
 	case runStopped, runBarred:
 	}
 }
@@ -448,19 +453,23 @@
 	d.orphans[j.identity] = j
 }
 
-// report tells the detector about an attempt and applies a change of state.
-func (d *dispatcher) report(now time.Time, upstream, service, kind string, ok bool, took time.Duration) {
-	before := d.health.State(now, upstream)
-	d.health.Report(now, upstream, service, kind, ok)
-	if ok {
-		d.health.Observe(now, upstream, service, kind, took)
+// report tells the detector about an attempt on an upstream of this host, and applies a
+// change of its state. The owner of an upstream judges it.
+func (d *dispatcher) report(now time.Time, service, kind string, a taskAnswer) {
+	if d.upstreams[a.Upstream] == nil {
+		return
+	}
+	before := d.health.State(now, a.Upstream)
+	d.health.Report(now, a.Upstream, service, kind, a.Result == runSucceeded)
+	if a.Result == runSucceeded {
+		d.health.Observe(now, a.Upstream, service, kind, a.Took)
 	}
-	after := d.health.State(now, upstream)
+	after := d.health.State(now, a.Upstream)
 	if before == after {
 		return
 	}
 	if after == detector.Ejected {
-		reporter.Log(context.Background(), d.log, reporter.UpstreamEjected, "upstream", upstream, "service", service)
+		reporter.Log(context.Background(), d.log, reporter.UpstreamEjected, "upstream", a.Upstream, "service", service)
 	}
-	d.refresh(now, upstream)
+	d.refresh(now, a.Upstream)
 }
--- /dev/null
+++ b/server/dispatcher_test.go
@@ -0,0 +1,84 @@
+package server
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift/detector"
+	"sesamedrift.example/sesamedrift/estimator"
+	"sesamedrift.example/sesamedrift/leaser"
+	"sesamedrift.example/sesamedrift/scheduler"
+)
+
+// newJudge returns a dispatcher that owns three upstreams and can learn from results.
+func newJudge() *dispatcher {
+	d := &dispatcher{
+		log:       slog.New(slog.DiscardHandler),
+		times:     estimator.New(estimator.Config{}),
+		health:    detector.New(detector.Config{EjectShare: 0.5}),
+		queue:     scheduler.New(scheduler.Config{}),
+		upstreams: map[string]*owned{},
+	}
+	for _, name := range []string{"u1", "u2", "u3"} {
+		d.upstreams[name] = &owned{
+			Announcement: leaser.Announcement{
+				Upstream: name,
+				Service:  serviceUsed,
+				State:    leaser.Serving,
+			},
+		}
+		d.health.Add(name, serviceUsed)
+	}
+	return d
+}
+
+// Guards against an upstream that is ejected because tasks that were sent to it shortly
+// before their deadline did not end in time, and against one that hangs and is not.
+func TestOnlyFullLeasesCountAgainstAnUpstream(t *testing.T) {
+	const full = 2 * time.Second
+	for took, want := range map[time.Duration]detector.State{
+		full / 4: detector.Healthy,
+		full:     detector.Ejected,
+	} {
+		g := NewWithT(t)
+		d := newJudge()
+		for range 10 {
+			for _, name := range []string{"u2", "u3"} {
+				d.learn(start, serviceUsed, "check", full, taskAnswer{
+					Result:   runSucceeded,
+					Upstream: name,
+					Took:     full / 8,
+				})
+			}
+			d.learn(start, serviceUsed, "check", full, taskAnswer{
+				Result:     runFailed,
+				Upstream:   "u1",
+				Took:       took,
+				LeaseEnded: true,
+			})
+		}
+		g.Expect(d.health.State(start, "u1")).To(Equal(want), took.String())
+	}
+}
+
+// Guards against upstreams of peers that count for the share of ejected upstreams of
+// this host.
+func TestUpstreamsOfPeersAreNotJudged(t *testing.T) {
+	g := NewWithT(t)
+	d := newJudge()
+	for range 10 {
+		d.learn(start, serviceUsed, "check", time.Second, taskAnswer{
+			Result:   runSucceeded,
+			Upstream: "u2",
+			Took:     time.Millisecond,
+		})
+		d.learn(start, serviceUsed, "check", time.Second, taskAnswer{
+			Result:   runFailed,
+			Upstream: "of-a-peer",
+		})
+	}
+	g.Expect(d.health.State(start, "of-a-peer")).To(Equal(detector.Healthy))
+}
--- a/server/remote.go
+++ b/server/remote.go
@@ -238,10 +238,7 @@
 	d.queue.Done(now, v.run.TaskID)
 	delete(d.foreign, v.run.TaskID)
 	v.answers <- a
-	d.learn(now, v.run.Service, v.run.Kind, a)
-	if a.Unreachable {
-		d.unreachable(now, a)
-	}
+	d.learn(now, v.run.Service, v.run.Kind, v.run.FullLease, a)
 }
 
 func (h *Host) serveStopTask(in taskNotice) (nothing, error) {
--- a/server/runner.go
+++ b/server/runner.go
@@ -65,6 +65,8 @@
 	Kind    string        `msgpack:"kind"`
 	Payload []byte        `msgpack:"payload"`
 	Lease   time.Duration `msgpack:"lease"`
+	// FullLease is the lease that the kind allows; Lease is shorter near the deadline.
+	FullLease time.Duration `msgpack:"full-lease"`
 }
 
 // taskAnswer is the result of one attempt.
@@ -74,8 +76,10 @@
 	Reason   string    `msgpack:"reason"`
 	Upstream string    `msgpack:"upstream"`
 	// Unreachable says that the connection to the upstream failed.
-	Unreachable bool          `msgpack:"unreachable"`
-	Took        time.Duration `msgpack:"took"`
+	Unreachable bool `msgpack:"unreachable"`
+	// LeaseEnded says that the upstream ended the task with its lease.
+	LeaseEnded bool          `msgpack:"lease-ended"`
+	Took       time.Duration `msgpack:"took"`
 }
 
 // runner sends tasks to upstreams. It is safe for concurrent use.
@@ -188,7 +192,11 @@
 		r.rejected.Add(1)
 		return taskAnswer{Result: runNotStarted, Reason: e.Message}
 	}
-	return taskAnswer{Result: runFailed, Reason: e.Message}
+	return taskAnswer{
+		Result:     runFailed,
+		Reason:     e.Message,
+		LeaseEnded: e.Code == "task-stopped",
+	}
 }
 
 // stop asks the upstream to stop the task. An upstream that cannot be reached ends the
--- a/server/submit.go
+++ b/server/submit.go
@@ -215,14 +215,26 @@
 	})
 }
 
+// record records the outcome of a job that ended before its claim was granted.
+func (h *Host) record(j *job) {
+	h.background.Go(func() {
+		<-j.done
+		h.recordOutcome(j, j.outcome)
+	})
+}
+
+func (h *Host) recordOutcome(j *job, o sesamedrift.Outcome) {
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	if err := h.claims.Finish(ctx, h.now(), j.identity, o); err != nil {
+		reporter.Log(ctx, h.log, reporter.OutcomeNotRecorded, "key", o.Key, "error", err)
+	}
+}
+
 // finish records the outcome of a job that this host ran, then wakes its callers.
 func (h *Host) finish(j *job, o sesamedrift.Outcome) {
 	h.background.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-		defer cancel()
-		if err := h.claims.Finish(ctx, h.now(), j.identity, o); err != nil {
-			reporter.Log(ctx, h.log, reporter.OutcomeNotRecorded, "key", o.Key, "error", err)
-		}
+		h.recordOutcome(j, o)
 		j.outcome = o
 		if j.trial {
 			h.trials.note(j.version, o)
