generator: count late jobs by outcome and reason

Cause: the share of late jobs at the crest does not say why they are late.

Change: results list the late jobs by outcome and reason in the JSON output.

--- a/generator/measure.go
+++ b/generator/measure.go
@@ -53,6 +53,8 @@
 	Accepted int `json:"accepted"`
 	Late     int `json:"late"`
 	Expired  int `json:"expired"`
+	// LateBy counts the late jobs by outcome and reason.
+	LateBy map[string]int `json:"late-by"`
 	// LostAnswers counts deliveries whose answer was lost.
 	LostAnswers int `json:"lost-answers"`
 	// Unhinted counts refusals without a retry hint.
@@ -103,6 +105,7 @@
 		Load:     p.Load(),
 		Outcomes: map[sesamedrift.Status]int{},
 		Failures: map[string]int{},
+		LateBy:   map[string]int{},
 		Response: newHistogram(),
 		Ratio:    newHistogram(),
 		Hints:    newHistogram(),
@@ -127,6 +130,19 @@
 	return out
 }
 
+// outcome describes the sample without what differs between jobs.
+func (s *sample) outcome() string {
+	switch s.status {
+	case "":
+		return "no outcome: " + s.failure
+	case sesamedrift.Complete:
+		return string(s.status)
+	default:
+		reason, _, _ := strings.Cut(s.reason, ": Post")
+		return string(s.status) + ": " + reason
+	}
+}
+
 // note adds one measured job.
 func (p *PhaseResult) note(j *Job, s *sample, inTime bool) {
 	p.Jobs++
@@ -153,6 +169,7 @@
 		p.Accepted++
 		if !inTime {
 			p.Late++
+			p.LateBy[s.outcome()]++
 		}
 	}
 	if s.status == sesamedrift.Complete && !j.Kind.Long {
