--- /dev/null
+++ b/claimer/capacity_test.go
@@ -0,0 +1,108 @@
+package claimer
+
+import (
+	"bytes"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/leaser"
+)
+
+// capacityTable returns a table with n claims of the size that hosts write, whose
+// outcomes have an answer of the given length, or none if it is negative.
+func capacityTable(n, answer int) *Table {
+	t := NewTable(testRetention)
+	t.MaxAnswerBytes = 1 << 40
+	t.Merge(capacityRecords(n, answer))
+	t.open(1, time.Time{})
+	return t
+}
+
+func capacityRecords(n, answer int) []Record {
+	records := make([]Record, n)
+	for i := range records {
+		key := fmt.Sprintf("ikeja.0198f7a2-7c3e-7d10-9a55-%012x@20261204T090000.000", i)
+		c := Claim{
+			Key:         key,
+			Created:     start.Add(testRetention * time.Duration(i) / time.Duration(n)),
+			PayloadHash: fmt.Sprintf("%064x", i),
+			Coordinator: leaser.Member{
+				Host:        "ikeja-1",
+				Incarnation: 1,
+				Address:     "10.0.0.1:7001",
+				HTTP:        "10.0.0.1:8080",
+			},
+			Phase: Started,
+			At:    start,
+		}
+		if answer >= 0 {
+			c.Phase = Done
+			c.Outcome = sesamedrift.Outcome{
+				Key:     key[:43],
+				Digest:  c.PayloadHash,
+				Status:  sesamedrift.Complete,
+				Task:    sesamedrift.NoTask,
+				Answers: [][]byte{bytes.Repeat([]byte("a"), answer)},
+			}
+		}
+		records[i] = Record{
+			Key:     key,
+			Created: c.Created,
+			Claims:  []Claim{c},
+		}
+	}
+	return records
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkMemory measures the memory of the claims in a table.
+func BenchmarkMemory(b *testing.B) {
+	const n = 50_000
+	for _, answer := range []int{-1, 0, 100, 1000} {
+		b.Run(fmt.Sprint("answer-bytes=", answer), func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				t := capacityTable(n, answer)
+				b.ReportMetric(float64(heapBytes()-before)/n, "B/claim")
+				runtime.KeepAlive(t)
+			}
+		})
+	}
+}
+
+// BenchmarkMerge measures the merge of the claims of a former view into an empty table.
+func BenchmarkMerge(b *testing.B) {
+	for _, n := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprint("claims=", n), func(b *testing.B) {
+			records := capacityRecords(n, 100)
+			b.ResetTimer()
+			for range b.N {
+				NewTable(testRetention).Merge(records)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*n), "ns/claim")
+		})
+	}
+}
+
+// BenchmarkExpire measures one look for expired claims, of which there is none.
+func BenchmarkExpire(b *testing.B) {
+	for _, n := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprint("claims=", n), func(b *testing.B) {
+			t := capacityTable(n, 100)
+			for b.Loop() {
+				if t.Expire(start) > 0 {
+					b.Fatal("a claim expired")
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/leaser/capacity_test.go
@@ -0,0 +1,61 @@
+package leaser
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// capacityDirectory returns a directory with upstreams that announced themselves at start.
+func capacityDirectory(n int) *Directory {
+	d := NewDirectory()
+	for i := range n {
+		_, _ = d.Announce(start, announcement(i, 1, Serving))
+	}
+	return d
+}
+
+// BenchmarkDirectory measures the steps of a directory against its size: a repeated
+// announcement, a pull of everything, a list of everything, and a look for expired
+// upstreams.
+func BenchmarkDirectory(b *testing.B) {
+	for _, n := range []int{10, 100, 184, 920} {
+		d := capacityDirectory(n)
+		b.Run(fmt.Sprintf("announce/upstreams=%d", n), func(b *testing.B) {
+			now := start
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Millisecond)
+				_, _ = d.Announce(now, announcement(i%n, 1, Serving))
+			}
+		})
+		b.Run(fmt.Sprintf("since/upstreams=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				d.Since(0)
+			}
+		})
+		b.Run(fmt.Sprintf("all/upstreams=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				d.All()
+			}
+		})
+		b.Run(fmt.Sprintf("expire/upstreams=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				d.Expire(start)
+			}
+		})
+		b.Run(fmt.Sprintf("memory/upstreams=%d", n), func(b *testing.B) {
+			var m runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&m)
+				before := m.HeapAlloc
+				d := capacityDirectory(n)
+				runtime.GC()
+				runtime.ReadMemStats(&m)
+				b.ReportMetric((float64(m.HeapAlloc)-float64(before))/float64(n), "B/upstream")
+				runtime.KeepAlive(d)
+			}
+		})
+	}
+}
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -49,7 +49,7 @@
 // BenchmarkDecision measures one end, one start, and the return of the task to the queue
 // in a queue that keeps its length.
 func BenchmarkDecision(b *testing.B) {
-	for _, upstreams := range []int{10, 100, 1000} {
+	for _, upstreams := range []int{10, 100, 184, 920, 1000} {
 		for _, queued := range []int{100, 10_000, 100_000} {
 			b.Run(fmt.Sprintf("upstreams=%d/queued=%d", upstreams, queued), func(b *testing.B) {
 				slots := upstreams * 8
