claimer: look for expired claims by their age

Cause: ten times a second a host looked at every claim for those that had expired. The host called the Expire of the table and not that of the claimer, so that the claimer's note of each started submission stayed for ever.

Change: the table and the claimer keep their keys by the second of their creation and look only at those that may have expired. The host calls the Expire of the claimer, which includes that of the table.

Conclusion: the cost of expiry follows the rate of submissions and no longer their number.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -43,6 +43,8 @@
 	// ran holds the keys, with their creation time, whose work this process was allowed to
 	// start.
 	ran map[string]time.Time
+	// due orders the keys of active and ran.
+	due due
 	// busy has a channel, closed at the end, for each key with a running Claim.
 	busy  map[string]chan struct{}
 	round uint64
@@ -129,6 +131,9 @@
 func (c *Claimer) hold(claim Claim) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if _, ok := c.active[claim.Key]; !ok {
+		c.due.add(claim.Created, claim.Key)
+	}
 	c.active[claim.Key] = claim
 	if claim.Phase == Started {
 		c.ran[claim.Key] = claim.Created
@@ -419,16 +424,14 @@
 // many records the table forgot.
 func (c *Claimer) Expire(now time.Time) int {
 	c.mu.Lock()
-	for key, claim := range c.active {
-		if expired(now, claim.Created, c.cfg.Retention+c.cfg.ClockMargin) {
+	c.due.take(now.Add(-c.cfg.Retention-c.cfg.ClockMargin), func(key string, created time.Time) {
+		if claim, ok := c.active[key]; ok && claim.Created.Equal(created) {
 			delete(c.active, key)
 		}
-	}
-	for key, created := range c.ran {
-		if expired(now, created, c.cfg.Retention+c.cfg.ClockMargin) {
+		if ran, ok := c.ran[key]; ok && ran.Equal(created) {
 			delete(c.ran, key)
 		}
-	}
+	})
 	c.mu.Unlock()
 	return c.cfg.Table.Expire(now)
 }
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -15,6 +15,10 @@
 	DefaultChunkBytes     = 1 << 20
 )
 
+// minAnswered is the number of forgotten keys up to which the list of keys with answers is
+// not cleaned.
+const minAnswered = 1024
+
 // recordBytes is the approximate size of a record without its answers in a message.
 const recordBytes = 512
 
@@ -111,6 +115,7 @@
 	horizon        time.Time
 	answerBytes    int
 	answered       []string // keys with answers, oldest first
+	due            due
 	// snapshot holds the ordered keys for the chunks of a sync to view snapshotView.
 	snapshot     []string
 	snapshotView uint64
@@ -164,6 +169,7 @@
 			}
 		}
 		t.records[r.Key] = rec
+		t.due.add(r.Created, r.Key)
 	}
 	t.dropAnswers()
 	return Reply{
@@ -258,17 +264,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
-	for key, rec := range t.records {
-		if now.Sub(rec.Created) > t.retention+t.ClockMargin {
+	t.due.take(now.Add(-t.retention-t.ClockMargin), func(key string, created time.Time) {
+		// A record that was retracted and claimed again is noted more than once.
+		if rec, ok := t.records[key]; ok && rec.Created.Equal(created) {
 			t.answerBytes -= answerBytes(rec)
 			delete(t.records, key)
 			n++
 		}
-	}
-	t.answered = slices.DeleteFunc(t.answered, func(key string) bool {
-		_, ok := t.records[key]
-		return !ok
 	})
+	if len(t.answered) > minAnswered+2*len(t.records) {
+		t.answered = slices.DeleteFunc(t.answered, func(key string) bool {
+			_, ok := t.records[key]
+			return !ok
+		})
+	}
 	return n
 }
 
@@ -291,6 +300,7 @@
 				Created: in.Created,
 			}
 			t.records[in.Key] = rec
+			t.due.add(in.Created, in.Key)
 		}
 		before := answerBytes(rec)
 		rec.Promised = max(rec.Promised, in.Promised)
--- a/server/directory.go
+++ b/server/directory.go
@@ -229,7 +229,7 @@
 		for _, a := range expired {
 			reporter.Log(ctx, h.log, reporter.UpstreamExpired, "upstream", a.Upstream, "service", a.Service)
 		}
-		h.table.Expire(now)
+		h.claims.Expire(now)
 		h.dispatcher.post(h.syncUpstreams)
 	}
 }
