claimer: leave out of messages what the receiver knows

Cause: each accepted claim and outcome was answered with the whole record, answers included, and fields without a value were sent by name.

Change: an accepted claim, mark or outcome is answered without the record; look-ups and prepared ballots still get it, and so does every refusal. Fields of claims, outcomes and heartbeats without a value are left out. The encoding stays readable by both sides.

--- a/claimer/claim.go
+++ b/claimer/claim.go
@@ -46,12 +46,12 @@
 	PayloadHash string        `msgpack:"payload-hash"`
 	Coordinator leaser.Member `msgpack:"coordinator"`
 	// Ballot is 0 for a first claim; others are unique to one attempt of one process.
-	Ballot uint64 `msgpack:"ballot"`
+	Ballot uint64 `msgpack:"ballot,omitempty"`
 	Phase  Phase  `msgpack:"phase"`
 	// Outcome is set if the phase is Done.
-	Outcome sesamedrift.Outcome `msgpack:"outcome"`
+	Outcome sesamedrift.Outcome `msgpack:"outcome,omitempty"`
 	// AnswerDropped means that the answers of the outcome are no longer held.
-	AnswerDropped bool `msgpack:"answer-dropped"`
+	AnswerDropped bool `msgpack:"answer-dropped,omitempty"`
 	// At is when the coordinator last changed the claim, by its own clock.
 	At time.Time `msgpack:"at"`
 }
@@ -79,7 +79,7 @@
 	Key     string    `msgpack:"key"`
 	Created time.Time `msgpack:"created"`
 	// Promised is the highest ballot that was prepared; lower ones are refused.
-	Promised uint64 `msgpack:"promised"`
+	Promised uint64 `msgpack:"promised,omitempty"`
 	// Claims all have the same ballot, the highest that was accepted. There is more than
 	// one only at ballot 0, after a view change in which the tables of the former view
 	// named different coordinators.
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -52,11 +52,16 @@
 	Key     string    `msgpack:"key"`
 	Created time.Time `msgpack:"created"`
 	// Ballot is the ballot to prepare.
-	Ballot uint64 `msgpack:"ballot"`
+	Ballot uint64 `msgpack:"ballot,omitempty"`
 	// Claim is what to write.
-	Claim Claim `msgpack:"claim"`
+	Claim Claim `msgpack:"claim,omitempty"`
 	// After is the key after which a sync goes on.
-	After string `msgpack:"after"`
+	After string `msgpack:"after,omitempty"`
+}
+
+// reads reports whether the sender needs the record although the request was accepted.
+func (r *Request) reads() bool {
+	return r.Type == TypeTakeOver || r.Type == TypeLookUp
 }
 
 // ReplyStatus is the answer of a table.
@@ -81,16 +86,17 @@
 // Reply is the answer to a Request.
 type Reply struct {
 	Status ReplyStatus `msgpack:"status"`
-	// Record is what the table knew about the key, after the request.
-	Record Record `msgpack:"record"`
+	// Record is what the table knew about the key. It is empty if the table has accepted
+	// a claim, which the sender knows.
+	Record Record `msgpack:"record,omitempty"`
 	// From, Synced, Horizon, Records and After answer a sync. From is the process that
 	// owns the table. Synced is the number of the last
 	// view whose records the table has; After is empty in the last chunk.
-	From    leaser.Member `msgpack:"from"`
-	Synced  uint64        `msgpack:"synced"`
-	Horizon time.Time     `msgpack:"horizon"`
-	Records []Record      `msgpack:"records"`
-	After   string        `msgpack:"after"`
+	From    leaser.Member `msgpack:"from,omitempty"`
+	Synced  uint64        `msgpack:"synced,omitempty"`
+	Horizon time.Time     `msgpack:"horizon,omitempty"`
+	Records []Record      `msgpack:"records,omitempty"`
+	After   string        `msgpack:"after,omitempty"`
 }
 
 // Table is the store of one member. It is safe for concurrent use.
@@ -172,10 +178,13 @@
 		t.due.add(r.Created, r.Key)
 	}
 	t.dropAnswers()
-	return Reply{
+	reply := Reply{
 		Status: status,
-		Record: rec.clone(),
 	}
+	if status != Accepted || r.reads() {
+		reply.Record = rec.clone()
+	}
+	return reply
 }
 
 // apply carries the request out on the record if nothing stands against it.
--- a/launcher/capacity_test.go
+++ b/launcher/capacity_test.go
@@ -131,6 +131,7 @@
 	cpu     time.Duration
 	traffic messenger.Stats
 	heap    uint64
+	live    uint64
 	mallocs uint64
 }
 
@@ -141,6 +142,7 @@
 		at:      time.Now(),
 		cpu:     processorTime(),
 		heap:    m.HeapInuse + m.StackInuse,
+		live:    m.HeapAlloc,
 		mallocs: m.Mallocs,
 	}
 	for _, h := range d.running() {
@@ -213,6 +215,7 @@
 			defer up.wait(b)
 			time.Sleep(time.Second)
 			for b.Loop() {
+				runtime.GC()
 				from := d.usage()
 				callers := startHelper(b, role{
 					Domains: map[string][]string{"a": d.URLs("a")[:c.entry]},
@@ -224,6 +227,9 @@
 				})
 				r := callers.wait(b)
 				to := d.usage()
+				runtime.GC()
+				kept := float64(d.usage().live) - float64(from.live)
+				b.ReportMetric(kept/float64(max(1, r.Jobs)*c.hosts), "kept-B/submission/host")
 				n := float64(max(1, r.Tasks))
 				b.ReportMetric(n/4, "starts/s")
 				b.ReportMetric(float64((to.cpu-from.cpu).Nanoseconds())/n/1000, "host-cpu-us/start")
--- a/leaser/messages.go
+++ b/leaser/messages.go
@@ -10,13 +10,13 @@
 	// Sent is the time by the sender's clock; the Ack returns it.
 	Sent time.Time `msgpack:"sent"`
 	// Free is the number of free slots of each service at the sender.
-	Free map[string]int `msgpack:"free"`
+	Free map[string]int `msgpack:"free,omitempty"`
 	// DirectorySeq is the sequence of the sender's Directory.
 	DirectorySeq uint64 `msgpack:"directory-seq"`
 	// Versions holds the versions of the configuration that the sender has.
 	Versions map[string]uint64 `msgpack:"versions"`
 	// Load is the number of tasks in the sender's queue.
-	Load int `msgpack:"load"`
+	Load int `msgpack:"load,omitempty"`
 }
 
 // Ack answers a Heartbeat. The caller fills in the fields after Sent.
@@ -30,10 +30,10 @@
 	HeartbeatView uint64    `msgpack:"heartbeat-view"`
 	Sent          time.Time `msgpack:"sent"`
 	// Free, DirectorySeq, Versions and Load have the same meaning as in Heartbeat.
-	Free         map[string]int    `msgpack:"free"`
+	Free         map[string]int    `msgpack:"free,omitempty"`
 	DirectorySeq uint64            `msgpack:"directory-seq"`
 	Versions     map[string]uint64 `msgpack:"versions"`
-	Load         int               `msgpack:"load"`
+	Load         int               `msgpack:"load,omitempty"`
 }
 
 // Handover tells the new owner of an upstream that the old owner, which is in the same
--- a/outcome.go
+++ b/outcome.go
@@ -80,13 +80,13 @@
 	// Status is one of the closed set.
 	Status Status `json:"status" msgpack:"status"`
 	// Reason is empty if and only if the status is Complete.
-	Reason string `json:"reason,omitempty" msgpack:"reason"`
+	Reason string `json:"reason,omitempty" msgpack:"reason,omitempty"`
 	// Task is the index of the task that failed, or -1.
 	Task int `json:"task" msgpack:"task"`
 	// Answers has one element for each task if the status is Complete, else none.
-	Answers [][]byte `json:"answers,omitempty" msgpack:"answers"`
+	Answers [][]byte `json:"answers,omitempty" msgpack:"answers,omitempty"`
 	// RetryAfter is the time to wait before the next try of a refused submission.
-	RetryAfter time.Duration `json:"retry-after,omitempty" msgpack:"retry-after"`
+	RetryAfter time.Duration `json:"retry-after,omitempty" msgpack:"retry-after,omitempty"`
 }
 
 // NoTask is the value of Outcome.Task when no single task is the reason.
