--- a/claimer/table.go
+++ b/claimer/table.go
@@ -15,6 +15,10 @@
 	DefaultChunkBytes     = 1 << 20
 )
 
+// minAnswered is the number of forgotten keys up to which the list of keys with answers is
+// not cleaned.
+const minAnswered = 1024
+
 // recordBytes is the approximate size of a record without its answers in a message.
 const recordBytes = 512
 
@@ -48,11 +52,16 @@
 	Key     string    `msgpack:"key"`
 	Created time.Time `msgpack:"created"`
 	// Ballot is the ballot to prepare.
-	Ballot uint64 `msgpack:"ballot"`
+	Ballot uint64 `msgpack:"ballot,omitempty"`
 	// Claim is what to write.
-	Claim Claim `msgpack:"claim"`
+	Claim Claim `msgpack:"claim,omitempty"`
 	// After is the key after which a sync goes on.
-	After string `msgpack:"after"`
+	After string `msgpack:"after,omitempty"`
+}
+
+// reads reports whether the sender needs the record although the request was accepted.
+func (r *Request) reads() bool {
+	return r.Type == TypeTakeOver || r.Type == TypeLookUp
 }
 
 // ReplyStatus is the answer of a table.
@@ -77,16 +86,17 @@
 // Reply is the answer to a Request.
 type Reply struct {
 	Status ReplyStatus `msgpack:"status"`
-	// Record is what the table knew about the key, after the request.
-	Record Record `msgpack:"record"`
+	// Record is what the table knew about the key. It is empty if the table has accepted
+	// a claim, which the sender knows.
+	Record Record `msgpack:"record,omitempty"`
 	// From, Synced, Horizon, Records and After answer a sync. From is the process that
 	// owns the table. Synced is the number of the last
 	// view whose records the table has; After is empty in the last chunk.
-	From    leaser.Member `msgpack:"from"`
-	Synced  uint64        `msgpack:"synced"`
-	Horizon time.Time     `msgpack:"horizon"`
-	Records []Record      `msgpack:"records"`
-	After   string        `msgpack:"after"`
+	From    leaser.Member `msgpack:"from,omitempty"`
+	Synced  uint64        `msgpack:"synced,omitempty"`
+	Horizon time.Time     `msgpack:"horizon,omitempty"`
+	Records []Record      `msgpack:"records,omitempty"`
+	After   string        `msgpack:"after,omitempty"`
 }
 
 // Table is the store of one member. It is safe for concurrent use.
@@ -111,6 +121,7 @@
 	horizon        time.Time
 	answerBytes    int
 	answered       []string // keys with answers, oldest first
+	due            due
 	// snapshot holds the ordered keys for the chunks of a sync to view snapshotView.
 	snapshot     []string
 	snapshotView uint64
@@ -182,12 +193,16 @@
 			}
 		}
 		t.records[r.Key] = rec
+		t.due.add(r.Created, r.Key)
 	}
 	t.dropAnswers()
-	return Reply{
+	reply := Reply{
 		Status: status,
-		Record: rec.clone(),
 	}
+	if status != Accepted || r.reads() {
+		reply.Record = rec.clone()
+	}
+	return reply
 }
 
 // apply carries the request out on the record if nothing stands against it.
@@ -276,17 +291,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
-	for key, rec := range t.records {
-		if now.Sub(rec.Created) > t.retention+t.ClockMargin {
+	t.due.take(now.Add(-t.retention-t.ClockMargin), func(key string, created time.Time) {
+		// A record that was retracted and claimed again is noted more than once.
+		if rec, ok := t.records[key]; ok && rec.Created.Equal(created) {
 			t.answerBytes -= answerBytes(rec)
 			delete(t.records, key)
 			n++
 		}
-	}
-	t.answered = slices.DeleteFunc(t.answered, func(key string) bool {
-		_, ok := t.records[key]
-		return !ok
 	})
+	if len(t.answered) > minAnswered+2*len(t.records) {
+		t.answered = slices.DeleteFunc(t.answered, func(key string) bool {
+			_, ok := t.records[key]
+			return !ok
+		})
+	}
 	return n
 }
 
@@ -309,6 +327,7 @@
 				Created: in.Created,
 			}
 			t.records[in.Key] = rec
+			t.due.add(in.Created, in.Key)
 		}
 		before := answerBytes(rec)
 		rec.Promised = max(rec.Promised, in.Promised)
