server: answer announcements without a lease with not-ready

Cause: an upstream announces itself at one host of its domain, and the others fetch the announcement from there. A host that is silently cut off from its peers, but not from the upstreams, kept taking the announcements, so that they expired at all other hosts.

Change: a host without a lease takes the announcement in and answers 503 not-ready, so that the upstream announces itself to the next host too.

Before: after a silent cut of the host that took the announcements, the two others owned none of the 3 upstreams after 60 s (TestSilentCutOfOneHost/ikeja-1). After: they own all of them.

Conclusion: both cases of the test are kept, since the upstreams prefer the first host.

--- a/server/directory.go
+++ b/server/directory.go
@@ -144,6 +144,11 @@
 		})
 		return
 	}
+	if !h.members.holds(h.now()) {
+		// The other hosts may not learn of the announcement from this one.
+		writeError(w, notReady("the host holds no lease of its failure domain; announce to another one too"))
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/server/partition_test.go
+++ b/server/partition_test.go
@@ -108,7 +108,7 @@
 // its upstreams have new owners.
 func TestSilentCutOfOneHost(t *testing.T) {
 	t.Parallel()
-	for _, host := range []string{"ikeja-3"} {
+	for _, host := range []string{"ikeja-1", "ikeja-3"} {
 		t.Run(host, func(t *testing.T) {
 			d := deploy(t, largeDomain())
 			l := d.startLoad("ikeja-1", "ikeja-2", "ikeja-3")
