server: do not wait for a silent replica before the next is asked

Cause: changes and majority reads went through one replica after another, each with 5 s. A replica that was silently cut off held every view change up for these 5 s, more than the 2 s for which an upstream may be idle.

Change: the next replica is asked too after 200 ms; the first final answer counts.

--- a/server/registers.go
+++ b/server/registers.go
@@ -19,8 +19,13 @@
 const (
 	// registerCallTimeout bounds one message of the quorum protocol, synced write included.
 	registerCallTimeout = 2 * time.Second
-	// registerChangeTimeout bounds a whole change or majority read.
+	// registerChangeTimeout bounds a whole change or majority read, over all replicas that
+	// are asked for it.
 	registerChangeTimeout = 5 * time.Second
+	// hedgeAfter is how long a silent replica is waited for before the next one is asked
+	// too. It is above the time of a change with its synced writes, so that changes are
+	// normally proposed once, and well below the 2 s for which an upstream may be idle.
+	hedgeAfter = 200 * time.Millisecond
 	// repairEvery is the time between two tries to repair an empty replica.
 	repairEvery = time.Second
 	// replicaSyncEvery is the time between two exchanges of a replica with the others.
@@ -254,23 +259,48 @@
 	return ask[registerEntry](ctx, h, replica, messenger.KindRegisterRead, in)
 }
 
-// throughReplicas asks one replica after another until one gives a final answer.
+// throughReplicas asks one replica after another until one gives a final answer. A
+// replica that is silent for hedgeAfter is not waited for before the next one is asked;
+// its answer still counts.
 func throughReplicas[Out any](ctx context.Context, h *Host, try func(ctx context.Context, replica string) (Out, bool, error)) (Out, error) {
-	var last Out
-	err := errNoReplica
-	for _, replica := range h.replicas() {
-		var final bool
-		attempt, cancel := context.WithTimeout(ctx, registerChangeTimeout)
-		last, final, err = try(attempt, replica)
-		cancel()
-		if final || ctx.Err() != nil {
-			return last, err
+	type answer struct {
+		out   Out
+		final bool
+		err   error
+	}
+	ctx, cancel := context.WithTimeout(ctx, registerChangeTimeout)
+	defer cancel()
+	replicas := h.replicas()
+	answers := make(chan answer, len(replicas))
+	last := answer{err: errNoReplica}
+	for asked, open := 0, 0; asked < len(replicas) || open > 0; {
+		var next <-chan time.Time
+		if asked < len(replicas) {
+			replica := replicas[asked]
+			asked++
+			open++
+			h.background.Go(func() {
+				var a answer
+				a.out, a.final, a.err = try(ctx, replica)
+				answers <- a
+			})
+			next = time.After(hedgeAfter)
+		}
+		select {
+		case last = <-answers:
+			open--
+			if last.final {
+				return last.out, last.err
+			}
+		case <-next:
+		case <-ctx.Done():
+			return last.out, ctx.Err()
 		}
 	}
-	if err == nil {
-		err = errNoReplica
+	if last.err == nil {
+		last.err = errNoReplica
 	}
-	return last, err
+	return last.out, last.err
 }
 
 // repairUntil repairs this replica from the others if its folder was empty or damaged.
