Admit by the own queue, and keep deadlines of forwarded tasks

Change: the wait of the own, balanced queue counts, or none if the peers have free slots; forwarded tasks carry the time left, and their lease is set at the start.

--- a/server/admission.go
+++ b/server/admission.go
@@ -56,10 +56,18 @@
 	}
 }
 
-// wait estimates the time until the last task of a new job starts. A task that cannot
-// start here moves to a peer where it starts earlier.
+// wait estimates the time until the last task of a new job starts. Queues are balanced, so
+// that the wait here stands for that of the failure domain; the wait at the peer with the
+// shortest queue would be counted on by every host at the same time. A host without slots
+// of its own has nothing else to go by.
 func (d *dispatcher) wait(now time.Time, j *job) time.Duration {
-	wait := min(d.queue.WaitFor(now, d.allTasks(now, j)...), d.peers.wait(now, j.service))
+	if d.peers.freeSlots(now, j.service) >= len(j.tasks) {
+		return 0
+	}
+	wait := d.queue.WaitFor(now, d.allTasks(now, j)...)
+	if wait >= scheduler.MaxWait {
+		wait = d.peers.wait(now, j.service)
+	}
 	if wait >= scheduler.MaxWait && d.announced[j.service] {
 		// The owner of the announced upstreams has not reported its slots yet.
 		return 0
--- a/server/dispatcher.go
+++ b/server/dispatcher.go
@@ -91,7 +91,7 @@
 // visitor is a task that a peer forwarded to this host.
 type visitor struct {
 	run    taskRun
-	start  func(u owned)
+	start  func(u owned, run taskRun)
 	cancel context.CancelFunc
 	placed bool
 	// answers takes the result; it has room for it.
@@ -181,7 +181,8 @@
 	}
 	if v, ok := d.foreign[a.Task.ID]; ok {
 		v.placed = true
-		v.start(*u)
+		v.run.Lease = leaseFor(now, a.Task.Deadline, v.run.FullLease)
+		v.start(*u, v.run)
 		return
 	}
 	j := d.jobs[a.Task.Job]
@@ -197,22 +198,25 @@
 	d.running++
 	d.stats.Starts++
 	d.budget.Start(now)
-	lease := j.kind.MaxRunTime.Std()
-	if left := j.deadline.Sub(now); left < lease {
-		lease = left
-	}
+	full := j.kind.MaxRunTime.Std()
 	return taskRun{
 		TaskID:  t.ID,
 		Attempt: state.attempt,
 		Service: j.service,
 		Kind:    j.kind.Name,
 		Payload: j.sub.Payloads[t.Index],
-		Lease:   max(lease, time.Millisecond),
+		Lease:   leaseFor(now, j.deadline, full),
 		// The detector takes a task that used its full lease for a failure.
-		FullLease: j.kind.MaxRunTime.Std(),
+		FullLease: full,
 	}
 }
 
+// leaseFor returns the lease of a task that starts now: that of its kind, but not beyond
+// the deadline, since nobody receives a later answer.
+func leaseFor(now, deadline time.Time, full time.Duration) time.Duration {
+	return max(min(full, deadline.Sub(now)), time.Millisecond)
+}
+
 // ended takes the result of an attempt that this host started or forwarded.
 func (d *dispatcher) ended(now time.Time, j *job, index int, a taskAnswer) {
 	t := &j.tasks[index]
--- a/server/remote.go
+++ b/server/remote.go
@@ -15,6 +15,11 @@
 	Team     string        `msgpack:"team"`
 	Class    string        `msgpack:"class"`
 	Estimate time.Duration `msgpack:"estimate"`
+	Slow     time.Duration `msgpack:"slow"`
+	// LongAfter is the run time after which the task counts as long.
+	LongAfter time.Duration `msgpack:"long-after"`
+	// Left is the time until the deadline.
+	Left time.Duration `msgpack:"left"`
 	// From is the host that forwards the task, and Number grows with each task that it
 	// forwards, over restarts as well.
 	From   string `msgpack:"from"`
@@ -124,15 +129,19 @@
 	if err := j.mayStart(); err != nil {
 		return barred(err)
 	}
-	ctx, cancel := context.WithTimeout(j.ctx, run.Lease+leaseGrace+answerMargin)
+	left := j.deadline.Sub(h.now())
+	ctx, cancel := context.WithTimeout(j.ctx, left+leaseGrace+answerMargin)
 	defer cancel()
 	reply, err := ask[forwardedAnswer](ctx, h, host, messenger.KindRunTask, forwardedTask{
-		Run:      run,
-		Team:     t.Team,
-		Class:    string(t.Class),
-		Estimate: t.Estimate,
-		From:     h.cfg.Settings.Host,
-		Number:   n,
+		Run:       run,
+		Team:      t.Team,
+		Class:     string(t.Class),
+		Estimate:  t.Estimate,
+		Slow:      t.Slow,
+		LongAfter: t.LongAfter,
+		Left:      left,
+		From:      h.cfg.Settings.Host,
+		Number:    n,
 	})
 	var notSent *messenger.NotSentError
 	switch {
@@ -170,9 +179,9 @@
 		cancel:  cancel,
 		answers: make(chan taskAnswer, 1),
 	}
-	v.start = func(u owned) {
+	v.start = func(u owned, run taskRun) {
 		h.background.Go(func() {
-			a := h.attemptOn(ctx, u, in.Run)
+			a := h.attemptOn(ctx, u, run)
 			h.dispatcher.post(func(now time.Time) { h.dispatcher.visitEnded(now, v, a) })
 		})
 	}
@@ -198,15 +207,17 @@
 		return
 	}
 	t := scheduler.Task{
-		ID:       in.Run.TaskID,
-		Job:      in.Run.TaskID,
-		Team:     in.Team,
-		Service:  in.Run.Service,
-		Kind:     in.Run.Kind,
-		Class:    scheduler.Class(in.Class),
-		Deadline: now.Add(in.Run.Lease),
-		Estimate: in.Estimate,
-		Queued:   now,
+		ID:        in.Run.TaskID,
+		Job:       in.Run.TaskID,
+		Team:      in.Team,
+		Service:   in.Run.Service,
+		Kind:      in.Run.Kind,
+		Class:     scheduler.Class(in.Class),
+		Deadline:  now.Add(in.Left),
+		Estimate:  in.Estimate,
+		Slow:      in.Slow,
+		LongAfter: in.LongAfter,
+		Queued:    now,
 	}
 	if d.queue.Stats(now, t.Service).Slots == 0 {
 		v.answers <- notStarted(errNoSlots)
--- a/server/slots.go
+++ b/server/slots.go
@@ -192,6 +192,17 @@
 	return best, slots
 }
 
+// freeSlots returns the free slots of all peers of the own failure domain.
+func (p *peerSlots) freeSlots(now time.Time, service string) int {
+	n := 0
+	for host, s := range p.all {
+		if r, ok := p.report(now, host, service); ok && s.distance == 0 && r.Queued == 0 {
+			n += r.Free
+		}
+	}
+	return n
+}
+
 // shortest returns the peer of the own failure domain with the least queued work for each
 // slot.
 func (p *peerSlots) shortest(now time.Time, service string) (string, serviceReport) {
