server: serve every metric from the start, and answer alike everywhere

Cause: scripts over HTTP showed four faults. A counter was missing from /metrics until its first event, so that a dashboard could not tell zero from a wrong name. Answers 404 and 405 had no headers Sesamedrift-Domain and Sesamedrift-Host, which docs/http.md promises and without which the client reports a lost request ("curl -i .../nope"). "in-force-on" had a random order. Problems of a promotion had paths such as /promotion/min-age, other problems $.promotion.min-age.

--- a/server/environments.go
+++ b/server/environments.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -145,7 +146,7 @@
 	}
 	if document.Name != name {
 		return nil, badRequest("the document is of another environment", validator.Problem{
-			Path:    "/name",
+			Path:    "$.name",
 			Value:   document.Name,
 			Message: "want " + name,
 		})
@@ -186,6 +187,7 @@
 			Value:    value,
 			Digest:   result.Digest,
 		})
+		slices.Sort(response.InForceOn)
 		writeJSON(w, http.StatusOK, response)
 	case registrar.Conflict:
 		winner := record(result.Winner)
@@ -221,6 +223,7 @@
 			response.InForceOn = append(response.InForceOn, host)
 		}
 	}
+	slices.Sort(response.InForceOn)
 	writeJSON(w, http.StatusOK, response)
 }
 
@@ -328,14 +331,14 @@
 	var problems []validator.Problem
 	if total.Ended < p.MinSubmissions {
 		problems = append(problems, validator.Problem{
-			Path:    "/promotion/min-submissions",
+			Path:    "$.promotion.min-submissions",
 			Value:   strconv.Itoa(total.Ended),
 			Message: fmt.Sprintf("want %d submissions that ended under this version", p.MinSubmissions),
 		})
 	}
 	if share := total.share(); share < p.MinSuccessShare {
 		problems = append(problems, validator.Problem{
-			Path:    "/promotion/min-success-share",
+			Path:    "$.promotion.min-success-share",
 			Value:   strconv.FormatFloat(share, 'f', 3, 64),
 			Message: fmt.Sprintf("want a share of %.3f that were complete", p.MinSuccessShare),
 		})
@@ -343,15 +346,17 @@
 	f := h.documents.get(validator.Trial)
 	if f == nil || f.Version != entry.Version || h.now().Sub(f.Since) < p.MinAge.Std() {
 		problems = append(problems, validator.Problem{
-			Path:    "/promotion/min-age",
+			Path:    "$.promotion.min-age",
 			Message: "want the version in force on this host for " + p.MinAge.Std().String(),
 		})
 	}
 	if len(problems) > 0 {
-		e := badRequest("the trial document may not be promoted yet", problems...)
-		e.Status = http.StatusConflict
-		e.Code = "not-promotable"
-		return e
+		return &Error{
+			Status:   http.StatusConflict,
+			Code:     "not-promotable",
+			Message:  "the trial document may not be promoted yet",
+			Problems: problems,
+		}
 	}
 	return nil
 }
--- a/server/http.go
+++ b/server/http.go
@@ -44,7 +44,6 @@
 
 func (h *Host) routes() http.Handler {
 	r := mux.NewRouter()
-	r.Use(h.identify)
 	v1 := r.PathPrefix("/v1").Subrouter()
 	v1.HandleFunc("/submissions", h.postSubmission).Methods(http.MethodPost)
 	v1.HandleFunc("/submissions/{key}", h.getSubmission).Methods(http.MethodGet)
@@ -67,7 +66,8 @@
 			Message: r.Method + " is not offered on " + r.URL.Path,
 		})
 	})
-	return r
+	// The router calls its middleware only for requests that match a route.
+	return h.identify(r)
 }
 
 func (h *Host) identify(next http.Handler) http.Handler {
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -81,15 +81,12 @@
 
 // update publishes the present state. It is called by the dispatcher only.
 func (m *metrics) update(c Counters, queued, running, upstreams int) {
+	// A counter is published from its first use on, so that each one is used from the start.
 	count := func(name string, now, before uint64) {
-		if now > before {
-			m.scope.Counter(name).Inc(int64(now - before))
-		}
+		m.scope.Counter(name).Inc(int64(now - before))
 	}
 	outcome := func(status string, now, before uint64) {
-		if now > before {
-			m.scope.Tagged(map[string]string{"status": status}).Counter("outcomes").Inc(int64(now - before))
-		}
+		m.scope.Tagged(map[string]string{"status": status}).Counter("outcomes").Inc(int64(now - before))
 	}
 	count("task_starts", c.Starts, m.last.Starts)
 	count("task_forwards", c.Forwards, m.last.Forwards)
