commander: script replicas, trial, bad input and the HTTP page; send tries

Cause: only one host was driven from the command line, trial documents and tries after a refusal could not be used from it, and several wrong inputs ended with exit code 1 or passed unnoticed: unknown commands and flags of subcommands (1, with the help text on standard output), superfluous arguments (ignored), a timeout of 0s or less (ignored), a refused promotion (1), and a submission that may have run (1, now 5 as for the outcome "unknown").

Unknown commands, flags and arguments are usage errors that name what is accepted.

Conclusion: the command line covers the HTTP interface except waiting for a key.

--- a/client/client.go
+++ b/client/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/validator"
 )
 
 const (
@@ -31,6 +32,9 @@
 	HTTPClient *http.Client
 	// OperatorToken authorises Apply and Promote.
 	OperatorToken string
+	// Environment is the environment that submissions are for, validator.Trial or
+	// validator.Production. Empty stands for production.
+	Environment string
 	// Now returns the time; nil stands for time.Now.
 	Now func() time.Time
 	// Resubmissions is how often a submission that may have been delivered is sent again
@@ -70,6 +74,11 @@
 		}
 		cfg.Hosts[i] = u.Scheme + "://" + u.Host
 	}
+	switch cfg.Environment {
+	case "", validator.Trial, validator.Production:
+	default:
+		return nil, environmentError(cfg.Environment)
+	}
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -426,3 +426,47 @@
 		g.Expect(c.backoff(n)).To(And(BeNumerically(">", 0), BeNumerically("<=", min(maxBackoff, defaultBackoff<<min(n-1, 10)))), strconv.Itoa(n))
 	}
 }
+
+// Guards against a later try, or a submission for trial, that a host takes for another.
+func TestTryAndEnvironmentAreSent(t *testing.T) {
+	g := NewWithT(t)
+	h := newFakeHost(t, "ikeja")
+	var seen http.Header
+	h.handle = func(_ http.ResponseWriter, r *http.Request, _ int64) bool {
+		seen = r.Header.Clone()
+		return false
+	}
+	c := newTestClient(t, 0, h)
+	s := submission()
+	s.Key = sesamedrift.NewKey(start, "ikeja")
+
+	_, err := c.Submit(t.Context(), s)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(seen).NotTo(HaveKey(TryHeader))
+	g.Expect(seen).NotTo(HaveKey(EnvironmentHeader))
+
+	c.cfg.Environment = validator.Trial
+	_, err = c.SubmitTry(t.Context(), s, 3)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(seen.Get(TryHeader)).To(Equal("3"))
+	g.Expect(seen.Get(EnvironmentHeader)).To(Equal("trial"))
+}
+
+// Guards against tries that no host could relate to a refusal, and against a submission
+// that is sent to an environment by a misspelt name.
+func TestTryAndEnvironmentAreChecked(t *testing.T) {
+	g := NewWithT(t)
+	h := newFakeHost(t, "ikeja")
+	c := newTestClient(t, 0, h)
+	var invalid *sesamedrift.InvalidError
+	_, err := c.SubmitTry(t.Context(), submission(), 0)
+	g.Expect(errors.As(err, &invalid)).To(BeTrue())
+	g.Expect(invalid.Field).To(Equal("try"))
+	_, err = c.SubmitTry(t.Context(), submission(), 2)
+	g.Expect(errors.As(err, &invalid)).To(BeTrue())
+	g.Expect(invalid.Field).To(Equal("key"))
+	_, err = New(Config{Hosts: []string{h.URL}, Environment: "staging"})
+	g.Expect(errors.As(err, &invalid)).To(BeTrue())
+	g.Expect(invalid.Field).To(Equal("environment"))
+	g.Expect(h.submissions.Load()).To(BeZero())
+}
--- a/client/environment.go
+++ b/client/environment.go
@@ -178,6 +178,14 @@
 	case validator.Trial, validator.Production:
 		return "/v1/environments/" + name, nil
 	default:
-		return "", &sesamedrift.InvalidError{Field: "environment", Value: name, Want: validator.Trial + " or " + validator.Production}
+		return "", environmentError(name)
+	}
+}
+
+func environmentError(name string) error {
+	return &sesamedrift.InvalidError{
+		Field: "environment",
+		Value: name,
+		Want:  validator.Trial + " or " + validator.Production,
 	}
 }
--- a/client/errors.go
+++ b/client/errors.go
@@ -13,15 +13,17 @@
 
 // The codes of the HTTP interface.
 const (
-	CodeBadRequest      Code = "bad-request"
-	CodeUnauthorized    Code = "unauthorized"
-	CodeNotFound        Code = "not-found"
-	CodeKeyConflict     Code = "key-conflict"
-	CodeVersionConflict Code = "version-conflict"
-	CodeKeyExpired      Code = "key-expired"
-	CodeTooLarge        Code = "too-large"
-	CodeTooManyRequests Code = "too-many-requests"
-	CodeNotReady        Code = "not-ready"
+	CodeBadRequest       Code = "bad-request"
+	CodeUnauthorized     Code = "unauthorized"
+	CodeNotFound         Code = "not-found"
+	CodeMethodNotAllowed Code = "method-not-allowed"
+	CodeKeyConflict      Code = "key-conflict"
+	CodeVersionConflict  Code = "version-conflict"
+	CodeNotPromotable    Code = "not-promotable"
+	CodeKeyExpired       Code = "key-expired"
+	CodeTooLarge         Code = "too-large"
+	CodeTooManyRequests  Code = "too-many-requests"
+	CodeNotReady         Code = "not-ready"
 )
 
 // APIError is an answer of a host that is no outcome. The request had no effect.
--- a/client/exchange.go
+++ b/client/exchange.go
@@ -16,6 +16,8 @@
 
 // Names of the HTTP headers beside those of request keys.
 const (
+	EnvironmentHeader     = "Sesamedrift-Environment"
+	TryHeader             = "Sesamedrift-Try"
 	OutcomeHeader         = "Sesamedrift-Outcome"
 	DomainHeader          = "Sesamedrift-Domain"
 	HostHeader            = "Sesamedrift-Host"
--- a/client/submit.go
+++ b/client/submit.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -17,6 +18,9 @@
 // createdFormat is RFC 3339 at the precision of the creation time of a key.
 const createdFormat = "2006-01-02T15:04:05.000Z07:00"
 
+// firstTry is the try of a submission that was not refused before.
+const firstTry = 1
+
 // Request is the body of POST /v1/submissions.
 type Request struct {
 	Service string `json:"service"`
@@ -35,9 +39,23 @@
 // *sesamedrift.InvalidError, *NotSentError, *LostError, *APIError or *MismatchError. Only
 // after *LostError and *MismatchError may the submission have run.
 func (c *Client) Submit(ctx context.Context, s sesamedrift.Submission) (sesamedrift.Outcome, error) {
+	return c.SubmitTry(ctx, s, firstTry)
+}
+
+// SubmitTry sends a submission whose key has been used before, after each of the tries
+// before this one was refused. A refusal is final for its try; the first try is 1. Results
+// and errors are those of Submit. If an earlier try was not refused, its outcome is
+// returned and nothing starts.
+func (c *Client) SubmitTry(ctx context.Context, s sesamedrift.Submission, try int) (sesamedrift.Outcome, error) {
 	if err := s.Validate(); err != nil {
 		return sesamedrift.Outcome{}, err
 	}
+	if err := checkTry(try); err != nil {
+		return sesamedrift.Outcome{}, err
+	}
+	if s.Key.ID == "" && try > firstTry {
+		return sesamedrift.Outcome{}, noKeyError()
+	}
 	if s.Key.ID == "" {
 		key, err := c.NewKey(ctx)
 		if err != nil {
@@ -45,7 +63,26 @@
 		}
 		s.Key = key
 	}
-	return c.submit(ctx, s, "", nil)
+	return c.submit(ctx, s, try, "", nil)
+}
+
+func checkTry(try int) error {
+	if try < firstTry {
+		return &sesamedrift.InvalidError{
+			Field: "try",
+			Value: strconv.Itoa(try),
+			Want:  "a whole number of 1 or more",
+		}
+	}
+	return nil
+}
+
+func noKeyError() error {
+	return &sesamedrift.InvalidError{
+		Field: "key",
+		Value: "",
+		Want:  "the key of the first submission",
+	}
 }
 
 // notSubmitted returns the error for a submission that was not sent because no host
@@ -67,21 +104,17 @@
 		return sesamedrift.Outcome{}, err
 	}
 	if s.Key.ID == "" {
-		return sesamedrift.Outcome{}, &sesamedrift.InvalidError{
-			Field: "key",
-			Value: "",
-			Want:  "the key of the first submission",
-		}
+		return sesamedrift.Outcome{}, noKeyError()
 	}
 	earlier := &LostError{Host: avoid, ID: s.Key.String()}
-	return c.submit(ctx, s, avoid, earlier)
+	return c.submit(ctx, s, firstTry, avoid, earlier)
 }
 
 // submit sends the submission until there is an outcome or the resubmissions are used
 // up. If earlier is not nil, the submission may have been delivered before.
-func (c *Client) submit(ctx context.Context, s sesamedrift.Submission, avoid string, earlier *LostError) (sesamedrift.Outcome, error) {
+func (c *Client) submit(ctx context.Context, s sesamedrift.Submission, try int, avoid string, earlier *LostError) (sesamedrift.Outcome, error) {
 	for n := 0; ; n++ {
-		o, err := c.submitOnce(ctx, s, avoid)
+		o, err := c.submitOnce(ctx, s, try, avoid)
 		var mismatch *MismatchError
 		if err == nil || errors.As(err, &mismatch) {
 			return o, err
@@ -110,7 +143,7 @@
 	return !errors.As(err, &invalid)
 }
 
-func (c *Client) submitOnce(ctx context.Context, s sesamedrift.Submission, avoid string) (sesamedrift.Outcome, error) {
+func (c *Client) submitOnce(ctx context.Context, s sesamedrift.Submission, try int, avoid string) (sesamedrift.Outcome, error) {
 	body := Request{
 		Service:         s.Service,
 		Kind:            s.Kind,
@@ -139,13 +172,9 @@
 	r, err := c.deliver(ctx, c.hosts(avoid), exchange{
 		method: http.MethodPost,
 		path:   "/v1/submissions",
-		header: http.Header{
-			"Content-Type":               {"application/json"},
-			sesamedrift.KeyHeader:        {s.Key.String()},
-			sesamedrift.KeyCreatedHeader: {s.Key.Created.UTC().Format(createdFormat)},
-		},
-		body: data,
-		id:   s.Key.String(),
+		header: c.submissionHeader(s.Key, try),
+		body:   data,
+		id:     s.Key.String(),
 	})
 	if err != nil {
 		return sesamedrift.Outcome{}, err
@@ -160,11 +189,26 @@
 	return o, nil
 }
 
+func (c *Client) submissionHeader(key sesamedrift.Key, try int) http.Header {
+	header := http.Header{
+		"Content-Type":               {"application/json"},
+		sesamedrift.KeyHeader:        {key.String()},
+		sesamedrift.KeyCreatedHeader: {key.Created.UTC().Format(createdFormat)},
+	}
+	if try > firstTry {
+		header.Set(TryHeader, strconv.Itoa(try))
+	}
+	if c.cfg.Environment != "" {
+		header.Set(EnvironmentHeader, c.cfg.Environment)
+	}
+	return header
+}
+
 // Wait waits for the outcome of a submission that is running, or returns the recorded
 // one. If the key has no claim, the error is an *APIError with CodeNotFound. The outcome
 // belongs to the key; the caller compares the digest.
 func (c *Client) Wait(ctx context.Context, key sesamedrift.Key) (sesamedrift.Outcome, error) {
-	r, err := c.fetch(ctx, keyPath(key))
+	r, err := c.fetch(ctx, keyPath(key, firstTry))
 	if err != nil {
 		return sesamedrift.Outcome{}, err
 	}
@@ -174,9 +218,17 @@
 // Cancel asks the hosts to cancel a submission. When it returns nil, the request for it
 // has been accepted; the outcome is given by Wait or by the running Submit.
 func (c *Client) Cancel(ctx context.Context, key sesamedrift.Key) error {
+	return c.CancelTry(ctx, key, firstTry)
+}
+
+// CancelTry is Cancel for a submission that was sent with SubmitTry.
+func (c *Client) CancelTry(ctx context.Context, key sesamedrift.Key, try int) error {
+	if err := checkTry(try); err != nil {
+		return err
+	}
 	r, err := c.deliver(ctx, c.hosts(""), exchange{
 		method: http.MethodDelete,
-		path:   keyPath(key),
+		path:   keyPath(key, try),
 		id:     key.String(),
 	})
 	if err != nil {
@@ -188,8 +240,11 @@
 	return nil
 }
 
-func keyPath(key sesamedrift.Key) string {
+func keyPath(key sesamedrift.Key, try int) string {
 	query := url.Values{"created": {key.Created.UTC().Format(createdFormat)}}
+	if try > firstTry {
+		query.Set("try", strconv.Itoa(try))
+	}
 	return "/v1/submissions/" + url.PathEscape(key.String()) + "?" + query.Encode()
 }
 
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -13,6 +13,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -20,6 +21,7 @@
 
 	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/client"
+	"sesamedrift.example/sesamedrift/validator"
 )
 
 // Streams are the standard streams of one run.
@@ -99,9 +101,9 @@
 
 func apiExitCode(code client.Code) int {
 	switch code {
-	case client.CodeBadRequest, client.CodeUnauthorized, client.CodeNotFound, client.CodeTooLarge:
+	case client.CodeBadRequest, client.CodeUnauthorized, client.CodeNotFound, client.CodeMethodNotAllowed, client.CodeTooLarge:
 		return sesamedrift.ExitUsage
-	case client.CodeKeyConflict, client.CodeVersionConflict:
+	case client.CodeKeyConflict, client.CodeVersionConflict, client.CodeNotPromotable:
 		return sesamedrift.ExitConflict
 	case client.CodeKeyExpired:
 		return sesamedrift.ExitExpired
@@ -111,7 +113,7 @@
 }
 
 func (c *commandLine) root() *cli.Command {
-	return &cli.Command{
+	root := &cli.Command{
 		Name:      "sesamedrift",
 		Usage:     "dispatch sub-second tasks, each started at most once",
 		Reader:    c.In,
@@ -119,9 +121,8 @@
 		ErrWriter: c.Err,
 		// Run prints errors and chooses the exit code.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return usageError("%v", err)
-		},
+		Description: "The exit codes are listed in docs/operations.md.\n\n" +
+			"Example:\n   sesamedrift status --help",
 		Commands: []*cli.Command{
 			c.hostCommand(),
 			c.executorCommand(),
@@ -132,6 +133,75 @@
 			c.demoCommand(),
 		},
 	}
+	checkUsage(root)
+	return root
+}
+
+// checkUsage makes the command and all below it end with a usage error for unknown flags,
+// commands and arguments.
+func checkUsage(cmd *cli.Command) {
+	cmd.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
+		return usageError("%v; see \"%s --help\"", err, cmd.FullName())
+	}
+	if len(cmd.Commands) > 0 {
+		cmd.Action = func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Present() {
+				return usageError("command: %q is not accepted: want one of %s", cmd.Args().First(), commandNames(cmd))
+			}
+			return cli.ShowSubcommandHelp(cmd)
+		}
+	} else if cmd.ArgsUsage == "" {
+		action := cmd.Action
+		cmd.Action = func(ctx context.Context, cmd *cli.Command) error {
+			if cmd.Args().Present() {
+				return usageError("argument: %q is not accepted: want none; see \"%s --help\"", cmd.Args().First(), cmd.FullName())
+			}
+			return action(ctx, cmd)
+		}
+	}
+	for _, sub := range cmd.Commands {
+		checkUsage(sub)
+	}
+}
+
+func commandNames(cmd *cli.Command) string {
+	names := make([]string, 0, len(cmd.Commands))
+	for _, sub := range cmd.Commands {
+		if sub.Name != "help" {
+			names = append(names, sub.Name)
+		}
+	}
+	return strings.Join(names, ", ")
+}
+
+// argument returns the only argument of a command.
+func argument(cmd *cli.Command) (string, error) {
+	if cmd.NArg() != 1 {
+		return "", usageError("%s: %q is not accepted: want one argument; see \"%s --help\"",
+			cmd.ArgsUsage, strings.Join(cmd.Args().Slice(), " "), cmd.FullName())
+	}
+	return cmd.Args().First(), nil
+}
+
+// checked is what a check of a file prints as JSON.
+type checked struct {
+	File     string              `json:"file"`
+	Accepted bool                `json:"accepted"`
+	Problems []validator.Problem `json:"problems,omitempty"`
+}
+
+// reject returns the error for a file with problems, which it prints as JSON if asked to.
+func (c *commandLine) reject(cmd *cli.Command, file string, err error) error {
+	var problems *validator.ProblemsError
+	if cmd.Bool("json") && errors.As(err, &problems) {
+		if err := c.printJSON(checked{
+			File:     file,
+			Problems: problems.Problems,
+		}); err != nil {
+			return err
+		}
+	}
+	return usageError("%s is not accepted:\n%v", file, err)
 }
 
 // printJSON writes one indented JSON value.
--- a/commander/config.go
+++ b/commander/config.go
@@ -15,14 +15,15 @@
 )
 
 const (
-	environmentUsage = "`NAME` of the environment: trial or production"
-	historyLimit     = 50
+	historyLimit = 50
 )
 
 func (c *commandLine) configCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "config",
 		Usage: "check, apply, show, compare and promote environment documents",
+		Description: "The fields of a document are described in docs/environment.md.\n\n" +
+			"Example:\n   sesamedrift config check examples/ajara.json",
 		Commands: []*cli.Command{
 			c.configCheck(),
 			c.configApply(),
@@ -42,16 +43,15 @@
 		Description: "Example:\n   sesamedrift config check examples/ajara.json",
 		Flags:       []cli.Flag{jsonFlag},
 		Action: func(_ context.Context, cmd *cli.Command) error {
-			data, err := os.ReadFile(cmd.Args().First())
+			document, _, err := c.document(cmd)
 			if err != nil {
-				return usageError("%v", err)
-			}
-			document, err := validator.ParseEnvironment(data)
-			if err != nil {
-				return usageError("%s is not accepted:\n%v", cmd.Args().First(), err)
+				return err
 			}
 			if cmd.Bool("json") {
-				return c.printJSON(document)
+				return c.printJSON(checked{
+					File:     cmd.Args().First(),
+					Accepted: true,
+				})
 			}
 			c.printf("%s is accepted: environment %s, %d services, %d teams, %d failure domains\n",
 				cmd.Args().First(), document.Name, len(document.Services), len(document.Teams), len(document.Domains))
@@ -60,6 +60,23 @@
 	}
 }
 
+// document reads the document that the argument names.
+func (c *commandLine) document(cmd *cli.Command) (validator.Environment, []byte, error) {
+	file, err := argument(cmd)
+	if err != nil {
+		return validator.Environment{}, nil, err
+	}
+	data, err := os.ReadFile(cmd.Args().First())
+	if err != nil {
+		return validator.Environment{}, nil, usageError("%v", err)
+	}
+	document, err := validator.ParseEnvironment(data)
+	if err != nil {
+		return validator.Environment{}, nil, c.reject(cmd, file, err)
+	}
+	return document, data, nil
+}
+
 var changeFlags = []cli.Flag{
 	hostsFlag,
 	tokenFlag,
@@ -90,13 +107,9 @@
 			"Example:\n   sesamedrift config apply --expected 0 --who ana examples/ajara.json",
 		Flags: changeFlags,
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			data, err := os.ReadFile(cmd.Args().First())
+			document, data, err := c.document(cmd)
 			if err != nil {
-				return usageError("%v", err)
-			}
-			document, err := validator.ParseEnvironment(data)
-			if err != nil {
-				return usageError("%s is not accepted:\n%v", cmd.Args().First(), err)
+				return err
 			}
 			api, err := c.client(cmd)
 			if err != nil {
@@ -145,7 +158,10 @@
 
 func (c *commandLine) printChange(cmd *cli.Command, r client.ChangeResult) error {
 	if cmd.Bool("json") {
-		if err := c.printJSON(r); err != nil {
+		if err := c.printJSON(struct {
+			ID string `json:"id"`
+			client.ChangeResult
+		}{r.ID, r}); err != nil {
 			return err
 		}
 	}
@@ -198,11 +214,15 @@
 }
 
 func (c *commandLine) environment(ctx context.Context, cmd *cli.Command) (client.EnvironmentState, error) {
+	name, err := argument(cmd)
+	if err != nil {
+		return client.EnvironmentState{}, err
+	}
 	api, err := c.client(cmd)
 	if err != nil {
 		return client.EnvironmentState{}, err
 	}
-	return api.Environment(ctx, cmd.Args().First())
+	return api.Environment(ctx, name)
 }
 
 func (c *commandLine) configDiff() *cli.Command {
@@ -213,13 +233,9 @@
 		Description: "Example:\n   sesamedrift config diff examples/ajara.json",
 		Flags:       []cli.Flag{hostsFlag, jsonFlag},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			data, err := os.ReadFile(cmd.Args().First())
+			document, data, err := c.document(cmd)
 			if err != nil {
-				return usageError("%v", err)
-			}
-			document, err := validator.ParseEnvironment(data)
-			if err != nil {
-				return usageError("%s is not accepted:\n%v", cmd.Args().First(), err)
+				return err
 			}
 			api, err := c.client(cmd)
 			if err != nil {
@@ -273,11 +289,15 @@
 			},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
+			name, err := argument(cmd)
+			if err != nil {
+				return err
+			}
 			api, err := c.client(cmd)
 			if err != nil {
 				return err
 			}
-			entries, err := api.History(ctx, cmd.Args().First(), cmd.Uint64("after"), cmd.Int("limit"))
+			entries, err := api.History(ctx, name, cmd.Uint64("after"), cmd.Int("limit"))
 			if err != nil {
 				return err
 			}
--- a/commander/executor.go
+++ b/commander/executor.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"sesamedrift.example/sesamedrift/executor"
+	"sesamedrift.example/sesamedrift/validator"
 )
 
 func (c *commandLine) executorCommand() *cli.Command {
@@ -20,6 +22,7 @@
 			"   sesamedrift executor --id worker-1 --service proofing --host http://127.0.0.1:8080",
 		Flags: []cli.Flag{
 			hostsFlag,
+			jsonFlag,
 			&cli.StringFlag{
 				Name:     "id",
 				Usage:    "`NAME` of the upstream",
@@ -30,6 +33,11 @@
 				Usage:    "`NAME` of the service",
 				Required: true,
 			},
+			&cli.StringFlag{
+				Name:  "environment",
+				Usage: "`NAME` of the environment that it serves: trial or production",
+				Value: validator.Production,
+			},
 			&cli.StringFlag{
 				Name:  "address",
 				Usage: "`IP:PORT` to listen on",
@@ -77,11 +85,17 @@
 }
 
 func (c *commandLine) runExecutor(ctx context.Context, cmd *cli.Command) error {
+	switch environment := cmd.String("environment"); environment {
+	case validator.Trial, validator.Production:
+	default:
+		return usageError("environment: %q is not accepted: want trial or production", environment)
+	}
 	e, err := executor.New(executor.Config{
 		ID:          cmd.String("id"),
 		Address:     cmd.String("address"),
 		Hosts:       cmd.StringSlice("host"),
 		Service:     cmd.String("service"),
+		Environment: cmd.String("environment"),
 		Incarnation: uint64(c.now().UnixNano()),
 		Slots:       cmd.Int("slots"),
 		Connections: cmd.Int("connections"),
@@ -95,7 +109,16 @@
 	if err != nil {
 		return usageError("%v", err)
 	}
-	c.printf("executor %s listens on %s\n", cmd.String("id"), e.Address())
+	if cmd.Bool("json") {
+		if err := c.printJSON(map[string]string{
+			"upstream": cmd.String("id"),
+			"address":  e.Address(),
+		}); err != nil {
+			return errors.Join(err, e.Close())
+		}
+	} else {
+		c.printf("executor %s listens on %s\n", cmd.String("id"), e.Address())
+	}
 	select {
 	case <-ctx.Done():
 	case <-after(cmd.Duration("leave-after")):
--- a/commander/host.go
+++ b/commander/host.go
@@ -35,6 +35,10 @@
 				Name:  "check",
 				Usage: "check the settings and exit",
 			},
+			&cli.BoolFlag{
+				Name:  "json",
+				Usage: "print the result of --check as JSON",
+			},
 		},
 		Action: c.runHost,
 	}
@@ -47,7 +51,13 @@
 	}
 	settings, err := validator.ParseSettings(data)
 	if err != nil {
-		return usageError("%s: %v", cmd.String("settings"), err)
+		return c.reject(cmd, cmd.String("settings"), err)
+	}
+	if cmd.Bool("check") && cmd.Bool("json") {
+		return c.printJSON(checked{
+			File:     cmd.String("settings"),
+			Accepted: true,
+		})
 	}
 	if cmd.Bool("check") {
 		c.printf("%s is accepted\n", cmd.String("settings"))
--- /dev/null
+++ b/commander/race_test.go
@@ -0,0 +1,75 @@
+package commander_test
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"os/exec"
+	"regexp"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"sesamedrift.example/sesamedrift"
+)
+
+// hostList matches the hosts that a change had reached when it was answered.
+var hostList = regexp.MustCompile(`in force on .*`)
+
+// operator is one of two operators who apply a document at the same time.
+type operator struct {
+	change string
+	who    string
+	cmd    *exec.Cmd
+	out    bytes.Buffer
+	err    bytes.Buffer
+}
+
+// race lets two operators apply documents with the same expected version at the same
+// time, and prints what the one who won and the one who lost saw:
+// "race EXPECTED URL FILE URL FILE".
+func race(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 5 {
+		ts.Fatalf("usage: race EXPECTED URL FILE URL FILE")
+	}
+	operators := []*operator{
+		startApply(ts, "race-1", "ana", args[0], args[1], args[2]),
+		startApply(ts, "race-2", "ivo", args[0], args[3], args[4]),
+	}
+	var won, lost *operator
+	for _, o := range operators {
+		err := o.cmd.Wait()
+		var exit *exec.ExitError
+		switch {
+		case err == nil:
+			won = o
+		case errors.As(err, &exit) && exit.ExitCode() == sesamedrift.ExitConflict:
+			lost = o
+		default:
+			ts.Fatalf("%s: %v: %s", o.change, err, o.err.String())
+		}
+	}
+	if won == nil || lost == nil {
+		ts.Fatalf("of two changes of one version exactly one must be accepted")
+	}
+	names := strings.NewReplacer(won.change, "WINNER", lost.change, "LOSER", won.who, "WINNING", lost.who, "LOSING")
+	for _, text := range []string{won.out.String(), lost.err.String()} {
+		text = hostList.ReplaceAllString(text, "in force on HOSTS")
+		_, err := names.WriteString(ts.Stdout(), text)
+		ts.Check(err)
+	}
+}
+
+func startApply(ts *testscript.TestScript, change, who, expected, url, file string) *operator {
+	o := &operator{
+		change: change,
+		who:    who,
+	}
+	o.cmd = exec.Command("sesamedrift", "config", "apply",
+		"--host", url, "--expected", expected, "--id", change, "--who", who, ts.MkAbs(file))
+	o.cmd.Env = append(os.Environ(), "SESAMEDRIFT_TOKEN="+ts.Getenv("SESAMEDRIFT_TOKEN"))
+	o.cmd.Stdout = &o.out
+	o.cmd.Stderr = &o.err
+	ts.Check(o.cmd.Start())
+	return o
+}
--- a/commander/script_test.go
+++ b/commander/script_test.go
@@ -66,7 +66,9 @@
 			"expand":    expand,
 			"normalize": normalize,
 			"now":       setNow,
+			"page":      page,
 			"ports":     ports,
+			"race":      race,
 			"release":   release,
 			"terminate": terminate,
 			"until":     until,
@@ -230,6 +232,8 @@
 	{regexp.MustCompile(`\b[0-9a-f]{64}\b`), "DIGEST"},
 	{regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?(Z|[+-]\d\d:\d\d)`), "TIME"},
 	{regexp.MustCompile(`\d{8}T\d{6}\.\d{3}`), "TIME"},
+	// Answers of stand-in upstreams in base64: JSON objects, with the key in them.
+	{regexp.MustCompile(`"eyJ[A-Za-z0-9+/]+=*"`), `"ANSWER"`},
 	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
 	{regexp.MustCompile(`("(retry-after|incarnation)": )\d+`), "${1}NUMBER"},
 	{regexp.MustCompile(`(try again after )\S+\)`), "${1}DURATION)"},
--- a/commander/submit.go
+++ b/commander/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -11,8 +12,15 @@
 
 	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/client"
+	"sesamedrift.example/sesamedrift/validator"
 )
 
+var tryFlag = &cli.IntFlag{
+	Name:  "try",
+	Usage: "`NUMBER` of the try; the next one after each refusal of the same key",
+	Value: 1,
+}
+
 func (c *commandLine) submitCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "submit",
@@ -20,8 +28,9 @@
 		ArgsUsage: "[PAYLOAD ...]",
 		Description: "Each argument is the payload of one task; \"-\" stands for standard input and\n" +
 			"@FILE for the content of a file. The exit code is that of the outcome.\n\n" +
-			"Example:\n" +
-			"   sesamedrift submit --service proofing --kind preview --team brand '{\"run-time\":\"80ms\"}'",
+			"Examples:\n" +
+			"   sesamedrift submit --service proofing --kind preview --team press --environment trial x\n" +
+			"   sesamedrift submit --service proofing --kind preview --team press '{\"run-time\":\"80ms\"}'",
 		Flags: []cli.Flag{
 			hostsFlag,
 			jsonFlag,
@@ -48,6 +57,12 @@
 				Name:  "created",
 				Usage: "creation `TIME` (RFC 3339) of a key that is no UUIDv7",
 			},
+			tryFlag,
+			&cli.StringFlag{
+				Name:  "environment",
+				Usage: "`NAME` of the environment: trial or production",
+				Value: validator.Production,
+			},
 			&cli.DurationFlag{
 				Name:  "timeout",
 				Usage: "give up after `DURATION`; the default is that of the kind",
@@ -70,23 +85,39 @@
 	}
 	if timeout := cmd.Duration("timeout"); timeout > 0 {
 		s.Deadline = c.now().Add(timeout)
+	} else if cmd.IsSet("timeout") {
+		return usageError("timeout: %q is not accepted: want a duration above 0s, such as 800ms", timeout)
 	}
 	if text := cmd.String("key"); text != "" {
 		if s.Key, err = sesamedrift.ParseKey(text, cmd.String("created")); err != nil {
-			return usageError("%v", err)
+			return err
 		}
 	}
 	api, err := c.client(cmd)
 	if err != nil {
 		return err
 	}
-	o, err := api.Submit(ctx, s)
+	o, err := api.SubmitTry(ctx, s, cmd.Int("try"))
 	if err != nil {
-		return err
+		return submissionError(err)
 	}
 	return c.printOutcome(cmd, o)
 }
 
+// submissionError returns an error with the exit code of the outcome "unknown" if the
+// submission may have run.
+func submissionError(err error) error {
+	var lost *client.LostError
+	var mismatch *client.MismatchError
+	if errors.As(err, &lost) || errors.As(err, &mismatch) {
+		return &exitError{
+			code:    sesamedrift.Unknown.ExitCode(),
+			message: err.Error(),
+		}
+	}
+	return err
+}
+
 // printOutcome prints an outcome and returns an error with its exit code.
 func (c *commandLine) printOutcome(cmd *cli.Command, o sesamedrift.Outcome) error {
 	if cmd.Bool("json") {
@@ -143,23 +174,32 @@
 			"   sesamedrift cancel riga-a.0197c0de-0000-7000-8000-000000000001",
 		Flags: []cli.Flag{
 			hostsFlag,
+			jsonFlag,
+			tryFlag,
 			&cli.StringFlag{
 				Name:  "created",
 				Usage: "creation `TIME` (RFC 3339) of a key that is no UUIDv7",
 			},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			key, err := sesamedrift.ParseKey(cmd.Args().First(), cmd.String("created"))
+			text, err := argument(cmd)
+			if err != nil {
+				return err
+			}
+			key, err := sesamedrift.ParseKey(text, cmd.String("created"))
 			if err != nil {
-				return usageError("%v", err)
+				return err
 			}
 			api, err := c.client(cmd)
 			if err != nil {
 				return err
 			}
-			if err := api.Cancel(ctx, key); err != nil {
+			if err := api.CancelTry(ctx, key, cmd.Int("try")); err != nil {
 				return err
 			}
+			if cmd.Bool("json") {
+				return c.printJSON(map[string]string{"key": key.String()})
+			}
 			c.printf("%s is being cancelled\n", key)
 			return nil
 		},
@@ -170,6 +210,7 @@
 	api, err := client.New(client.Config{
 		Hosts:         cmd.StringSlice("host"),
 		OperatorToken: cmd.String("token"),
+		Environment:   cmd.String("environment"),
 		Now:           c.now,
 	})
 	if err != nil {
--- a/executor/announce.go
+++ b/executor/announce.go
@@ -23,6 +23,7 @@
 	Upstream    string `json:"upstream"`
 	Address     string `json:"address"`
 	Service     string `json:"service"`
+	Environment string `json:"environment,omitempty"`
 	Incarnation uint64 `json:"incarnation"`
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
@@ -70,6 +71,7 @@
 		Upstream:    e.cfg.ID,
 		Address:     e.Address(),
 		Service:     e.cfg.Service,
+		Environment: e.cfg.Environment,
 		Incarnation: e.cfg.Incarnation,
 		Slots:       e.cfg.Slots,
 		Connections: e.cfg.Connections,
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -14,10 +14,13 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"sesamedrift.example/sesamedrift"
 )
 
 const (
@@ -47,6 +50,8 @@
 	// Hosts are the base URLs of the hosts of the same failure domain.
 	Hosts   []string
 	Service string
+	// Environment is trial or production; empty stands for production.
+	Environment string
 	// Incarnation must grow with each start of the same ID.
 	Incarnation uint64
 	Slots       int
@@ -112,8 +117,8 @@
 
 // New starts an executor: it listens, serves tasks and announces itself until Close.
 func New(cfg Config) (*Executor, error) {
-	if cfg.Slots < 1 || cfg.Connections < 1 || cfg.TTL <= 0 {
-		return nil, fmt.Errorf("executor %q: slots, connections and ttl must be above zero", cfg.ID)
+	if err := cfg.check(); err != nil {
+		return nil, err
 	}
 	var lc net.ListenConfig
 	listener, err := lc.Listen(context.Background(), "tcp", cfg.Address)
@@ -145,6 +150,26 @@
 	return e, nil
 }
 
+func (c *Config) check() error {
+	for field, n := range map[string]int{"slots": c.Slots, "connections": c.Connections} {
+		if n < 1 {
+			return &sesamedrift.InvalidError{
+				Field: field,
+				Value: strconv.Itoa(n),
+				Want:  "a whole number of 1 or more",
+			}
+		}
+	}
+	if c.TTL <= 0 {
+		return &sesamedrift.InvalidError{
+			Field: "ttl",
+			Value: c.TTL.String(),
+			Want:  "a duration above 0s",
+		}
+	}
+	return nil
+}
+
 // Address returns the IP address and port on which tasks are served.
 func (e *Executor) Address() string { return e.listener.Addr().String() }
 
