server: do not send announcements back to the host they came from

Cause: a host that took an announcement from a peer passed it on to all peers, the first one included.

Change: a host notes from which peer the present announcement of an upstream came and leaves it out when that peer asks for changes, unless the peer asks for everything.

--- a/server/capacity_test.go
+++ b/server/capacity_test.go
@@ -136,7 +136,7 @@
 }
 
 // capacityHost returns a host without goroutines or connections that owns upstreams.
-func capacityHost(b *testing.B, upstreams int) *Host {
+func capacityHost(b testing.TB, upstreams int) *Host {
 	b.Helper()
 	now := time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
 	cfg := Config{
@@ -157,7 +157,7 @@
 		log:       slog.New(slog.DiscardHandler),
 		now:       cfg.Now,
 		self:      leaser.Member{Host: "ikeja-1", Incarnation: 1},
-		directory: directory{list: leaser.NewDirectory()},
+		directory: directory{list: leaser.NewDirectory(), source: map[string]source{}},
 		metrics:   newMetrics(),
 	}
 	b.Cleanup(h.metrics.close)
--- a/server/directory.go
+++ b/server/directory.go
@@ -37,11 +37,22 @@
 	list  *leaser.Directory
 	known map[string]uint64 // by peer
 	busy  map[string]bool   // peers that are being asked
+	// source notes from which peer the present announcement of an upstream came.
+	source map[string]source
+}
+
+// source is the peer from which an announcement came, and the time of the announcement.
+type source struct {
+	host string
+	at   time.Time
 }
 
 // directoryRequest asks for the changes after a sequence.
 type directoryRequest struct {
 	Since uint64 `msgpack:"since"`
+	// From is the host that asks. Unless it asks for everything, it gets no changes that
+	// came from it.
+	From string `msgpack:"from"`
 }
 
 // directoryReply has the changes, and the sequence to ask with the next time.
@@ -170,13 +181,17 @@
 func (h *Host) serveDirectory(in directoryRequest) (directoryReply, error) {
 	now := h.now()
 	h.directory.mu.Lock()
+	defer h.directory.mu.Unlock()
 	changes, next := h.directory.list.Since(in.Since)
-	h.directory.mu.Unlock()
 	reply := directoryReply{
 		Changes: make([]directoryChange, 0, len(changes)),
 		Next:    next,
 	}
 	for _, a := range changes {
+		came := h.directory.source[a.Upstream]
+		if in.Since > 0 && came.host == in.From && came.at.Equal(a.At) {
+			continue
+		}
 		reply.Changes = append(reply.Changes, directoryChange{
 			Announcement: a,
 			Age:          now.Sub(a.At),
@@ -200,7 +215,10 @@
 	h.background.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 		defer cancel()
-		reply, err := ask[directoryReply](ctx, h, host, messenger.KindDirectory, directoryRequest{Since: since})
+		reply, err := ask[directoryReply](ctx, h, host, messenger.KindDirectory, directoryRequest{
+			Since: since,
+			From:  h.cfg.Settings.Host,
+		})
 		d.mu.Lock()
 		delete(d.busy, host)
 		if err == nil {
@@ -214,10 +232,27 @@
 			if err := h.announce(c.Announcement); err != nil && !errors.As(err, &stale) {
 				panic("server: announcement: " + err.Error())
 			}
+			h.noteSource(host, c.Announcement)
 		}
 	})
 }
 
+// noteSource notes that the present announcement of an upstream came from a peer.
+func (h *Host) noteSource(host string, a leaser.Announcement) {
+	h.directory.mu.Lock()
+	defer h.directory.mu.Unlock()
+	present, ok := h.directory.list.Get(a.Upstream)
+	switch {
+	case !ok:
+		delete(h.directory.source, a.Upstream)
+	case present.At.Equal(a.At):
+		h.directory.source[a.Upstream] = source{
+			host: host,
+			at:   a.At,
+		}
+	}
+}
+
 // expireUntil drops upstreams that are no longer announced and old claims, until ctx is
 // done.
 func (h *Host) expireUntil(ctx context.Context) {
@@ -225,6 +260,9 @@
 		now := h.now()
 		h.directory.mu.Lock()
 		expired := h.directory.list.Expire(now)
+		for _, a := range expired {
+			delete(h.directory.source, a.Upstream)
+		}
 		h.directory.mu.Unlock()
 		for _, a := range expired {
 			reporter.Log(ctx, h.log, reporter.UpstreamExpired, "upstream", a.Upstream, "service", a.Service)
--- /dev/null
+++ b/server/directory_test.go
@@ -0,0 +1,29 @@
+package server
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against announcements that travel back to the host that passed them on, and
+// against a host that restarts and is not told about its own upstreams.
+func TestDirectoryLeavesOutWhatTheAskerSaid(t *testing.T) {
+	g := NewWithT(t)
+	h := capacityHost(t, 3)
+	for i, a := range h.directory.list.All() {
+		if i < 2 {
+			h.noteSource("ikeja-2", a)
+		}
+	}
+	count := func(since uint64, from string) int {
+		reply, err := h.serveDirectory(directoryRequest{Since: since, From: from})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.Next).To(Equal(uint64(3)))
+		return len(reply.Changes)
+	}
+	// The first change is known to both.
+	g.Expect(count(1, "ikeja-2")).To(Equal(1))
+	g.Expect(count(1, "ikeja-3")).To(Equal(2))
+	g.Expect(count(0, "ikeja-2")).To(Equal(3), "a host that asks for everything has lost its list")
+}
--- a/server/host.go
+++ b/server/host.go
@@ -125,6 +125,8 @@
 		list:  leaser.NewDirectory(),
 		known: map[string]uint64{},
 		busy:  map[string]bool{},
+
+		source: map[string]source{},
 	}
 	h.metrics = newMetrics()
 	h.members = newMembership(cfg, h.self)
