--- a/launcher/capacity_test.go
+++ b/launcher/capacity_test.go
@@ -179,7 +179,8 @@
 		{3, 1, 0, 0}, {5, 1, 0, 0},
 		{3, 3, 4, 3 * time.Second}, {3, 3, 34, 3 * time.Second}, {3, 3, 67, 3 * time.Second},
 		{5, 2, 2, 3 * time.Second}, {5, 2, 20, 3 * time.Second}, {5, 2, 40, 3 * time.Second},
-		{5, 2, 184, 3 * time.Second}, {5, 2, 184, 15 * time.Second},
+		{5, 2, 184, 3 * time.Second}, {5, 2, 184, 15 * time.Second}, {5, 2, 184, 60 * time.Second},
+		{5, 3, 184, 3 * time.Second}, {5, 3, 184, 15 * time.Second}, {5, 3, 184, 60 * time.Second},
 		{5, 3, 40, 3 * time.Second}, {1, 2, 184, 3 * time.Second}, {1, 2, 920, 3 * time.Second},
 	} {
 		b.Run(fmt.Sprintf("domains=%d,hosts=%d,upstreams=%d,ttl=%s", c.domains, c.hosts, c.upstreams, c.ttl), func(b *testing.B) {
