server: admit by the own queue, not by the shortest queue of a peer

Cause: dispatcher.wait in submit.go took the shortest wait that any peer reported, of other failure domains as well. Reports are older than the arrivals, and a queue elsewhere is never joined by a new task beyond the balancing inside the domain. Above capacity all hosts admitted for the same short queue.

Change: the wait is that of the own queue, unless a peer has free slots for the whole job or the host has no slots.

--- a/server/submit.go
+++ b/server/submit.go
@@ -448,17 +448,26 @@
 	}
 }
 
-// wait estimates the time until the last task of a new job starts. A task that cannot
-// start here moves to a peer where it starts earlier.
+// wait estimates the time until the last task of a new job starts. Queues of the failure
+// domain are kept at the same length, so that the wait at a peer counts only if the peer
+// has free slots for the whole job, or if this host has no slots.
 func (d *dispatcher) wait(now time.Time, j *job) time.Duration {
-	wait := min(d.queue.WaitFor(now, d.allTasks(now, j)...), d.peers.wait(now, j.service))
+	wait := d.queue.WaitFor(now, d.allTasks(now, j)...)
+	if wait >= scheduler.MaxWait {
+		wait = d.peers.wait(now, j.service)
+	}
 	if wait >= scheduler.MaxWait && d.announced[j.service] {
 		// The owner of the announced upstreams has not reported its slots yet.
 		return 0
 	}
+	if host, free := d.peers.free(now, j.service, anyDistance); host != "" && free >= len(j.tasks) {
+		wait = min(wait, roundTrips*d.peers.get(host).distance)
+	}
 	return wait
 }
 
+func anyDistance(time.Duration) bool { return true }
+
 // hint returns when a refused submission may be sent again.
 func (d *dispatcher) hint(now time.Time, j *job) time.Duration {
 	e := d.times.Estimate(now, j.service, j.kind.Name)
