--- a/server/admission.go
+++ b/server/admission.go
@@ -72,9 +72,14 @@
 		// The owner of the announced upstreams has not reported its slots yet.
 		return 0
 	}
+	if host, free := d.peers.free(now, j.service, anyDistance); host != "" && free >= len(j.tasks) {
+		wait = min(wait, roundTrips*d.peers.get(host).distance)
+	}
 	return wait
 }
 
+func anyDistance(time.Duration) bool { return true }
+
 // hint returns when a refused submission may be sent again.
 func (d *dispatcher) hint(now time.Time, j *job) time.Duration {
 	e := d.times.Estimate(now, j.service, j.kind.Name)
