server: drop a parameter that always has the same value

Cause: the linter reports it since the tests use the same value as the host.

Change: the constant is used in the one place.

Conclusion: no change of behaviour.

--- a/server/setup.go
+++ b/server/setup.go
@@ -65,7 +65,7 @@
 		services:    map[string]bool{},
 		weights:     map[string]float64{},
 		teams:       map[string]map[string]bool{},
-		peers:       newPeerSlots(slotsUsable),
+		peers:       newPeerSlots(),
 	}
 	d.queue = scheduler.New(scheduler.Config{
 		Policy:     cfg.Policy,
--- a/server/slots.go
+++ b/server/slots.go
@@ -96,10 +96,10 @@
 	usable time.Duration
 }
 
-func newPeerSlots(usable time.Duration) *peerSlots {
+func newPeerSlots() *peerSlots {
 	return &peerSlots{
 		all:    map[string]*peerState{},
-		usable: usable,
+		usable: slotsUsable,
 	}
 }
 
--- a/server/slots_test.go
+++ b/server/slots_test.go
@@ -35,7 +35,7 @@
 // until the peer's reports reckon with them or they are answered.
 func TestForwardedTasksCountAgainstReports(t *testing.T) {
 	g := NewWithT(t)
-	p := newPeerSlots(time.Second)
+	p := newPeerSlots()
 	p.learn(start, peerName, reportOf(1, 0, 3, 0))
 	for n := range uint64(2) {
 		p.forwarded(peerName, serviceUsed, 100+n)
@@ -55,7 +55,7 @@
 // restarted and counts from the beginning.
 func TestReportsAreTakenInOrder(t *testing.T) {
 	g := NewWithT(t)
-	p := newPeerSlots(time.Second)
+	p := newPeerSlots()
 	p.learn(start, peerName, reportOf(5, 0, 1, 0))
 	p.learn(start, peerName, reportOf(4, 0, 8, 0))
 	r, ok := p.report(start, peerName, serviceUsed)
--- a/server/wait_test.go
+++ b/server/wait_test.go
@@ -21,7 +21,7 @@
 	d := &dispatcher{
 		queue:     scheduler.New(scheduler.Config{}),
 		times:     estimator.New(estimator.Config{}),
-		peers:     newPeerSlots(time.Second),
+		peers:     newPeerSlots(),
 		announced: map[string]bool{service: true},
 	}
 	j := newJob(sesamedrift.Submission{Payloads: make([][]byte, 2)}, service, validator.Kind{Name: "check"}, now.Add(time.Minute))
