Give queued tasks of peers back when a host has no slots any more

Cause: by reading. A host in a planned stop hands its upstreams over, but tasks that peers had moved into its queue stayed there until their deadline, and the stop waited for them.

Change: after 100 ms without slots of the service, queued tasks of peers are answered "not started", and the peers place them again.

--- a/server/dispatcher.go
+++ b/server/dispatcher.go
@@ -68,6 +68,7 @@
 	teams     map[string]map[string]bool // by environment
 	known     map[string]bool            // services of the documents in force
 	services  map[string]bool            // services with upstreams here
+	slotless  map[string]time.Time       // since when a service has no slots here
 	announced map[string]bool            // services with upstreams in the failure domain
 	received  map[string]uint64          // number of the last task that arrived, by peer
 	forwards  uint64                     // number of the last task that was forwarded
@@ -435,6 +436,9 @@
 	for id, j := range d.orphans {
 		d.checkOrphan(now, id, j)
 	}
+	for service := range d.services {
+		d.checkSlots(now, service)
+	}
 }
 
 // checkOrphan cancels a job that no caller has waited for during the grace time.
--- a/server/dispatcher_test.go
+++ b/server/dispatcher_test.go
@@ -21,6 +21,10 @@
 		health:    detector.New(detector.Config{EjectShare: 0.5}),
 		queue:     scheduler.New(scheduler.Config{}),
 		upstreams: map[string]*owned{},
+		foreign:   map[string]*visitor{},
+		received:  map[string]uint64{},
+		services:  map[string]bool{serviceUsed: true},
+		slotless:  map[string]time.Time{},
 	}
 	for _, name := range []string{"u1", "u2", "u3"} {
 		d.upstreams[name] = &owned{
@@ -82,3 +86,37 @@
 	}
 	g.Expect(d.health.State(start, "of-a-peer")).To(Equal(detector.Healthy))
 }
+
+// Guards against queued tasks of peers that wait for their deadline on a host that has
+// handed its upstreams over.
+func TestQueuedTasksOfPeersAreGivenBack(t *testing.T) {
+	g := NewWithT(t)
+	d := newJudge()
+	d.queue.Set(start, scheduler.Upstream{
+		ID:          "u1",
+		Service:     serviceUsed,
+		Slots:       1,
+		Connections: 1,
+	})
+	v := &visitor{
+		run: taskRun{
+			TaskID:  "a/0",
+			Service: serviceUsed,
+		},
+		answers: make(chan taskAnswer, 1),
+	}
+	d.visit(start, forwardedTask{
+		Run:  v.run,
+		From: peerName,
+		Left: time.Minute,
+	}, v)
+	d.tick(start)
+	g.Expect(v.answers).To(BeEmpty())
+	d.queue.Drop(start, "u1")
+	d.tick(start)
+	g.Expect(v.answers).To(BeEmpty())
+	d.tick(start.Add(slotlessPatience))
+	g.Expect(v.answers).To(Receive(HaveField("Result", runNotStarted)))
+	g.Expect(d.foreign).To(BeEmpty())
+	g.Expect(d.queue.Len()).To(BeZero())
+}
--- a/server/remote.go
+++ b/server/remote.go
@@ -38,6 +38,9 @@
 	TaskID string `msgpack:"task-id"`
 }
 
+// slotlessPatience is how long queued tasks of peers wait for slots to come back.
+const slotlessPatience = 100 * time.Millisecond
+
 // roundTrips is the number of one-way distances that a forwarded task adds.
 const roundTrips = 2
 
@@ -244,6 +247,29 @@
 	v.answers <- notStarted(reason)
 }
 
+// checkSlots gives queued tasks of peers back if this host has no slots of the service any
+// more, as in a planned stop, so that the peers can place them elsewhere. A view change
+// takes the slots for a moment only.
+func (d *dispatcher) checkSlots(now time.Time, service string) {
+	if d.queue.Stats(now, service).Slots > 0 {
+		delete(d.slotless, service)
+		return
+	}
+	since, ok := d.slotless[service]
+	if !ok {
+		d.slotless[service] = now
+		return
+	}
+	if now.Sub(since) < slotlessPatience {
+		return
+	}
+	for id, v := range d.foreign {
+		if !v.placed && v.run.Service == service {
+			d.withdraw(now, id, v, errNoSlots)
+		}
+	}
+}
+
 // visitEnded frees the slot of a peer's task.
 func (d *dispatcher) visitEnded(now time.Time, v *visitor, a taskAnswer) {
 	d.queue.Done(now, v.run.TaskID)
--- a/server/setup.go
+++ b/server/setup.go
@@ -63,6 +63,7 @@
 		known:       map[string]bool{},
 		announced:   map[string]bool{},
 		services:    map[string]bool{},
+		slotless:    map[string]time.Time{},
 		weights:     map[string]float64{},
 		teams:       map[string]map[string]bool{},
 		peers:       newPeerSlots(),
