--- /dev/null
+++ b/commander/docs_test.go
@@ -0,0 +1,243 @@
+package commander_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io"
+	"log/slog"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/client"
+	"sesamedrift.example/sesamedrift/commander"
+	"sesamedrift.example/sesamedrift/launcher"
+)
+
+// rows returns the cells of the table rows of a page that match the pattern.
+func rows(g *WithT, file, pattern string) [][]string {
+	page, err := os.ReadFile(filepath.Join("..", "docs", file))
+	g.Expect(err).NotTo(HaveOccurred())
+	found := regexp.MustCompile("(?m)"+pattern).FindAllStringSubmatch(string(page), -1)
+	g.Expect(found).NotTo(BeEmpty(), "%s has no row like %s", file, pattern)
+	for i := range found {
+		found[i] = found[i][1:]
+	}
+	return found
+}
+
+// lines returns the cells of each row, with a space between two.
+func lines(rows [][]string) []string {
+	joined := make([]string, 0, len(rows))
+	for _, r := range rows {
+		joined = append(joined, strings.Join(r, " "))
+	}
+	return joined
+}
+
+// Guards against metrics that operators look for in vain, and against ones that no page
+// explains.
+func TestMetricsAreThoseOfThePage(t *testing.T) {
+	g := NewWithT(t)
+	document, err := os.ReadFile("demo.json")
+	g.Expect(err).NotTo(HaveOccurred())
+	var system struct {
+		Domains []struct {
+			Name string `json:"name"`
+		} `json:"domains"`
+		Services []struct {
+			Name string `json:"name"`
+		} `json:"services"`
+	}
+	g.Expect(json.Unmarshal(document, &system)).To(Succeed())
+	d, err := launcher.New(t.Context(), launcher.Config{
+		Domains:   []string{system.Domains[0].Name},
+		Hosts:     []int{1},
+		Upstreams: 1,
+		Slots:     1,
+		Service:   system.Services[0].Name,
+		Document:  document,
+		Folder:    t.TempDir(),
+		Log:       slog.New(slog.DiscardHandler),
+		Seed:      1,
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { g.Expect(d.Close()).To(Succeed()) }()
+
+	want := lines(rows(g, "operations.md", "^\\| `(sesamedrift_\\w+)` \\| (counter|gauge) \\|"))
+	url := d.URLs(system.Domains[0].Name)[0] + "/metrics"
+	g.Eventually(func() []string { return served(url) }).WithTimeout(waitLimit).Should(Equal(want))
+	g.Consistently(func() []string { return served(url) }).Should(Equal(want))
+}
+
+// served returns the names and types of the metrics of a host in order.
+func served(url string) []string {
+	text, err := request(http.MethodGet, url)
+	if err != nil {
+		return []string{err.Error()}
+	}
+	var names []string
+	for _, m := range regexp.MustCompile(`(?m)^# TYPE (.+)$`).FindAllStringSubmatch(text, -1) {
+		names = append(names, m[1])
+	}
+	return names
+}
+
+// Guards against pages that give another status or exit code for an outcome than the
+// program.
+func TestOutcomesAreThoseOfThePages(t *testing.T) {
+	g := NewWithT(t)
+	want := make([]string, 0, len(sesamedrift.Statuses))
+	for _, s := range sesamedrift.Statuses {
+		want = append(want, fmt.Sprintf("%s %d %d", s, s.HTTPStatus(), s.ExitCode()))
+	}
+	g.Expect(lines(rows(g, "http.md", "^\\| `(\\w+)` \\| (\\d+) \\| (\\d+) \\|"))).To(Equal(want))
+	g.Expect(lines(rows(g, "design.md", "^\\| `(\\w+)` \\| [^|]+ \\| (\\d+) \\| (\\d+) \\|"))).To(Equal(want))
+}
+
+// Guards against an exit code that the operators' page lacks or explains otherwise.
+func TestExitCodesAreThoseOfThePage(t *testing.T) {
+	g := NewWithT(t)
+	want := map[string]string{
+		strconv.Itoa(sesamedrift.ExitError):    "error",
+		strconv.Itoa(sesamedrift.ExitUsage):    "Bad input",
+		strconv.Itoa(sesamedrift.ExitConflict): "Conflict",
+		strconv.Itoa(sesamedrift.ExitExpired):  "expired",
+	}
+	for _, s := range sesamedrift.Statuses {
+		want[strconv.Itoa(s.ExitCode())] = "`" + string(s) + "`"
+	}
+	found := map[string]string{}
+	for _, r := range rows(g, "operations.md", `^\| (\d) \| (.+) \|$`) {
+		found[r[0]] = r[1]
+	}
+	g.Expect(slices.Sorted(maps.Keys(found))).To(Equal(slices.Sorted(maps.Keys(want))))
+	for code, text := range want {
+		g.Expect(found[code]).To(ContainSubstring(text), "exit code %s", code)
+	}
+}
+
+// Guards against errors that the page of the HTTP interface lacks, gives with another
+// status, or invents.
+func TestErrorsAreThoseOfThePage(t *testing.T) {
+	g := NewWithT(t)
+	var page, unsent []string
+	for _, r := range rows(g, "http.md", "^\\| (\\d+ \\| `[a-z-]+`) \\| \\d \\| (.*) \\|$") {
+		if strings.HasPrefix(r[1], "Not sent by this version.") {
+			unsent = append(unsent, r[0])
+		} else {
+			page = append(page, r[0])
+		}
+	}
+	slices.Sort(page)
+	sent := errorsInSource(g)
+	g.Expect(page).To(Equal(sent))
+	for _, e := range unsent {
+		g.Expect(sent).NotTo(ContainElement(e))
+	}
+}
+
+// errorsInSource returns status and code, as on the page, of each literal of type Error in package server.
+// Codes that hosts use between themselves are named constants and are left out.
+func errorsInSource(g *WithT) []string {
+	files, err := filepath.Glob("../server/*.go")
+	g.Expect(err).NotTo(HaveOccurred())
+	found := map[string]bool{}
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") {
+			continue
+		}
+		parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		ast.Inspect(parsed, func(n ast.Node) bool {
+			literal, ok := n.(*ast.CompositeLit)
+			if name, isName := literalType(literal, ok); !isName || name != "Error" {
+				return true
+			}
+			if code, status := errorFields(g, literal); code != "" {
+				found[status+" | `"+code+"`"] = true
+			}
+			return true
+		})
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
+func literalType(literal *ast.CompositeLit, ok bool) (string, bool) {
+	if !ok {
+		return "", false
+	}
+	name, ok := literal.Type.(*ast.Ident)
+	if !ok {
+		return "", false
+	}
+	return name.Name, true
+}
+
+func errorFields(g *WithT, literal *ast.CompositeLit) (code, status string) {
+	for _, element := range literal.Elts {
+		field, ok := element.(*ast.KeyValueExpr)
+		g.Expect(ok).To(BeTrue())
+		switch value := field.Value.(type) {
+		case *ast.BasicLit:
+			if fmt.Sprint(field.Key) == "Code" {
+				code = strings.Trim(value.Value, `"`)
+			}
+		case *ast.SelectorExpr:
+			if fmt.Sprint(field.Key) == "Status" {
+				status = strconv.Itoa(statusByName(value.Sel.Name))
+			}
+		}
+	}
+	return code, status
+}
+
+// statusByName returns the value of a constant of package net/http.
+func statusByName(name string) int {
+	for code := 100; code < 600; code++ {
+		if "Status"+strings.ReplaceAll(http.StatusText(code), " ", "") == name {
+			return code
+		}
+	}
+	return 0
+}
+
+// Guards against an error that ends a command with another exit code than the page says.
+func TestErrorsEndWithTheExitCodesOfThePage(t *testing.T) {
+	for _, r := range rows(NewWithT(t), "http.md", "^\\| (\\d+) \\| `([a-z-]+)` \\| (\\d) \\|") {
+		t.Run(r[1], func(t *testing.T) {
+			g := NewWithT(t)
+			status, err := strconv.Atoi(r[0])
+			g.Expect(err).NotTo(HaveOccurred())
+			host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(client.HostHeader, "riga-a-1")
+				w.Header().Set(client.DomainHeader, "riga-a")
+				w.WriteHeader(status)
+				_ = json.NewEncoder(w).Encode(map[string]string{"code": r[1], "message": "test"})
+			}))
+			defer host.Close()
+			var stderr bytes.Buffer
+			code := commander.Run(t.Context(), []string{"sesamedrift", "status", "--host", host.URL}, commander.Streams{
+				In:  strings.NewReader(""),
+				Out: io.Discard,
+				Err: &stderr,
+			})
+			g.Expect(strconv.Itoa(code)).To(Equal(r[2]))
+			g.Expect(stderr.String()).To(ContainSubstring("answered " + r[0] + " " + r[1] + ": test"))
+		})
+	}
+}
--- a/commander/page_test.go
+++ b/commander/page_test.go
@@ -24,8 +24,9 @@
 	word = regexp.MustCompile(`'[^']*'|"[^"]*"|\S+`)
 )
 
-// page sends the curl commands of a page to a host and prints each with its result:
-// "page FILE ADDRESS". The files that commands name are those of the script.
+// page runs the commands of a page: "page FILE ADDRESS". Each request by curl is sent to
+// the host and printed with its result; each sesamedrift command must succeed. The files
+// that commands name are those of the script.
 func page(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) != 2 {
 		ts.Fatalf("usage: page FILE ADDRESS")
@@ -34,15 +35,29 @@
 	for _, b := range block.FindAllStringSubmatch(ts.ReadFile(args[0]), -1) {
 		for line := range strings.Lines(strings.ReplaceAll(b[1], "\\\n", " ")) {
 			words := word.FindAllString(strings.TrimSpace(line), -1)
-			if len(words) == 0 || words[0] != "curl" {
-				ts.Fatalf("not a curl command: %s", line)
+			switch {
+			case len(words) > 0 && words[0] == "curl":
+				send(ts, words[1:], args[1])
+			case len(words) > 0 && words[0] == "sesamedrift":
+				run(ts, words)
+			default:
+				ts.Fatalf("not a command that is known here: %s", line)
 			}
-			send(ts, words[1:], args[1])
 			n++
 		}
 	}
 	if n == 0 {
-		ts.Fatalf("no curl command on the page %s", args[0])
+		ts.Fatalf("no command on the page %s", args[0])
+	}
+}
+
+func run(ts *testscript.TestScript, words []string) {
+	line := strings.Join(words, " ")
+	for i := range words {
+		words[i] = unquote(ts, words[i])
+	}
+	if err := ts.Exec(words[0], words[1:]...); err != nil {
+		ts.Fatalf("%s: %v", line, err)
 	}
 }
 
