server: exchange versions once per pair, and never ask for views

Cause: replicas reported the versions of views, which an exchange never contains, so that every heartbeat of a replica made a host without a disk ask for entries in vain. Each pair of hosts of different domains exchanged the same two states twice, once from each side.

Change: messages carry the versions of the documents only. A host does not begin an exchange with a peer that has begun one within the interval; it takes the versions of that exchange and asks for what it lacks.

--- a/launcher/capacity_test.go
+++ b/launcher/capacity_test.go
@@ -11,6 +11,7 @@
 
 	"sesamedrift.example/sesamedrift/client"
 	"sesamedrift.example/sesamedrift/messenger"
+	"sesamedrift.example/sesamedrift/validator"
 )
 
 // benchmarkTimeout bounds the set-up and the end of one benchmark.
@@ -59,7 +60,7 @@
 }
 
 // deploy starts hosts without upstreams.
-func deploy(b *testing.B, domains, hosts, teams int) (context.Context, *Deployment) {
+func deploy(b *testing.B, domains, hosts, teams int, adjust ...func(s *validator.Settings)) (context.Context, *Deployment) {
 	b.Helper()
 	ctx, cancel := context.WithTimeout(b.Context(), benchmarkTimeout)
 	b.Cleanup(cancel)
@@ -75,6 +76,11 @@
 		Folder:   b.TempDir(),
 		Log:      slog.New(slog.DiscardHandler),
 		Seed:     1,
+		Adjust: func(s *validator.Settings) {
+			for _, f := range adjust {
+				f(s)
+			}
+		},
 	})
 	if err != nil {
 		b.Fatal(err)
@@ -200,6 +206,26 @@
 	}
 }
 
+// BenchmarkIdleSlowHeartbeats measures an idle deployment of the projected size with a
+// heartbeat every 200 ms, which leaves three heartbeats in the time of a lease.
+func BenchmarkIdleSlowHeartbeats(b *testing.B) {
+	for _, hosts := range []int{2, 3} {
+		b.Run(fmt.Sprintf("domains=5,hosts=%d,upstreams=184,ttl=1m", hosts), func(b *testing.B) {
+			ctx, d := deploy(b, 5, hosts, 72, func(s *validator.Settings) {
+				s.HeartbeatEvery = validator.Duration(200 * time.Millisecond)
+			})
+			defer d.startUpstreams(ctx, b, 184, 8, time.Minute).wait(b)
+			time.Sleep(time.Second)
+			runtime.GC()
+			from := d.usage()
+			for b.Loop() {
+				time.Sleep(4 * time.Second)
+			}
+			reportRates(b, 5*hosts, from, d.usage())
+		})
+	}
+}
+
 // BenchmarkStarts measures the path of submissions over HTTP, with the claim on all
 // members of one failure domain and the tasks on upstreams in another process.
 func BenchmarkStarts(b *testing.B) {
--- a/server/capacity_test.go
+++ b/server/capacity_test.go
@@ -11,6 +11,7 @@
 	"sesamedrift.example/sesamedrift/claimer"
 	"sesamedrift.example/sesamedrift/leaser"
 	"sesamedrift.example/sesamedrift/messenger"
+	"sesamedrift.example/sesamedrift/registrar"
 	"sesamedrift.example/sesamedrift/validator"
 )
 
@@ -159,6 +160,7 @@
 		self:      leaser.Member{Host: "ikeja-1", Incarnation: 1},
 		directory: directory{list: leaser.NewDirectory(), source: map[string]source{}},
 		metrics:   newMetrics(),
+		entries:   &registrar.Cache{},
 	}
 	b.Cleanup(h.metrics.close)
 	h.members = newMembership(cfg, h.self)
--- a/server/configuration.go
+++ b/server/configuration.go
@@ -121,15 +121,27 @@
 // heard takes what a peer reported with a message.
 func (h *Host) heard(host string, r slotReport, versions map[string]uint64) {
 	h.heardSlots(host, r)
-	mine := h.entries.Versions()
-	for register, version := range versions {
-		if version > mine[register] {
+	for _, name := range []string{validator.Trial, validator.Production} {
+		register := environmentPrefix + name
+		if versions[register] > h.entries.Get(register).Version {
 			h.pullEntries(host)
 			return
 		}
 	}
 }
 
+// versions returns the versions of the documents that this host has. Views are left out:
+// hosts read them from the replicas.
+func (h *Host) versions() map[string]uint64 {
+	all := map[string]uint64{}
+	for _, name := range []string{validator.Trial, validator.Production} {
+		if e := h.entries.Get(environmentPrefix + name); e.Version > 0 {
+			all[e.Register] = e.Version
+		}
+	}
+	return all
+}
+
 // pullEntries fetches newer entries from a peer; at most one fetch is under way.
 func (h *Host) pullEntries(host string) {
 	if !h.pulling.CompareAndSwap(false, true) {
@@ -150,7 +162,7 @@
 	reply, err := ask[exchange](ctx, h, host, messenger.KindEntries, exchange{
 		Host:     h.cfg.Settings.Host,
 		Slots:    h.slots.report(host),
-		Versions: h.entries.Versions(),
+		Versions: h.versions(),
 		Entries:  push,
 	})
 	if err != nil {
@@ -174,11 +186,12 @@
 	for _, e := range in.Entries {
 		h.learn(e)
 	}
-	h.heardSlots(in.Host, in.Slots)
+	h.exchanging.note(in.Host, h.now())
+	h.heard(in.Host, in.Slots, in.Versions)
 	return exchange{
 		Host:     h.cfg.Settings.Host,
 		Slots:    h.slots.report(in.Host),
-		Versions: h.entries.Versions(),
+		Versions: h.versions(),
 		Entries:  h.newerThan(in.Versions),
 	}, nil
 }
@@ -204,6 +217,10 @@
 			if p.Domain == h.cfg.Settings.Domain && h.documents.get(validator.Production) != nil {
 				continue
 			}
+			if h.now().Sub(h.exchanging.asked(p.Host)) < exchangeEvery {
+				// The exchange that the peer began has served both.
+				continue
+			}
 			if h.exchanging.begin(p.Host) {
 				h.background.Go(func() {
 					defer h.exchanging.end(p.Host)
--- a/server/directory_test.go
+++ b/server/directory_test.go
@@ -27,3 +27,12 @@
 	g.Expect(count(1, "ikeja-3")).To(Equal(2))
 	g.Expect(count(0, "ikeja-2")).To(Equal(3), "a host that asks for everything has lost its list")
 }
+
+// Guards against hosts that ask for views, which an exchange never contains, after every
+// heartbeat of a replica.
+func TestHostDoesNotAskForViews(t *testing.T) {
+	g := NewWithT(t)
+	h := capacityHost(t, 0)
+	h.heard("ikeja-2", slotReport{}, map[string]uint64{"view-apapa": 3})
+	g.Expect(h.pulling.Load()).To(BeFalse())
+}
--- a/server/membership.go
+++ b/server/membership.go
@@ -109,7 +109,7 @@
 		h.members.waiting[host] = true
 	}
 	h.members.mu.Unlock()
-	beat.Versions = h.entries.Versions()
+	beat.Versions = h.versions()
 	beat.DirectorySeq = h.directorySeq()
 	for host := range to {
 		h.background.Go(func() { h.heartbeatTo(ctx, host, beat) })
@@ -145,7 +145,7 @@
 		}
 		ack = l.Answer(now, beat)
 	})
-	ack.Versions = h.entries.Versions()
+	ack.Versions = h.versions()
 	ack.DirectorySeq = h.directorySeq()
 	h.heard(beat.From.Host, in.Slots, beat.Versions)
 	h.pullDirectory(beat.From.Host, beat.DirectorySeq)
--- a/server/requests.go
+++ b/server/requests.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // requests counts the requests in flight.
@@ -82,14 +83,33 @@
 	}
 }
 
-// busyHosts holds the peers with which an exchange is under way.
+// busyHosts holds the peers with which an exchange is under way, and when each peer last
+// began one.
 type busyHosts struct {
-	mu  sync.Mutex
-	all map[string]bool
+	mu    sync.Mutex
+	all   map[string]bool
+	began map[string]time.Time
 }
 
 func newBusyHosts() *busyHosts {
-	return &busyHosts{all: map[string]bool{}}
+	return &busyHosts{
+		all:   map[string]bool{},
+		began: map[string]time.Time{},
+	}
+}
+
+// note notes that the host has begun an exchange.
+func (b *busyHosts) note(host string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.began[host] = now
+}
+
+// asked returns when the host last began an exchange.
+func (b *busyHosts) asked(host string) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.began[host]
 }
 
 // begin reports whether no exchange with the host was under way.
