--- a/server/membership.go
+++ b/server/membership.go
@@ -119,7 +119,7 @@
 		h.members.waiting[host] = true
 	}
 	h.members.mu.Unlock()
-	beat.Versions = h.entries.Versions()
+	beat.Versions = h.versions()
 	beat.DirectorySeq = h.directorySeq()
 	for host := range to {
 		h.background.Go(func() { h.heartbeatTo(ctx, host, beat) })
@@ -162,7 +162,7 @@
 		// The sender has installed the view; it will acknowledge a heartbeat now.
 		h.beatNow()
 	}
-	ack.Versions = h.entries.Versions()
+	ack.Versions = h.versions()
 	ack.DirectorySeq = h.directorySeq()
 	h.heard(beat.From.Host, in.Slots, beat.Versions)
 	h.pullDirectory(beat.From.Host, beat.DirectorySeq)
