server: use the client's types and header names of the HTTP interface

Cause: the answers of environment changes and the names of headers stood twice, in client and in server.

Change: the server, which is above the client in the list of packages, uses the client's.

Conclusion: no change of behaviour; server and commander tests pass.

--- a/server/configuration.go
+++ b/server/configuration.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"sesamedrift.example/sesamedrift/client"
 	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/registrar"
 	"sesamedrift.example/sesamedrift/reporter"
@@ -63,7 +64,7 @@
 func (h *Host) environment(name string) (*inForce, *Error) {
 	if name != validator.Trial && name != validator.Production {
 		return nil, badRequest("no such environment: "+name, validator.Problem{
-			Path:    environmentHeader,
+			Path:    client.EnvironmentHeader,
 			Value:   name,
 			Message: "want trial or production",
 		})
--- a/server/environments.go
+++ b/server/environments.go
@@ -9,11 +9,11 @@
 	"slices"
 	"strconv"
 	"sync"
-	"time"
 
 	"github.com/gorilla/mux"
 
 	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/client"
 	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/registrar"
 	"sesamedrift.example/sesamedrift/reporter"
@@ -25,36 +25,9 @@
 	maxHistory     = 1000
 )
 
-// changeResponse answers a change of an environment.
-type changeResponse struct {
-	Status    registrar.Status `json:"status"`
-	Version   uint64           `json:"version"`
-	Digest    string           `json:"digest"`
-	Winner    *auditRecord     `json:"winner,omitempty"`
-	InForceOn []string         `json:"in-force-on"`
-}
-
-// environmentResponse answers GET /v1/environments/{name}.
-type environmentResponse struct {
-	Version   uint64          `json:"version"`
-	Digest    string          `json:"digest"`
-	Document  json.RawMessage `json:"document"`
-	InForceOn []string        `json:"in-force-on"`
-}
-
-// auditRecord is one entry of the audit trail.
-type auditRecord struct {
-	Register string    `json:"register"`
-	ID       string    `json:"id"`
-	Who      string    `json:"who"`
-	Version  uint64    `json:"version"`
-	Digest   string    `json:"digest"`
-	At       time.Time `json:"at"`
-	Outcome  string    `json:"outcome"`
-}
-
-func record(a registrar.AuditEntry) auditRecord {
-	return auditRecord{
+// record returns an audit entry in the form of the HTTP interface.
+func record(a registrar.AuditEntry) client.AuditEntry {
+	return client.AuditEntry{
 		Register: a.Register,
 		ID:       a.ID,
 		Who:      a.Who,
@@ -74,27 +47,27 @@
 
 func readChangeOptions(r *http.Request) (changeOptions, *Error) {
 	o := changeOptions{
-		id:  r.Header.Get(changeIDHeader),
-		who: r.Header.Get(changedByHeader),
+		id:  r.Header.Get(client.ChangeIDHeader),
+		who: r.Header.Get(client.ChangedByHeader),
 	}
 	var problems []validator.Problem
 	if o.id == "" {
 		problems = append(problems, validator.Problem{
-			Path:    changeIDHeader,
+			Path:    client.ChangeIDHeader,
 			Message: "want an identifier, unique for each change; the same when a change is sent again",
 		})
 	}
 	if o.who == "" {
 		problems = append(problems, validator.Problem{
-			Path:    changedByHeader,
+			Path:    client.ChangedByHeader,
 			Message: "want the name of the operator",
 		})
 	}
-	text := r.Header.Get(expectedHeader)
+	text := r.Header.Get(client.ExpectedVersionHeader)
 	expected, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
 		problems = append(problems, validator.Problem{
-			Path:    expectedHeader,
+			Path:    client.ExpectedVersionHeader,
 			Value:   text,
 			Message: "want the version that the change replaces, 0 for the first",
 		})
@@ -168,11 +141,11 @@
 		Value:    value,
 	})
 	if err != nil {
-		writeError(w, notReady("the change was not decided: "+err.Error()+"; send it again with the same "+changeIDHeader))
+		writeError(w, notReady("the change was not decided: "+err.Error()+"; send it again with the same "+client.ChangeIDHeader))
 		return
 	}
-	response := changeResponse{
-		Status:    result.Status,
+	response := client.ChangeResult{
+		Status:    client.ChangeStatus(result.Status),
 		Version:   result.Version,
 		Digest:    result.Digest,
 		InForceOn: []string{},
@@ -212,7 +185,7 @@
 		writeError(w, notFound("no document of the environment "+name+" is in force on this host"))
 		return
 	}
-	response := environmentResponse{
+	response := client.EnvironmentState{
 		Version:   entry.Version,
 		Digest:    entry.Digest,
 		Document:  entry.Value,
@@ -248,7 +221,7 @@
 		writeError(w, notReady(err.Error()))
 		return
 	}
-	records := make([]auditRecord, 0, len(entries))
+	records := make([]client.AuditEntry, 0, len(entries))
 	for _, a := range entries {
 		records = append(records, record(a))
 	}
--- a/server/http.go
+++ b/server/http.go
@@ -14,21 +14,10 @@
 	"github.com/gorilla/mux"
 
 	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/client"
 	"sesamedrift.example/sesamedrift/validator"
 )
 
-// Names of HTTP headers, beside those of request keys.
-const (
-	environmentHeader = "Sesamedrift-Environment"
-	tryHeader         = "Sesamedrift-Try"
-	outcomeHeader     = "Sesamedrift-Outcome"
-	domainHeader      = "Sesamedrift-Domain"
-	hostHeader        = "Sesamedrift-Host"
-	changeIDHeader    = "Change-Id"
-	expectedHeader    = "Expected-Version"
-	changedByHeader   = "Changed-By"
-)
-
 const (
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = 30 * time.Second
@@ -72,8 +61,8 @@
 
 func (h *Host) identify(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set(domainHeader, h.cfg.Settings.Domain)
-		w.Header().Set(hostHeader, h.cfg.Settings.Host)
+		w.Header().Set(client.DomainHeader, h.cfg.Settings.Domain)
+		w.Header().Set(client.HostHeader, h.cfg.Settings.Host)
 		next.ServeHTTP(w, r)
 	})
 }
@@ -124,7 +113,7 @@
 }
 
 func (h *Host) readSubmission(w http.ResponseWriter, r *http.Request) (*request, *Error) {
-	environment := r.Header.Get(environmentHeader)
+	environment := r.Header.Get(client.EnvironmentHeader)
 	if environment == "" {
 		environment = validator.Production
 	}
@@ -171,11 +160,11 @@
 		}
 		req.Submission.DeclaredRunTime = declared
 	}
-	if text := r.Header.Get(tryHeader); text != "" {
+	if text := r.Header.Get(client.TryHeader); text != "" {
 		try, err := strconv.Atoi(text)
 		if err != nil || try < firstTry {
 			return badField(&sesamedrift.InvalidError{
-				Field: tryHeader,
+				Field: client.TryHeader,
 				Value: text,
 				Want:  "a whole number of 1 or more",
 			})
@@ -290,7 +279,7 @@
 		writeError(w, e)
 		return
 	}
-	w.Header().Set(outcomeHeader, string(o.Status))
+	w.Header().Set(client.OutcomeHeader, string(o.Status))
 	setRetryAfter(w, o.RetryAfter)
 	writeJSON(w, o.Status.HTTPStatus(), o)
 }
