--- a/commander/load.go
+++ b/commander/load.go
@@ -69,20 +69,24 @@
 	if err != nil {
 		return err
 	}
-	var results []generator.Result
+	progress := c.progress()
+	results := make([]generator.Result, 0, len(policies))
 	for _, p := range policies {
 		r, err := generator.Run(ctx, generator.Config{
 			Scenario: s,
 			Policy:   p,
 			Seed:     cmd.Uint64("seed"),
 			Scale:    cmd.Int("scale"),
-			Progress: c.progress(),
+			Progress: progress,
 		})
 		if err != nil {
 			return fmt.Errorf("scenario %s, policy %s: %w", s.Name, p, err)
 		}
 		results = append(results, r)
 	}
+	if progress != nil {
+		progress("")
+	}
 	if err := c.printLoad(cmd, &s, results); err != nil {
 		return err
 	}
--- a/generator/run.go
+++ b/generator/run.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
 	"os"
+	"path/filepath"
+	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"sesamedrift.example/sesamedrift/client"
@@ -22,6 +26,8 @@
 	// connectionsPerHost bounds the connections of the callers to one host.
 	connectionsPerHost = 512
 	startTimeout       = 20 * time.Second
+	// maxDeployments bounds how often a deployment is started whose ports were taken.
+	maxDeployments = 3
 	// drainTimeout bounds the wait for the last answers of a phase.
 	drainTimeout = 30 * time.Second
 	// settleTime lets late answers and heartbeats arrive before counters are read.
@@ -78,26 +84,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	starting, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	r.d, err = launcher.New(starting, launcher.Config{
-		Domains:   s.Domains,
-		Hosts:     s.Hosts,
-		Upstreams: upstreams,
-		Slots:     slotsPerUpstream,
-		Service:   s.Service,
-		Document:  document,
-		Folder:    folder,
-		Log:       slog.New(slog.DiscardHandler),
-		Policy:    cfg.Policy,
-		Distance:  s.Distance,
-		Seed:      cfg.Seed,
-		OnStart: func(upstream, taskID string, attempt int) {
-			r.ledger.Start(time.Now(), upstream, taskID, attempt)
-		},
-		OnEnd: r.ledger.End,
-	})
-	if err != nil {
+	if err := r.deploy(ctx, document, folder, upstreams); err != nil {
 		return Result{}, err
 	}
 	result, err := r.phases(ctx)
@@ -107,6 +94,37 @@
 	return result, err
 }
 
+// deploy starts the hosts and upstreams. The launcher looks for free ports before it
+// uses them, so that another process may take one in between.
+func (r *run) deploy(ctx context.Context, document []byte, folder string, upstreams int) error {
+	s := &r.cfg.Scenario
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for try := 1; ; try++ {
+		var err error
+		r.d, err = launcher.New(ctx, launcher.Config{
+			Domains:   s.Domains,
+			Hosts:     s.Hosts,
+			Upstreams: upstreams,
+			Slots:     slotsPerUpstream,
+			Service:   s.Service,
+			Document:  document,
+			Folder:    filepath.Join(folder, strconv.Itoa(try)),
+			Log:       slog.New(slog.DiscardHandler),
+			Policy:    r.cfg.Policy,
+			Distance:  s.Distance,
+			Seed:      r.cfg.Seed,
+			OnStart: func(upstream, taskID string, attempt int) {
+				r.ledger.Start(time.Now(), upstream, taskID, attempt)
+			},
+			OnEnd: r.ledger.End,
+		})
+		if err == nil || try == maxDeployments || !errors.Is(err, syscall.EADDRINUSE) {
+			return err
+		}
+	}
+}
+
 func (r *run) phases(ctx context.Context) (Result, error) {
 	result := Result{
 		Scenario: r.cfg.Scenario.Name,
--- a/generator/submit.go
+++ b/generator/submit.go
@@ -94,6 +94,9 @@
 		out.failure = "mismatch"
 	case errors.As(err, &lost):
 		out.failure = "lost"
+		if lost.Answer != nil {
+			out.failure += ", then " + string(lost.Answer.Code)
+		}
 	case errors.As(err, &api):
 		out.failure = string(api.Code)
 	default:
--- a/generator/table.go
+++ b/generator/table.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 )
@@ -45,6 +47,12 @@
 		notes.WriteString("\n" + s.Note + "\n")
 	}
 	for i := range results {
+		for n := range results[i].Phases {
+			p := &results[i].Phases[n]
+			for _, reason := range slices.Sorted(maps.Keys(p.Failures)) {
+				fmt.Fprintf(&notes, "\n%s, phase %s: %d jobs without an outcome: %s\n", results[i].Policy, p.Name, p.Failures[reason], reason)
+			}
+		}
 		for _, v := range results[i].Audit.Examples {
 			fmt.Fprintf(&notes, "\n%s: violation: %s\n", results[i].Policy, v)
 		}
