--- a/launcher/capacity_test.go
+++ b/launcher/capacity_test.go
@@ -139,6 +139,8 @@
 	heap    uint64
 	live    uint64
 	mallocs uint64
+	// replicas is the sum of the bytes that the hosts with replicas sent.
+	replicas uint64
 }
 
 func (d *Deployment) usage() usage {
@@ -151,8 +153,13 @@
 		live:    m.HeapAlloc,
 		mallocs: m.Mallocs,
 	}
-	for _, h := range d.running() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, h := range d.hosts {
 		t := h.Traffic()
+		if s, err := d.Settings(name); err == nil && s.Replica {
+			u.replicas += t.BytesOut
+		}
 		u.traffic.FramesIn += t.FramesIn
 		u.traffic.FramesOut += t.FramesOut
 		u.traffic.BytesIn += t.BytesIn
@@ -201,7 +208,13 @@
 			for b.Loop() {
 				time.Sleep(4 * time.Second)
 			}
-			reportRates(b, c.domains*c.hosts, from, d.usage())
+			to := d.usage()
+			reportRates(b, c.domains*c.hosts, from, to)
+			replicas := 1
+			if c.domains > 1 {
+				replicas = 3
+			}
+			b.ReportMetric(float64(to.replicas-from.replicas)/to.at.Sub(from.at).Seconds()/float64(replicas), "B-out/s/replica")
 		})
 	}
 }
--- a/launcher/failure_capacity_test.go
+++ b/launcher/failure_capacity_test.go
@@ -19,7 +19,7 @@
 // that it has to read when it returns.
 func BenchmarkRestart(b *testing.B) {
 	const upstreams = 184
-	for _, load := range []time.Duration{0, time.Second, 6 * time.Second} {
+	for _, load := range []time.Duration{0, time.Second, 6 * time.Second, 20 * time.Second} {
 		b.Run(fmt.Sprintf("load=%s", load), func(b *testing.B) {
 			ctx, d := deploy(b, 1, 3, 72)
 			up := d.startUpstreams(ctx, b, upstreams, 8, 15*time.Second)
