executor: answer a stop when the slot is free

Cause: DELETE /tasks/{id} was answered before the stopped task had left its slot, so that the host's next task could be rejected.

Conclusion: the response to a stop says that the slot can be used.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -81,6 +81,7 @@
 type execution struct {
 	Running
 	cancel context.CancelCauseFunc
+	ended  chan struct{} // closed when the slot is free again
 }
 
 var (
@@ -216,6 +217,11 @@
 		return
 	}
 	x.cancel(errStopped)
+	// The host uses the slot again as soon as it has the response.
+	select {
+	case <-x.ended:
+	case <-r.Context().Done():
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/executor/run.go
+++ b/executor/run.go
@@ -70,6 +70,7 @@
 			Attempt: attempt,
 			Ends:    time.Now().Add(lease),
 		},
+		ended: make(chan struct{}),
 		cancel: func(cause error) {
 			cancel(cause)
 			stop()
@@ -85,6 +86,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running[id].cancel(nil)
+	close(e.running[id].ended)
 	delete(e.running, id)
 	if len(e.running) == 0 {
 		close(e.idle)
