--- a/server/host_test.go
+++ b/server/host_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/client"
+	"sesamedrift.example/sesamedrift/executor"
 	"sesamedrift.example/sesamedrift/launcher"
 	"sesamedrift.example/sesamedrift/validator"
 )
@@ -33,6 +35,9 @@
 	g      *WithT
 	ctx    context.Context
 	starts *starts
+
+	mu   sync.Mutex
+	apis map[string]*client.Client // by host
 }
 
 // deploy starts a system and ends it with the test, which runs beside others.
@@ -62,22 +67,25 @@
 		g:          g,
 		ctx:        ctx,
 		starts:     s,
+		apis:       map[string]*client.Client{},
 	}
 }
 
 // at returns a client that talks to one host only.
 func (d *deployment) at(host string) *client.Client {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if api, ok := d.apis[host]; ok {
+		return api
+	}
 	s, err := d.Settings(host)
 	d.g.Expect(err).NotTo(HaveOccurred())
-	return d.clientOf("http://" + s.HTTPAddress)
-}
-
-func (d *deployment) clientOf(urls ...string) *client.Client {
 	api, err := client.New(client.Config{
-		Hosts:         urls,
+		Hosts:         []string{"http://" + s.HTTPAddress},
 		OperatorToken: launcher.OperatorToken,
 	})
 	d.g.Expect(err).NotTo(HaveOccurred())
+	d.apis[host] = api
 	return api
 }
 
@@ -93,6 +101,21 @@
 	return o
 }
 
+// goSubmit sends a submission in the background. If there is no outcome, its reason is
+// the error.
+func (d *deployment) goSubmit(host string, s sesamedrift.Submission) <-chan sesamedrift.Outcome {
+	outcomes := make(chan sesamedrift.Outcome, 1)
+	api := d.at(host)
+	go func() {
+		o, err := api.Submit(d.ctx, s)
+		if err != nil {
+			o.Reason = err.Error()
+		}
+		outcomes <- o
+	}()
+	return outcomes
+}
+
 // post sends a submission as it is: without a key if it has none, and as the given try.
 func (d *deployment) post(host string, s sesamedrift.Submission, try int) sesamedrift.Outcome {
 	settings, err := d.Settings(host)
@@ -123,6 +146,22 @@
 	return o
 }
 
+// announce sends an announcement to one host and returns the status code.
+func (d *deployment) announce(host string, a executor.Announcement) int {
+	settings, err := d.Settings(host)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	body, err := json.Marshal(a)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	url := "http://" + settings.HTTPAddress + "/v1/upstreams"
+	r, err := http.NewRequestWithContext(d.ctx, http.MethodPost, url, bytes.NewReader(body))
+	d.g.Expect(err).NotTo(HaveOccurred())
+	r.Close = true
+	resp, err := http.DefaultClient.Do(r)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	d.g.Expect(resp.Body.Close()).To(Succeed())
+	return resp.StatusCode
+}
+
 // work returns a submission of tasks with the run time.
 func work(kind, runTime string, tasks int) sesamedrift.Submission {
 	s := sesamedrift.Submission{
--- a/server/membership_test.go
+++ b/server/membership_test.go
@@ -1,12 +1,14 @@
 package server_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/server"
 )
 
 // untilFreshKeysRun waits until the horizon of a domain that has lost the majority of its
@@ -67,3 +69,85 @@
 		})
 	}
 }
+
+// Guards against a second start, a lost outcome and a domain that does not come back when
+// two hosts of three die at once. The third one starts nothing alone, since the two others
+// might be a live majority; the domain serves again when one of them has restarted.
+func TestTwoHostsDieAtOnce(t *testing.T) {
+	t.Parallel()
+	for _, rest := range []string{"ikeja-1", "ikeja-3"} {
+		t.Run(rest, func(t *testing.T) {
+			d := deploy(t, largeDomain())
+			s := work("booking", "10ms", 1)
+			s.Key = key("ikeja")
+			first := d.submit("ikeja-2", s)
+			l := d.startLoad(rest)
+			l.serves(rest)
+			var all sync.WaitGroup
+			for _, host := range []string{"ikeja-1", "ikeja-2", "ikeja-3"} {
+				if host != rest {
+					all.Go(func() { d.g.Expect(d.KillHost(host)).To(Succeed()) })
+				}
+			}
+			all.Wait()
+			d.g.Eventually(func() bool { return d.state(rest).Lease }, testTimeout).Should(BeFalse())
+			d.g.Expect(d.StartHost("ikeja-2")).To(Succeed())
+			d.g.Eventually(func() int { return d.ownedBy(rest) + d.ownedBy("ikeja-2") }, testTimeout).Should(Equal(3))
+			l.serves(rest)
+			d.neverRunsAgain(rest, s, first)
+			l.end()
+		})
+	}
+}
+
+// neverRunsAgain sends a submission again that is complete: the outcome is the recorded
+// one, or unknown if the domain has lost it.
+func (d *deployment) neverRunsAgain(host string, s sesamedrift.Submission, first sesamedrift.Outcome) {
+	d.g.Expect(first.Status).To(Equal(sesamedrift.Complete), first.Reason)
+	if o := d.decided(host, s); o.Status != sesamedrift.Unknown {
+		d.g.Expect(o.Answers).To(Equal(first.Answers))
+	}
+	d.g.Expect(d.starts.of(s.Key.String())).To(Equal(len(s.Payloads)))
+}
+
+// Guards against a claim that is forgotten when a second host is lost as soon as the first
+// one is back.
+func TestSecondHostIsLostAfterARestart(t *testing.T) {
+	d := deploy(t, largeDomain())
+	s := work("booking", "10ms", 1)
+	s.Key = key("ikeja")
+	first := d.submit("ikeja-3", s)
+	for _, host := range []string{"ikeja-2", "ikeja-3", "ikeja-1"} {
+		d.g.Expect(d.KillHost(host)).To(Succeed())
+		rest := map[string]string{"ikeja-1": "ikeja-2", "ikeja-2": "ikeja-3", "ikeja-3": "ikeja-1"}[host]
+		d.g.Eventually(func() []string { return d.state(rest).Members }, testTimeout).ShouldNot(ContainElement(host))
+		d.g.Expect(d.StartHost(host)).To(Succeed())
+		d.g.Expect(d.WaitHost(d.ctx, host)).To(Succeed())
+		o := d.decided(host, s)
+		d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), host+": "+o.Reason)
+		d.g.Expect(o.Answers).To(Equal(first.Answers))
+	}
+	d.g.Expect(d.starts.total()).To(Equal(1))
+}
+
+// Guards against two owners, a second start and a domain that does not come back when a
+// host restarts while another one is cut off.
+func TestHostRestartsWhileAnotherIsCutOff(t *testing.T) {
+	d := deploy(t, largeDomain())
+	s := work("booking", "10ms", 1)
+	s.Key = key("ikeja")
+	first := d.submit("ikeja-2", s)
+	l := d.startLoad("ikeja-1", "ikeja-3")
+	l.serves("ikeja-3")
+	d.CutHost("ikeja-3", server.LinkSilent)
+	d.g.Expect(d.KillHost("ikeja-2")).To(Succeed())
+	d.g.Expect(d.StartHost("ikeja-2")).To(Succeed())
+	d.g.Eventually(func() int { return d.ownedBy("ikeja-1") + d.ownedBy("ikeja-2") }, testTimeout).Should(Equal(3))
+	l.serves("ikeja-1")
+	d.neverRunsAgain("ikeja-2", s, first)
+	d.Heal()
+	d.g.Eventually(func() []string { return d.state("ikeja-1").Members }, testTimeout).Should(HaveLen(3))
+	l.serves("ikeja-3")
+	d.neverRunsAgain("ikeja-3", s, first)
+	l.end()
+}
--- a/server/starts_test.go
+++ b/server/starts_test.go
@@ -7,14 +7,25 @@
 
 // starts counts how often each task was started on any upstream.
 type starts struct {
-	mu sync.Mutex
-	n  map[string]int
+	mu      sync.Mutex
+	n       map[string]int
+	watcher func(upstream string)
 }
 
-func (s *starts) note(_, taskID string, _ int) {
+func (s *starts) note(upstream, taskID string, _ int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.n[taskID]++
+	if s.watcher != nil {
+		s.watcher(upstream)
+	}
+}
+
+// watch calls f with the upstream of each later start.
+func (s *starts) watch(f func(upstream string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watcher = f
 }
 
 // total returns the number of starts.
--- a/server/status_test.go
+++ b/server/status_test.go
@@ -23,6 +23,7 @@
 	Free      map[string]int `json:"free"`
 	Upstreams []struct {
 		Upstream string `json:"upstream"`
+		State    string `json:"state"`
 	} `json:"upstreams"`
 }
 
