--- a/executor/run.go
+++ b/executor/run.go
@@ -77,6 +77,7 @@
 			Attempt: attempt,
 			Ends:    time.Now().Add(lease),
 		},
+		ended: make(chan struct{}),
 		cancel: func(cause error) {
 			cancel(cause)
 			stop()
@@ -99,6 +100,7 @@
 	if e.cfg.OnEnd != nil {
 		e.cfg.OnEnd()
 	}
+	close(e.running[id].ended)
 	delete(e.running, id)
 	if len(e.running) == 0 {
 		close(e.idle)
