Bring a host with many claims back, and stop tasks whose notice came first

Cause: a returning host read the claims of its domain within 2 s or began again, so that with 50,000 claims or more it stayed not-ready for good. A cancelled task ran on for 15 s in 1 of 13 runs of TestCancelAtAnotherHost: messages of a peer are handled side by side, and a notice to stop a task that had not come was dropped. Answers were kept in buffers several times their size.

Change: a merge of claims may take a minute, each part of it 2 s, and it runs beside the view changes; notices wait 10 s for their task; answers are copied to size.

TestNoticeThatOvertakesItsTask covers the notice.

--- a/server/claims.go
+++ b/server/claims.go
@@ -46,6 +46,12 @@
 }
 
 func (h *Host) callMember(ctx context.Context, m leaser.Member, r claimer.Request) (claimer.Reply, error) {
+	if r.Type == claimer.TypeSync {
+		// A whole table takes long; each part of it must come soon.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, syncPartTimeout)
+		defer cancel()
+	}
 	reply, err := ask[claimReply](ctx, h, m.Host, messenger.KindClaim, claimRequest{
 		Request: r,
 		From:    h.cfg.Settings.Host,
@@ -77,6 +83,10 @@
 	if h.synced() || !v.Has(h.self) {
 		return
 	}
+	if !h.syncing.CompareAndSwap(false, true) {
+		return
+	}
+	defer h.syncing.Store(false)
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	complete, err := h.claims.Sync(ctx, h.now(), formerView(v))
--- a/server/dispatcher.go
+++ b/server/dispatcher.go
@@ -62,6 +62,7 @@
 	upstreams map[string]*owned          // upstreams in the queue, by name
 	foreign   map[string]*visitor        // tasks that peers forwarded here, by task identifier
 	running   int                        // attempts on upstreams and peers
+	notices   map[string]time.Time       // tasks of peers that were stopped before they came
 	orphans   map[string]*job            // jobs that no caller waits for, by identity
 	taking    map[string]time.Time       // upstreams that are asked what runs there, until when
 	weights   map[string]float64         // of teams
@@ -439,6 +440,7 @@
 	for service := range d.services {
 		d.checkSlots(now, service)
 	}
+	d.dropNotices(now)
 }
 
 // checkOrphan cancels a job that no caller has waited for during the grace time.
--- a/server/dispatcher_test.go
+++ b/server/dispatcher_test.go
@@ -25,6 +25,7 @@
 		received:  map[string]uint64{},
 		services:  map[string]bool{serviceUsed: true},
 		slotless:  map[string]time.Time{},
+		notices:   map[string]time.Time{},
 	}
 	for _, name := range []string{"u1", "u2", "u3"} {
 		d.upstreams[name] = &owned{
@@ -120,3 +121,33 @@
 	g.Expect(d.foreign).To(BeEmpty())
 	g.Expect(d.queue.Len()).To(BeZero())
 }
+
+// Guards against a task of a peer that runs on because the notice to stop it overtook it.
+func TestNoticeThatOvertakesItsTask(t *testing.T) {
+	g := NewWithT(t)
+	d := newJudge()
+	d.queue.Set(start, scheduler.Upstream{
+		ID:          "u1",
+		Service:     serviceUsed,
+		Slots:       1,
+		Connections: 1,
+	})
+	v := &visitor{
+		run: taskRun{
+			TaskID:  "a/0",
+			Service: serviceUsed,
+		},
+		answers: make(chan taskAnswer, 1),
+	}
+	d.stopVisitor(start, v.run.TaskID)
+	d.visit(start, forwardedTask{
+		Run:  v.run,
+		From: peerName,
+		Left: time.Minute,
+	}, v)
+	g.Expect(v.answers).To(Receive(HaveField("Result", runNotStarted)))
+	g.Expect(d.queue.Len()).To(BeZero())
+	d.stopVisitor(start, "b/0")
+	d.tick(start.Add(noticeTime))
+	g.Expect(d.notices).To(BeEmpty())
+}
--- a/server/host.go
+++ b/server/host.go
@@ -88,6 +88,7 @@
 	slots      slots
 	metrics    *metrics
 
+	syncing  atomic.Bool
 	beat     chan struct{} // asks for a heartbeat before its time
 	pulling  atomic.Bool
 	stopping atomic.Bool
--- a/server/membership.go
+++ b/server/membership.go
@@ -21,8 +21,11 @@
 	leaveTimeout = 3 * time.Second
 	// leaveRetry is the time between two tries of the view change of a planned stop.
 	leaveRetry = 50 * time.Millisecond
-	// syncTimeout bounds one merge of the claims of the former view.
-	syncTimeout = 2 * time.Second
+	// syncTimeout bounds one merge of the claims of the former view, and syncPartTimeout
+	// one part of a table. A merge that is cut off begins again, so that its bound must be
+	// far above the time for the largest table.
+	syncTimeout     = time.Minute
+	syncPartTimeout = 2 * time.Second
 )
 
 // heartbeatRequest is a heartbeat with the sender's slots.
@@ -219,7 +222,7 @@
 		h.readView(ctx)
 	case !h.synced():
 		// The claims of a view are read before the next view is proposed.
-		h.syncClaims(ctx)
+		h.background.Go(func() { h.syncClaims(ctx) })
 	case propose:
 		h.recordView(ctx, next)
 	}
@@ -260,7 +263,7 @@
 	reporter.Log(ctx, h.log, reporter.ViewInstalled, "view", v.Number, "members", hosts, "horizon", v.Horizon)
 	// The lease of the new view begins with heartbeats that are acknowledged in it.
 	h.beatNow()
-	h.syncClaims(ctx)
+	h.background.Go(func() { h.syncClaims(ctx) })
 	h.dispatcher.post(h.syncUpstreams)
 }
 
--- a/server/remote.go
+++ b/server/remote.go
@@ -41,6 +41,10 @@
 // slotlessPatience is how long queued tasks of peers wait for slots to come back.
 const slotlessPatience = 100 * time.Millisecond
 
+// noticeTime is how long the notice to stop a task waits for the task. A task is not
+// forwarded again after its notice.
+const noticeTime = 10 * time.Second
+
 // roundTrips is the number of one-way distances that a forwarded task adds.
 const roundTrips = 2
 
@@ -222,6 +226,11 @@
 		LongAfter: in.LongAfter,
 		Queued:    now,
 	}
+	if _, stopped := d.notices[t.ID]; stopped {
+		delete(d.notices, t.ID)
+		v.answers <- notStarted(errWithdrew)
+		return
+	}
 	if d.queue.Stats(now, t.Service).Slots == 0 {
 		v.answers <- notStarted(errNoSlots)
 		return
@@ -279,19 +288,33 @@
 }
 
 func (h *Host) serveStopTask(in taskNotice) (nothing, error) {
-	h.dispatcher.post(func(now time.Time) {
-		v, ok := h.dispatcher.foreign[in.TaskID]
-		switch {
-		case !ok:
-		case v.placed:
-			v.cancel()
-		default:
-			h.dispatcher.withdraw(now, in.TaskID, v, errWithdrew)
-		}
-	})
+	h.dispatcher.post(func(now time.Time) { h.dispatcher.stopVisitor(now, in.TaskID) })
 	return nothing{}, nil
 }
 
+// stopVisitor stops a task of a peer. Messages of one peer are handled side by side, so
+// that the notice may come before the task; it is then kept for a while.
+func (d *dispatcher) stopVisitor(now time.Time, id string) {
+	v, ok := d.foreign[id]
+	switch {
+	case !ok:
+		d.notices[id] = now
+	case v.placed:
+		v.cancel()
+	default:
+		d.withdraw(now, id, v, errWithdrew)
+	}
+}
+
+// dropNotices forgets notices whose tasks have not come.
+func (d *dispatcher) dropNotices(now time.Time) {
+	for id, at := range d.notices {
+		if now.Sub(at) >= noticeTime {
+			delete(d.notices, id)
+		}
+	}
+}
+
 // runHere runs an attempt on an upstream of this host. It is called by the dispatcher.
 func (h *Host) runHere(j *job, index int, run taskRun, u owned) {
 	h.background.Go(func() {
--- a/server/runner.go
+++ b/server/runner.go
@@ -176,7 +176,9 @@
 	if int64(len(body)) > r.maxAnswer {
 		return taskAnswer{Result: runFailed, Reason: fmt.Sprintf("the upstream's answer is longer than %d bytes", r.maxAnswer)}
 	}
-	return taskAnswer{Result: runSucceeded, Answer: body}
+	// Answers are kept for the retention time; the buffer that they were read into is
+	// larger than most of them.
+	return taskAnswer{Result: runSucceeded, Answer: bytes.Clone(body)}
 }
 
 func (r *runner) readError(resp *http.Response) taskAnswer {
--- a/server/setup.go
+++ b/server/setup.go
@@ -64,6 +64,7 @@
 		announced:   map[string]bool{},
 		services:    map[string]bool{},
 		slotless:    map[string]time.Time{},
+		notices:     map[string]time.Time{},
 		weights:     map[string]float64{},
 		teams:       map[string]map[string]bool{},
 		peers:       newPeerSlots(),
--- a/server/upstreams_test.go
+++ b/server/upstreams_test.go
@@ -141,9 +141,10 @@
 		d.submit("ikeja-1", work("heavy-check", "300ms", 8))
 		d.submit("ikeja-1", work("booking", "10ms", 8))
 	}
-	var keys []sesamedrift.Key
-	var ended []<-chan sesamedrift.Outcome
-	for range 12 {
+	const jobs = 12
+	keys := make([]sesamedrift.Key, 0, jobs)
+	ended := make([]<-chan sesamedrift.Outcome, 0, jobs)
+	for range jobs {
 		s := work("heavy-check", "15s", 390)
 		s.Key = key("ikeja")
 		s.Deadline = time.Now().Add(time.Hour)
