--- a/server/dispatcher.go
+++ b/server/dispatcher.go
@@ -58,25 +58,25 @@
 	// changed publishes the free slots after each command.
 	changed func(now time.Time)
 
-	jobs      map[string]*job            // by identity
-	upstreams map[string]*owned          // upstreams in the queue, by name
-	foreign   map[string]*visitor        // tasks that peers forwarded here, by task identifier
-	running   int                        // attempts on upstreams and peers
-	notices   map[string]time.Time       // tasks of peers that were stopped before they came
-	orphans   map[string]*job            // jobs that no caller waits for, by identity
-	taking    map[string]time.Time       // upstreams that are asked what runs there, until when
-	weights   map[string]float64         // of teams
-	teams     map[string]map[string]bool // by environment
-	known     map[string]bool            // services of the documents in force
-	services  map[string]bool            // services with upstreams here
-	slotless  map[string]time.Time       // since when a service has no slots here
-	announced map[string]bool            // services with upstreams in the failure domain
-	received  map[string]uint64          // number of the last task that arrived, by peer
-	forwards  uint64                     // number of the last task that was forwarded
-	seq       uint64                     // number of the last published state
-	published time.Time                  // when the metrics were last updated
-	peers     *peerSlots
-	stats     Counters
+	jobs       map[string]*job            // by identity
+	upstreams  map[string]*owned          // upstreams in the queue, by name
+	peerTasks  map[string]*peerTask       // tasks that peers forwarded here, by task identifier
+	running    int                        // attempts on upstreams and peers
+	earlyStops map[string]time.Time       // tasks of peers that were stopped before they came
+	orphans    map[string]*job            // jobs that no caller waits for, by identity
+	taking     map[string]time.Time       // upstreams that are asked what runs there, until when
+	weights    map[string]float64         // of teams
+	teams      map[string]map[string]bool // by environment
+	known      map[string]bool            // services of the documents in force
+	services   map[string]bool            // services with upstreams here
+	slotless   map[string]time.Time       // since when a service has no slots here
+	announced  map[string]bool            // services with upstreams in the failure domain
+	received   map[string]uint64          // number of the last task that arrived, by peer
+	forwards   uint64                     // number of the last task that was forwarded
+	seq        uint64                     // number of the last published state
+	published  time.Time                  // when the metrics were last updated
+	peers      *peerSlots
+	stats      Counters
 }
 
 // owned is an upstream that this host may start work on.
@@ -90,8 +90,8 @@
 	occupied map[string]bool
 }
 
-// visitor is a task that a peer forwarded to this host.
-type visitor struct {
+// peerTask is a task that a peer forwarded to this host.
+type peerTask struct {
 	run    taskRun
 	start  func(u owned, run taskRun)
 	cancel context.CancelFunc
@@ -181,7 +181,7 @@
 		d.drop(now, a.Upstream)
 		return
 	}
-	if v, ok := d.foreign[a.Task.ID]; ok {
+	if v, ok := d.peerTasks[a.Task.ID]; ok {
 		v.placed = true
 		v.run.Lease = leaseFor(now, a.Task.Deadline, v.run.FullLease)
 		v.start(*u, v.run)
@@ -417,7 +417,7 @@
 // long class.
 func (d *dispatcher) tick(now time.Time) {
 	for _, t := range d.queue.Expire(now) {
-		if v, ok := d.foreign[t.ID]; ok {
+		if v, ok := d.peerTasks[t.ID]; ok {
 			d.withdraw(now, t.ID, v, errExpired)
 			continue
 		}
@@ -440,7 +440,7 @@
 	for service := range d.services {
 		d.checkSlots(now, service)
 	}
-	d.dropNotices(now)
+	d.dropEarlyStops(now)
 }
 
 // checkOrphan cancels a job that no caller has waited for during the grace time.
--- a/server/dispatcher_test.go
+++ b/server/dispatcher_test.go
@@ -13,19 +13,19 @@
 	"sesamedrift.example/sesamedrift/scheduler"
 )
 
-// newJudge returns a dispatcher that owns three upstreams and can learn from results.
-func newJudge() *dispatcher {
+// newLearner returns a dispatcher that owns three upstreams and can learn from results.
+func newLearner() *dispatcher {
 	d := &dispatcher{
-		log:       slog.New(slog.DiscardHandler),
-		times:     estimator.New(estimator.Config{}),
-		health:    detector.New(detector.Config{EjectShare: 0.5}),
-		queue:     scheduler.New(scheduler.Config{}),
-		upstreams: map[string]*owned{},
-		foreign:   map[string]*visitor{},
-		received:  map[string]uint64{},
-		services:  map[string]bool{serviceUsed: true},
-		slotless:  map[string]time.Time{},
-		notices:   map[string]time.Time{},
+		log:        slog.New(slog.DiscardHandler),
+		times:      estimator.New(estimator.Config{}),
+		health:     detector.New(detector.Config{EjectShare: 0.5}),
+		queue:      scheduler.New(scheduler.Config{}),
+		upstreams:  map[string]*owned{},
+		peerTasks:  map[string]*peerTask{},
+		received:   map[string]uint64{},
+		services:   map[string]bool{serviceUsed: true},
+		slotless:   map[string]time.Time{},
+		earlyStops: map[string]time.Time{},
 	}
 	for _, name := range []string{"u1", "u2", "u3"} {
 		d.upstreams[name] = &owned{
@@ -49,7 +49,7 @@
 		full:     detector.Ejected,
 	} {
 		g := NewWithT(t)
-		d := newJudge()
+		d := newLearner()
 		for range 10 {
 			for _, name := range []string{"u2", "u3"} {
 				d.learn(start, serviceUsed, "check", full, taskAnswer{
@@ -73,7 +73,7 @@
 // this host.
 func TestUpstreamsOfPeersAreNotJudged(t *testing.T) {
 	g := NewWithT(t)
-	d := newJudge()
+	d := newLearner()
 	for range 10 {
 		d.learn(start, serviceUsed, "check", time.Second, taskAnswer{
 			Result:   runSucceeded,
@@ -92,21 +92,21 @@
 // handed its upstreams over.
 func TestQueuedTasksOfPeersAreGivenBack(t *testing.T) {
 	g := NewWithT(t)
-	d := newJudge()
+	d := newLearner()
 	d.queue.Set(start, scheduler.Upstream{
 		ID:          "u1",
 		Service:     serviceUsed,
 		Slots:       1,
 		Connections: 1,
 	})
-	v := &visitor{
+	v := &peerTask{
 		run: taskRun{
 			TaskID:  "a/0",
 			Service: serviceUsed,
 		},
 		answers: make(chan taskAnswer, 1),
 	}
-	d.visit(start, forwardedTask{
+	d.addPeerTask(start, forwardedTask{
 		Run:  v.run,
 		From: peerName,
 		Left: time.Minute,
@@ -118,36 +118,36 @@
 	g.Expect(v.answers).To(BeEmpty())
 	d.tick(start.Add(slotlessPatience))
 	g.Expect(v.answers).To(Receive(HaveField("Result", runNotStarted)))
-	g.Expect(d.foreign).To(BeEmpty())
+	g.Expect(d.peerTasks).To(BeEmpty())
 	g.Expect(d.queue.Len()).To(BeZero())
 }
 
 // Guards against a task of a peer that runs on because the notice to stop it overtook it.
 func TestNoticeThatOvertakesItsTask(t *testing.T) {
 	g := NewWithT(t)
-	d := newJudge()
+	d := newLearner()
 	d.queue.Set(start, scheduler.Upstream{
 		ID:          "u1",
 		Service:     serviceUsed,
 		Slots:       1,
 		Connections: 1,
 	})
-	v := &visitor{
+	v := &peerTask{
 		run: taskRun{
 			TaskID:  "a/0",
 			Service: serviceUsed,
 		},
 		answers: make(chan taskAnswer, 1),
 	}
-	d.stopVisitor(start, v.run.TaskID)
-	d.visit(start, forwardedTask{
+	d.stopPeerTask(start, v.run.TaskID)
+	d.addPeerTask(start, forwardedTask{
 		Run:  v.run,
 		From: peerName,
 		Left: time.Minute,
 	}, v)
 	g.Expect(v.answers).To(Receive(HaveField("Result", runNotStarted)))
 	g.Expect(d.queue.Len()).To(BeZero())
-	d.stopVisitor(start, "b/0")
-	d.tick(start.Add(noticeTime))
-	g.Expect(d.notices).To(BeEmpty())
+	d.stopPeerTask(start, "b/0")
+	d.tick(start.Add(earlyStopTime))
+	g.Expect(d.earlyStops).To(BeEmpty())
 }
--- a/server/remote.go
+++ b/server/remote.go
@@ -41,9 +41,9 @@
 // slotlessPatience is how long queued tasks of peers wait for slots to come back.
 const slotlessPatience = 100 * time.Millisecond
 
-// noticeTime is how long the notice to stop a task waits for the task. A task is not
+// earlyStopTime is how long the notice to stop a task waits for the task. A task is not
 // forwarded again after its notice.
-const noticeTime = 10 * time.Second
+const earlyStopTime = 10 * time.Second
 
 // roundTrips is the number of one-way distances that a forwarded task adds.
 const roundTrips = 2
@@ -102,7 +102,7 @@
 func (d *dispatcher) forwardTasks(now time.Time, host, service string, n int) int {
 	sent := 0
 	for _, t := range d.queue.Take(now, service, n) {
-		if _, foreign := d.foreign[t.ID]; foreign {
+		if _, ok := d.peerTasks[t.ID]; ok {
 			d.queue.Return(now, t)
 			continue
 		}
@@ -181,7 +181,7 @@
 func (h *Host) serveRunTask(ctx context.Context, in forwardedTask) (forwardedAnswer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	v := &visitor{
+	v := &peerTask{
 		run:     in.Run,
 		cancel:  cancel,
 		answers: make(chan taskAnswer, 1),
@@ -189,10 +189,10 @@
 	v.start = func(u owned, run taskRun) {
 		h.background.Go(func() {
 			a := h.attemptOn(ctx, u, run)
-			h.dispatcher.post(func(now time.Time) { h.dispatcher.visitEnded(now, v, a) })
+			h.dispatcher.post(func(now time.Time) { h.dispatcher.peerTaskEnded(now, v, a) })
 		})
 	}
-	if err := h.dispatcher.call(func(now time.Time) { h.dispatcher.visit(now, in, v) }); err != nil {
+	if err := h.dispatcher.call(func(now time.Time) { h.dispatcher.addPeerTask(now, in, v) }); err != nil {
 		return forwardedAnswer{Answer: notStarted(err)}, nil
 	}
 	select {
@@ -206,10 +206,10 @@
 	}
 }
 
-// visit queues a task of a peer. A task that cannot be queued is answered at once.
-func (d *dispatcher) visit(now time.Time, in forwardedTask, v *visitor) {
+// addPeerTask queues a task of a peer. A task that cannot be queued is answered at once.
+func (d *dispatcher) addPeerTask(now time.Time, in forwardedTask, v *peerTask) {
 	d.received[in.From] = max(d.received[in.From], in.Number)
-	if _, ok := d.foreign[in.Run.TaskID]; ok {
+	if _, ok := d.peerTasks[in.Run.TaskID]; ok {
 		v.answers <- notStarted(errTaskHere)
 		return
 	}
@@ -226,8 +226,8 @@
 		LongAfter: in.LongAfter,
 		Queued:    now,
 	}
-	if _, stopped := d.notices[t.ID]; stopped {
-		delete(d.notices, t.ID)
+	if _, stopped := d.earlyStops[t.ID]; stopped {
+		delete(d.earlyStops, t.ID)
 		v.answers <- notStarted(errWithdrew)
 		return
 	}
@@ -239,7 +239,7 @@
 		v.answers <- notStarted(err)
 		return
 	}
-	d.foreign[t.ID] = v
+	d.peerTasks[t.ID] = v
 }
 
 var (
@@ -250,9 +250,9 @@
 )
 
 // withdraw takes a queued task of a peer out of the queue.
-func (d *dispatcher) withdraw(now time.Time, id string, v *visitor, reason error) {
+func (d *dispatcher) withdraw(now time.Time, id string, v *peerTask, reason error) {
 	d.queue.Cancel(now, id)
-	delete(d.foreign, id)
+	delete(d.peerTasks, id)
 	v.answers <- notStarted(reason)
 }
 
@@ -272,33 +272,33 @@
 	if now.Sub(since) < slotlessPatience {
 		return
 	}
-	for id, v := range d.foreign {
+	for id, v := range d.peerTasks {
 		if !v.placed && v.run.Service == service {
 			d.withdraw(now, id, v, errNoSlots)
 		}
 	}
 }
 
-// visitEnded frees the slot of a peer's task.
-func (d *dispatcher) visitEnded(now time.Time, v *visitor, a taskAnswer) {
+// peerTaskEnded frees the slot of a peer's task.
+func (d *dispatcher) peerTaskEnded(now time.Time, v *peerTask, a taskAnswer) {
 	d.queue.Done(now, v.run.TaskID)
-	delete(d.foreign, v.run.TaskID)
+	delete(d.peerTasks, v.run.TaskID)
 	v.answers <- a
 	d.learn(now, v.run.Service, v.run.Kind, v.run.FullLease, a)
 }
 
 func (h *Host) serveStopTask(in taskNotice) (nothing, error) {
-	h.dispatcher.post(func(now time.Time) { h.dispatcher.stopVisitor(now, in.TaskID) })
+	h.dispatcher.post(func(now time.Time) { h.dispatcher.stopPeerTask(now, in.TaskID) })
 	return nothing{}, nil
 }
 
-// stopVisitor stops a task of a peer. Messages of one peer are handled side by side, so
+// stopPeerTask stops a task of a peer. Messages of one peer are handled side by side, so
 // that the notice may come before the task; it is then kept for a while.
-func (d *dispatcher) stopVisitor(now time.Time, id string) {
-	v, ok := d.foreign[id]
+func (d *dispatcher) stopPeerTask(now time.Time, id string) {
+	v, ok := d.peerTasks[id]
 	switch {
 	case !ok:
-		d.notices[id] = now
+		d.earlyStops[id] = now
 	case v.placed:
 		v.cancel()
 	default:
@@ -306,11 +306,11 @@
 	}
 }
 
-// dropNotices forgets notices whose tasks have not come.
-func (d *dispatcher) dropNotices(now time.Time) {
-	for id, at := range d.notices {
-		if now.Sub(at) >= noticeTime {
-			delete(d.notices, id)
+// dropEarlyStops forgets earlyStops whose tasks have not come.
+func (d *dispatcher) dropEarlyStops(now time.Time) {
+	for id, at := range d.earlyStops {
+		if now.Sub(at) >= earlyStopTime {
+			delete(d.earlyStops, id)
 		}
 	}
 }
--- a/server/setup.go
+++ b/server/setup.go
@@ -55,7 +55,7 @@
 		changed:     h.publishState,
 		jobs:        map[string]*job{},
 		upstreams:   map[string]*owned{},
-		foreign:     map[string]*visitor{},
+		peerTasks:   map[string]*peerTask{},
 		orphans:     map[string]*job{},
 		taking:      map[string]time.Time{},
 		received:    map[string]uint64{},
@@ -64,7 +64,7 @@
 		announced:   map[string]bool{},
 		services:    map[string]bool{},
 		slotless:    map[string]time.Time{},
-		notices:     map[string]time.Time{},
+		earlyStops:  map[string]time.Time{},
 		weights:     map[string]float64{},
 		teams:       map[string]map[string]bool{},
 		peers:       newPeerSlots(),
@@ -126,7 +126,7 @@
 	for _, u := range d.upstreams {
 		u.cancel(errDispatcherStopped)
 	}
-	for _, v := range d.foreign {
+	for _, v := range d.peerTasks {
 		v.cancel()
 	}
 }
