server: do not wait for another domain whose hosts are silent

Cause: on a way that loses messages without a sign, a submission whose home is the other domain waited for its whole deadline before it was answered "unknown". Change: hosts that left the last exchange (every 0.5 s, at most 1 s long) unanswered are passed over, so that the caller hears "unknown" at once. A call that is under way when the cut begins still lasts until its deadline.

--- a/server/configuration.go
+++ b/server/configuration.go
@@ -227,9 +227,9 @@
 			}
 			if h.exchanging.begin(p.Host) {
 				h.background.Go(func() {
-					defer h.exchanging.end(p.Host)
 					// A peer that cannot be reached is asked again in the next round.
-					_, _ = h.exchangeWith(ctx, p.Host, nil)
+					_, err := h.exchangeWith(ctx, p.Host, nil)
+					h.exchanging.end(p.Host, err == nil)
 				})
 			}
 		}
--- a/server/forward.go
+++ b/server/forward.go
@@ -47,12 +47,20 @@
 		"the home domain "+home+" could not be asked: "+err.Error()), nil
 }
 
-// askAny calls the hosts of a domain in turn until one has certainly got the message.
+var errSilentPeer = errors.New("the host left the last exchange unanswered")
+
+// askAny calls the hosts of another domain in turn until one may have got the message.
+// Hosts that left the last exchange unanswered are passed over: on a way that loses
+// messages without a sign, the call would last until its deadline.
 func (h *Host) askAny(ctx context.Context, domain string, until time.Time, release string, kind messenger.Kind, in any) (response, error) {
 	call, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
 	err := errors.New("the settings name no host of the domain")
 	for _, host := range h.peersIn(domain) {
+		if h.exchanging.silentNow(host) {
+			err = &messenger.NotSentError{Err: errSilentPeer}
+			continue
+		}
 		var reply response
 		reply, err = h.askReleasing(ctx, call, host, release, kind, in)
 		var notSent *messenger.NotSentError
--- a/server/host.go
+++ b/server/host.go
@@ -82,7 +82,7 @@
 	documents  documents
 	directory  directory
 	peers      map[string]*peer
-	exchanging *busyHosts
+	exchanging *exchanges
 	releases   *releases
 	trials     trials
 	slots      slots
@@ -123,7 +123,7 @@
 		runner:     newRunner(maxAnswer, upstreamConnections),
 		entries:    &registrar.Cache{},
 		documents:  documents{all: map[string]*inForce{}},
-		exchanging: newBusyHosts(),
+		exchanging: newExchanges(),
 		releases:   newReleases(),
 		beat:       make(chan struct{}, 1),
 		slots:      slots{incarnation: cfg.Incarnation},
--- a/server/requests.go
+++ b/server/requests.go
@@ -83,48 +83,64 @@
 	}
 }
 
-// busyHosts holds the peers with which an exchange is under way, and when each peer last
-// began one.
-type busyHosts struct {
-	mu    sync.Mutex
-	all   map[string]bool
-	began map[string]time.Time
+// exchanges holds the peers with which an exchange is under way, when each peer last
+// began one, and the peers that left the last one unanswered.
+type exchanges struct {
+	mu     sync.Mutex
+	busy   map[string]bool
+	began  map[string]time.Time
+	silent map[string]bool
 }
 
-func newBusyHosts() *busyHosts {
-	return &busyHosts{
-		all:   map[string]bool{},
-		began: map[string]time.Time{},
+func newExchanges() *exchanges {
+	return &exchanges{
+		busy:   map[string]bool{},
+		began:  map[string]time.Time{},
+		silent: map[string]bool{},
 	}
 }
 
 // note notes that the host has begun an exchange.
-func (b *busyHosts) note(host string, now time.Time) {
+func (b *exchanges) note(host string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.began[host] = now
+	delete(b.silent, host)
+}
+
+// silentNow reports whether the host left the last exchange unanswered.
+func (b *exchanges) silentNow(host string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.silent[host]
 }
 
 // asked returns when the host last began an exchange.
-func (b *busyHosts) asked(host string) time.Time {
+func (b *exchanges) asked(host string) time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.began[host]
 }
 
 // begin reports whether no exchange with the host was under way.
-func (b *busyHosts) begin(host string) bool {
+func (b *exchanges) begin(host string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.all[host] {
+	if b.busy[host] {
 		return false
 	}
-	b.all[host] = true
+	b.busy[host] = true
 	return true
 }
 
-func (b *busyHosts) end(host string) {
+// end ends an exchange and notes whether the host has answered.
+func (b *exchanges) end(host string, answered bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.all, host)
+	delete(b.busy, host)
+	if answered {
+		delete(b.silent, host)
+	} else {
+		b.silent[host] = true
+	}
 }
