server: test the return of tasks of peers and the answer for a silent domain

Cause: both changes were shown by tests of whole hosts alone, one of them only now and then. Change: TestTasksOfPeersAreGivenBack drives the dispatcher without hosts; TestDomainCutOffServes checks the reason of the outcome.

--- a/server/partition_test.go
+++ b/server/partition_test.go
@@ -24,6 +24,12 @@
 	}
 }
 
+// noticed is what a host says of a peer once it knows of the cut.
+var noticed = map[string]string{
+	"refused": "the way to the peer is cut",
+	"silent":  "the host left the last exchange unanswered",
+}
+
 // shortWait is the deadline of submissions whose home cannot be asked.
 const shortWait = 2 * time.Second
 
@@ -54,6 +60,10 @@
 			theirs.Deadline = time.Now().Add(shortWait)
 			d.g.Expect(d.submit("ikeja-3", theirs).Status).To(Equal(sesamedrift.Unknown))
 			late := d.servedShare(t)
+			d.g.Eventually(func() string {
+				theirs.Deadline = time.Now().Add(shortWait)
+				return d.submit("ikeja-3", theirs).Reason
+			}, testTimeout).Should(ContainSubstring(noticed[name]))
 			d.g.Expect(d.submit("lekki-1", work("booking", "10ms", 1)).Status).To(Equal(sesamedrift.Complete))
 
 			d.Heal()
--- a/server/slots_test.go
+++ b/server/slots_test.go
@@ -70,6 +70,48 @@
 	g.Expect(ok).To(BeFalse())
 }
 
+// Guards against a task of a peer that waits here while another host has a free slot, and
+// against two tasks that are given back for the same slot.
+func TestTasksOfPeersAreGivenBack(t *testing.T) {
+	g := NewWithT(t)
+	d := &dispatcher{
+		queue:     scheduler.New(scheduler.Config{}),
+		peers:     newPeerSlots(),
+		known:     map[string]bool{serviceUsed: true},
+		peerTasks: map[string]*peerTask{},
+		received:  map[string]uint64{},
+	}
+	d.queue.Set(start, scheduler.Upstream{ID: "u", Service: serviceUsed, Slots: 1, Connections: 1, Weight: 1, State: scheduler.Serving})
+	tasks := map[string]*peerTask{}
+	for n, id := range []string{"a", "b", "c"} {
+		tasks[id] = &peerTask{answers: make(chan taskAnswer, 1)}
+		d.addPeerTask(start, forwardedTask{
+			Run:    taskRun{TaskID: id, Service: serviceUsed},
+			Class:  string(scheduler.Short),
+			From:   "ikeja-3",
+			Left:   time.Minute,
+			Number: uint64(n),
+		}, tasks[id])
+	}
+	_, placed := d.queue.Next(start)
+	g.Expect(placed).To(BeTrue())
+	d.offer(start)
+	g.Expect(d.peerTasks).To(HaveLen(3), "no peer has a free slot")
+	d.peers.learn(start, peerName, reportOf(1, 0, 1, 0))
+	d.offer(start)
+	d.offer(start)
+	g.Expect(d.peerTasks).To(HaveLen(2), "one slot is free")
+	g.Expect(d.queue.Len()).To(Equal(1))
+	given := 0
+	for id, v := range tasks {
+		if d.peerTasks[id] == nil {
+			given++
+			g.Expect((<-v.answers).Result).To(Equal(runNotStarted))
+		}
+	}
+	g.Expect(given).To(Equal(1))
+}
+
 // Guards against queues that swing to and fro between two hosts, and against a host
 // without upstreams that keeps its tasks.
 func TestQueuesAreBalanced(t *testing.T) {
