server: spread calls to another domain over its hosts by key

Cause: submissions, searches and cancellations for another failure domain all went to the first of its hosts in the settings. Change: the hosts are tried in the order of their rendezvous weight for the key.

--- a/server/forward.go
+++ b/server/forward.go
@@ -1,8 +1,10 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -39,7 +41,14 @@
 func (h *Host) submitTo(ctx context.Context, home string, r *request) (sesamedrift.Outcome, *Error) {
 	forwarded := *r
 	forwarded.Release = uuid.NewString()
-	reply, err := h.askAny(ctx, home, r.Submission.Deadline.Add(answerMargin), forwarded.Release, messenger.KindSubmit, forwarded)
+	reply, err := h.askDomain(ctx, domainCall{
+		domain:  home,
+		key:     r.Submission.Key,
+		until:   r.Submission.Deadline.Add(answerMargin),
+		release: forwarded.Release,
+		kind:    messenger.KindSubmit,
+		in:      forwarded,
+	})
 	if err == nil {
 		return unpack(reply)
 	}
@@ -49,20 +58,33 @@
 
 var errSilentPeer = errors.New("the host left the last exchange unanswered")
 
-// askAny calls the hosts of another domain in turn until one may have got the message.
-// Hosts that left the last exchange unanswered are passed over: on a way that loses
-// messages without a sign, the call would last until its deadline.
-func (h *Host) askAny(ctx context.Context, domain string, until time.Time, release string, kind messenger.Kind, in any) (response, error) {
-	call, cancel := context.WithDeadline(context.Background(), until)
+// domainCall is a call to any host of another failure domain about one key.
+type domainCall struct {
+	domain string
+	key    sesamedrift.Key
+	until  time.Time
+	// release identifies the caller on whose behalf the call is made; it may be empty.
+	release string
+	kind    messenger.Kind
+	in      any
+}
+
+// askDomain calls the hosts of a domain in turn until one may have got the message. The
+// key decides which is the first, so that the calls are spread over the hosts and a
+// submission that is sent again finds the host that runs it. Hosts that left the last
+// exchange unanswered are passed over: on a way that loses messages without a sign, the
+// call would last until its deadline.
+func (h *Host) askDomain(ctx context.Context, c domainCall) (response, error) {
+	call, cancel := context.WithDeadline(context.Background(), c.until)
 	defer cancel()
 	err := errors.New("the settings name no host of the domain")
-	for _, host := range h.peersIn(domain) {
+	for _, host := range inOrderOf(c.key, h.peersIn(c.domain)) {
 		if h.exchanging.silentNow(host) {
 			err = &messenger.NotSentError{Err: errSilentPeer}
 			continue
 		}
 		var reply response
-		reply, err = h.askReleasing(ctx, call, host, release, kind, in)
+		reply, err = h.askReleasing(ctx, call, host, c.release, c.kind, c.in)
 		var notSent *messenger.NotSentError
 		if !errors.As(err, &notSent) {
 			return reply, err
@@ -71,6 +93,14 @@
 	return response{}, err
 }
 
+// inOrderOf sorts hosts by their weight for a key.
+func inOrderOf(key sesamedrift.Key, hosts []string) []string {
+	slices.SortFunc(hosts, func(a, b string) int {
+		return cmp.Compare(sesamedrift.RendezvousHash(key.ID, b), sesamedrift.RendezvousHash(key.ID, a))
+	})
+	return hosts
+}
+
 // askReleasing calls a peer on behalf of a caller. When the caller goes (ctx is done) the
 // peer is told, and the call goes on only until its answer is dropped.
 func (h *Host) askReleasing(ctx, call context.Context, host, release string, kind messenger.Kind, in any) (response, error) {
@@ -140,7 +170,14 @@
 	if home == h.cfg.Settings.Domain {
 		return h.findAtHome(ctx, l)
 	}
-	reply, err := h.askAny(ctx, home, h.now().Add(findTimeout), l.Release, messenger.KindFind, l)
+	reply, err := h.askDomain(ctx, domainCall{
+		domain:  home,
+		key:     key,
+		until:   h.now().Add(findTimeout),
+		release: l.Release,
+		kind:    messenger.KindFind,
+		in:      l,
+	})
 	if err == nil {
 		return unpack(reply)
 	}
@@ -271,7 +308,13 @@
 	if home == h.cfg.Settings.Domain {
 		return h.cancelAtHome(ctx, l)
 	}
-	reply, err := h.askAny(ctx, home, h.now().Add(claimTimeout), "", messenger.KindCancel, l)
+	reply, err := h.askDomain(ctx, domainCall{
+		domain: home,
+		key:    key,
+		until:  h.now().Add(claimTimeout),
+		kind:   messenger.KindCancel,
+		in:     l,
+	})
 	if err != nil {
 		return notReady("the home domain " + home + " could not be asked: " + err.Error())
 	}
