Remove message kinds and functions without a caller

Cause: the kinds announce (13) and handover (14) were declared in package messenger but no host sends or handles them. Leaser.Release, Leaser.Accept and Handover, which would have travelled in kind 14, were called by the simulation only; the program ends ownership by a view with View.Left. Also without a caller and not in the design page: Estimator.Remaining, Quotas.Refund (admission asks the quota last, so that there is nothing to refund), Peer.Address and Peer.Remote.

Change: remove them; 13 and 14 are reserved, all other numbers stay.

Tests: two assertions on Remaining go with the function. The part of the quota test that used Refund now checks that refused requests use nothing: two refusals, then a full bucket at exactly the moment that the rate gives.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -171,24 +171,6 @@
 	}
 }
 
-// Remaining estimates how much longer a task runs that has run for the given time: by
-// the samples that took longer. A task that has outrun all of them is expected to take
-// as long again, as run times without a known bound do.
-func (e *Estimator) Remaining(now time.Time, service, kind string, running time.Duration) time.Duration {
-	running = max(0, running)
-	if k := e.find(service, kind); k != nil && k.runs.total > 0 {
-		if longer, ok := k.runs.meanAbove(running); ok {
-			return longer - running
-		}
-		return running
-	}
-	expected := e.Estimate(now, service, kind).P50
-	if running < expected {
-		return expected - running
-	}
-	return running
-}
-
 func (e *Estimator) find(serviceName, kindName string) *kind {
 	if s, ok := e.services[serviceName]; ok {
 		return s.kinds[kindName]
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -30,8 +30,6 @@
 	g.Expect(got.P95.Seconds()).To(BeNumerically("~", 0.95, 0.05))
 	g.Expect(got.Mean.Seconds()).To(BeNumerically("~", 0.5, 0.01))
 	g.Expect(got.Samples).To(Equal(20_000))
-	g.Expect(e.Remaining(start, "s", "k", 500*time.Millisecond).Seconds()).To(BeNumerically("~", 0.25, 0.05))
-	g.Expect(e.Remaining(start, "s", "k", 3*time.Second)).To(Equal(3 * time.Second))
 }
 
 // Guards against estimates that keep old run times, also after a long silence, and
--- a/estimator/histogram.go
+++ b/estimator/histogram.go
@@ -88,20 +88,6 @@
 	return duration(sum / h.total)
 }
 
-// meanAbove returns the mean of the run times above the bucket of a run time, and false
-// if there are none.
-func (h *histogram) meanAbove(running time.Duration) (time.Duration, bool) {
-	count, sum := 0.0, 0.0
-	for b := bucket(running) + 1; b < buckets; b++ {
-		count += h.counts[b]
-		sum += h.sums[b]
-	}
-	if count == 0 {
-		return 0, false
-	}
-	return duration(sum / count), true
-}
-
 func bucket(d time.Duration) int {
 	if d <= minRunTime {
 		return 0
--- a/leaser/doc.go
+++ b/leaser/doc.go
@@ -38,8 +38,8 @@
 // Newest is above the number of View, and proposes the view of Next with the number of
 // the present view as the expected version. It asks Owns immediately before each start.
 // A process that is not a member tells its wish to join (Joining) to all hosts of the
-// domain as often as it sends heartbeats. After a view change the former owners send the
-// message of Release for each upstream, and repeat it until Accept has returned true.
+// domain as often as it sends heartbeats.
+//
 // A Leaser reads no clock and is not safe for concurrent use. The same holds for a
 // Directory, which lists the announced upstreams and their changes.
 package leaser
--- a/leaser/installed.go
+++ b/leaser/installed.go
@@ -14,8 +14,6 @@
 	left map[string]bool
 	// touched is when the first of them became known.
 	touched time.Time
-	// handed holds the upstreams that their former owner handed over in this view.
-	handed map[string]bool
 	// prev is the view before, if this process was a member of it. It is kept so that a
 	// member does not wait for upstreams that it owned before.
 	prev *installed
@@ -24,10 +22,9 @@
 // next returns the state after v has been installed in place of s.
 func (s *installed) next(now time.Time, v View, cfg Config) *installed {
 	n := &installed{
-		view:   v,
-		at:     now,
-		left:   map[string]bool{},
-		handed: map[string]bool{},
+		view: v,
+		at:   now,
+		left: map[string]bool{},
 	}
 	if len(v.Former) == 0 {
 		n.settled = now
@@ -93,7 +90,7 @@
 // ready reports whether no other process can still work on an upstream that this process
 // owns in the view.
 func (s *installed) ready(now time.Time, upstream string, cfg Config) bool {
-	if s.handed[upstream] || s.waited(now, cfg) {
+	if s.waited(now, cfg) {
 		return true
 	}
 	former, ok := ownerOf(s.view.Former, upstream)
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -256,31 +256,3 @@
 	m, ok := l.now.view.Owner(upstream)
 	return ok && m.is(l.cfg.Self) && l.now.ready(now, upstream, l.cfg)
 }
-
-// Release returns the handover message for an upstream that this process owned until
-// the present view, and its new owner. It returns false if this process had not been
-// entitled to work on the upstream or still is its owner. The caller adds what runs.
-func (l *Leaser) Release(now time.Time, upstream string) (Handover, Member, bool) {
-	to, ok := l.now.view.Owner(upstream)
-	former, was := ownerOf(l.now.view.Former, upstream)
-	prev := l.now.prev
-	if !ok || !was || to.is(l.cfg.Self) || !former.is(l.cfg.Self) || prev == nil || !prev.ready(now, upstream, l.cfg) {
-		return Handover{}, Member{}, false
-	}
-	return Handover{
-		Upstream: upstream,
-		From:     l.cfg.Self,
-		View:     l.now.view.Number,
-	}, to, true
-}
-
-// Accept takes an upstream over without the takeover wait. It returns false, and changes
-// nothing, unless the message is of the present view and from the former owner.
-func (l *Leaser) Accept(h Handover) bool {
-	former, ok := ownerOf(l.now.view.Former, h.Upstream)
-	if !ok || h.View != l.now.view.Number || !former.is(h.From) {
-		return false
-	}
-	l.now.handed[h.Upstream] = true
-	return true
-}
--- a/leaser/messages.go
+++ b/leaser/messages.go
@@ -35,21 +35,3 @@
 	Versions     map[string]uint64 `msgpack:"versions"`
 	Load         int               `msgpack:"load,omitempty"`
 }
-
-// Handover tells the new owner of an upstream that the old owner, which is in the same
-// view, starts nothing on it any more, and what still runs there.
-type Handover struct {
-	Upstream string `msgpack:"upstream"`
-	From     Member `msgpack:"from"`
-	// View is the number of the view in which the new owner owns the upstream.
-	View    uint64        `msgpack:"view"`
-	Running []RunningTask `msgpack:"running"`
-}
-
-// RunningTask is a task that occupies a slot of an upstream.
-type RunningTask struct {
-	Task    string `msgpack:"task"`
-	Attempt int    `msgpack:"attempt"`
-	// Ends is the time at which the lease of the task ends, by the old owner's clock.
-	Ends time.Time `msgpack:"ends"`
-}
--- a/leaser/sim_test.go
+++ b/leaser/sim_test.go
@@ -215,18 +215,6 @@
 	}
 	if ok && !s.chance(300) {
 		s.read(h)
-		s.hand(i)
-	}
-}
-
-// hand sends the handover of upstreams that moved to another member.
-func (s *sim) hand(i int) {
-	h := s.hosts[i]
-	for u := range upstreams {
-		msg, to, ok := h.l.Release(s.clock(h), upstreamName(u))
-		if ok {
-			s.send(i, s.index(to.Host), func(h *simHost) { h.l.Accept(msg) })
-		}
 	}
 }
 
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -88,16 +88,17 @@
 
 // Guards against a job above the burst of its team that is never admitted, and against
 // refused work that uses up the quota.
-func TestLargeJobsAndRefunds(t *testing.T) {
+func TestLargeJobsAndRefusals(t *testing.T) {
 	g := NewWithT(t)
 	q := NewQuotas()
 	q.Set(start, "t", Quota{Rate: 10, Burst: 20})
-	d := q.Admit(start, "t", 390)
-	g.Expect(d.Admitted).To(BeTrue())
-	g.Expect(q.Admit(start, "t", 1)).To(Equal(Decision{RetryAfter: 37100 * time.Millisecond}))
-	q.Refund(start, "t", 390, d)
-	g.Expect(q.Admit(start, "t", 20).Admitted).To(BeTrue())
-	now := start.Add(100 * time.Millisecond)
+	g.Expect(q.Admit(start, "t", 390).Admitted).To(BeTrue())
+	for range 2 {
+		g.Expect(q.Admit(start, "t", 1)).To(Equal(Decision{RetryAfter: 37100 * time.Millisecond}))
+	}
+	full := start.Add(39 * time.Second)
+	g.Expect(q.Admit(full, "t", 20).Admitted).To(BeTrue())
+	now := full.Add(100 * time.Millisecond)
 	g.Expect(q.Admit(now, "t", 1).Admitted).To(BeTrue())
 	g.Expect(q.Admit(now, "t", 1).RetryAfter).To(Equal(100 * time.Millisecond))
 }
--- a/limiter/quotas.go
+++ b/limiter/quotas.go
@@ -146,18 +146,6 @@
 	return Decision{RetryAfter: b.until(min(n, b.Burst))}
 }
 
-// Refund gives back what an admitted submission has not used, because it was refused for
-// another reason.
-func (q *Quotas) Refund(now time.Time, team string, tasks int, d Decision) {
-	b, ok := q.teams[team]
-	if !ok || !d.Admitted {
-		return
-	}
-	q.refill(now, b)
-	b.tokens = min(b.Burst, b.tokens+float64(tasks-d.Borrowed))
-	q.leave(float64(d.Borrowed))
-}
-
 // until returns the time until the bucket holds the tokens.
 func (b *bucket) until(tokens float64) time.Duration {
 	if b.Rate == 0 || b.Burst == 0 {
--- a/messenger/kinds.go
+++ b/messenger/kinds.go
@@ -29,10 +29,8 @@
 	KindRunTask Kind = 11
 	// KindStopTask stops a task that was forwarded.
 	KindStopTask Kind = 12
-	// KindAnnounce forwards the announcement of an upstream.
-	KindAnnounce Kind = 13
-	// KindHandover passes the ownership of upstreams to another member.
-	KindHandover Kind = 14
+	// 13 and 14 are reserved: former versions named them announce and handover, and never sent them.
+
 	// KindStatus asks a host for its status.
 	KindStatus Kind = 15
 	// KindInstallView carries a view that was decided.
@@ -54,8 +52,6 @@
 	KindCancel:         "cancel",
 	KindRunTask:        "run-task",
 	KindStopTask:       "stop-task",
-	KindAnnounce:       "announce",
-	KindHandover:       "handover",
 	KindStatus:         "status",
 	KindInstallView:    "install-view",
 	KindRelease:        "release",
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -75,19 +75,6 @@
 	}
 }
 
-// Address returns the address that the Peer dials.
-func (p *Peer) Address() string { return p.address }
-
-// Remote returns the hello of the host that is connected now, without its token.
-func (p *Peer) Remote() (Hello, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.link == nil {
-		return Hello{}, false
-	}
-	return p.link.remote, true
-}
-
 // Stats returns the counters over all connections of the Peer.
 func (p *Peer) Stats() Stats { return p.total.stats() }
 
