--- a/commander/config.go
+++ b/commander/config.go
@@ -106,15 +106,11 @@
 		Description: "A conflict means that another change took the version; look at it before you try again.\n\n" +
 			"Example:\n   sesamedrift config apply --expected 0 --who ana examples/ajara.json",
 		Flags: changeFlags,
-		Action: func(ctx context.Context, cmd *cli.Command) error {
+		Action: c.withClient(func(ctx context.Context, cmd *cli.Command, api *client.Client) error {
 			document, data, err := c.document(cmd)
 			if err != nil {
 				return err
 			}
-			api, err := c.client(cmd)
-			if err != nil {
-				return err
-			}
 			change := changeOf(cmd)
 			change.Environment = document.Name
 			change.Document = data
@@ -123,7 +119,7 @@
 				return err
 			}
 			return c.printChange(cmd, result)
-		},
+		}),
 	}
 }
 
@@ -134,17 +130,13 @@
 		Description: "The promotion conditions are part of the trial document.\n\n" +
 			"Example:\n   sesamedrift config promote --expected 3 --who ana",
 		Flags: changeFlags,
-		Action: func(ctx context.Context, cmd *cli.Command) error {
-			api, err := c.client(cmd)
-			if err != nil {
-				return err
-			}
+		Action: c.withClient(func(ctx context.Context, cmd *cli.Command, api *client.Client) error {
 			result, err := api.Promote(ctx, changeOf(cmd))
 			if err != nil {
 				return err
 			}
 			return c.printChange(cmd, result)
-		},
+		}),
 	}
 }
 
@@ -198,8 +190,12 @@
 		ArgsUsage:   "trial|production",
 		Description: "Example:\n   sesamedrift config show production",
 		Flags:       []cli.Flag{hostsFlag, jsonFlag},
-		Action: func(ctx context.Context, cmd *cli.Command) error {
-			state, err := c.environment(ctx, cmd)
+		Action: c.withClient(func(ctx context.Context, cmd *cli.Command, api *client.Client) error {
+			name, err := argument(cmd)
+			if err != nil {
+				return err
+			}
+			state, err := api.Environment(ctx, name)
 			if err != nil {
 				return err
 			}
@@ -209,22 +205,10 @@
 			c.printf("version %d, digest %s, in force on %s\n",
 				state.Version, state.Digest, strings.Join(state.InForceOn, ", "))
 			return c.printJSON(state.Document)
-		},
+		}),
 	}
 }
 
-func (c *commandLine) environment(ctx context.Context, cmd *cli.Command) (client.EnvironmentState, error) {
-	name, err := argument(cmd)
-	if err != nil {
-		return client.EnvironmentState{}, err
-	}
-	api, err := c.client(cmd)
-	if err != nil {
-		return client.EnvironmentState{}, err
-	}
-	return api.Environment(ctx, name)
-}
-
 func (c *commandLine) configDiff() *cli.Command {
 	return &cli.Command{
 		Name:        "diff",
@@ -232,15 +216,11 @@
 		ArgsUsage:   "FILE",
 		Description: "Example:\n   sesamedrift config diff examples/ajara.json",
 		Flags:       []cli.Flag{hostsFlag, jsonFlag},
-		Action: func(ctx context.Context, cmd *cli.Command) error {
+		Action: c.withClient(func(ctx context.Context, cmd *cli.Command, api *client.Client) error {
 			document, data, err := c.document(cmd)
 			if err != nil {
 				return err
 			}
-			api, err := c.client(cmd)
-			if err != nil {
-				return err
-			}
 			state, err := api.Environment(ctx, document.Name)
 			if err != nil {
 				return err
@@ -257,7 +237,7 @@
 				c.printf("%s: %s -> %s\n", d.Path, orNone(d.Before), orNone(d.After))
 			}
 			return nil
-		},
+		}),
 	}
 }
 
@@ -288,15 +268,11 @@
 				Value: historyLimit,
 			},
 		},
-		Action: func(ctx context.Context, cmd *cli.Command) error {
+		Action: c.withClient(func(ctx context.Context, cmd *cli.Command, api *client.Client) error {
 			name, err := argument(cmd)
 			if err != nil {
 				return err
 			}
-			api, err := c.client(cmd)
-			if err != nil {
-				return err
-			}
 			entries, err := api.History(ctx, name, cmd.Uint64("after"), cmd.Int("limit"))
 			if err != nil {
 				return err
@@ -308,7 +284,7 @@
 				c.printf("%d %s %s %s %s %s\n", e.Version, e.At.Format("2006-01-02T15:04:05Z07:00"), e.Who, e.ID, e.Outcome, e.Digest)
 			}
 			return nil
-		},
+		}),
 	}
 }
 
@@ -318,11 +294,7 @@
 		Usage:       "print hosts, leases, upstreams, queues and versions",
 		Description: "Example:\n   sesamedrift status --host http://127.0.0.1:8080",
 		Flags:       []cli.Flag{hostsFlag, jsonFlag},
-		Action: func(ctx context.Context, cmd *cli.Command) error {
-			api, err := c.client(cmd)
-			if err != nil {
-				return err
-			}
+		Action: c.withClient(func(ctx context.Context, cmd *cli.Command, api *client.Client) error {
 			raw, err := api.Status(ctx)
 			if err != nil {
 				return err
@@ -331,7 +303,7 @@
 				return c.printJSON(raw)
 			}
 			return c.printStatus(raw)
-		},
+		}),
 	}
 }
 
--- a/commander/submit.go
+++ b/commander/submit.go
@@ -68,11 +68,11 @@
 				Usage: "give up after `DURATION`; the default is that of the kind",
 			},
 		},
-		Action: c.submit,
+		Action: c.withClient(c.submit),
 	}
 }
 
-func (c *commandLine) submit(ctx context.Context, cmd *cli.Command) error {
+func (c *commandLine) submit(ctx context.Context, cmd *cli.Command, api *client.Client) error {
 	payloads, err := c.payloads(cmd.Args().Slice())
 	if err != nil {
 		return err
@@ -93,10 +93,6 @@
 			return err
 		}
 	}
-	api, err := c.client(cmd)
-	if err != nil {
-		return err
-	}
 	o, err := api.SubmitTry(ctx, s, cmd.Int("try"))
 	if err != nil {
 		return submissionError(err)
@@ -181,7 +177,7 @@
 				Usage: "creation `TIME` (RFC 3339) of a key that is no UUIDv7",
 			},
 		},
-		Action: func(ctx context.Context, cmd *cli.Command) error {
+		Action: c.withClient(func(ctx context.Context, cmd *cli.Command, api *client.Client) error {
 			text, err := argument(cmd)
 			if err != nil {
 				return err
@@ -190,10 +186,6 @@
 			if err != nil {
 				return err
 			}
-			api, err := c.client(cmd)
-			if err != nil {
-				return err
-			}
 			if err := api.CancelTry(ctx, key, cmd.Int("try")); err != nil {
 				return err
 			}
@@ -202,19 +194,22 @@
 			}
 			c.printf("%s is being cancelled\n", key)
 			return nil
-		},
+		}),
 	}
 }
 
-func (c *commandLine) client(cmd *cli.Command) (*client.Client, error) {
-	api, err := client.New(client.Config{
-		Hosts:         cmd.StringSlice("host"),
-		OperatorToken: cmd.String("token"),
-		Environment:   cmd.String("environment"),
-		Now:           c.now,
-	})
-	if err != nil {
-		return nil, usageError("%v", err)
+// withClient returns an action that is given a client of the hosts that the flags name.
+func (c *commandLine) withClient(action func(ctx context.Context, cmd *cli.Command, api *client.Client) error) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		api, err := client.New(client.Config{
+			Hosts:         cmd.StringSlice("host"),
+			OperatorToken: cmd.String("token"),
+			Environment:   cmd.String("environment"),
+			Now:           c.now,
+		})
+		if err != nil {
+			return usageError("%v", err)
+		}
+		return action(ctx, cmd, api)
 	}
-	return api, nil
 }
--- a/messenger/stats.go
+++ b/messenger/stats.go
@@ -20,6 +20,18 @@
 	Refused uint64
 }
 
+// Add adds the counters of other connections.
+func (s *Stats) Add(o Stats) {
+	s.FramesIn += o.FramesIn
+	s.FramesOut += o.FramesOut
+	s.BytesIn += o.BytesIn
+	s.BytesOut += o.BytesOut
+	s.Connections += o.Connections
+	s.Failures += o.Failures
+	s.LateReplies += o.LateReplies
+	s.Refused += o.Refused
+}
+
 type counters struct {
 	framesIn, framesOut   atomic.Uint64
 	bytesIn, bytesOut     atomic.Uint64
--- a/server/status.go
+++ b/server/status.go
@@ -140,11 +140,3 @@
 	_ = h.dispatcher.call(func(time.Time) { n = len(h.dispatcher.upstreams) })
 	return n
 }
-
-// Counters returns the totals since the start of the host.
-func (h *Host) Counters() Counters {
-	var c Counters
-	// After the host has stopped the totals are gone.
-	_ = h.dispatcher.call(func(time.Time) { c = h.dispatcher.stats })
-	return c
-}
