Share the set-up of the tests of messenger, client and journaler

Every check stays; two calls that must be refused are now sent without a body, and the client's checks of InvalidError no longer share a variable that an earlier check has set.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -133,6 +133,13 @@
 	}
 }
 
+// expectError returns the error of the type in err, which must have one.
+func expectError[E error](g *WithT, err error) E {
+	var e E
+	g.Expect(errors.As(err, &e)).To(BeTrue(), "%v", err)
+	return e
+}
+
 // Guards against answers that are changed on the way, and against keys whose home domain
 // is not that of the host.
 func TestSubmitReturnsOwnAnswers(t *testing.T) {
@@ -165,8 +172,7 @@
 			h := newFakeHost(t, "ikeja")
 			h.alter = tc.alter
 			_, err := newTestClient(t, 3, h).Submit(t.Context(), submission())
-			var mismatch *MismatchError
-			g.Expect(errors.As(err, &mismatch)).To(BeTrue(), "%v", err)
+			mismatch := expectError[*MismatchError](g, err)
 			g.Expect(mismatch.Field).To(Equal(tc.field))
 			g.Expect(h.submissions.Load()).To(Equal(int64(1)))
 		})
@@ -199,8 +205,7 @@
 	g.Expect(o.Status).To(Equal(sesamedrift.Complete))
 
 	_, err = newTestClient(t, 3, down).Submit(t.Context(), submission())
-	var notSent *NotSentError
-	g.Expect(errors.As(err, &notSent)).To(BeTrue(), "%v", err)
+	_ = expectError[*NotSentError](g, err)
 	var lost *LostError
 	g.Expect(errors.As(err, &lost)).To(BeFalse())
 }
@@ -221,8 +226,7 @@
 	s.Key, err = c.NewKey(t.Context())
 	g.Expect(err).NotTo(HaveOccurred())
 	_, err = c.Submit(t.Context(), s)
-	var lost *LostError
-	g.Expect(errors.As(err, &lost)).To(BeTrue(), "%v", err)
+	lost := expectError[*LostError](g, err)
 	g.Expect(lost.ID).To(Equal(s.Key.String()))
 	g.Expect(lost.Host).To(Equal(a.URL))
 	g.Expect(a.submissions.Load()).To(Equal(int64(2)))
@@ -241,8 +245,7 @@
 	a.handle = drop
 	b.handle = func(w http.ResponseWriter, r *http.Request, n int64) bool { return n == 1 && drop(w, r, n) }
 	_, err := newTestClient(t, 1, a, b).Submit(t.Context(), submission())
-	var lost *LostError
-	g.Expect(errors.As(err, &lost)).To(BeTrue(), "%v", err)
+	lost := expectError[*LostError](g, err)
 	g.Expect(a.submissions.Load() + b.submissions.Load()).To(Equal(int64(2)))
 	g.Expect(a.lastKey.Load()).To(Equal(lost.ID))
 	g.Expect(b.lastKey.Load()).To(Equal(lost.ID))
@@ -304,8 +307,7 @@
 			h, other := newFakeHost(t, "ikeja"), newFakeHost(t, "lekki")
 			h.handle = handle
 			_, err := newTestClient(t, 0, h, other).Submit(t.Context(), submission())
-			var lost *LostError
-			g.Expect(errors.As(err, &lost)).To(BeTrue(), "%v", err)
+			_ = expectError[*LostError](g, err)
 			g.Expect(h.submissions.Load() + other.submissions.Load()).To(Equal(int64(1)))
 		})
 	}
@@ -317,8 +319,7 @@
 	h := newFakeHost(t, "ikeja")
 	h.handle = errorAnswer(http.StatusTooManyRequests, CodeTooManyRequests)
 	_, err := newTestClient(t, 3, h).Submit(t.Context(), submission())
-	var api *APIError
-	g.Expect(errors.As(err, &api)).To(BeTrue(), "%v", err)
+	api := expectError[*APIError](g, err)
 	g.Expect(api.Code).To(Equal(CodeTooManyRequests))
 	g.Expect(api.RetryAfter).To(Equal(3 * time.Second))
 	g.Expect(h.submissions.Load()).To(Equal(int64(1)))
@@ -370,8 +371,7 @@
 	g.Expect(result.Status).To(Equal(ChangeConflict))
 	g.Expect(result.Winner.ID).To(Equal("other"))
 	_, err = c.Promote(ctx, Change{ID: "c-2", Expected: 1, Who: "ada"})
-	var api *APIError
-	g.Expect(errors.As(err, &api)).To(BeTrue())
+	_ = expectError[*APIError](g, err)
 	state, err := c.Environment(ctx, validator.Trial)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(state.Version).To(Equal(uint64(8)))
@@ -458,15 +458,11 @@
 	g := NewWithT(t)
 	h := newFakeHost(t, "ikeja")
 	c := newTestClient(t, 0, h)
-	var invalid *sesamedrift.InvalidError
 	_, err := c.SubmitTry(t.Context(), submission(), 0)
-	g.Expect(errors.As(err, &invalid)).To(BeTrue())
-	g.Expect(invalid.Field).To(Equal("try"))
+	g.Expect(expectError[*sesamedrift.InvalidError](g, err).Field).To(Equal("try"))
 	_, err = c.SubmitTry(t.Context(), submission(), 2)
-	g.Expect(errors.As(err, &invalid)).To(BeTrue())
-	g.Expect(invalid.Field).To(Equal("key"))
+	g.Expect(expectError[*sesamedrift.InvalidError](g, err).Field).To(Equal("key"))
 	_, err = New(Config{Hosts: []string{h.URL}, Environment: "staging"})
-	g.Expect(errors.As(err, &invalid)).To(BeTrue())
-	g.Expect(invalid.Field).To(Equal("environment"))
+	g.Expect(expectError[*sesamedrift.InvalidError](g, err).Field).To(Equal("environment"))
 	g.Expect(h.submissions.Load()).To(BeZero())
 }
--- a/journaler/journaler_test.go
+++ b/journaler/journaler_test.go
@@ -20,8 +20,7 @@
 func fill(t *testing.T, dir string, n int) (data []byte, starts []int) {
 	t.Helper()
 	g := NewWithT(t)
-	j, _, err := Open(Config{Dir: dir})
-	g.Expect(err).NotTo(HaveOccurred())
+	j, _ := open(t, Config{Dir: dir})
 	path := filepath.Join(dir, fileName)
 	for i := range n {
 		info, err := os.Stat(path)
@@ -30,11 +29,19 @@
 		g.Expect(j.Append(fmt.Appendf(nil, "r%d\x00", i))).To(Succeed())
 	}
 	g.Expect(j.Close()).To(Succeed())
-	data, err = os.ReadFile(path)
+	data, err := os.ReadFile(path)
 	g.Expect(err).NotTo(HaveOccurred())
 	return data, starts
 }
 
+// open opens a journal, which must succeed.
+func open(t testing.TB, cfg Config, about ...any) (*Journal, Recovery) {
+	t.Helper()
+	j, r, err := Open(cfg)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred(), about...)
+	return j, r
+}
+
 func texts(records [][]byte) []string {
 	all := make([]string, 0, len(records))
 	for _, r := range records {
@@ -47,8 +54,7 @@
 func TestRecoversSnapshotAndRecords(t *testing.T) {
 	g := NewWithT(t)
 	dir := filepath.Join(t.TempDir(), "a", "b")
-	j, r, err := Open(Config{Dir: dir})
-	g.Expect(err).NotTo(HaveOccurred())
+	j, r := open(t, Config{Dir: dir})
 	g.Expect(r).To(Equal(Recovery{Empty: true}))
 	g.Expect(j.Append([]byte("old"))).To(Succeed())
 	g.Expect(j.Snapshot([]byte("state"))).To(Succeed())
@@ -59,15 +65,13 @@
 	g.Expect(errors.As(j.Append([]byte("late")), &failed)).To(BeTrue())
 	g.Expect(failed).To(MatchError(os.ErrClosed))
 
-	j, r, err = Open(Config{Dir: dir})
-	g.Expect(err).NotTo(HaveOccurred())
+	j, r = open(t, Config{Dir: dir})
 	g.Expect(string(r.Snapshot)).To(Equal("state"))
 	g.Expect(texts(r.Records)).To(Equal([]string{"one", ""}))
 	g.Expect(r.Empty).To(BeFalse())
 	g.Expect(j.Snapshot(nil)).To(Succeed())
 	g.Expect(j.Close()).To(Succeed())
-	j, r, err = Open(Config{Dir: dir})
-	g.Expect(err).NotTo(HaveOccurred())
+	j, r = open(t, Config{Dir: dir})
 	g.Expect(r).To(Equal(Recovery{Snapshot: []byte{}}))
 	g.Expect(j.Close()).To(Succeed())
 }
@@ -83,14 +87,12 @@
 			dir := t.TempDir()
 			torn := append(append([]byte(nil), data[:cut]...), make([]byte, zeros)...)
 			g.Expect(os.WriteFile(filepath.Join(dir, fileName), torn, filePerm)).To(Succeed())
-			j, r, err := Open(Config{Dir: dir})
-			g.Expect(err).NotTo(HaveOccurred(), "cut at %d, %d zeros", cut, zeros)
+			j, r := open(t, Config{Dir: dir}, "cut at %d, %d zeros", cut, zeros)
 			g.Expect(texts(r.Records)).To(Equal([]string{"r0\x00", "r1\x00"}))
 			g.Expect(r.TornBytes).To(Equal(int64(len(torn) - last)))
 			g.Expect(j.Append([]byte("next"))).To(Succeed())
 			g.Expect(j.Close()).To(Succeed())
-			j, r, err = Open(Config{Dir: dir})
-			g.Expect(err).NotTo(HaveOccurred())
+			j, r = open(t, Config{Dir: dir})
 			g.Expect(texts(r.Records)).To(Equal([]string{"r0\x00", "r1\x00", "next"}))
 			g.Expect(r.TornBytes).To(BeZero())
 			g.Expect(j.Close()).To(Succeed())
@@ -135,8 +137,7 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(kept).To(Equal(damaged))
 		g.Expect(j.Close()).To(Succeed())
-		j, r, err = Open(Config{Dir: dir})
-		g.Expect(err).NotTo(HaveOccurred())
+		j, r = open(t, Config{Dir: dir})
 		g.Expect(r.Empty).To(BeTrue())
 		g.Expect(j.Close()).To(Succeed())
 	}
@@ -174,8 +175,7 @@
 			t.Run(name, func(t *testing.T) {
 				g := NewWithT(t)
 				cfg.Dir = t.TempDir()
-				j, _, err := Open(cfg)
-				g.Expect(err).NotTo(HaveOccurred())
+				j, _ := open(t, cfg)
 				g.Expect(j.Append([]byte("first"))).To(Succeed())
 				broken.Store(true)
 				var failed *FailedError
@@ -184,8 +184,7 @@
 				g.Expect(errors.As(j.Append([]byte("third")), &failed)).To(BeTrue())
 				g.Expect(errors.As(j.Snapshot([]byte("state")), &failed)).To(BeTrue())
 				g.Expect(errors.As(j.Close(), &failed)).To(BeTrue())
-				j, r, err := Open(cfg)
-				g.Expect(err).NotTo(HaveOccurred())
+				j, r := open(t, cfg)
 				g.Expect(texts(r.Records)[0]).To(Equal("first"))
 				g.Expect(texts(r.Records)).NotTo(ContainElement("third"))
 				g.Expect(j.Close()).To(Succeed())
@@ -200,7 +199,7 @@
 	g := NewWithT(t)
 	var broken atomic.Bool
 	dir := t.TempDir()
-	j, _, err := Open(Config{
+	j, _ := open(t, Config{
 		Dir: dir,
 		Sync: func(f *os.File) error {
 			if broken.Load() && f.Name() == dir {
@@ -209,7 +208,6 @@
 			return f.Sync()
 		},
 	})
-	g.Expect(err).NotTo(HaveOccurred())
 	broken.Store(true)
 	g.Expect(j.Snapshot([]byte("state"))).To(MatchError(errDisk))
 	broken.Store(false)
@@ -227,8 +225,7 @@
 		dir := t.TempDir()
 		g.Expect(os.WriteFile(filepath.Join(dir, fileName), data, filePerm)).To(Succeed())
 		g.Expect(os.WriteFile(filepath.Join(dir, newFileName), snapshot[:cut], filePerm)).To(Succeed())
-		j, r, err := Open(Config{Dir: dir})
-		g.Expect(err).NotTo(HaveOccurred())
+		j, r := open(t, Config{Dir: dir})
 		g.Expect(r.Snapshot).To(BeNil())
 		g.Expect(texts(r.Records)).To(Equal([]string{"r0\x00", "r1\x00"}))
 		g.Expect(j.Close()).To(Succeed())
@@ -244,8 +241,7 @@
 		Dir:       t.TempDir(),
 		MaxRecord: 64,
 	}
-	j, _, err := Open(cfg)
-	g.Expect(err).NotTo(HaveOccurred())
+	j, _ := open(t, cfg)
 	var large *TooLargeError
 	g.Expect(errors.As(j.Append(make([]byte, 65)), &large)).To(BeTrue())
 	const callers, each = 16, 20
@@ -265,8 +261,7 @@
 		})
 	}
 	wg.Wait()
-	j, r, err := Open(cfg)
-	g.Expect(err).NotTo(HaveOccurred())
+	j, r := open(t, cfg)
 	found := make([]int, callers)
 	for _, record := range r.Records {
 		var c int
@@ -282,16 +277,13 @@
 	for _, callers := range []int{1, 8, 64} {
 		b.Run(fmt.Sprintf("callers-%d", callers), func(b *testing.B) {
 			var syncs atomic.Int64
-			j, _, err := Open(Config{
+			j, _ := open(b, Config{
 				Dir: b.TempDir(),
 				Sync: func(f *os.File) error {
 					syncs.Add(1)
 					return f.Sync()
 				},
 			})
-			if err != nil {
-				b.Fatal(err)
-			}
 			record := make([]byte, 256)
 			var next atomic.Int64
 			b.ReportAllocs()
@@ -319,13 +311,10 @@
 
 func BenchmarkOpen(b *testing.B) {
 	dir := b.TempDir()
-	j, _, err := Open(Config{
+	j, _ := open(b, Config{
 		Dir:  dir,
 		Sync: func(*os.File) error { return nil },
 	})
-	if err != nil {
-		b.Fatal(err)
-	}
 	for range 10_000 {
 		if err := j.Append(make([]byte, 1024)); err != nil {
 			b.Fatal(err)
--- a/messenger/frame_test.go
+++ b/messenger/frame_test.go
@@ -56,7 +56,7 @@
 // followed by other bytes.
 func TestDecodeRejectsHostileBodies(t *testing.T) {
 	for name, body := range map[string][]byte{
-		"nested":   append([]byte("\x81\xa1x"), make91(15<<20)...),
+		"nested":   append([]byte("\x81\xa1x"), bytes.Repeat([]byte{0x91}, 15<<20)...),
 		"claims":   []byte("\xdd\xff\xff\xff\xff\x01"),
 		"string":   []byte("\xdb\xff\xff\xff\xff\x01"),
 		"trailing": []byte("\x80\x80"),
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -1,11 +1,13 @@
 package messenger
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -51,6 +53,37 @@
 	return p
 }
 
+// pair returns a listener with the handler and a peer of it.
+func pair(t testing.TB, handle Handler) (*Listener, *Peer) {
+	t.Helper()
+	n := listen(t, config("a", handle))
+	return n, peer(t, n.Address(), config("b", nil))
+}
+
+// untilDone is a handler that notes each start and runs until its context ends.
+func untilDone(started chan<- struct{}) Handler {
+	return func(ctx context.Context, _ Hello, _ Kind, _ []byte) ([]byte, error) {
+		started <- struct{}{}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+}
+
+// callError makes a call without a body and returns its error.
+func callError(ctx context.Context, p *Peer, kind Kind) error {
+	_, err := p.Call(ctx, kind, nil)
+	return err
+}
+
+// expectReply makes a call that must be answered with the text.
+func expectReply(t *testing.T, p *Peer, kind Kind, body, want string) {
+	t.Helper()
+	g := NewWithT(t)
+	reply, err := p.Call(t.Context(), kind, []byte(body))
+	g.Expect(err).NotTo(HaveOccurred(), body)
+	g.Expect(string(reply)).To(Equal(want))
+}
+
 // fake listens as a host whose frames the script writes; the script runs once for each
 // connection, after the hellos.
 func fake(t *testing.T, script func(l *link)) string {
@@ -80,33 +113,30 @@
 	return listener.Addr().String()
 }
 
-func reply(l *link, frames ...frame) {
+func encoded(frames ...frame) []byte {
 	enc := newEncoder()
 	for _, f := range frames {
 		enc.add(f)
 	}
-	_, _ = l.conn.Write(enc.buf.Bytes())
+	return enc.buf.Bytes()
 }
 
-func beNotSent() OmegaMatcher {
-	return WithTransform(func(err error) bool {
-		var e *NotSentError
-		return errors.As(err, &e)
-	}, BeTrue())
-}
+func reply(l *link, frames ...frame) { _, _ = l.conn.Write(encoded(frames...)) }
 
-func beLost() OmegaMatcher {
+func be[E error]() OmegaMatcher {
 	return WithTransform(func(err error) bool {
-		var e *LostError
+		var e E
 		return errors.As(err, &e)
 	}, BeTrue())
 }
 
+var beNotSent, beLost = be[*NotSentError], be[*LostError]
+
 // Guards against changed bodies, a token that is shown to handlers, lost error codes and
 // counters that miss frames.
 func TestCall(t *testing.T) {
 	g := NewWithT(t)
-	n := listen(t, config("a", func(_ context.Context, from Hello, kind Kind, body []byte) ([]byte, error) {
+	n, p := pair(t, func(_ context.Context, from Hello, kind Kind, body []byte) ([]byte, error) {
 		switch kind {
 		case KindStatus:
 			return fmt.Appendf(nil, "%q %s %s %d", from.Token, from.Host, from.Domain, from.Incarnation), nil
@@ -119,15 +149,12 @@
 		default:
 			return body, nil
 		}
-	}))
-	p := peer(t, n.Address(), config("b", nil))
+	})
 	ctx := t.Context()
-	body, err := p.Call(ctx, KindStatus, nil)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(string(body)).To(Equal(`"" b ikeja 7`))
+	expectReply(t, p, KindStatus, "", `"" b ikeja 7`)
 	big := make([]byte, DefaultMaxFrame-frameExtra)
 	big[len(big)-1] = 1
-	body, err = p.Call(ctx, KindRunTask, big)
+	body, err := p.Call(ctx, KindRunTask, big)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(body).To(Equal(big))
 	_, err = p.Call(ctx, KindRunTask, append(big, 1))
@@ -136,12 +163,10 @@
 		KindCancel: {Code: "gone", Message: "no such key"},
 		KindFind:   {Code: CodeInternal, Message: "broken"},
 	} {
-		_, err = p.Call(ctx, kind, nil)
-		g.Expect(err).To(Equal(&want))
+		g.Expect(callError(ctx, p, kind)).To(Equal(&want))
 	}
 	var remote *RemoteError
-	_, err = p.Call(ctx, KindSubmit, nil)
-	g.Expect(errors.As(err, &remote)).To(BeTrue())
+	g.Expect(errors.As(callError(ctx, p, KindSubmit), &remote)).To(BeTrue())
 	g.Expect(remote.Code).To(Equal(CodeReplyTooLarge))
 	g.Expect(p.Send(KindHeartbeat, nil)).To(Succeed())
 	g.Eventually(func() uint64 { return n.Stats().FramesIn }).Should(Equal(uint64(7)))
@@ -162,13 +187,6 @@
 	cfg.Rejected = func(string, error) { rejected.Add(1) }
 	n := listen(t, cfg)
 	good := peer(t, n.Address(), config("b", nil))
-	frames := func(all ...frame) []byte {
-		enc := newEncoder()
-		for _, f := range all {
-			enc.add(f)
-		}
-		return enc.buf.Bytes()
-	}
 	hello := func(version int, token string) frame {
 		body, err := Encode(Hello{
 			Version: version,
@@ -177,20 +195,21 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		return frame{typ: frameHello, body: body}
 	}
-	valid := frames(hello(ProtocolVersion, token))
+	valid := encoded(hello(ProtocolVersion, token))
+	afterHello := func(sent ...byte) []byte { return append(slices.Clip(valid), sent...) }
 	for name, sent := range map[string][]byte{
 		"http":             []byte("GET / HTTP/1.1\r\n\r\n"),
-		"wrong token":      frames(hello(ProtocolVersion, "other")),
-		"no token":         frames(hello(ProtocolVersion, "")),
-		"other version":    frames(hello(ProtocolVersion+1, token)),
-		"no hello":         frames(frame{typ: frameRequest, id: 1}),
+		"wrong token":      encoded(hello(ProtocolVersion, "other")),
+		"no token":         encoded(hello(ProtocolVersion, "")),
+		"other version":    encoded(hello(ProtocolVersion+1, token)),
+		"no hello":         encoded(frame{typ: frameRequest, id: 1}),
 		"not msgpack":      {0, 0, 0, 1, 0xc1},
-		"empty frame":      append(valid[:len(valid):len(valid)], 0, 0, 0, 0),
-		"oversized":        append(valid[:len(valid):len(valid)], 0, 0, 0x20, 1),
-		"reply":            append(valid[:len(valid):len(valid)], frames(frame{typ: frameReply, id: 1})...),
-		"second hello":     append(valid[:len(valid):len(valid)], valid...),
-		"unknown type":     append(valid[:len(valid):len(valid)], frames(frame{typ: 8})...),
-		"nested too deep":  frames(frame{typ: frameHello, body: make91(2000)}),
+		"empty frame":      afterHello(0, 0, 0, 0),
+		"oversized":        afterHello(0, 0, 0x20, 1),
+		"reply":            afterHello(encoded(frame{typ: frameReply, id: 1})...),
+		"second hello":     afterHello(valid...),
+		"unknown type":     afterHello(encoded(frame{typ: 8})...),
+		"nested too deep":  encoded(frame{typ: frameHello, body: bytes.Repeat([]byte{0x91}, 2000)}),
 		"large before all": {0, 0, 0x10, 1},
 	} {
 		before := rejected.Load()
@@ -204,22 +223,12 @@
 		}
 		g.Eventually(rejected.Load).Should(Equal(before+1), name)
 		g.Expect(conn.Close()).To(Succeed())
-		body, err := good.Call(t.Context(), KindStatus, []byte(name))
-		g.Expect(err).NotTo(HaveOccurred(), name)
-		g.Expect(string(body)).To(Equal(name))
+		expectReply(t, good, KindStatus, name, name)
 	}
 	g.Expect(good.Stats().Connections).To(Equal(uint64(1)))
 	g.Expect(n.Stats().Failures).To(Equal(uint64(13)))
 }
 
-func make91(n int) []byte {
-	b := make([]byte, n)
-	for i := range b {
-		b[i] = 0x91
-	}
-	return b
-}
-
 // Guards against calls over a connection whose other side does not know the token.
 func TestWrongToken(t *testing.T) {
 	g := NewWithT(t)
@@ -229,34 +238,27 @@
 	}))
 	cfg := config("b", nil)
 	cfg.Local.Token = "other"
-	_, err := peer(t, n.Address(), cfg).Call(t.Context(), KindStatus, nil)
-	g.Expect(err).To(beNotSent())
-	_, err = Listen("127.0.0.1:0", Config{Handle: echo})
+	g.Expect(callError(t.Context(), peer(t, n.Address(), cfg), KindStatus)).To(beNotSent())
+	_, err := Listen("127.0.0.1:0", Config{Handle: echo})
 	g.Expect(err).To(HaveOccurred())
 }
 
 // Guards against a peer that is not dialed again, and a wrong error while it is down.
 func TestPeerDown(t *testing.T) {
 	g := NewWithT(t)
-	n := listen(t, config("a", echo))
+	n, p := pair(t, echo)
 	address := n.Address()
 	g.Expect(n.Close()).To(Succeed())
-	p := peer(t, address, config("b", nil))
 	for range 10 {
-		_, err := p.Call(t.Context(), KindStatus, nil)
-		g.Expect(err).To(beNotSent())
+		g.Expect(callError(t.Context(), p, KindStatus)).To(beNotSent())
 		g.Expect(p.Send(KindStatus, nil)).To(beNotSent())
 	}
 	n, err := Listen(address, config("a", echo))
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = n.Close() }()
-	g.Eventually(func() error {
-		_, err := p.Call(t.Context(), KindStatus, nil)
-		return err
-	}).WithTimeout(10 * time.Second).Should(Succeed())
+	g.Eventually(func() error { return callError(t.Context(), p, KindStatus) }).WithTimeout(10 * time.Second).Should(Succeed())
 	g.Expect(p.Close()).To(Succeed())
-	_, err = p.Call(t.Context(), KindStatus, nil)
-	g.Expect(err).To(beNotSent())
+	g.Expect(callError(t.Context(), p, KindStatus)).To(beNotSent())
 }
 
 // Guards against "not sent" for a call whose handler runs, when the connection, the
@@ -271,12 +273,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			started := make(chan struct{})
-			n := listen(t, config("a", func(ctx context.Context, _ Hello, _ Kind, _ []byte) ([]byte, error) {
-				close(started)
-				<-ctx.Done()
-				return nil, ctx.Err()
-			}))
-			p := peer(t, n.Address(), config("b", nil))
+			n, p := pair(t, untilDone(started))
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			var wg sync.WaitGroup
@@ -284,8 +281,7 @@
 				<-started
 				end(n, p, cancel)
 			})
-			_, err := p.Call(ctx, KindRunTask, nil)
-			g.Expect(err).To(beLost())
+			g.Expect(callError(ctx, p, KindRunTask)).To(beLost())
 			wg.Wait()
 		})
 	}
@@ -313,13 +309,9 @@
 		<-received
 		cancel()
 	}()
-	_, err := p.Call(ctx, KindStatus, nil)
-	g.Expect(err).To(beLost())
-	for _, want := range []string{"right", "third"} {
-		body, err := p.Call(t.Context(), KindStatus, nil)
-		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(string(body)).To(Equal(want))
-	}
+	g.Expect(callError(ctx, p, KindStatus)).To(beLost())
+	expectReply(t, p, KindStatus, "", "right")
+	expectReply(t, p, KindStatus, "", "third")
 	g.Expect(p.Stats().LateReplies).To(Equal(uint64(3)))
 	_ = p.Close()
 }
@@ -340,8 +332,7 @@
 				reply(l, frame{typ: last, id: f.id})
 			}
 		}), config("b", nil))
-		_, err := p.Call(t.Context(), KindRunTask, nil)
-		g.Expect(err).To(want, "frame type %d", last)
+		g.Expect(callError(t.Context(), p, KindRunTask)).To(want, "frame type %d", last)
 		_ = p.Close()
 	}
 }
@@ -360,17 +351,12 @@
 	n := listen(t, cfg)
 	p := peer(t, n.Address(), config("b", nil))
 	var wg sync.WaitGroup
-	wg.Go(func() {
-		body, err := p.Call(t.Context(), KindRunTask, []byte("running"))
-		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(string(body)).To(Equal("running"))
-	})
+	wg.Go(func() { expectReply(t, p, KindRunTask, "running", "running") })
 	<-started
 	other := peer(t, n.Address(), config("c", nil))
 	link, err := other.connect(t.Context())
 	g.Expect(err).NotTo(HaveOccurred())
-	_, err = p.Call(t.Context(), KindRunTask, []byte("beyond MaxConcurrent"))
-	g.Expect(err).To(beNotSent())
+	g.Expect(callError(t.Context(), p, KindRunTask)).To(beNotSent(), "beyond MaxConcurrent")
 	g.Expect(n.Stats().Refused).To(Equal(uint64(1)))
 	wg.Go(func() { g.Expect(n.Graceful(t.Context())).To(Succeed()) })
 	g.Eventually(func() bool {
@@ -379,24 +365,15 @@
 		return n.closing
 	}).Should(BeTrue())
 	for _, from := range []*Peer{other, peer(t, n.Address(), config("d", nil))} {
-		_, err = from.Call(t.Context(), KindRunTask, []byte("while stopping"))
-		g.Expect(err).To(beNotSent())
+		g.Expect(callError(t.Context(), from, KindRunTask)).To(beNotSent(), "while stopping")
 	}
 	close(finish)
 	wg.Wait()
 	g.Expect(started).To(BeEmpty())
 	g.Eventually(link.stopping.Load).Should(BeTrue(), "goodbye did not arrive")
 
-	n = listen(t, config("a", func(ctx context.Context, _ Hello, _ Kind, _ []byte) ([]byte, error) {
-		started <- struct{}{}
-		<-ctx.Done()
-		return nil, ctx.Err()
-	}))
-	p = peer(t, n.Address(), config("b", nil))
-	wg.Go(func() {
-		_, err := p.Call(t.Context(), KindRunTask, nil)
-		g.Expect(err).To(beLost())
-	})
+	n, p = pair(t, untilDone(started))
+	wg.Go(func() { g.Expect(callError(t.Context(), p, KindRunTask)).To(beLost()) })
 	<-started
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
@@ -441,10 +418,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
-	wg.Go(func() {
-		_, err := p.Call(ctx, KindRunTask, nil)
-		g.Expect(err).To(beNotSent())
-	})
+	wg.Go(func() { g.Expect(callError(ctx, p, KindRunTask)).To(beNotSent()) })
 	g.Eventually(func() error { return p.Send(KindHeartbeat, nil) }).Should(beNotSent())
 	cancel()
 	wg.Wait()
