Name the accepted values in errors for unknown names

Cause: a submission with an unknown service, kind or team was answered "no such kind"; the caller had to fetch the document to see the misspelling. The same held for the home domain of a key, environments, peers, and the services and failure domains of a document.

Change: sesamedrift.OneOf lists at most five accepted values and the number of the others; lookUp, the environment of a request or path, the hosts of the settings, the launcher, the validator and the flags of load use it. A team that may not use a service is answered with the teams that may.

--- a/commander/load.go
+++ b/commander/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/urfave/cli/v3"
@@ -15,6 +16,8 @@
 
 const defaultSeed = 20261204
 
+var policyNames = []string{string(scheduler.Sesame), string(scheduler.FIFORandom), string(scheduler.FIFOLeastLoaded)}
+
 func (c *commandLine) loadCommand() *cli.Command {
 	var summaries strings.Builder
 	for _, s := range generator.Scenarios() {
@@ -36,7 +39,7 @@
 			&cli.StringSliceFlag{
 				Name:  "policies",
 				Usage: "`NAMES` of the policies to compare",
-				Value: []string{string(scheduler.Sesame), string(scheduler.FIFORandom), string(scheduler.FIFOLeastLoaded)},
+				Value: policyNames,
 			},
 			&cli.Uint64Flag{
 				Name:  "seed",
@@ -60,7 +63,7 @@
 func (c *commandLine) load(ctx context.Context, cmd *cli.Command) error {
 	s, ok := generator.Find(cmd.String("scenario"))
 	if !ok {
-		return usageError("there is no scenario %q", cmd.String("scenario"))
+		return unknownName("scenario", cmd.String("scenario"), scenarioNames())
 	}
 	if cmd.Int("scale") < 1 {
 		return usageError("scale is %d, want 1 or more", cmd.Int("scale"))
@@ -93,15 +96,30 @@
 	return loadFailure(results)
 }
 
+func scenarioNames() []string {
+	all := generator.Scenarios()
+	names := make([]string, 0, len(all))
+	for _, s := range all {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
+func unknownName(field, name string, known []string) error {
+	return &sesamedrift.InvalidError{
+		Field: field,
+		Value: name,
+		Want:  sesamedrift.OneOf(known),
+	}
+}
+
 func loadPolicies(names []string) ([]scheduler.Policy, error) {
 	policies := make([]scheduler.Policy, 0, len(names))
 	for _, name := range names {
-		switch p := scheduler.Policy(name); p {
-		case scheduler.Sesame, scheduler.FIFORandom, scheduler.FIFOLeastLoaded:
-			policies = append(policies, p)
-		default:
-			return nil, usageError("there is no policy %q", name)
+		if !slices.Contains(policyNames, name) {
+			return nil, unknownName("policies", name, policyNames)
 		}
+		policies = append(policies, scheduler.Policy(name))
 	}
 	return policies, nil
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/client"
 	"sesamedrift.example/sesamedrift/executor"
 	"sesamedrift.example/sesamedrift/scheduler"
@@ -165,7 +166,7 @@
 			return s, nil
 		}
 	}
-	return validator.Settings{}, fmt.Errorf("launcher: there is no host %q", name)
+	return validator.Settings{}, &sesamedrift.InvalidError{Field: "host", Value: name, Want: sesamedrift.OneOf(d.HostNames())}
 }
 
 // HostNames returns the names of all hosts of the plan.
--- a/server/configuration.go
+++ b/server/configuration.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/client"
 	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/registrar"
@@ -63,10 +64,10 @@
 // environment returns the document in force, or an error if there is none.
 func (h *Host) environment(name string) (*inForce, *Error) {
 	if name != validator.Trial && name != validator.Production {
-		return nil, badRequest("no such environment: "+name, validator.Problem{
-			Path:    client.EnvironmentHeader,
-			Value:   name,
-			Message: "want trial or production",
+		return nil, badField(&sesamedrift.InvalidError{
+			Field: client.EnvironmentHeader,
+			Value: name,
+			Want:  environmentNames,
 		})
 	}
 	if f := h.documents.get(name); f != nil {
--- a/server/directory.go
+++ b/server/directory.go
@@ -98,7 +98,7 @@
 		b.Environment = validator.Production
 	}
 	if b.Environment != validator.Production && b.Environment != validator.Trial {
-		add("environment", b.Environment, "want trial or production")
+		add("environment", b.Environment, "want "+environmentNames)
 	}
 	host, _, err := net.SplitHostPort(b.Address)
 	if err != nil || net.ParseIP(host) == nil {
--- a/server/environments.go
+++ b/server/environments.go
@@ -23,6 +23,8 @@
 const (
 	defaultHistory = 50
 	maxHistory     = 1000
+	// environmentNames says in errors which environments there are.
+	environmentNames = "one of " + validator.Trial + ", " + validator.Production
 )
 
 // record returns an audit entry in the form of the HTTP interface.
@@ -82,7 +84,8 @@
 func environmentName(r *http.Request) (string, *Error) {
 	name := mux.Vars(r)["name"]
 	if name != validator.Trial && name != validator.Production {
-		return "", notFound("no such environment: " + name + "; there are trial and production")
+		unknown := &sesamedrift.InvalidError{Field: "environment", Value: name, Want: environmentNames}
+		return "", notFound(unknown.Error())
 	}
 	return name, nil
 }
--- a/server/peers.go
+++ b/server/peers.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
+	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/validator"
 )
 
-// errUnknownPeer is returned for a host that is not in the settings.
-var errUnknownPeer = errors.New("the settings name no such peer")
-
 // peer is another host of the settings, with its connection.
 type peer struct {
 	validator.Peer
@@ -36,13 +33,22 @@
 	return all
 }
 
+// unknownPeer returns the error for a host that is not in the settings.
+func (h *Host) unknownPeer(host string) error {
+	names := make([]string, 0, len(h.cfg.Settings.Peers))
+	for _, p := range h.cfg.Settings.Peers {
+		names = append(names, p.Host+" of "+p.Domain)
+	}
+	return &sesamedrift.InvalidError{Field: "host", Value: host, Want: sesamedrift.OneOf(names)}
+}
+
 // ask calls a peer and decodes its reply. Errors are those of messenger.Peer.Call; for
 // an unknown host and a request that cannot be encoded it is *messenger.NotSentError.
 func ask[Out any](ctx context.Context, h *Host, host string, kind messenger.Kind, in any) (Out, error) {
 	var out Out
 	p, ok := h.peers[host]
 	if !ok {
-		return out, &messenger.NotSentError{Err: fmt.Errorf("host %q: %w", host, errUnknownPeer)}
+		return out, &messenger.NotSentError{Err: h.unknownPeer(host)}
 	}
 	body, err := messenger.Encode(in)
 	if err != nil {
@@ -124,7 +130,7 @@
 
 func (h *Host) handleMessage(ctx context.Context, from messenger.Hello, kind messenger.Kind, body []byte) ([]byte, error) {
 	if p, ok := h.peers[from.Host]; !ok || p.Domain != from.Domain {
-		return nil, fmt.Errorf("host %q of domain %q: %w", from.Host, from.Domain, errUnknownPeer)
+		return nil, fmt.Errorf("domain %q: %w", from.Domain, h.unknownPeer(from.Host))
 	}
 	switch kind {
 	case messenger.KindHeartbeat:
--- a/server/submit.go
+++ b/server/submit.go
@@ -64,7 +64,7 @@
 		return sesamedrift.Outcome{}, badField(&sesamedrift.InvalidError{
 			Field: sesamedrift.KeyHeader,
 			Value: r.Submission.Key.String(),
-			Want:  fmt.Sprintf("a prefix among the failure domains %v", env.Document.DomainNames()),
+			Want:  "a prefix that names a failure domain, " + sesamedrift.OneOf(env.Document.DomainNames()),
 		})
 	}
 	if home != h.cfg.Settings.Domain {
@@ -114,16 +114,17 @@
 	kind, okKind := service.Kind(s.Kind)
 	switch {
 	case !ok:
-		add("service", s.Service, "the environment document has no such service")
+		add("service", s.Service, "want "+sesamedrift.OneOf(env.Document.ServiceNames()))
 	case !okKind:
-		add("kind", s.Kind, fmt.Sprintf("the service %q has no such kind", s.Service))
+		add("kind", s.Kind, fmt.Sprintf("want a kind of the service %q, %s", s.Service, sesamedrift.OneOf(service.KindNames())))
 	}
 	team, okTeam := env.Document.Team(s.Team)
 	switch {
 	case !okTeam:
-		add("team", s.Team, "the environment document has no such team")
+		add("team", s.Team, "want "+sesamedrift.OneOf(env.Document.TeamNames(s.Service)))
 	case ok && !team.Allows(s.Service):
-		add("team", s.Team, fmt.Sprintf("the team may not use the service %q", s.Service))
+		add("team", s.Team, fmt.Sprintf("want a team that may use the service %q, %s",
+			s.Service, sesamedrift.OneOf(env.Document.TeamNames(s.Service))))
 	}
 	if limit := env.Document.Limits.MaxTasks; len(s.Payloads) > limit {
 		add("tasks", fmt.Sprint(len(s.Payloads)), fmt.Sprintf("at most %d tasks are accepted", limit))
--- a/submission.go
+++ b/submission.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -79,6 +81,28 @@
 	Want  string
 }
 
+// maxNamed bounds the values that OneOf lists, since a document may have dozens of teams.
+const maxNamed = 5
+
+// OneOf lists accepted values for an error: the first few, and the number of the others.
+// A value that occurs twice, as in a document with problems, is listed once.
+func OneOf(values []string) string {
+	seen := map[string]bool{}
+	values = slices.DeleteFunc(slices.Clone(values), func(v string) bool {
+		again := seen[v]
+		seen[v] = true
+		return again
+	})
+	if len(values) == 0 {
+		return "one of none"
+	}
+	text := "one of " + strings.Join(values[:min(maxNamed, len(values))], ", ")
+	if more := len(values) - maxNamed; more > 0 {
+		text += fmt.Sprintf(" and %d more", more)
+	}
+	return text
+}
+
 // Error names the field, the value and the accepted values.
 func (e *InvalidError) Error() string {
 	return fmt.Sprintf("%s: %q is not accepted: want %s", e.Field, e.Value, e.Want)
--- a/validator/contradictions.go
+++ b/validator/contradictions.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/netip"
 	"sort"
+
+	"sesamedrift.example/sesamedrift"
 )
 
 // checkSettings adds the problems that the schema cannot express.
@@ -131,7 +133,7 @@
 		for _, to := range sortedNames(d.Distance) {
 			path := fieldPath(distances, to)
 			if _, ok := index[to]; !ok {
-				c.add(path, d.Distance[to], "want the name of a failure domain of the document", namePaths...)
+				c.add(path, d.Distance[to], "want a failure domain of the document, "+sesamedrift.OneOf(e.DomainNames()), namePaths...)
 			}
 			if to == d.Name {
 				c.add(path, d.Distance[to], "want no distance from a failure domain to itself")
@@ -226,7 +228,7 @@
 			at := itemPath(path+".services", j)
 			services.add(at, service)
 			if !known[service] && service != "" {
-				c.add(at, service, "want the name of a service of the document", servicePaths...)
+				c.add(at, service, "want a service of the document, "+sesamedrift.OneOf(e.ServiceNames()), servicePaths...)
 			}
 		}
 	}
--- a/validator/environment.go
+++ b/validator/environment.go
@@ -98,9 +98,33 @@
 
 // DomainNames returns the names of all failure domains in document order.
 func (e Environment) DomainNames() []string {
-	names := make([]string, 0, len(e.Domains))
-	for _, d := range e.Domains {
-		names = append(names, d.Name)
+	return namesOf(e.Domains, func(d Domain) string { return d.Name })
+}
+
+// ServiceNames returns the names of all services in document order.
+func (e Environment) ServiceNames() []string {
+	return namesOf(e.Services, func(s Service) string { return s.Name })
+}
+
+// TeamNames returns the names of the teams that may use the service, or of all teams if
+// the document has no such service, in document order.
+func (e Environment) TeamNames(service string) []string {
+	teams := e.Teams
+	if _, ok := e.Service(service); ok {
+		teams = slices.DeleteFunc(slices.Clone(teams), func(t Team) bool { return !t.Allows(service) })
+	}
+	return namesOf(teams, func(t Team) string { return t.Name })
+}
+
+// KindNames returns the names of all kinds in document order.
+func (s Service) KindNames() []string {
+	return namesOf(s.Kinds, func(k Kind) string { return k.Name })
+}
+
+func namesOf[T any](all []T, name func(T) string) []string {
+	names := make([]string, 0, len(all))
+	for _, v := range all {
+		names = append(names, name(v))
 	}
 	return names
 }
