executor: log each change between accepted and rejected announcements

Cause: the stand-in upstream dropped the answers to its announcements. An executor with a wrong time to live, or one that reached no host with a lease, looked idle without a word.

Change: the executor keeps the last state at each host (accepted, unreachable or the code of the error) and logs event 5005 announcement-rejected, with the host and the reason, when a host stops accepting or gives another code, and 5006 announcement-accepted when it accepts again. Reasons are not compared, since those of broken connections contain changing ports. The command executor logs JSON lines on standard error; it stays silent while all is well.

Before: no output.

--- a/commander/executor.go
+++ b/commander/executor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -90,7 +91,12 @@
 	default:
 		return usageError("environment: %q is not accepted: want trial or production", environment)
 	}
+	log, err := c.logger(slog.LevelInfo.String())
+	if err != nil {
+		return err
+	}
 	e, err := executor.New(executor.Config{
+		Log:         log,
 		ID:          cmd.String("id"),
 		Address:     cmd.String("address"),
 		Hosts:       cmd.StringSlice("host"),
--- a/executor/announce.go
+++ b/executor/announce.go
@@ -4,16 +4,25 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
+	"errors"
+	"io"
 	"net/http"
+	"strconv"
 	"time"
+
+	"sesamedrift.example/sesamedrift/client"
+	"sesamedrift.example/sesamedrift/reporter"
 )
 
 const (
 	stateServing = "serving"
 	stateLeaving = "leaving"
 
+	stateUnreachable = "unreachable"
+
 	announceTimeout = time.Second
+	// maxErrorBody bounds what is read of an answer that is an error.
+	maxErrorBody = 64 << 10
 	// announcementsPerTTL leaves room for two lost announcements in a row.
 	announcementsPerTTL = 3
 )
@@ -31,14 +40,28 @@
 	TTL         string `json:"ttl"`
 }
 
+// announcer sends the announcements of an executor and logs what becomes of them.
+type announcer struct {
+	*Executor
+	hc *http.Client
+	// next is the index of the host that took the last announcement.
+	next int
+	// states holds the last state at each host: empty for accepted, unreachable, or the code
+	// of the error. Reasons are not compared, since they may contain changing ports.
+	states map[string]string
+}
+
 func (e *Executor) announceUntil(ctx context.Context) {
-	hc := &http.Client{Timeout: announceTimeout}
-	defer hc.CloseIdleConnections()
+	a := announcer{
+		Executor: e,
+		hc:       &http.Client{Timeout: announceTimeout},
+		states:   map[string]string{},
+	}
+	defer a.hc.CloseIdleConnections()
 	ticker := time.NewTicker(e.cfg.TTL / announcementsPerTTL)
 	defer ticker.Stop()
-	next := 0
 	for {
-		next = e.announceOnce(ctx, hc, next)
+		a.announceOnce(ctx)
 		select {
 		case <-ticker.C:
 		case <-e.wake:
@@ -49,19 +72,45 @@
 }
 
 // announceOnce tries each host once, beginning with the one that took the last
-// announcement, and returns the index of the host that took this one.
-func (e *Executor) announceOnce(ctx context.Context, hc *http.Client, next int) int {
-	body, err := json.Marshal(e.announcement())
+// announcement, until one takes this one.
+func (a *announcer) announceOnce(ctx context.Context) {
+	body, err := json.Marshal(a.announcement())
 	if err != nil {
 		panic("executor: announcement cannot be encoded: " + err.Error())
 	}
-	for i := range e.cfg.Hosts {
-		n := (next + i) % len(e.cfg.Hosts)
-		if post(ctx, hc, e.cfg.Hosts[n]+"/v1/upstreams", body) == nil {
-			return n
+	for i := range a.cfg.Hosts {
+		n := (a.next + i) % len(a.cfg.Hosts)
+		err := post(ctx, a.hc, a.cfg.Hosts[n], body)
+		if ctx.Err() != nil {
+			return
+		}
+		a.note(ctx, a.cfg.Hosts[n], err)
+		if err == nil {
+			a.next = n
+			return
 		}
 	}
-	return next
+}
+
+// note logs the state of a host if it has changed.
+func (a *announcer) note(ctx context.Context, host string, err error) {
+	state := ""
+	var api *client.APIError
+	switch {
+	case errors.As(err, &api):
+		state = string(api.Code)
+	case err != nil:
+		state = stateUnreachable
+	}
+	if a.states[host] == state {
+		return
+	}
+	a.states[host] = state
+	if err == nil {
+		reporter.Log(ctx, a.cfg.Log, reporter.AnnouncementAccepted, "upstream", a.cfg.ID, "host", host)
+		return
+	}
+	reporter.Log(ctx, a.cfg.Log, reporter.AnnouncementRejected, "upstream", a.cfg.ID, "host", host, "reason", err.Error())
 }
 
 func (e *Executor) announcement() Announcement {
@@ -80,8 +129,9 @@
 	}
 }
 
-func post(ctx context.Context, hc *http.Client, url string, body []byte) error {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+// post sends an announcement. An answer that is not a success is a *client.APIError.
+func post(ctx context.Context, hc *http.Client, host string, body []byte) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, host+"/v1/upstreams", bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -91,8 +141,16 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode >= http.StatusMultipleChoices {
-		return fmt.Errorf("announce to %s: status %s", url, resp.Status)
+	if resp.StatusCode < http.StatusMultipleChoices {
+		return nil
+	}
+	api := &client.APIError{
+		Host:   host,
+		Status: resp.StatusCode,
+	}
+	if json.NewDecoder(io.LimitReader(resp.Body, maxErrorBody)).Decode(api) != nil || api.Code == "" {
+		// The answer does not come from a host, but from something in between.
+		api.Code, api.Message = client.Code(strconv.Itoa(resp.StatusCode)), resp.Status
 	}
-	return nil
+	return api
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
@@ -59,6 +60,8 @@
 	// TTL is the time for which an announcement holds.
 	TTL    time.Duration
 	Faults Faults
+	// Log gets events 5005 and 5006; nil stands for no log.
+	Log *slog.Logger
 	// OnStart is called at each start of a task if it is set.
 	OnStart func(taskID string, attempt int)
 	// OnEnd is called at each end of a task, before its slot is free, if it is set.
@@ -129,6 +132,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("executor %q: %w", cfg.ID, err)
 	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	e := &Executor{
 		cfg:      cfg,
--- a/reporter/events.go
+++ b/reporter/events.go
@@ -122,6 +122,18 @@
 		Level: slog.LevelWarn,
 		Text:  "The connection to an upstream broke while a task ran; the task may have run.",
 	}
+	AnnouncementRejected = Event{
+		ID:    5005,
+		Name:  "announcement-rejected",
+		Level: slog.LevelWarn,
+		Text:  "Logged by an executor: a host does not take its announcements, for the reason given; logged again when the reason changes.",
+	}
+	AnnouncementAccepted = Event{
+		ID:    5006,
+		Name:  "announcement-accepted",
+		Level: slog.LevelInfo,
+		Text:  "Logged by an executor: a host takes its announcements again.",
+	}
 )
 
 // Events of peers, 6xxx.
@@ -180,6 +192,8 @@
 	UpstreamExpired,
 	UpstreamEjected,
 	UpstreamLost,
+	AnnouncementRejected,
+	AnnouncementAccepted,
 	PeerRejected,
 	JournalTornTail,
 	JournalDamaged,
