server: report a failed disk at once and say so in the status

Cause: A replica whose append or sync failed stopped voting, but the event 7003 came up to two seconds later, and never if the failure happened while the replica was being repaired or set up: the goroutine that reports it had not started, and the repair was repeated without end. The status showed only that the replica does not vote. No test of whole hosts covered a failing disk.

TestDisksOfReplicasFail (three replicas, one and then two failing disks, by write and by sync, then a restart without the third replica) and TestFailedDiskIsReported.

Conclusion: A failing disk costs the vote of its replica and nothing else.

--- a/commander/config.go
+++ b/commander/config.go
@@ -343,6 +343,7 @@
 	View      uint64            `json:"view"`
 	Lease     bool              `json:"lease"`
 	Votes     bool              `json:"votes"`
+	Journal   string            `json:"journal-error"`
 	Versions  map[string]uint64 `json:"versions"`
 	Queued    int               `json:"queued"`
 	Running   int               `json:"running"`
@@ -369,6 +370,11 @@
 			h.Host, h.Domain, h.Ready, h.View, h.Lease, h.Votes, h.Queued, h.Running, len(h.Upstreams),
 			h.Versions["env-production"])
 	}
+	for _, h := range append([]hostLine{s.hostLine}, s.Hosts...) {
+		if h.Journal != "" {
+			c.printf("%s does not vote: %s\n", h.Host, h.Journal)
+		}
+	}
 	if len(s.Unreachable) > 0 {
 		c.printf("unreachable: %s\n", strings.Join(s.Unreachable, ", "))
 	}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -15,6 +15,7 @@
 
 	"sesamedrift.example/sesamedrift/client"
 	"sesamedrift.example/sesamedrift/executor"
+	"sesamedrift.example/sesamedrift/journaler"
 	"sesamedrift.example/sesamedrift/scheduler"
 	"sesamedrift.example/sesamedrift/server"
 	"sesamedrift.example/sesamedrift/validator"
@@ -57,6 +58,8 @@
 	Seed  uint64
 	// Adjust may change the settings of a host before it starts.
 	Adjust func(s *validator.Settings)
+	// Journal, if set, may change how the journal of a host writes and syncs.
+	Journal func(host string, cfg *journaler.Config)
 }
 
 // Deployment is a running system.
@@ -136,6 +139,11 @@
 		Delay:       d.delay(s.Domain),
 		Seed:        d.cfg.Seed + incarnation,
 		Link:        func(to string) server.Link { return d.cuts.link(name, to) },
+		Journal: func(j *journaler.Config) {
+			if d.cfg.Journal != nil {
+				d.cfg.Journal(name, j)
+			}
+		},
 	})
 	if err != nil {
 		return fmt.Errorf("launcher: host %q: %w", name, err)
--- a/server/configuration_test.go
+++ b/server/configuration_test.go
@@ -55,12 +55,17 @@
 func deployReplicas(t *testing.T) *deployment {
 	t.Helper()
 	d := deploy(t, threeDomains())
-	for _, host := range d.HostNames() {
-		d.g.Eventually(func() bool { return d.state(host).Votes }, testTimeout).Should(BeTrue())
-	}
+	d.untilVote(d.HostNames()...)
 	return d
 }
 
+// untilVote waits until the hosts, which are replicas, vote.
+func (d *deployment) untilVote(hosts ...string) {
+	for _, host := range hosts {
+		d.g.Eventually(func() bool { return d.state(host).Votes }, testTimeout).Should(BeTrue(), host)
+	}
+}
+
 // loseFolder removes the data folder of a host that is down.
 func (d *deployment) loseFolder(host string) {
 	s, err := d.Settings(host)
--- /dev/null
+++ b/server/disk_test.go
@@ -0,0 +1,174 @@
+package server_test
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/client"
+	"sesamedrift.example/sesamedrift/journaler"
+	"sesamedrift.example/sesamedrift/launcher"
+	"sesamedrift.example/sesamedrift/server"
+	"sesamedrift.example/sesamedrift/validator"
+)
+
+// disks makes the writes and syncs of hosts fail. It is safe for concurrent use.
+type disks struct {
+	mu     sync.Mutex
+	broken map[string]string // by host: what fails, "write" or "sync"
+}
+
+func (k *disks) fails(host, what string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.broken[host] == what
+}
+
+func (k *disks) set(host, what string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.broken[host] = what
+}
+
+func (k *disks) journal(host string, cfg *journaler.Config) {
+	cfg.Write = func(f *os.File, data []byte) (int, error) {
+		if !k.fails(host, "write") {
+			return f.Write(data)
+		}
+		n, err := f.Write(data[:len(data)/2])
+		if err == nil {
+			err = syscall.ENOSPC
+		}
+		return n, err
+	}
+	cfg.Sync = func(f *os.File) error {
+		if k.fails(host, "sync") {
+			return syscall.EIO
+		}
+		return f.Sync()
+	}
+}
+
+// Guards against a vote that is not stored, an accepted change that is lost, and a host that
+// serves nothing, after the disks of one and then of two of three replicas fail.
+func TestDisksOfReplicasFail(t *testing.T) {
+	t.Parallel()
+	reasons := map[string]error{"write": syscall.ENOSPC, "sync": syscall.EIO}
+	for what, reason := range reasons {
+		t.Run(what, func(t *testing.T) {
+			k := &disks{broken: map[string]string{}}
+			cfg := threeDomains()
+			cfg.Journal = k.journal
+			d := deploy(t, cfg)
+			d.untilVote(d.HostNames()...)
+			d.applyMany("ikeja-1", 1, 3)
+			k.set("apapa-1", what)
+			d.applyMany("apapa-1", 3, 4)
+			d.g.Eventually(func() []string { return d.voters("lekki-1") }, testTimeout).Should(ConsistOf("ikeja-1", "lekki-1"))
+			d.g.Expect(d.state("apapa-1").Journal).To(ContainSubstring(reason.Error()))
+			d.applyMany("lekki-1", 4, 5)
+			d.serveVersion(5)
+
+			k.set("lekki-1", what)
+			for _, host := range d.HostNames() {
+				r, err := d.at(host).Apply(d.ctx, d.change(5, "undecided", 7))
+				d.g.Expect(err != nil || r.Status == client.ChangeUnavailable).To(BeTrue(), string(r.Status))
+			}
+			d.g.Expect(d.voters("apapa-1")).To(ConsistOf("ikeja-1"))
+			d.g.Expect(d.state("ikeja-1").CutOff).To(BeTrue())
+			d.serveVersion(5)
+
+			for _, host := range d.HostNames() {
+				d.g.Expect(d.KillHost(host)).To(Succeed())
+				k.set(host, "")
+			}
+			for _, host := range []string{"lekki-1", "apapa-1"} {
+				d.g.Expect(d.StartHost(host)).To(Succeed())
+			}
+			d.untilVote("lekki-1", "apapa-1")
+			for v := uint64(1); v < 5; v++ {
+				r := d.apply("apapa-1", d.change(v, fmt.Sprintf("change-%d", v+1), 1000+int(v)))
+				d.g.Expect(r.Status).To(Equal(client.ChangeAccepted))
+			}
+			r := d.apply("apapa-1", d.change(5, "undecided", 7))
+			d.g.Expect(r.Status).To(Equal(client.ChangeAccepted))
+			d.g.Expect(r.Version).To(Equal(uint64(6)))
+		})
+	}
+}
+
+// serveVersion checks that every host serves submissions and has the version.
+func (d *deployment) serveVersion(version uint64) {
+	for _, host := range d.HostNames() {
+		d.g.Eventually(func() uint64 { return d.version(host) }, testTimeout).Should(Equal(version), host)
+		s := work("booking", "10ms", 1)
+		s.Deadline = time.Now().Add(testTimeout)
+		o := d.submit(host, s)
+		d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), o.Reason)
+	}
+}
+
+// syncBuffer is a buffer that is safe for concurrent use.
+type syncBuffer struct {
+	mu  sync.Mutex
+	all bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.all.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.all.String()
+}
+
+// Guards against a disk that fails without an event, here while the replica is set up.
+func TestFailedDiskIsReported(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	log := &syncBuffer{}
+	h, err := server.New(server.Config{
+		Settings: validator.Settings{
+			Host:           "ikeja-1",
+			Domain:         "ikeja",
+			HTTPAddress:    "127.0.0.1:0",
+			PeerAddress:    "127.0.0.1:0",
+			PeerToken:      launcher.PeerToken,
+			Replica:        true,
+			Bootstrap:      true,
+			DataFolder:     t.TempDir(),
+			HeartbeatEvery: validator.Duration(100 * time.Millisecond),
+			SuspectAfter:   validator.Duration(500 * time.Millisecond),
+			LeaseTime:      validator.Duration(600 * time.Millisecond),
+		},
+		Incarnation: 1,
+		Log:         slog.New(slog.NewTextHandler(log, nil)),
+		Now:         time.Now,
+		Journal: func(cfg *journaler.Config) {
+			// The first two syncs create the journal; the snapshot with which the replica begins
+			// to vote is the third.
+			syncs := 0
+			cfg.Sync = func(f *os.File) error {
+				if syncs++; syncs > 2 {
+					return syscall.EIO
+				}
+				return f.Sync()
+			}
+		},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer h.Kill()
+	g.Eventually(log.String, testTimeout).Should(ContainSubstring("journal-failed"))
+}
--- a/server/host.go
+++ b/server/host.go
@@ -62,6 +62,9 @@
 	// Link, if set, gives the state of the way from this host to a peer. It is asked for
 	// each message and each reply; tests cut hosts off with it.
 	Link func(host string) Link
+	// Journal, if set, may change how the journal in the data folder writes and syncs; tests
+	// make a disk fail with it.
+	Journal func(cfg *journaler.Config)
 }
 
 // Host is one running host. All methods are safe for concurrent use.
@@ -78,6 +81,7 @@
 	table      *claimer.Table
 	registers  *registrar.Registrar // nil on a host without a disk
 	journal    *journaler.Journal   // nil on a host without a disk
+	diskFailed atomic.Bool          // set once the failure of the journal is reported
 	entries    *registrar.Cache
 	documents  documents
 	directory  directory
@@ -302,9 +306,7 @@
 	}
 	h.metrics.close()
 	if h.journal != nil {
-		if err := h.journal.Close(); err != nil {
-			reporter.Log(context.Background(), h.log, reporter.JournalFailed, "error", err)
-		}
+		_ = h.stored(h.journal.Close())
 	}
 	h.runner.close()
 }
--- a/server/registers.go
+++ b/server/registers.go
@@ -88,8 +88,8 @@
 	cfg := registrar.Config{
 		ID:          s.Host,
 		Replicas:    s.Replicas(),
-		Append:      journal.Append,
-		Snapshot:    journal.Snapshot,
+		Append:      func(record []byte) error { return h.stored(journal.Append(record)) },
+		Snapshot:    func(state []byte) error { return h.stored(journal.Snapshot(state)) },
 		Snapshotted: recovery.Snapshot,
 		Records:     recovery.Records,
 		Empty:       recovery.Snapshot == nil,
@@ -114,6 +114,14 @@
 	return nil
 }
 
+// stored returns the error of a journal's method and reports the first one.
+func (h *Host) stored(err error) error {
+	if err != nil && !h.diskFailed.Swap(true) {
+		reporter.Log(context.Background(), h.log, reporter.JournalFailed, "error", err)
+	}
+	return err
+}
+
 // openJournal opens the journal. A damaged one is kept aside, and the replica starts
 // empty, to be repaired from the others; the third result says so.
 func openJournal(h *Host, dir string) (*journaler.Journal, journaler.Recovery, bool, error) {
@@ -121,6 +129,9 @@
 		return nil, journaler.Recovery{}, false, fmt.Errorf("data folder: %w", err)
 	}
 	cfg := journaler.Config{Dir: dir}
+	if h.cfg.Journal != nil {
+		h.cfg.Journal(&cfg)
+	}
 	journal, recovery, err := journaler.Open(cfg)
 	var damaged *journaler.DamageError
 	if errors.As(err, &damaged) {
@@ -310,7 +321,7 @@
 
 // repairUntil repairs this replica from the others if its folder was empty or damaged.
 func (h *Host) repairUntil(ctx context.Context) {
-	for !h.registers.Ready() {
+	for !h.registers.Ready() && h.registers.Failed() == nil {
 		round, cancel := context.WithTimeout(ctx, registerChangeTimeout)
 		err := h.registers.Repair(round, h.now())
 		cancel()
@@ -324,15 +335,10 @@
 	}
 }
 
-// syncReplicaUntil fetches what this replica has missed from the others, and reports a
-// failed journal, until ctx is done.
+// syncReplicaUntil fetches what this replica has missed from the others until ctx is done
+// or the replica can store nothing any more.
 func (h *Host) syncReplicaUntil(ctx context.Context) {
-	reported := false
-	for sleep(ctx, replicaSyncEvery) {
-		if err := h.registers.Failed(); err != nil && !reported {
-			reported = true
-			reporter.Log(ctx, h.log, reporter.JournalFailed, "error", err)
-		}
+	for sleep(ctx, replicaSyncEvery) && h.registers.Failed() == nil {
 		round, cancel := context.WithTimeout(ctx, registerChangeTimeout)
 		// A replica that cannot be reached is asked again in the next round.
 		_ = h.registers.Sync(round, h.now())
--- a/server/status.go
+++ b/server/status.go
@@ -11,23 +11,25 @@
 
 // hostStatus is what one host says of itself.
 type hostStatus struct {
-	Host        string            `json:"host" msgpack:"host"`
-	Domain      string            `json:"domain" msgpack:"domain"`
-	Incarnation uint64            `json:"incarnation" msgpack:"incarnation"`
-	Ready       bool              `json:"ready" msgpack:"ready"`
-	View        uint64            `json:"view" msgpack:"view"`
-	Members     []string          `json:"members" msgpack:"members"`
-	Horizon     time.Time         `json:"horizon" msgpack:"horizon"`
-	Lease       bool              `json:"lease" msgpack:"lease"`
-	Replica     bool              `json:"replica" msgpack:"replica"`
-	Votes       bool              `json:"votes" msgpack:"votes"`
-	Versions    map[string]uint64 `json:"versions" msgpack:"versions"`
-	Queued      int               `json:"queued" msgpack:"queued"`
-	Running     int               `json:"running" msgpack:"running"`
-	Free        map[string]int    `json:"free" msgpack:"free"`
-	Upstreams   []upstreamStatus  `json:"upstreams" msgpack:"upstreams"`
-	Trial       trialCount        `json:"trial" msgpack:"trial"`
-	Counters    Counters          `json:"counters" msgpack:"counters"`
+	Host        string    `json:"host" msgpack:"host"`
+	Domain      string    `json:"domain" msgpack:"domain"`
+	Incarnation uint64    `json:"incarnation" msgpack:"incarnation"`
+	Ready       bool      `json:"ready" msgpack:"ready"`
+	View        uint64    `json:"view" msgpack:"view"`
+	Members     []string  `json:"members" msgpack:"members"`
+	Horizon     time.Time `json:"horizon" msgpack:"horizon"`
+	Lease       bool      `json:"lease" msgpack:"lease"`
+	Replica     bool      `json:"replica" msgpack:"replica"`
+	Votes       bool      `json:"votes" msgpack:"votes"`
+	// JournalError is the failed write or sync after which a replica stopped voting, or "".
+	JournalError string            `json:"journal-error,omitempty" msgpack:"journal-error"`
+	Versions     map[string]uint64 `json:"versions" msgpack:"versions"`
+	Queued       int               `json:"queued" msgpack:"queued"`
+	Running      int               `json:"running" msgpack:"running"`
+	Free         map[string]int    `json:"free" msgpack:"free"`
+	Upstreams    []upstreamStatus  `json:"upstreams" msgpack:"upstreams"`
+	Trial        trialCount        `json:"trial" msgpack:"trial"`
+	Counters     Counters          `json:"counters" msgpack:"counters"`
 }
 
 // upstreamStatus is one upstream that a host owns.
@@ -107,6 +109,9 @@
 		Free:        h.slots.free(),
 		Upstreams:   []upstreamStatus{},
 	}
+	if h.registers != nil && h.registers.Failed() != nil {
+		s.JournalError = h.registers.Failed().Error()
+	}
 	for _, m := range view.Members {
 		s.Members = append(s.Members, m.Host)
 	}
--- a/server/status_test.go
+++ b/server/status_test.go
@@ -15,7 +15,10 @@
 	View      uint64         `json:"view"`
 	Ready     bool           `json:"ready"`
 	Lease     bool           `json:"lease"`
+	Host      string         `json:"host"`
 	Votes     bool           `json:"votes"`
+	Journal   string         `json:"journal-error"`
+	Hosts     []hostState    `json:"hosts"`
 	CutOff    bool           `json:"cut-off"`
 	Members   []string       `json:"members"`
 	Queued    int            `json:"queued"`
@@ -38,6 +41,18 @@
 	return s
 }
 
+// voters returns the replicas that vote by the status of a host.
+func (d *deployment) voters(host string) []string {
+	s := d.state(host)
+	var names []string
+	for _, h := range append(s.Hosts, s) {
+		if h.Votes {
+			names = append(names, h.Host)
+		}
+	}
+	return names
+}
+
 func (d *deployment) view(host string) uint64 { return d.state(host).View }
 
 func (d *deployment) ownedBy(host string) int { return len(d.state(host).Upstreams) }
