--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -34,6 +34,7 @@
 	link     *caller // nil if there is no connection
 	dial     *dialing
 	failures int // dials and connections in a row without any reply
+	failedAt time.Time
 	retryAt  time.Time
 	lastErr  error
 }
@@ -329,6 +330,16 @@
 	p.backOff(l.err)
 }
 
+// Heard says that the peer has just sent a message by another way, so that it can probably
+// be reached: the next dial waits for no longer than minBackoff after the last one failed.
+func (p *Peer) Heard() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if next := p.failedAt.Add(minBackoff); next.Before(p.retryAt) {
+		p.retryAt = next
+	}
+}
+
 // backOff sets the time of the next dial: the backoff doubles with each failure and is
 // spread over its upper half, so that hosts do not dial in step.
 func (p *Peer) backOff(err error) {
@@ -336,7 +347,8 @@
 	p.failures++
 	p.lastErr = err
 	spread := time.Duration(p.cfg.Jitter() * float64(backoff/2))
-	p.retryAt = time.Now().Add(backoff/2 + spread)
+	p.failedAt = time.Now()
+	p.retryAt = p.failedAt.Add(backoff/2 + spread)
 }
 
 func (l *caller) add(c *call) {
--- a/server/configuration_test.go
+++ b/server/configuration_test.go
@@ -32,6 +32,12 @@
 	return r
 }
 
+// refuses checks that a change is not decided at a host, because no majority votes.
+func (d *deployment) refuses(host string, c client.Change) {
+	r, err := d.at(host).Apply(d.ctx, c)
+	d.g.Expect(err != nil || r.Status == client.ChangeUnavailable).To(BeTrue(), string(r.Status))
+}
+
 // applyMany makes changes one after another, the last of them to the given version.
 func (d *deployment) applyMany(host string, from, to uint64) {
 	for v := from; v < to; v++ {
@@ -186,8 +192,7 @@
 			d.g.Expect(d.StartHost("apapa-1")).To(Succeed())
 			d.g.Consistently(func() bool { return d.state("apapa-1").Votes }).Should(BeFalse())
 			d.g.Expect(d.StartHost("ikeja-1")).To(Succeed())
-			r, err := d.at("apapa-1").Apply(d.ctx, d.change(10, "too early", 7))
-			d.g.Expect(err != nil || r.Status == client.ChangeUnavailable).To(BeTrue(), string(r.Status))
+			d.refuses("apapa-1", d.change(10, "too early", 7))
 			d.g.Expect(d.StartHost("lekki-1")).To(Succeed())
 			d.g.Eventually(func() bool { return d.state("apapa-1").Votes }, testTimeout).Should(BeTrue())
 			d.g.Expect(d.version("apapa-1")).To(BeNumerically(">=", 10))
--- a/server/disk_test.go
+++ b/server/disk_test.go
@@ -79,8 +79,7 @@
 
 			k.set("lekki-1", what)
 			for _, host := range d.HostNames() {
-				r, err := d.at(host).Apply(d.ctx, d.change(5, "undecided", 7))
-				d.g.Expect(err != nil || r.Status == client.ChangeUnavailable).To(BeTrue(), string(r.Status))
+				d.refuses(host, d.change(5, "undecided", 7))
 			}
 			d.g.Expect(d.voters("apapa-1")).To(ConsistOf("ikeja-1"))
 			d.g.Expect(d.state("ikeja-1").CutOff).To(BeTrue())
--- a/server/peers.go
+++ b/server/peers.go
@@ -123,9 +123,11 @@
 }
 
 func (h *Host) handleMessage(ctx context.Context, from messenger.Hello, kind messenger.Kind, body []byte) ([]byte, error) {
-	if p, ok := h.peers[from.Host]; !ok || p.Domain != from.Domain {
+	p, ok := h.peers[from.Host]
+	if !ok || p.Domain != from.Domain {
 		return nil, fmt.Errorf("host %q of domain %q: %w", from.Host, from.Domain, errUnknownPeer)
 	}
+	p.conn.Heard()
 	switch kind {
 	case messenger.KindHeartbeat:
 		return serve(body, h.serveHeartbeat)
