claimer: measure the transfer of claims at a view change

Cause: docs/CAPACITY.md gives the time until a host is ready after a restart, but not what is copied when. Change: BenchmarkSync counts messages and bytes of all three members.

--- a/claimer/capacity_test.go
+++ b/claimer/capacity_test.go
@@ -106,3 +106,36 @@
 		})
 	}
 }
+
+// BenchmarkSync measures the messages, bytes and time of a view change in which all three
+// members know the claims but the last one, which knows none or a part of them.
+func BenchmarkSync(b *testing.B) {
+	const n = 60_000
+	records := capacityRecords(n, 100)
+	for name, known := range map[string]int{"empty-host": 0, "host-without-1%": n * 99 / 100, "same-members": n} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				c := newCluster(3)
+				c.node(0).t.Merge(records)
+				c.node(1).t.Merge(records)
+				former := allMembers(3)
+				if known < n {
+					c.install(2, former, allMembers(2)...)
+					former = allMembers(2)
+				}
+				c.node(2).t.Merge(records[:known])
+				c.calls, c.bytes = 0, 0
+				b.StartTimer()
+				c.install(uint64(len(former)%3+2), former, allMembers(3)...)
+				b.StopTimer()
+				b.ReportMetric(float64(c.calls), "messages")
+				b.ReportMetric(float64(c.bytes)/n, "B/claim")
+				if got := c.node(2).t.Len(); got != n {
+					b.Fatalf("%d of %d claims were read", got, n)
+				}
+				b.StartTimer()
+			}
+		})
+	}
+}
--- a/claimer/cluster_test.go
+++ b/claimer/cluster_test.go
@@ -19,8 +19,8 @@
 	hosts map[string]*node
 	// drop, if set, loses a request (before it is handled) or its reply.
 	drop func(to string, r Request, reply bool) bool
-	// calls counts the requests.
-	calls int
+	// calls counts the requests, and bytes those of requests and replies.
+	calls, bytes int
 }
 
 type node struct {
@@ -73,8 +73,8 @@
 
 var errDown = errors.New("connection refused")
 
-// transfer returns what arrives at another host.
-func transfer[T any](v T) T {
+// transfer returns what arrives at another host, and the length of the message.
+func transfer[T any](v T) (T, int) {
 	b, err := msgpack.Marshal(v)
 	if err != nil {
 		panic(err)
@@ -83,7 +83,7 @@
 	if err := msgpack.Unmarshal(b, &arrived); err != nil {
 		panic(err)
 	}
-	return arrived
+	return arrived, len(b)
 }
 
 func (c *cluster) call(_ context.Context, m leaser.Member, r Request) (Reply, error) {
@@ -101,7 +101,9 @@
 	case drop != nil && drop(m.Host, r, false):
 		return Reply{}, errDown
 	}
-	reply := transfer(n.t.Handle(start, view, transfer(r)))
+	r, in := transfer(r)
+	reply, out := transfer(n.t.Handle(start, view, r))
+	c.set(func() { c.bytes += in + out })
 	if drop != nil && drop(m.Host, r, true) {
 		return Reply{}, errDown
 	}
