claimer: transfer only the claims that differ at a view change

Cause: each member copied at least one whole table at each view change, and an empty host two of them. A change number for each peer would not help after a long view, since the claims of a view reach a member from their coordinators and not from that peer. Change: the reader sends a digest of its records for each second of key creation; the peer, once it has ended the former view, names the seconds that differ, and only their records are fetched. Two peers are read from opposite ends, so that an empty host reads about one table in all. What was read is kept for the next try. A table that was not synced for the former view is not read at all. A peer that restarts between two chunks no longer counts as read; before, the chunk of its empty table ended the read, and records were lost. Tests: the exploration has the comparison and the fetch as separate events, two cases in which the members stay, and the variant that compares before the former view has ended, which it finds.

--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -415,10 +415,11 @@
 	g.Expect(request(tables[0], TypeClaim, 0)).To(Equal(Accepted))
 	g.Expect(request(tables[0], TypeTakeOver, 1<<40)).To(Equal(Accepted))
 	tables[0].retract(theKey, member(0))
-	tables[1].Merge(tables[0].Handle(start, view, Request{
-		Type: TypeSync,
-		View: 2,
-	}).Records)
+	r := reader{
+		view: 2,
+	}
+	for r.take(tables[1], tables[0].Handle(start, view, r.request(tables[1]))) {
+	}
 	view.Number = 2
 	tables[1].open(2, time.Time{})
 	claim.Phase = Started
--- a/claimer/cluster_test.go
+++ b/claimer/cluster_test.go
@@ -134,7 +134,10 @@
 	for _, m := range members {
 		for i := range 2 {
 			// Calls again with a later time, as a host does after an error.
-			complete, err := c.hosts[m.Host].c.Sync(context.Background(), start.Add(time.Duration(i)*time.Millisecond), from)
+			c.mu.Lock()
+			n := c.hosts[m.Host]
+			c.mu.Unlock()
+			complete, err := n.c.Sync(context.Background(), start.Add(time.Duration(i)*time.Millisecond), from)
 			results[m.Host] = fmt.Sprint(complete, " ", err != nil)
 			if err == nil {
 				break
--- /dev/null
+++ b/claimer/digest.go
@@ -0,0 +1,259 @@
+package claimer
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"slices"
+	"strings"
+)
+
+// Digest identifies what a table knows about the keys of one second.
+type Digest [16]byte
+
+// Bucket stands for the records of all keys that were created in one second.
+type Bucket struct {
+	// Second is the Unix time of the creation of the keys.
+	Second int64  `msgpack:"second"`
+	Digest Digest `msgpack:"digest"`
+	// Records is how many there are.
+	Records int `msgpack:"records,omitempty"`
+}
+
+// keysOf returns the keys of the records that were created in a second, in their order.
+func (t *Table) keysOf(second int64) []string {
+	dated := t.due.seconds[second]
+	slices.SortFunc(dated, func(a, b datedKey) int { return strings.Compare(a.key, b.key) })
+	keys := make([]string, 0, len(dated))
+	for i, d := range dated {
+		// A record that was retracted and claimed again is noted more than once.
+		if i > 0 && d.key == dated[i-1].key {
+			continue
+		}
+		if rec, ok := t.records[d.key]; ok && rec.Created.Unix() == second {
+			keys = append(keys, d.key)
+		}
+	}
+	return keys
+}
+
+// bucket returns the bucket of a second.
+func (t *Table) bucket(second int64) Bucket {
+	b := Bucket{
+		Second: second,
+	}
+	hash := sha256.New()
+	var buffer []byte
+	for _, key := range t.keysOf(second) {
+		b.Records++
+		buffer = appendDigested(buffer[:0], t.records[key])
+		hash.Write(buffer)
+	}
+	copy(b.Digest[:], hash.Sum(nil))
+	return b
+}
+
+// appendDigested appends all that a merge compares: if two records agree in it, neither
+// table would learn anything from the other one.
+func appendDigested(b []byte, r *Record) []byte {
+	b = appendText(b, r.Key)
+	b = binary.BigEndian.AppendUint64(b, r.Promised)
+	b = binary.BigEndian.AppendUint32(b, uint32(len(r.Claims))) //nolint:gosec // one for each coordinator
+	for i := range r.Claims {
+		c := &r.Claims[i]
+		b = appendText(b, c.Coordinator.Host)
+		b = binary.BigEndian.AppendUint64(b, c.Coordinator.Incarnation)
+		b = binary.BigEndian.AppendUint64(b, c.Ballot)
+		b = append(b, byte(c.Phase.rank()))
+		if c.AnswerDropped {
+			b = append(b, 'd')
+		}
+	}
+	return b
+}
+
+// appendText appends a text and its length.
+func appendText(b []byte, s string) []byte {
+	b = binary.BigEndian.AppendUint32(b, uint32(len(s))) //nolint:gosec // messages are shorter
+	return append(b, s...)
+}
+
+// buckets returns all buckets that hold records, in their order.
+func (t *Table) buckets() []Bucket {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.bucketsOf()
+}
+
+func (t *Table) bucketsOf() []Bucket {
+	seconds := make([]int64, 0, len(t.due.seconds))
+	for s := range t.due.seconds {
+		seconds = append(seconds, s)
+	}
+	slices.Sort(seconds)
+	buckets := make([]Bucket, 0, len(seconds))
+	for _, s := range seconds {
+		if b := t.bucket(s); b.Records > 0 {
+			buckets = append(buckets, b)
+		}
+	}
+	return buckets
+}
+
+// compare ends the views below that of the request and returns the buckets whose digest
+// is not among those of the request. The digests are taken after the end of those views,
+// so that no claim can be accepted in them that the digests do not cover.
+func (t *Table) compare(r Request) Reply {
+	if r.View < t.fenced {
+		return Reply{
+			Status: WrongView,
+			Synced: t.synced,
+		}
+	}
+	t.fenced = r.View
+	known := make(map[int64]Digest, len(r.Buckets))
+	for _, b := range r.Buckets {
+		known[b.Second] = b.Digest
+	}
+	return Reply{
+		Status:  Accepted,
+		From:    t.self,
+		Synced:  t.synced,
+		Horizon: t.horizon,
+		Buckets: slices.DeleteFunc(t.bucketsOf(), func(b Bucket) bool { return known[b.Second] == b.Digest }),
+	}
+}
+
+// fetch returns the records of the buckets in the request whose digests differ, as many
+// as fit into one reply. The views below that of the request must have been ended.
+func (t *Table) fetch(r Request) Reply {
+	if r.View != t.fenced {
+		return Reply{
+			Status: WrongView,
+			Synced: t.synced,
+		}
+	}
+	reply := Reply{
+		Status: Accepted,
+		From:   t.self,
+		Synced: t.synced,
+	}
+	size := 0
+	for i, b := range r.Buckets {
+		after := ""
+		if i == 0 {
+			after = r.After
+		}
+		if after == "" && t.bucket(b.Second).Digest == b.Digest {
+			reply.Done++
+			continue
+		}
+		for _, key := range t.keysOf(b.Second) {
+			if key <= after {
+				continue
+			}
+			rec := t.records[key]
+			n := recordBytes + answerBytes(rec)
+			if size > 0 && size+n > t.ChunkBytes {
+				reply.After = after
+				return reply
+			}
+			size += n
+			reply.Records = append(reply.Records, rec.clone())
+			after = key
+		}
+		reply.Done++
+	}
+	return reply
+}
+
+// batch returns the first of the buckets, with the digests of this table, whose records
+// fill about one reply.
+func (t *Table) batch(pending []Bucket) []Bucket {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var batch []Bucket
+	for records := 0; len(batch) < len(pending) && records < t.ChunkBytes/recordBytes; {
+		p := pending[len(batch)]
+		records += p.Records
+		batch = append(batch, t.bucket(p.Second))
+	}
+	return batch
+}
+
+// learn merges what another table holds of the former view. It does nothing once this
+// table answers in the view, since it may have accepted other claims since.
+func (t *Table) learn(view uint64, records []Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.synced < view {
+		t.merge(records)
+	}
+}
+
+// reader reads, from the table of one member of the former view, what another table does
+// not hold. It has no side effects but on that table, so that tests can explore all
+// orders of messages.
+type reader struct {
+	state tableState
+	// view is the view to be opened, and from the number of the one before.
+	view, from uint64
+	// latest makes it read the latest buckets first. Two readers that begin at opposite
+	// ends have nothing left to read when they meet.
+	latest   bool
+	compared bool
+	pending  []Bucket
+	after    string
+}
+
+// request returns what to ask the member next.
+func (r *reader) request(t *Table) Request {
+	if !r.compared {
+		return Request{
+			Type:    TypeSync,
+			View:    r.view,
+			Buckets: t.buckets(),
+		}
+	}
+	return Request{
+		Type:    TypeFetch,
+		View:    r.view,
+		Buckets: t.batch(r.pending),
+		After:   r.after,
+	}
+}
+
+// take notes a reply. It reports whether the member is to be asked again; if it is not,
+// r.state.read says whether the table now holds all that the member held.
+func (r *reader) take(t *Table, reply Reply) (more bool) {
+	switch {
+	case reply.Status != Accepted:
+		r.state = tableState{
+			member: r.state.member,
+		}
+		return false
+	case !r.compared:
+		r.compared = true
+		r.state.from = reply.From
+		r.state.synced = reply.Synced
+		r.state.horizon = reply.Horizon
+		if reply.Synced >= r.from {
+			// A table that was not synced for the former view has accepted nothing in it.
+			r.pending = reply.Buckets
+		}
+		if r.latest {
+			slices.Reverse(r.pending)
+		}
+	case !same(reply.From, r.state.from) || reply.Done > len(r.pending) || reply.Done == 0 && reply.After <= r.after:
+		// A process that has restarted in the meantime does not hold the rest.
+		r.state = tableState{
+			member: r.state.member,
+		}
+		return false
+	default:
+		t.learn(r.view, reply.Records)
+		r.pending = r.pending[reply.Done:]
+		r.after = reply.After
+	}
+	r.state.read = len(r.pending) == 0
+	return !r.state.read
+}
--- a/claimer/due.go
+++ b/claimer/due.go
@@ -5,20 +5,20 @@
 // due orders keys by the second of their creation, so that the cost of a look for old
 // keys does not depend on how many keys there are.
 type due struct {
-	seconds map[int64][]dated
+	seconds map[int64][]datedKey
 }
 
-type dated struct {
+type datedKey struct {
 	key     string
 	created time.Time
 }
 
 func (d *due) add(created time.Time, key string) {
 	if d.seconds == nil {
-		d.seconds = map[int64][]dated{}
+		d.seconds = map[int64][]datedKey{}
 	}
 	s := created.Unix()
-	d.seconds[s] = append(d.seconds[s], dated{
+	d.seconds[s] = append(d.seconds[s], datedKey{
 		key:     key,
 		created: created,
 	})
@@ -30,7 +30,7 @@
 		if s > before.Unix() {
 			continue
 		}
-		var rest []dated
+		var rest []datedKey
 		for _, k := range keys {
 			if k.created.Before(before) {
 				f(k.key, k.created)
--- a/claimer/events_test.go
+++ b/claimer/events_test.go
@@ -51,6 +51,9 @@
 		if h.alive && h.reads != nil {
 			add(fmt.Sprintf("host %d tries to open without a majority", i), func(n *world) { n.sync(i, start.Add(time.Millisecond)) })
 		}
+		if h.alive && h.reads != nil && w.s.retry {
+			add(fmt.Sprintf("host %d syncs again", i), func(n *world) { n.read(i) })
+		}
 		if h.alive && (w.s.churn || w.s.crash && i == 0) {
 			add(fmt.Sprintf("host %d dies", i), func(n *world) { n.die(i) })
 		}
--- a/claimer/explore_test.go
+++ b/claimer/explore_test.go
@@ -46,11 +46,8 @@
 			b = appendRecord(b, *rec)
 		}
 		for j := range w.s.members {
-			if s, ok := h.reads[j]; ok {
-				b = appendInts(append(b, ';'), j, int(s.synced))
-				for _, r := range s.records {
-					b = appendRecord(b, r)
-				}
+			if r, ok := h.reads[j]; ok {
+				b = appendInts(append(b, ';'), j, int(r.state.synced), int(r.state.from.Incarnation), toInt(r.state.read), len(r.pending))
 			}
 		}
 	}
@@ -119,6 +116,8 @@
 	"3 to 2, started":          {members: 3, next: []int{1, 2}, copies: []int{0, 1}, phase: Started},
 	"3 to 2, coordinator dies": {members: 3, next: []int{1, 2}, copies: []int{0, 1}, phase: Started, crash: true},
 	"3 to 2, other order":      {members: 3, next: []int{1, 2}, copies: []int{1, 0}, phase: Started},
+	"2 to 2, queued":           {members: 2, next: []int{0, 1}, copies: []int{0, 1}, phase: Queued, losses: 1},
+	"2 to 2, started":          {members: 2, next: []int{0, 1}, copies: []int{0, 1}, phase: Started, losses: 2, crash: true},
 	"3 members, three copies":  {members: 3, copies: []int{0, 1, 2}, phase: Started},
 }
 
@@ -145,6 +144,7 @@
 		noPrepare:       {members: 3, next: []int{1, 2}, copies: []int{0, 1, 2}, phase: Queued},
 		acceptsOldViews: {members: 3, next: []int{1, 2}, copies: []int{0, 1}, phase: Queued},
 		skipsSync:       {members: 3, next: []int{1, 2}, copies: []int{0, 1}, phase: Started},
+		comparesEarly:   {members: 3, next: []int{1, 2}, copies: []int{0, 1}, phase: Started},
 	} {
 		t.Run(string(name), func(t *testing.T) {
 			t.Parallel()
@@ -195,7 +195,7 @@
 // rare reports whether an event should be less likely than the delivery of a message.
 func rare(event string) bool {
 	return strings.HasSuffix(event, "dies") || strings.HasSuffix(event, "restarts") ||
-		strings.HasSuffix(event, "majority") || strings.HasPrefix(event, "the register")
+		strings.HasSuffix(event, "majority") || strings.HasSuffix(event, "again") || strings.HasPrefix(event, "the register")
 }
 
 // Guards against a submission that starts twice in larger cases: more members, copies,
--- a/claimer/operation.go
+++ b/claimer/operation.go
@@ -147,7 +147,7 @@
 			o.finish(o.recorded(c))
 			return
 		}
-	case TypeMark, TypeRecord, TypeWrite, TypeSync:
+	case TypeMark, TypeRecord, TypeWrite, TypeSync, TypeFetch:
 	}
 	switch {
 	case won:
@@ -201,7 +201,7 @@
 		o.prepared()
 	case TypeLookUp:
 		o.finish(o.found())
-	case TypeSync:
+	case TypeSync, TypeFetch:
 	}
 }
 
@@ -232,7 +232,7 @@
 			o.prepare()
 			return
 		}
-	case TypeMark, TypeRecord, TypeLookUp, TypeSync:
+	case TypeMark, TypeRecord, TypeLookUp, TypeSync, TypeFetch:
 	}
 	if o.finished {
 		return
--- a/claimer/sync.go
+++ b/claimer/sync.go
@@ -33,7 +33,6 @@
 	read    bool
 	synced  uint64
 	horizon time.Time
-	records []Record
 	// endedBefore is set if the member was known to have ended the former view before the
 	// call of Sync.
 	endedBefore bool
@@ -119,11 +118,6 @@
 	if !v.complete {
 		v = judge(now, c.cfg.ClockMargin, view, from, states, settled)
 	}
-	for _, s := range states {
-		if s.synced >= from.Number {
-			c.cfg.Table.Merge(s.records)
-		}
-	}
 	c.mu.Lock()
 	if c.endedView != view.Number {
 		c.endedView = view.Number
@@ -149,7 +143,7 @@
 	reads := make(chan tableState, len(from.Members))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	for _, m := range from.Members {
+	for i, m := range from.Members {
 		switch {
 		case same(m, c.cfg.Self):
 			reads <- c.cfg.Table.state()
@@ -158,7 +152,16 @@
 				member: m,
 			}
 		default:
-			go func() { reads <- c.read(ctx, m, view.Number) }()
+			go func() {
+				reads <- c.read(ctx, reader{
+					state: tableState{
+						member: m,
+					},
+					view:   view.Number,
+					from:   from.Number,
+					latest: i%2 == 1,
+				})
+			}()
 		}
 	}
 	var states []tableState
@@ -175,32 +178,18 @@
 	return states, verdict{}
 }
 
-// read reads the table of a member in chunks.
-func (c *Claimer) read(ctx context.Context, m leaser.Member, view uint64) tableState {
-	s := tableState{
-		member: m,
-	}
-	after := ""
+// read reads from the table of a member what the own table does not hold. What was read
+// is kept if the rest cannot be, so that the next try has less to read.
+func (c *Claimer) read(ctx context.Context, r reader) tableState {
 	for {
-		reply, err := c.cfg.Call(ctx, m, Request{
-			Type:  TypeSync,
-			View:  view,
-			After: after,
-		})
-		if err != nil || reply.Status != Accepted {
+		reply, err := c.cfg.Call(ctx, r.state.member, r.request(c.cfg.Table))
+		if err != nil {
 			return tableState{
-				member: m,
+				member: r.state.member,
 			}
 		}
-		if after == "" {
-			s.from = reply.From
-			s.synced = reply.Synced
-			s.horizon = reply.Horizon
-		}
-		s.records = append(s.records, reply.Records...)
-		if after = reply.After; after == "" {
-			s.read = true
-			return s
+		if !r.take(c.cfg.Table, reply) {
+			return r.state
 		}
 	}
 }
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -40,8 +40,10 @@
 	TypeWrite RequestType = "write"
 	// TypeLookUp reads a record.
 	TypeLookUp RequestType = "look-up"
-	// TypeSync ends the views below View on the table and reads its records.
+	// TypeSync ends the views below View on the table and compares its records with Buckets.
 	TypeSync RequestType = "sync"
+	// TypeFetch reads the records of Buckets that differ, after a TypeSync.
+	TypeFetch RequestType = "fetch"
 )
 
 // Request is a message to the table of a member.
@@ -55,8 +57,9 @@
 	Ballot uint64 `msgpack:"ballot,omitempty"`
 	// Claim is what to write.
 	Claim Claim `msgpack:"claim,omitempty"`
-	// After is the key after which a sync goes on.
-	After string `msgpack:"after,omitempty"`
+	// Buckets are those of the sender, and After is the key after which the first one is read.
+	Buckets []Bucket `msgpack:"buckets,omitempty"`
+	After   string   `msgpack:"after,omitempty"`
 }
 
 // reads reports whether the sender needs the record although the request was accepted.
@@ -89,14 +92,18 @@
 	// Record is what the table knew about the key. It is empty if the table has accepted
 	// a claim, which the sender knows.
 	Record Record `msgpack:"record,omitempty"`
-	// From, Synced, Horizon, Records and After answer a sync. From is the process that
-	// owns the table. Synced is the number of the last
-	// view whose records the table has; After is empty in the last chunk.
+	// From, Synced, Horizon and Buckets answer a sync. From is the process that owns the
+	// table, Synced the number of the last view whose records the table has, and Buckets
+	// are those that differ.
 	From    leaser.Member `msgpack:"from,omitempty"`
 	Synced  uint64        `msgpack:"synced,omitempty"`
 	Horizon time.Time     `msgpack:"horizon,omitempty"`
-	Records []Record      `msgpack:"records,omitempty"`
-	After   string        `msgpack:"after,omitempty"`
+	Buckets []Bucket      `msgpack:"buckets,omitempty"`
+	// Records, Done and After answer a fetch: Done is how many buckets of the request were
+	// answered completely, and After the last key of the next one that was.
+	Records []Record `msgpack:"records,omitempty"`
+	Done    int      `msgpack:"done,omitempty"`
+	After   string   `msgpack:"after,omitempty"`
 }
 
 // Table is the store of one member. It is safe for concurrent use.
@@ -106,7 +113,7 @@
 	MaxAnswerBytes int
 	// MaxClaims bounds the number of records; beyond it new keys are refused.
 	MaxClaims int
-	// ChunkBytes bounds the records in one reply to a sync. A single record may exceed it.
+	// ChunkBytes bounds the records in one reply to a fetch. A single record may exceed it.
 	ChunkBytes int
 	// ClockMargin delays forgetting, in case the clock is set back.
 	ClockMargin time.Duration
@@ -122,9 +129,6 @@
 	answerBytes    int
 	answered       []string // keys with answers, oldest first
 	due            due
-	// snapshot holds the ordered keys for the chunks of a sync to view snapshotView.
-	snapshot     []string
-	snapshotView uint64
 }
 
 // NewTable returns an empty table that answers in no view. It keeps records until their
@@ -164,8 +168,12 @@
 func (t *Table) Handle(now time.Time, view leaser.View, r Request) Reply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r.Type == TypeSync {
-		return t.sync(r)
+	switch r.Type {
+	case TypeSync:
+		return t.compare(r)
+	case TypeFetch:
+		return t.fetch(r)
+	default:
 	}
 	if r.View != view.Number || r.View != t.synced || t.fenced > r.View {
 		return Reply{
@@ -235,7 +243,7 @@
 			}
 		}
 		t.store(rec, c)
-	case TypeLookUp, TypeSync:
+	case TypeLookUp, TypeSync, TypeFetch:
 	}
 	return Accepted
 }
@@ -319,6 +327,10 @@
 func (t *Table) Merge(records []Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.merge(records)
+}
+
+func (t *Table) merge(records []Record) {
 	for _, in := range records {
 		rec, ok := t.records[in.Key]
 		if !ok {
@@ -339,49 +351,6 @@
 	t.dropAnswers()
 }
 
-// sync ends the views below that of the request and returns one chunk of the records.
-func (t *Table) sync(r Request) Reply {
-	if r.View < t.fenced {
-		return Reply{
-			Status: WrongView,
-			Synced: t.synced,
-		}
-	}
-	t.fenced = r.View
-	if t.snapshotView != r.View || r.After == "" {
-		t.snapshot = t.snapshot[:0]
-		for key := range t.records {
-			t.snapshot = append(t.snapshot, key)
-		}
-		slices.Sort(t.snapshot)
-		t.snapshotView = r.View
-	}
-	reply := Reply{
-		Status:  Accepted,
-		From:    t.self,
-		Synced:  t.synced,
-		Horizon: t.horizon,
-	}
-	first, found := slices.BinarySearch(t.snapshot, r.After)
-	if found {
-		first++
-	}
-	size := 0
-	for i, key := range t.snapshot[first:] {
-		rec, ok := t.records[key]
-		if !ok {
-			continue
-		}
-		if n := recordBytes + answerBytes(rec); size > 0 && size+n > t.ChunkBytes {
-			reply.After = t.snapshot[first+i-1]
-			break
-		}
-		size += recordBytes + answerBytes(rec)
-		reply.Records = append(reply.Records, rec.clone())
-	}
-	return reply
-}
-
 // fence ends the views below the number on this table.
 func (t *Table) fence(number uint64) {
 	t.mu.Lock()
--- a/claimer/world_test.go
+++ b/claimer/world_test.go
@@ -56,6 +56,7 @@
 	noPrepare       variant = "takeover without prepare"
 	acceptsOldViews variant = "members accept old views"
 	skipsSync       variant = "sync is skipped"
+	comparesEarly   variant = "claims are compared before the former view is ended"
 )
 
 type message struct {
@@ -75,6 +76,9 @@
 		request: request,
 	}
 	b := fmt.Appendf(nil, "|%d %d %d %d %s %d %x %s", copied, gen, step, to, request.Type, request.View, request.Ballot, request.Claim.Phase)
+	for _, bucket := range request.Buckets {
+		b = append(b, bucket.Digest[:4]...)
+	}
 	m.text = string(b)
 	return m
 }
@@ -83,7 +87,7 @@
 	c     *Claimer
 	alive bool
 	view  int
-	reads map[int]tableState // nil unless a sync is running
+	reads map[int]reader // nil unless a sync is running
 }
 
 type simCopy struct {
@@ -186,6 +190,7 @@
 	for key, rec := range t.records {
 		copied := rec.clone()
 		n.records[key] = &copied
+		n.due.add(rec.Created, key)
 	}
 	return n
 }
@@ -239,7 +244,16 @@
 func (w *world) handle(to int, r Request) Reply {
 	h := w.host(to)
 	t := h.c.cfg.Table
-	if w.s.broken == acceptsOldViews && r.Type != TypeSync {
+	if w.s.broken == comparesEarly && r.Type == TypeSync {
+		fenced := t.fenced
+		reply := t.Handle(start, w.viewOf(h.view), r)
+		t.fenced = fenced
+		return reply
+	}
+	if w.s.broken == comparesEarly && r.Type == TypeFetch {
+		t.fence(r.View)
+	}
+	if w.s.broken == acceptsOldViews && r.Type != TypeSync && r.Type != TypeFetch {
 		synced, fenced := t.synced, t.fenced
 		t.synced, t.fenced = r.View, r.View
 		reply := t.Handle(start, w.viewOf(int(r.View)), r)
@@ -377,28 +391,49 @@
 		t.open(uint64(number), time.Time{})
 		return
 	}
-	h.reads = map[int]tableState{}
-	for _, m := range w.viewOf(number - 1).Members {
+	w.read(i)
+}
+
+// read begins the sync of a host, possibly after one that was cut off.
+func (w *world) read(i int) {
+	h := w.host(i)
+	w.messages = slices.DeleteFunc(w.messages, func(m message) bool { return m.copy == -1-i })
+	h.reads = map[int]reader{}
+	for _, m := range w.viewOf(h.view - 1).Members {
 		switch {
 		case same(m, h.c.cfg.Self):
-			h.reads[i] = t.state()
+			h.reads[i] = reader{
+				state: h.c.cfg.Table.state(),
+			}
 		case index(m) != i:
-			w.messages = append(w.messages, newMessage(-1-i, int(h.c.cfg.Self.Incarnation), number, index(m), &Request{
-				Type: TypeSync,
-				View: uint64(number),
-			}))
+			h.reads[index(m)] = reader{
+				state: tableState{
+					member: m,
+				},
+				view: uint64(h.view),
+				from: uint64(h.view - 1),
+			}
+			w.ask(i, index(m))
 		}
 	}
 	w.sync(i, start)
 }
 
+// ask sends the next request of the reader that host i has for the table of another one.
+func (w *world) ask(i, to int) {
+	h := w.host(i)
+	r := h.reads[to]
+	request := r.request(h.c.cfg.Table)
+	w.messages = append(w.messages, newMessage(-1-i, int(h.c.cfg.Self.Incarnation), h.view, to, &request))
+}
+
 // sync opens the table of a host if what was read so far allows it.
 func (w *world) sync(i int, now time.Time) {
 	h := w.host(i)
 	from, view := w.viewOf(h.view-1), w.viewOf(h.view)
 	states := make([]tableState, 0, w.s.members)
 	for _, m := range from.Members {
-		s := h.reads[index(m)]
+		s := h.reads[index(m)].state
 		s.member = m
 		s.endedBefore = s.read && now.After(start)
 		states = append(states, s)
@@ -407,17 +442,13 @@
 	if !v.open {
 		return
 	}
-	for _, s := range states {
-		if s.synced >= from.Number {
-			h.c.cfg.Table.Merge(s.records)
-		}
-	}
 	h.c.cfg.Table.open(view.Number, v.horizon)
 	h.reads = nil
 }
 
 // deliver delivers one message; it must have been removed from the list. The reply to a
-// sync is delivered at once: the records of the former view that it holds cannot change.
+// sync or fetch is delivered at once: the records of the former view that it holds cannot
+// change.
 func (w *world) deliver(m message) {
 	switch {
 	case m.reply != nil:
@@ -430,14 +461,15 @@
 		if !w.wanted(m) {
 			return
 		}
-		w.host(host).reads[m.to] = tableState{
-			from:    reply.From,
-			read:    reply.Status == Accepted,
-			synced:  reply.Synced,
-			horizon: reply.Horizon,
-			records: reply.Records,
+		h := w.host(host)
+		r := h.reads[m.to]
+		more := r.take(h.c.cfg.Table, reply)
+		h.reads[m.to] = r
+		if more {
+			w.ask(host, m.to)
+		} else {
+			w.sync(host, start)
 		}
-		w.sync(host, start)
 	default:
 		reply := w.handle(m.to, *m.request)
 		if w.wanted(m) {
@@ -455,7 +487,7 @@
 			return false
 		}
 		h := w.hosts[m.to]
-		return m.reply != nil || !h.alive || m.copy >= 0 && w.s.broken != acceptsOldViews && m.request.View < h.c.cfg.Table.fenced
+		return m.reply != nil || !h.alive || m.request.Type == TypeFetch || m.copy >= 0 && w.s.broken != acceptsOldViews && m.request.View < h.c.cfg.Table.fenced
 	})
 }
 
