claimer: hold records packed, and transfer them as they are held

Cause: a record of one claim took 605 B: the key was held three times, the payload digest twice and as hexadecimal text, the coordinator with four fields in each claim, times with 24 B each, an empty outcome with 144 B, and a slice for each record. Change: a table holds the key once and the rest as one packed text: coordinators numbered per table, the digest as 32 B, the time of change relative to the creation, the outcome's key and digest only if they differ from those of the claim, answers one after the other. The lists of due and answered records hold pointers instead of keys. A fetch sends the packed records with the list of coordinators, so that nothing is encoded by reflection. Digests of seconds without a change are kept. Keys expire by whole seconds, at most one second later than before, which the contract of Table allows. Tests: the chunk sizes of two tests are now bytes of packed records; the number of calls that TestSyncInChunks expects is that of the new host alone, since members whose tables are equal read nothing. TestPackedRecordsStayTheSame covers round trips and replies that are cut off.

--- a/claimer/claim.go
+++ b/claimer/claim.go
@@ -124,14 +124,6 @@
 	r.Claims = append(r.Claims, c)
 }
 
-// clone returns a copy that shares no claims with r; answers are shared, since they are
-// never changed.
-func (r *Record) clone() Record {
-	c := *r
-	c.Claims = append([]Claim(nil), r.Claims...)
-	return c
-}
-
 // Status is what a Claimer decided about a submission.
 type Status string
 
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -42,11 +42,11 @@
 	mu sync.Mutex
 	// active holds the claims that were granted to this host and have no outcome yet.
 	active map[string]Claim
-	// ran holds the keys, with their creation time, whose work this process was allowed to
-	// start.
-	ran map[string]time.Time
+	// ran holds the keys, with the second of their creation, whose work this process was
+	// allowed to start.
+	ran map[string]int64
 	// due orders the keys of active and ran.
-	due due
+	due due[string]
 	// busy has a channel, closed at the end, for each key with a running Claim.
 	busy  map[string]chan struct{}
 	round uint64
@@ -63,7 +63,8 @@
 	return &Claimer{
 		cfg:    cfg,
 		active: map[string]Claim{},
-		ran:    map[string]time.Time{},
+		ran:    map[string]int64{},
+		due:    due[string]{},
 		busy:   map[string]chan struct{}{},
 	}
 }
@@ -141,7 +142,7 @@
 	}
 	c.active[claim.Key] = claim
 	if claim.Phase == Started {
-		c.ran[claim.Key] = claim.Created
+		c.ran[claim.Key] = claim.Created.Unix()
 	}
 }
 
@@ -430,11 +431,11 @@
 // many records the table forgot.
 func (c *Claimer) Expire(now time.Time) int {
 	c.mu.Lock()
-	c.due.take(now.Add(-c.cfg.Table.Retention()-c.cfg.ClockMargin), func(key string, created time.Time) {
-		if claim, ok := c.active[key]; ok && claim.Created.Equal(created) {
+	c.due.take(now.Add(-c.cfg.Table.Retention()-c.cfg.ClockMargin), func(key string, second int64) {
+		if claim, ok := c.active[key]; ok && claim.Created.Unix() == second {
 			delete(c.active, key)
 		}
-		if ran, ok := c.ran[key]; ok && ran.Equal(created) {
+		if ran, ok := c.ran[key]; ok && ran == second {
 			delete(c.ran, key)
 		}
 	})
--- a/claimer/digest.go
+++ b/claimer/digest.go
@@ -19,36 +19,38 @@
 	Records int `msgpack:"records,omitempty"`
 }
 
-// keysOf returns the keys of the records that were created in a second, in their order.
-func (t *Table) keysOf(second int64) []string {
-	dated := t.due.seconds[second]
-	slices.SortFunc(dated, func(a, b datedKey) int { return strings.Compare(a.key, b.key) })
-	keys := make([]string, 0, len(dated))
-	for i, d := range dated {
-		// A record that was retracted and claimed again is noted more than once.
-		if i > 0 && d.key == dated[i-1].key {
-			continue
-		}
-		if rec, ok := t.records[d.key]; ok && rec.Created.Unix() == second {
-			keys = append(keys, d.key)
-		}
+// entriesOf returns the records of the keys that were created in a second, in the order of
+// their keys.
+func (t *Table) entriesOf(second int64) []*entry {
+	if len(t.due[second]) == 0 {
+		return nil
 	}
-	return keys
+	entries := slices.DeleteFunc(t.due[second], func(e *entry) bool { return t.records[e.key] != e })
+	t.due[second] = entries
+	slices.SortFunc(entries, func(a, b *entry) int { return strings.Compare(a.key, b.key) })
+	return entries
 }
 
 // bucket returns the bucket of a second.
 func (t *Table) bucket(second int64) Bucket {
+	if b, ok := t.digests[second]; ok {
+		return b
+	}
 	b := Bucket{
 		Second: second,
 	}
 	hash := sha256.New()
 	var buffer []byte
-	for _, key := range t.keysOf(second) {
+	for _, e := range t.entriesOf(second) {
 		b.Records++
-		buffer = appendDigested(buffer[:0], t.records[key])
+		rec := t.unpack(e, true)
+		buffer = appendDigested(buffer[:0], &rec)
 		hash.Write(buffer)
 	}
 	copy(b.Digest[:], hash.Sum(nil))
+	if b.Records > 0 {
+		t.digests[second] = b
+	}
 	return b
 }
 
@@ -57,24 +59,22 @@
 func appendDigested(b []byte, r *Record) []byte {
 	b = appendText(b, r.Key)
 	b = binary.BigEndian.AppendUint64(b, r.Promised)
-	b = binary.BigEndian.AppendUint32(b, uint32(len(r.Claims))) //nolint:gosec // one for each coordinator
+	b = binary.AppendUvarint(b, uint64(len(r.Claims)))
 	for i := range r.Claims {
 		c := &r.Claims[i]
 		b = appendText(b, c.Coordinator.Host)
 		b = binary.BigEndian.AppendUint64(b, c.Coordinator.Incarnation)
 		b = binary.BigEndian.AppendUint64(b, c.Ballot)
-		b = append(b, byte(c.Phase.rank()))
-		if c.AnswerDropped {
-			b = append(b, 'd')
-		}
+		b = append(b, byte(c.Phase.rank()), toByte(c.AnswerDropped)) //nolint:gosec // at most 3
 	}
 	return b
 }
 
-// appendText appends a text and its length.
-func appendText(b []byte, s string) []byte {
-	b = binary.BigEndian.AppendUint32(b, uint32(len(s))) //nolint:gosec // messages are shorter
-	return append(b, s...)
+func toByte(on bool) byte {
+	if on {
+		return 1
+	}
+	return 0
 }
 
 // buckets returns all buckets that hold records, in their order.
@@ -85,8 +85,8 @@
 }
 
 func (t *Table) bucketsOf() []Bucket {
-	seconds := make([]int64, 0, len(t.due.seconds))
-	for s := range t.due.seconds {
+	seconds := make([]int64, 0, len(t.due))
+	for s := range t.due {
 		seconds = append(seconds, s)
 	}
 	slices.Sort(seconds)
@@ -133,11 +133,11 @@
 		}
 	}
 	reply := Reply{
-		Status: Accepted,
-		From:   t.self,
-		Synced: t.synced,
+		Status:  Accepted,
+		From:    t.self,
+		Synced:  t.synced,
+		Members: t.members,
 	}
-	size := 0
 	for i, b := range r.Buckets {
 		after := ""
 		if i == 0 {
@@ -147,19 +147,16 @@
 			reply.Done++
 			continue
 		}
-		for _, key := range t.keysOf(b.Second) {
-			if key <= after {
+		for _, e := range t.entriesOf(b.Second) {
+			if e.key <= after {
 				continue
 			}
-			rec := t.records[key]
-			n := recordBytes + answerBytes(rec)
-			if size > 0 && size+n > t.ChunkBytes {
+			if n := len(reply.Records); n > 0 && n+len(e.key)+len(e.packed) > t.ChunkBytes {
 				reply.After = after
 				return reply
 			}
-			size += n
-			reply.Records = append(reply.Records, rec.clone())
-			after = key
+			reply.Records = appendText(appendText(reply.Records, e.key), e.packed)
+			after = e.key
 		}
 		reply.Done++
 	}
@@ -181,13 +178,30 @@
 }
 
 // learn merges what another table holds of the former view. It does nothing once this
-// table answers in the view, since it may have accepted other claims since.
-func (t *Table) learn(view uint64, records []Record) {
+// table answers in the view, since it may have accepted other claims since. It reports
+// whether the reply was well formed.
+func (t *Table) learn(view uint64, reply Reply) bool {
+	var records []Record
+	all := unpacker{
+		rest: string(reply.Records),
+	}
+	for all.rest != "" && !all.fault {
+		key := strings.Clone(all.text())
+		one := unpacker{
+			rest: all.text(),
+		}
+		records = append(records, members(reply.Members).unpack(&one, key))
+		all.fault = all.fault || one.fault || one.rest != ""
+	}
+	if all.fault {
+		return false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.synced < view {
 		t.merge(records)
 	}
+	return true
 }
 
 // reader reads, from the table of one member of the former view, what another table does
@@ -243,14 +257,13 @@
 		if r.latest {
 			slices.Reverse(r.pending)
 		}
-	case !same(reply.From, r.state.from) || reply.Done > len(r.pending) || reply.Done == 0 && reply.After <= r.after:
+	case !same(reply.From, r.state.from) || reply.Done > len(r.pending) || reply.Done == 0 && reply.After <= r.after, !t.learn(r.view, reply):
 		// A process that has restarted in the meantime does not hold the rest.
 		r.state = tableState{
 			member: r.state.member,
 		}
 		return false
 	default:
-		t.learn(r.view, reply.Records)
 		r.pending = r.pending[reply.Done:]
 		r.after = reply.After
 	}
--- a/claimer/due.go
+++ b/claimer/due.go
@@ -2,46 +2,25 @@
 
 import "time"
 
-// due orders keys by the second of their creation, so that the cost of a look for old
-// keys does not depend on how many keys there are.
-type due struct {
-	seconds map[int64][]datedKey
-}
-
-type datedKey struct {
-	key     string
-	created time.Time
-}
+// due orders keys, or what stands for them, by the second of their creation, so that the
+// cost of a look for old keys does not depend on how many keys there are.
+type due[T any] map[int64][]T
 
-func (d *due) add(created time.Time, key string) {
-	if d.seconds == nil {
-		d.seconds = map[int64][]datedKey{}
-	}
+func (d due[T]) add(created time.Time, v T) {
 	s := created.Unix()
-	d.seconds[s] = append(d.seconds[s], datedKey{
-		key:     key,
-		created: created,
-	})
+	d[s] = append(d[s], v)
 }
 
-// take removes the keys that were created before the time and passes them to f.
-func (d *due) take(before time.Time, f func(key string, created time.Time)) {
-	for s, keys := range d.seconds {
-		if s > before.Unix() {
+// take removes the keys whose second of creation ended at the time or before, and passes
+// them to f.
+func (d due[T]) take(until time.Time, f func(v T, second int64)) {
+	for s, all := range d {
+		if s >= until.Unix() {
 			continue
 		}
-		var rest []datedKey
-		for _, k := range keys {
-			if k.created.Before(before) {
-				f(k.key, k.created)
-			} else {
-				rest = append(rest, k)
-			}
-		}
-		if len(rest) > 0 {
-			d.seconds[s] = rest
-		} else {
-			delete(d.seconds, s)
+		for _, v := range all {
+			f(v, s)
 		}
+		delete(d, s)
 	}
 }
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -20,7 +20,7 @@
 const minAnswered = 1024
 
 // recordBytes is the approximate size of a record without its answers in a message.
-const recordBytes = 512
+const recordBytes = 150
 
 // RequestType says what a Request asks for.
 type RequestType string
@@ -99,11 +99,19 @@
 	Synced  uint64        `msgpack:"synced,omitempty"`
 	Horizon time.Time     `msgpack:"horizon,omitempty"`
 	Buckets []Bucket      `msgpack:"buckets,omitempty"`
-	// Records, Done and After answer a fetch: Done is how many buckets of the request were
+	// Records, Members, Done and After answer a fetch: Records holds packed records, whose
+	// coordinators are numbered by Members, Done is how many buckets of the request were
 	// answered completely, and After the last key of the next one that was.
-	Records []Record `msgpack:"records,omitempty"`
-	Done    int      `msgpack:"done,omitempty"`
-	After   string   `msgpack:"after,omitempty"`
+	Records []byte          `msgpack:"records,omitempty"`
+	Members []leaser.Member `msgpack:"members,omitempty"`
+	Done    int             `msgpack:"done,omitempty"`
+	After   string          `msgpack:"after,omitempty"`
+}
+
+// entry is a record in a table.
+type entry struct {
+	key    string
+	packed string
 }
 
 // Table is the store of one member. It is safe for concurrent use.
@@ -121,14 +129,19 @@
 	self      leaser.Member
 	retention time.Duration
 	mu        sync.Mutex
-	records   map[string]*Record
+	// records holds all records, which put and remove alone change, and digests the
+	// buckets that were asked for since the last change of one of their records.
+	records map[string]*entry
+	members members
+	digests map[int64]Bucket
+	buffer  []byte
 	// synced is the view that the table answers in; fenced is the highest view for which
 	// a member has read the table. No view below it is answered any more.
 	synced, fenced uint64
 	horizon        time.Time
 	answerBytes    int
-	answered       []string // keys with answers, oldest first
-	due            due
+	answered       []*entry // with answers, oldest first
+	due            due[*entry]
 }
 
 // NewTable returns an empty table that answers in no view. It keeps records until their
@@ -139,7 +152,9 @@
 		MaxClaims:      DefaultMaxClaims,
 		ChunkBytes:     DefaultChunkBytes,
 		retention:      retention,
-		records:        map[string]*Record{},
+		records:        map[string]*entry{},
+		digests:        map[int64]Bucket{},
+		due:            due[*entry]{},
 	}
 }
 
@@ -186,83 +201,119 @@
 			Status: KeyExpired,
 		}
 	}
-	rec, known := t.records[r.Key]
+	rec, known := t.find(r.Key)
 	if !known {
-		rec = &Record{
+		rec = Record{
 			Key:     r.Key,
 			Created: r.Created,
 		}
 	}
-	status := t.apply(rec, r)
-	if status == Accepted && !known && r.Type != TypeLookUp {
-		if len(t.records) >= t.MaxClaims {
+	before := answerBytes(&rec)
+	status, changed := t.apply(&rec, r)
+	if changed {
+		if !known && len(t.records) >= t.MaxClaims {
 			return Reply{
 				Status: Full,
 			}
 		}
-		t.records[r.Key] = rec
-		t.due.add(r.Created, r.Key)
+		t.put(&rec, before)
 	}
-	t.dropAnswers()
 	reply := Reply{
 		Status: status,
 	}
 	if status != Accepted || r.reads() {
-		reply.Record = rec.clone()
+		reply.Record = rec
 	}
+	t.dropAnswers()
 	return reply
 }
 
-// apply carries the request out on the record if nothing stands against it.
-func (t *Table) apply(rec *Record, r Request) ReplyStatus {
+// find returns the record of a key.
+func (t *Table) find(key string) (Record, bool) {
+	e, ok := t.records[key]
+	if !ok {
+		return Record{}, false
+	}
+	return t.unpack(e, false), true
+}
+
+// unpack returns the record of an entry, without answers if these are not needed.
+func (t *Table) unpack(e *entry, noAnswers bool) Record {
+	u := unpacker{
+		rest:      e.packed,
+		noAnswers: noAnswers,
+	}
+	rec := t.members.unpack(&u, e.key)
+	if u.fault {
+		panic("claimer: the packed record of " + e.key + " is damaged")
+	}
+	return rec
+}
+
+// put stores a record whose answers had the given number of bytes before.
+func (t *Table) put(rec *Record, before int) {
+	t.buffer = t.members.pack(t.buffer[:0], rec)
+	e, known := t.records[rec.Key]
+	switch {
+	case !known:
+		e = &entry{
+			key: rec.Key,
+		}
+		t.records[rec.Key] = e
+		t.due.add(rec.Created, e)
+	case e.packed == string(t.buffer):
+		return
+	}
+	e.packed = string(t.buffer)
+	delete(t.digests, rec.Created.Unix())
+	after := answerBytes(rec)
+	t.answerBytes += after - before
+	if before == 0 && after > 0 {
+		t.answered = append(t.answered, e)
+	}
+}
+
+func (t *Table) remove(rec *Record) {
+	t.answerBytes -= answerBytes(rec)
+	delete(t.records, rec.Key)
+	delete(t.digests, rec.Created.Unix())
+}
+
+// apply carries the request out on the record if nothing stands against it. It reports
+// whether the record is to be stored.
+func (t *Table) apply(rec *Record, r Request) (status ReplyStatus, changed bool) {
 	_, done := rec.done()
 	if !done && r.Created.Before(t.horizon) && r.Type != TypeRecord {
-		return BeforeHorizon
+		return BeforeHorizon, false
 	}
 	switch r.Type {
 	case TypeClaim:
 		// A claim of the same process is refused too: it may be of an earlier attempt, whose
 		// late messages must not be taken for those of this one.
 		if rec.Promised > 0 || len(rec.Claims) > 0 {
-			return Exists
+			return Exists, false
 		}
-		t.store(rec, r.Claim)
+		rec.Claims = []Claim{r.Claim}
 	case TypeTakeOver:
 		if r.Ballot < rec.Promised || r.Ballot <= rec.ballot() {
-			return Exists
+			return Exists, false
 		}
 		rec.Promised = r.Ballot
 	case TypeMark, TypeRecord, TypeWrite:
 		c := r.Claim
 		if c.Ballot < rec.Promised || c.Ballot < rec.ballot() {
-			return Exists
+			return Exists, false
 		}
 		for _, own := range rec.Claims {
 			if own.Ballot == c.Ballot && own.by(c.Coordinator) && !c.better(own) {
-				return Accepted
+				return Accepted, false
 			}
 		}
-		t.store(rec, c)
+		rec.Claims = []Claim{c}
 	case TypeLookUp, TypeSync, TypeFetch:
+		return Accepted, false
 	}
-	return Accepted
-}
-
-// store replaces what was accepted for the key.
-func (t *Table) store(rec *Record, c Claim) {
-	before := answerBytes(rec)
-	rec.Claims = []Claim{c}
-	t.count(rec, before)
-}
-
-// count takes a change of the answers of a record into account, which had the given
-// number of bytes before.
-func (t *Table) count(rec *Record, before int) {
-	after := answerBytes(rec)
-	t.answerBytes += after - before
-	if before == 0 && after > 0 {
-		t.answered = append(t.answered, rec.Key)
-	}
+	return Accepted, true
 }
 
 func answerBytes(rec *Record) int {
@@ -278,18 +329,20 @@
 // dropAnswers drops the oldest answers beyond the bound.
 func (t *Table) dropAnswers() {
 	for t.answerBytes > t.MaxAnswerBytes && len(t.answered) > 0 {
-		rec, ok := t.records[t.answered[0]]
+		e := t.answered[0]
 		t.answered = t.answered[1:]
-		if !ok {
+		if t.records[e.key] != e {
 			continue
 		}
-		t.answerBytes -= answerBytes(rec)
+		rec := t.unpack(e, false)
+		before := answerBytes(&rec)
 		for i := range rec.Claims {
 			if len(rec.Claims[i].Outcome.Answers) > 0 {
 				rec.Claims[i].Outcome.Answers = nil
 				rec.Claims[i].AnswerDropped = true
 			}
 		}
+		t.put(&rec, before)
 	}
 }
 
@@ -299,19 +352,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
-	t.due.take(now.Add(-t.retention-t.ClockMargin), func(key string, created time.Time) {
-		// A record that was retracted and claimed again is noted more than once.
-		if rec, ok := t.records[key]; ok && rec.Created.Equal(created) {
-			t.answerBytes -= answerBytes(rec)
-			delete(t.records, key)
+	t.due.take(now.Add(-t.retention-t.ClockMargin), func(e *entry, _ int64) {
+		// A record that was retracted is still noted.
+		if t.records[e.key] == e {
+			rec := t.unpack(e, false)
+			t.remove(&rec)
 			n++
 		}
 	})
 	if len(t.answered) > minAnswered+2*len(t.records) {
-		t.answered = slices.DeleteFunc(t.answered, func(key string) bool {
-			_, ok := t.records[key]
-			return !ok
-		})
+		t.answered = slices.DeleteFunc(t.answered, func(e *entry) bool { return t.records[e.key] != e })
 	}
 	return n
 }
@@ -332,21 +382,19 @@
 
 func (t *Table) merge(records []Record) {
 	for _, in := range records {
-		rec, ok := t.records[in.Key]
+		rec, ok := t.find(in.Key)
 		if !ok {
-			rec = &Record{
+			rec = Record{
 				Key:     in.Key,
 				Created: in.Created,
 			}
-			t.records[in.Key] = rec
-			t.due.add(in.Created, in.Key)
 		}
-		before := answerBytes(rec)
+		before := answerBytes(&rec)
 		rec.Promised = max(rec.Promised, in.Promised)
 		for _, c := range in.Claims {
 			rec.add(c)
 		}
-		t.count(rec, before)
+		t.put(&rec, before)
 	}
 	t.dropAnswers()
 }
@@ -385,19 +433,16 @@
 func (t *Table) get(key string) Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	rec, ok := t.records[key]
-	if !ok {
-		return Record{}
-	}
-	return rec.clone()
+	rec, _ := t.find(key)
+	return rec
 }
 
 // retract removes a first claim that its coordinator has given up.
 func (t *Table) retract(key string, by leaser.Member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	rec, ok := t.records[key]
+	rec, ok := t.find(key)
 	if ok && rec.Promised == 0 && rec.ballot() == 0 && len(rec.Claims) == 1 && rec.Claims[0].by(by) && rec.Claims[0].Phase != Done {
-		delete(t.records, key)
+		t.remove(&rec)
 	}
 }
