claimer: digest a table second by second

Cause: a comparison held the lock of the table for the digests of all its records, during which a serving member answers no claim. Change: the lock is held for the records of one second at a time, after the former view has been ended on the table; hashes and answers are not unpacked for digests.

--- a/claimer/capacity_test.go
+++ b/claimer/capacity_test.go
@@ -139,3 +139,20 @@
 		})
 	}
 }
+
+// BenchmarkCompare measures the digests of a whole table, first and when no second has
+// changed.
+func BenchmarkCompare(b *testing.B) {
+	const n = 200_000
+	t := capacityTable(n, 100)
+	for name, changed := range map[string]bool{"first": true, "unchanged": false} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				if changed {
+					clear(t.digests)
+				}
+				t.buckets()
+			}
+		})
+	}
+}
--- a/claimer/digest.go
+++ b/claimer/digest.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -39,15 +40,14 @@
 	b := Bucket{
 		Second: second,
 	}
-	hash := sha256.New()
-	var buffer []byte
+	var digested []byte
 	for _, e := range t.entriesOf(second) {
 		b.Records++
 		rec := t.unpack(e, true)
-		buffer = appendDigested(buffer[:0], &rec)
-		hash.Write(buffer)
+		digested = appendDigested(digested, &rec)
 	}
-	copy(b.Digest[:], hash.Sum(nil))
+	sum := sha256.Sum256(digested)
+	copy(b.Digest[:], sum[:])
 	if b.Records > 0 {
 		t.digests[second] = b
 	}
@@ -77,22 +77,18 @@
 	return 0
 }
 
-// buckets returns all buckets that hold records, in their order.
+// buckets returns all buckets that hold records, in their order. The table can be used
+// between two seconds.
 func (t *Table) buckets() []Bucket {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.bucketsOf()
-}
-
-func (t *Table) bucketsOf() []Bucket {
-	seconds := make([]int64, 0, len(t.due))
-	for s := range t.due {
-		seconds = append(seconds, s)
-	}
-	slices.Sort(seconds)
+	seconds := slices.Sorted(maps.Keys(t.due))
+	t.mu.Unlock()
 	buckets := make([]Bucket, 0, len(seconds))
 	for _, s := range seconds {
-		if b := t.bucket(s); b.Records > 0 {
+		t.mu.Lock()
+		b := t.bucket(s)
+		t.mu.Unlock()
+		if b.Records > 0 {
 			buckets = append(buckets, b)
 		}
 	}
@@ -103,6 +99,22 @@
 // is not among those of the request. The digests are taken after the end of those views,
 // so that no claim can be accepted in them that the digests do not cover.
 func (t *Table) compare(r Request) Reply {
+	reply := t.end(r)
+	if reply.Status != Accepted {
+		return reply
+	}
+	known := make(map[int64]Digest, len(r.Buckets))
+	for _, b := range r.Buckets {
+		known[b.Second] = b.Digest
+	}
+	reply.Buckets = slices.DeleteFunc(t.buckets(), func(b Bucket) bool { return known[b.Second] == b.Digest })
+	return reply
+}
+
+// end ends the views below that of the request.
+func (t *Table) end(r Request) Reply {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if r.View < t.fenced {
 		return Reply{
 			Status: WrongView,
@@ -110,16 +122,11 @@
 		}
 	}
 	t.fenced = r.View
-	known := make(map[int64]Digest, len(r.Buckets))
-	for _, b := range r.Buckets {
-		known[b.Second] = b.Digest
-	}
 	return Reply{
 		Status:  Accepted,
 		From:    t.self,
 		Synced:  t.synced,
 		Horizon: t.horizon,
-		Buckets: slices.DeleteFunc(t.bucketsOf(), func(b Bucket) bool { return known[b.Second] == b.Digest }),
 	}
 }
 
--- a/claimer/pack.go
+++ b/claimer/pack.go
@@ -139,8 +139,8 @@
 type unpacker struct {
 	rest  string
 	fault bool
-	// noAnswers leaves the answers out.
-	noAnswers bool
+	// brief leaves the hashes and the answers out.
+	brief bool
 }
 
 func (u *unpacker) uvarint() uint64 {
@@ -233,10 +233,13 @@
 	c.AnswerDropped = flags&packedAnswerDropped != 0
 	c.Ballot = u.uvarint()
 	c.At = c.Created.Add(time.Duration(u.varint()))
-	if flags&packedHash != 0 {
-		c.PayloadHash = hex.EncodeToString([]byte(u.take(sha256.Size)))
-	} else {
+	switch {
+	case flags&packedHash == 0:
 		c.PayloadHash = u.text()
+	case u.brief:
+		u.take(sha256.Size)
+	default:
+		c.PayloadHash = hex.EncodeToString([]byte(u.take(sha256.Size)))
 	}
 	if flags&packedOutcome == 0 {
 		return
@@ -261,7 +264,7 @@
 	o.Task = int(u.varint())
 	o.RetryAfter = time.Duration(u.varint())
 	n := u.count()
-	if u.noAnswers {
+	if u.brief {
 		for range n {
 			u.text()
 		}
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -181,14 +181,13 @@
 // the view, are answered with WrongView; sync requests of a higher view are answered, and
 // end the present view on this table.
 func (t *Table) Handle(now time.Time, view leaser.View, r Request) Reply {
+	if r.Type == TypeSync {
+		return t.compare(r)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch r.Type {
-	case TypeSync:
-		return t.compare(r)
-	case TypeFetch:
+	if r.Type == TypeFetch {
 		return t.fetch(r)
-	default:
 	}
 	if r.View != view.Number || r.View != t.synced || t.fenced > r.View {
 		return Reply{
@@ -237,11 +236,11 @@
 	return t.unpack(e, false), true
 }
 
-// unpack returns the record of an entry, without answers if these are not needed.
-func (t *Table) unpack(e *entry, noAnswers bool) Record {
+// unpack returns the record of an entry; see unpacker.brief.
+func (t *Table) unpack(e *entry, brief bool) Record {
 	u := unpacker{
-		rest:      e.packed,
-		noAnswers: noAnswers,
+		rest:  e.packed,
+		brief: brief,
 	}
 	rec := t.members.unpack(&u, e.key)
 	if u.fault {
