--- a/claimer/capacity_test.go
+++ b/claimer/capacity_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -156,3 +157,23 @@
 		})
 	}
 }
+
+// BenchmarkCoordinatorMemory measures the memory of claims that one host has coordinated
+// and finished, in its table and its Claimer.
+func BenchmarkCoordinatorMemory(b *testing.B) {
+	const n = 50_000
+	for b.Loop() {
+		c := newCluster(1)
+		before := heapBytes()
+		for _, r := range capacityRecords(n, 100) {
+			if d := c.claimKey(0, Started, strings.Clone(r.Key), r.Created.Add(-testRetention)); d.Status != Granted {
+				b.Fatal(d)
+			}
+			if err := c.node(0).c.Finish(ctx, start, r.Key, r.Claims[0].Outcome); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(heapBytes()-before)/n, "B/claim")
+		runtime.KeepAlive(c)
+	}
+}
