--- a/claimer/capacity_test.go
+++ b/claimer/capacity_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -41,7 +42,7 @@
 		if answer >= 0 {
 			c.Phase = Done
 			c.Outcome = sesamedrift.Outcome{
-				Key:     key[:43],
+				Key:     key[:42],
 				Digest:  c.PayloadHash,
 				Status:  sesamedrift.Complete,
 				Task:    sesamedrift.NoTask,
@@ -106,3 +107,73 @@
 		})
 	}
 }
+
+// BenchmarkSync measures the messages, bytes and time of a view change in which all three
+// members know the claims but the last one, which knows none or a part of them.
+func BenchmarkSync(b *testing.B) {
+	const n = 60_000
+	records := capacityRecords(n, 100)
+	for name, known := range map[string]int{"empty-host": 0, "host-without-1%": n * 99 / 100, "same-members": n} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				c := newCluster(3)
+				c.node(0).t.Merge(records)
+				c.node(1).t.Merge(records)
+				former := allMembers(3)
+				if known < n {
+					c.install(2, former, allMembers(2)...)
+					former = allMembers(2)
+				}
+				c.node(2).t.Merge(records[:known])
+				c.calls, c.bytes = 0, 0
+				b.StartTimer()
+				c.install(uint64(len(former)%3+2), former, allMembers(3)...)
+				b.StopTimer()
+				b.ReportMetric(float64(c.calls), "messages")
+				b.ReportMetric(float64(c.bytes)/n, "B/claim")
+				if got := c.node(2).t.Len(); got != n {
+					b.Fatalf("%d of %d claims were read", got, n)
+				}
+				b.StartTimer()
+			}
+		})
+	}
+}
+
+// BenchmarkCompare measures the digests of a whole table, first and when no second has
+// changed.
+func BenchmarkCompare(b *testing.B) {
+	const n = 200_000
+	t := capacityTable(n, 100)
+	for name, changed := range map[string]bool{"first": true, "unchanged": false} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				if changed {
+					clear(t.digests)
+				}
+				t.buckets()
+			}
+		})
+	}
+}
+
+// BenchmarkCoordinatorMemory measures the memory of claims that one host has coordinated
+// and finished, in its table and its Claimer.
+func BenchmarkCoordinatorMemory(b *testing.B) {
+	const n = 50_000
+	for b.Loop() {
+		c := newCluster(1)
+		before := heapBytes()
+		for _, r := range capacityRecords(n, 100) {
+			if d := c.claimKey(0, Started, strings.Clone(r.Key), r.Created.Add(-testRetention)); d.Status != Granted {
+				b.Fatal(d)
+			}
+			if err := c.node(0).c.Finish(ctx, start, r.Key, r.Claims[0].Outcome); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(heapBytes()-before)/n, "B/claim")
+		runtime.KeepAlive(c)
+	}
+}
--- /dev/null
+++ b/claimer/sync_test.go
@@ -0,0 +1,148 @@
+package claimer
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/leaser"
+)
+
+// Guards against claims that a majority held and that a host lacks after a sync: hosts
+// that know different claims, in chunks of any size, while a member restarts.
+func TestSyncKeepsWhatAMajorityHeld(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		c := newCluster(3)
+		holders := map[string]int{}
+		phases := map[string]Phase{}
+		for i := range rapid.IntRange(1, 40).Draw(t, "keys") {
+			key := fmt.Sprint("order-", i)
+			created := start.Add(-time.Duration(rapid.IntRange(0, 9000).Draw(t, "age")) * time.Millisecond)
+			phases[key] = rapid.SampledFrom([]Phase{Queued, Started, Done}).Draw(t, "phase")
+			on := rapid.IntRange(1, 7).Draw(t, "on")
+			for j := range 3 {
+				if on>>j&1 == 0 {
+					continue
+				}
+				holders[key]++
+				g.Expect(c.node(j).t.Handle(start, c.node(j).view, Request{
+					Type:    TypeRecord,
+					View:    1,
+					Key:     key,
+					Created: created,
+					Claim:   Claim{Key: key, Created: created, Coordinator: member(0), Phase: phases[key]},
+				}).Status).To(Equal(Accepted))
+			}
+		}
+		for j := range 3 {
+			c.node(j).t.ChunkBytes = rapid.IntRange(1, 400).Draw(t, "chunk")
+		}
+		var calls atomic.Int64
+		restart := rapid.Int64Range(0, 40).Draw(t, "restart")
+		c.drop = func(to string, r Request, _ bool) bool {
+			if calls.Add(1) == restart && r.Type == TypeFetch {
+				c.boot(leaser.Member{Host: to, Incarnation: 2}).t.fence(2)
+			}
+			return false
+		}
+		nodes := maps.Clone(c.hosts)
+		for host, result := range c.install(2, allMembers(3), allMembers(3)...) {
+			if result != "true false" || nodes[host].t.Synced() < 2 {
+				continue // it has restarted, or has raised its horizon
+			}
+			for key, n := range holders {
+				if n >= 2 {
+					rec := nodes[host].t.get(key)
+					g.Expect(rec.Claims).To(HaveLen(1), host+" lacks "+key)
+					g.Expect(rec.Claims[0].Phase).To(Equal(phases[key]))
+				}
+			}
+		}
+	})
+}
+
+// Guards against differences that the comparison of two tables does not see.
+func TestDigestCoversWhatAMergeCompares(t *testing.T) {
+	g := NewWithT(t)
+	digests := map[Digest]string{}
+	for name, change := range map[string]func(r *Record){
+		"nothing":     func(*Record) {},
+		"promise":     func(r *Record) { r.Promised = 1 },
+		"ballot":      func(r *Record) { r.Claims[0].Ballot = 1 },
+		"phase":       func(r *Record) { r.Claims[0].Phase = Done },
+		"answer":      func(r *Record) { r.Claims[0].AnswerDropped = true },
+		"host":        func(r *Record) { r.Claims[0].Coordinator.Host = "riga-a-1" },
+		"incarnation": func(r *Record) { r.Claims[0].Coordinator.Incarnation = 2 },
+		"claims":      func(r *Record) { r.Claims = append(r.Claims, Claim{Coordinator: member(1)}) },
+		"key":         func(r *Record) { r.Key = "other" },
+	} {
+		r := Record{Key: theKey, Created: start, Claims: []Claim{{Coordinator: member(0), Phase: Started}}}
+		change(&r)
+		table := NewTable(testRetention)
+		table.Merge([]Record{r})
+		b := table.bucket(start.Unix())
+		g.Expect(b.Records).To(Equal(1))
+		g.Expect(digests).NotTo(HaveKey(b.Digest), name)
+		digests[b.Digest] = name
+	}
+}
+
+// Guards against records that change when they are packed, and against a table that loses
+// or panics at a reply that is cut off.
+func TestPackedRecordsStayTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		text := rapid.SampledFrom([]string{"", "a", "kriga-a.order-1", theKey, strings.Repeat("0f", 32), strings.Repeat("0F", 32)})
+		at := func(name string) time.Time { return time.Unix(0, rapid.Int64Range(0, 1<<62).Draw(t, name)).UTC() }
+		r := Record{Key: "k" + text.Draw(t, "key"), Created: at("created"), Promised: rapid.Uint64().Draw(t, "promised")}
+		ballot := rapid.Uint64().Draw(t, "ballot")
+		for i := range rapid.IntRange(0, 3).Draw(t, "claims") {
+			c := Claim{
+				Key:           r.Key,
+				Created:       r.Created,
+				PayloadHash:   text.Draw(t, "hash"),
+				Coordinator:   member(i),
+				Ballot:        ballot,
+				Phase:         rapid.SampledFrom(phases).Draw(t, "phase"),
+				Final:         rapid.Bool().Draw(t, "final"),
+				AnswerDropped: rapid.Bool().Draw(t, "dropped"),
+				At:            at("at"),
+			}
+			if c.Phase == Done {
+				c.Outcome = sesamedrift.Outcome{
+					Key:        text.Draw(t, "outcome-key"),
+					Digest:     text.Draw(t, "digest"),
+					Status:     rapid.SampledFrom(append(slices.Clone(statuses), "other")).Draw(t, "status"),
+					Reason:     text.Draw(t, "reason"),
+					Task:       rapid.Int().Draw(t, "task"),
+					RetryAfter: time.Duration(rapid.Int64().Draw(t, "retry")),
+				}
+				for range rapid.IntRange(0, 3).Draw(t, "answers") {
+					c.Outcome.Answers = append(c.Outcome.Answers, []byte(text.Draw(t, "answer")))
+				}
+			}
+			r.Claims = append(r.Claims, c)
+		}
+		table, other := NewTable(testRetention), NewTable(testRetention)
+		table.put(&r, 0)
+		g.Expect(table.get(r.Key)).To(Equal(r))
+		table.fence(1)
+		reply := table.Handle(start, leaser.View{}, Request{Type: TypeFetch, View: 1, Buckets: []Bucket{{Second: r.Created.Unix()}}})
+		whole := reply.Records
+		reply.Records = whole[:rapid.IntRange(1, len(whole)-1).Draw(t, "cut")]
+		g.Expect(other.learn(1, reply)).To(BeFalse())
+		g.Expect(other.Len()).To(BeZero())
+		reply.Records = whole
+		g.Expect(other.learn(1, reply)).To(BeTrue())
+		g.Expect(other.get(r.Key)).To(Equal(r))
+	})
+}
