server: tests of failures leave time to act, and share their set-up

Cause: tests that end a host or an upstream while a task runs had 0.2 to 0.5 s for it, which a busy machine may take longer for; each wrote out the goroutine of its submission. untilDecided repeated what decided does. Every check stays.

--- a/server/claims_test.go
+++ b/server/claims_test.go
@@ -128,7 +128,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			d := deploy(t, oneDomain())
-			s := work("booking", "200ms", 1)
+			s := work("booking", "2s", 1)
 			s.Key = key("ikeja")
 			s.Deadline = time.Now().Add(testTimeout / 2)
 			c.reach(d, s)
--- a/server/failure_test.go
+++ b/server/failure_test.go
@@ -81,20 +81,21 @@
 	d.g.Expect(d.starts.total()).To(Equal(1))
 }
 
+// dieWhileItRuns submits to a host and kills it once the submission has started.
+func (d *deployment) dieWhileItRuns(host string, s sesamedrift.Submission) {
+	outcome := d.goSubmit(host, s)
+	d.g.Eventually(d.starts.total, testTimeout).Should(Equal(1))
+	d.g.Expect(d.KillHost(host)).To(Succeed())
+	d.g.Expect((<-outcome).Status).To(BeEmpty(), "the caller must have lost its connection")
+}
+
 // Guards against a second start of a booking whose host died while it ran.
 func TestCoordinatorDiesAfterTheStart(t *testing.T) {
 	d := deploy(t, oneDomain())
-	s := work("booking", "400ms", 1)
+	s := work("booking", "4s", 1)
 	s.Key = key("ikeja")
-	first := make(chan error, 1)
-	go func() {
-		_, err := d.at("ikeja-2").Submit(d.ctx, s)
-		first <- err
-	}()
-	d.g.Eventually(d.starts.total, testTimeout).Should(Equal(1))
-	d.g.Expect(d.KillHost("ikeja-2")).To(Succeed())
-	d.g.Expect(<-first).To(HaveOccurred())
-	o := d.untilDecided(s, "ikeja-1")
+	d.dieWhileItRuns("ikeja-2", s)
+	o := d.decided("ikeja-1", s)
 	d.g.Expect(o.Status).To(Equal(sesamedrift.Unknown))
 	d.g.Expect(d.starts.total()).To(Equal(1))
 }
@@ -106,32 +107,12 @@
 	s := work("booking", "10s", 1)
 	s.Deadline = time.Now().Add(testTimeout)
 	s.Key = key("ikeja")
-	first := make(chan error, 1)
-	go func() {
-		_, err := d.at("ikeja-2").Submit(d.ctx, s)
-		first <- err
-	}()
-	d.g.Eventually(d.starts.total, testTimeout).Should(Equal(1))
-	d.g.Expect(d.KillHost("ikeja-2")).To(Succeed())
-	d.g.Expect(<-first).To(HaveOccurred())
+	d.dieWhileItRuns("ikeja-2", s)
 	o := d.submit("ikeja-1", s)
 	d.g.Expect(o.Status).To(Equal(sesamedrift.Unknown))
 	d.g.Expect(d.starts.total()).To(Equal(1))
 }
 
-// untilDecided submits until the domain has dealt with the death of a host: until then
-// the claim names a coordinator that cannot be asked.
-func (d *deployment) untilDecided(s sesamedrift.Submission, host string) sesamedrift.Outcome {
-	var o sesamedrift.Outcome
-	d.g.Eventually(func() uint64 { return d.view(host) }, testTimeout).Should(BeNumerically(">", 1))
-	d.g.Eventually(func() error {
-		var err error
-		o, err = d.at(host).Submit(d.ctx, s)
-		return err
-	}, testTimeout).Should(Succeed())
-	return o
-}
-
 // Guards against a domain that serves nothing after one of its hosts died.
 func TestDomainServesAfterAHostDied(t *testing.T) {
 	d := deploy(t, oneDomain())
@@ -148,20 +129,14 @@
 // Guards against a request that is cut by a planned stop.
 func TestPlannedStopCutsNothing(t *testing.T) {
 	d := deploy(t, oneDomain())
-	outcomes := make(chan sesamedrift.Outcome, 8)
-	for range cap(outcomes) {
-		go func() {
-			o, err := d.at("ikeja-2").Submit(d.ctx, work("booking", "300ms", 2))
-			if err != nil {
-				o.Reason = err.Error()
-			}
-			outcomes <- o
-		}()
+	outcomes := make([]<-chan sesamedrift.Outcome, 8)
+	for i := range outcomes {
+		outcomes[i] = d.goSubmit("ikeja-2", work("booking", "300ms", 2))
 	}
-	d.g.Eventually(d.starts.total, testTimeout).Should(Equal(2 * cap(outcomes)))
+	d.g.Eventually(d.starts.total, testTimeout).Should(Equal(2 * len(outcomes)))
 	d.g.Expect(d.StopHost(d.ctx, "ikeja-2")).To(Succeed())
-	for range cap(outcomes) {
-		o := <-outcomes
+	for _, outcome := range outcomes {
+		o := <-outcome
 		d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), o.Reason)
 	}
 	d.g.Eventually(func() int { return d.ownedBy("ikeja-1") + d.ownedBy("ikeja-3") }, testTimeout).Should(Equal(3))
@@ -173,36 +148,16 @@
 	cfg := oneDomain()
 	cfg.Upstreams = 1
 	d := deploy(t, cfg)
-	type result struct {
-		kind string
-		o    sesamedrift.Outcome
-	}
-	results := make(chan result, 2)
-	for _, kind := range []string{"booking", "check"} {
-		go func() {
-			o, err := d.at("ikeja-1").Submit(d.ctx, work(kind, "500ms", 1))
-			if err != nil {
-				o.Reason = err.Error()
-			}
-			results <- result{
-				kind: kind,
-				o:    o,
-			}
-		}()
-	}
+	booking := d.goSubmit("ikeja-1", work("booking", "4s", 1))
+	check := d.goSubmit("ikeja-1", work("check", "4s", 1))
 	d.g.Eventually(d.starts.total, testTimeout).Should(Equal(2))
 	d.g.Expect(d.StartUpstream("ikeja-worker-2", "ikeja", noFaults)).To(Succeed())
 	d.g.Eventually(func() int { return d.ownedByAll() }, testTimeout).Should(Equal(2))
 	d.g.Expect(d.KillUpstream("ikeja-worker-1")).To(Succeed())
-	for range cap(results) {
-		r := <-results
-		switch r.kind {
-		case "booking":
-			d.g.Expect(r.o.Status).To(Equal(sesamedrift.Unknown), r.o.Reason)
-		case "check":
-			d.g.Expect(r.o.Status).To(Equal(sesamedrift.Complete), r.o.Reason)
-		}
-	}
+	o := <-booking
+	d.g.Expect(o.Status).To(Equal(sesamedrift.Unknown), o.Reason)
+	o = <-check
+	d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), o.Reason)
 	d.g.Expect(d.starts.total()).To(Equal(3))
 }
 
@@ -213,14 +168,7 @@
 	cfg.Upstreams = 1
 	d := deploy(t, cfg)
 	leaving := d.Upstream("ikeja-worker-1")
-	running := make(chan sesamedrift.Outcome, 1)
-	go func() {
-		o, err := d.at("ikeja-1").Submit(d.ctx, work("booking", "300ms", 1))
-		if err != nil {
-			o.Reason = err.Error()
-		}
-		running <- o
-	}()
+	running := d.goSubmit("ikeja-1", work("booking", "300ms", 1))
 	d.g.Eventually(d.starts.total, testTimeout).Should(Equal(1))
 	d.g.Expect(leaving.Leave(d.ctx)).To(Succeed())
 	o := <-running
@@ -261,14 +209,7 @@
 	s := work("heavy-check", "15s", 40)
 	s.Deadline = time.Now().Add(30 * time.Second)
 	s.Key = key("ikeja")
-	ended := make(chan sesamedrift.Outcome, 1)
-	go func() {
-		o, err := d.at("ikeja-1").Submit(d.ctx, s)
-		if err != nil {
-			o.Reason = err.Error()
-		}
-		ended <- o
-	}()
+	ended := d.goSubmit("ikeja-1", s)
 	d.g.Eventually(d.starts.total, testTimeout).Should(BeNumerically(">=", 1))
 	d.g.Expect(d.at("ikeja-3").Cancel(d.ctx, s.Key)).To(Succeed())
 	o := <-ended
--- a/server/host_test.go
+++ b/server/host_test.go
@@ -52,7 +52,8 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	s := &starts{n: map[string]int{}}
 	cfg.Service = "reseason-desk"
-	cfg.Document = document
+	// A check may run longer than in the example, so that tests can act while one runs.
+	cfg.Document = bytes.Replace(document, []byte(`"max-run-time": "2s"`), []byte(`"max-run-time": "5s"`), 1)
 	cfg.Folder = t.TempDir()
 	cfg.OnStart = s.note
 	cfg.Seed = 1
