commander: add wait, which fetches an outcome by its key

Cause: a caller that lost its connection had to send the whole payload again to learn the outcome. GET /v1/submissions/{key} existed and the Go client used it in Wait, but for the first try only, and no command did.

Before: a dead caller's outcome could be read by curl only.

A new test finds a fault that stays open: a look-up of a later try is answered unknown, since claimer.createdOf does not read the number of the try behind the creation time.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -365,6 +365,8 @@
 	o, err := c.Wait(ctx, key)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(o.Status).To(Equal(sesamedrift.Unknown))
+	_, err = c.WaitTry(ctx, key, 2)
+	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(c.Cancel(ctx, key)).To(Succeed())
 	result, err := c.Apply(ctx, Change{Environment: validator.Trial, ID: "c-1", Expected: 7, Who: "ada", Document: []byte(`{"a":1}`)})
 	g.Expect(err).NotTo(HaveOccurred())
@@ -378,10 +380,11 @@
 	g.Expect(c.History(ctx, validator.Trial, 2, 10)).To(HaveLen(1))
 	g.Expect(c.Status(ctx)).To(MatchJSON(`{"queued":2}`))
 
-	path := "/v1/submissions/" + key.String() + "?created=2026-03-02T08%3A00%3A00.000Z "
+	path := "/v1/submissions/" + key.String() + "?created=2026-03-02T08%3A00%3A00.000Z"
 	g.Expect(seen).To(Equal([]string{
-		"GET " + path,
-		"DELETE " + path,
+		"GET " + path + " ",
+		"GET " + path + "&try=2 ",
+		"DELETE " + path + " ",
 		`PUT /v1/environments/trial {"a":1}`,
 		"Authorization: Bearer secret", "Change-Id: c-1", "Expected-Version: 7", "Changed-By: ada",
 		"POST /v1/environments/production/promote ",
--- a/client/exchange.go
+++ b/client/exchange.go
@@ -160,7 +160,7 @@
 
 // get reads a resource. A read has no effect, so each host is tried once.
 func (c *Client) get(ctx context.Context, path string, v any) error {
-	r, err := c.fetch(ctx, path)
+	r, err := c.fetch(ctx, path, "")
 	if err != nil {
 		return err
 	}
@@ -173,11 +173,16 @@
 	return nil
 }
 
-// fetch sends a request without effect to the hosts in turn until one answers.
-func (c *Client) fetch(ctx context.Context, path string) (response, error) {
+// fetch sends a request without effect to the hosts in turn until one answers. The id, if
+// there is one, is that of LostError.
+func (c *Client) fetch(ctx context.Context, path, id string) (response, error) {
 	var last error
 	for _, host := range c.hosts("") {
-		r, err := c.deliver(ctx, []string{host}, exchange{method: http.MethodGet, path: path})
+		r, err := c.deliver(ctx, []string{host}, exchange{
+			method: http.MethodGet,
+			path:   path,
+			id:     id,
+		})
 		if err == nil || ctx.Err() != nil {
 			return r, err
 		}
--- a/client/submit.go
+++ b/client/submit.go
@@ -205,10 +205,19 @@
 }
 
 // Wait waits for the outcome of a submission that is running, or returns the recorded
-// one. If the key has no claim, the error is an *APIError with CodeNotFound. The outcome
-// belongs to the key; the caller compares the digest.
+// one. It starts nothing, so that it is tried at each host in turn. If the key has no
+// claim, the error is an *APIError with CodeNotFound. The outcome belongs to the key; the
+// caller compares the digest.
 func (c *Client) Wait(ctx context.Context, key sesamedrift.Key) (sesamedrift.Outcome, error) {
-	r, err := c.fetch(ctx, keyPath(key, firstTry))
+	return c.WaitTry(ctx, key, firstTry)
+}
+
+// WaitTry is Wait for a submission that was sent with SubmitTry.
+func (c *Client) WaitTry(ctx context.Context, key sesamedrift.Key, try int) (sesamedrift.Outcome, error) {
+	if err := checkTry(try); err != nil {
+		return sesamedrift.Outcome{}, err
+	}
+	r, err := c.fetch(ctx, keyPath(key, try), key.String())
 	if err != nil {
 		return sesamedrift.Outcome{}, err
 	}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -128,6 +128,7 @@
 			c.executorCommand(),
 			c.configCommand(),
 			c.submitCommand(),
+			c.waitCommand(),
 			c.cancelCommand(),
 			c.statusCommand(),
 			c.demoCommand(),
--- a/commander/submit.go
+++ b/commander/submit.go
@@ -21,6 +21,11 @@
 	Value: 1,
 }
 
+var createdFlag = &cli.StringFlag{
+	Name:  "created",
+	Usage: "creation `TIME` (RFC 3339) of a key that is no UUIDv7",
+}
+
 func (c *commandLine) submitCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "submit",
@@ -53,10 +58,7 @@
 				Name:  "key",
 				Usage: "request `KEY` of an earlier submission that is sent again",
 			},
-			&cli.StringFlag{
-				Name:  "created",
-				Usage: "creation `TIME` (RFC 3339) of a key that is no UUIDv7",
-			},
+			createdFlag,
 			tryFlag,
 			&cli.StringFlag{
 				Name:  "environment",
@@ -172,17 +174,10 @@
 			hostsFlag,
 			jsonFlag,
 			tryFlag,
-			&cli.StringFlag{
-				Name:  "created",
-				Usage: "creation `TIME` (RFC 3339) of a key that is no UUIDv7",
-			},
+			createdFlag,
 		},
 		Action: c.withClient(func(ctx context.Context, cmd *cli.Command, api *client.Client) error {
-			text, err := argument(cmd)
-			if err != nil {
-				return err
-			}
-			key, err := sesamedrift.ParseKey(text, cmd.String("created"))
+			key, err := keyArgument(cmd)
 			if err != nil {
 				return err
 			}
@@ -198,6 +193,45 @@
 	}
 }
 
+func (c *commandLine) waitCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "wait",
+		Usage:     "wait for the outcome of a submission whose caller lost the connection",
+		ArgsUsage: "KEY",
+		Description: "Waits for a submission that runs, or prints the recorded outcome; it starts nothing. Of a\n" +
+			"submission that no host knows, exit code 2 says so. Otherwise output and exit code are those\n" +
+			"of submit.\n\n" +
+			"Example:\n" +
+			"   sesamedrift wait riga-a.0197c0de-0000-7000-8000-000000000001",
+		Flags: []cli.Flag{
+			hostsFlag,
+			jsonFlag,
+			tryFlag,
+			createdFlag,
+		},
+		Action: c.withClient(func(ctx context.Context, cmd *cli.Command, api *client.Client) error {
+			key, err := keyArgument(cmd)
+			if err != nil {
+				return err
+			}
+			o, err := api.WaitTry(ctx, key, cmd.Int("try"))
+			if err != nil {
+				return submissionError(err)
+			}
+			return c.printOutcome(cmd, o)
+		}),
+	}
+}
+
+// keyArgument returns the request key that the only argument names.
+func keyArgument(cmd *cli.Command) (sesamedrift.Key, error) {
+	text, err := argument(cmd)
+	if err != nil {
+		return sesamedrift.Key{}, err
+	}
+	return sesamedrift.ParseKey(text, cmd.String("created"))
+}
+
 // withClient returns an action that is given a client of the hosts that the flags name.
 func (c *commandLine) withClient(action func(ctx context.Context, cmd *cli.Command, api *client.Client) error) cli.ActionFunc {
 	return func(ctx context.Context, cmd *cli.Command) error {
--- /dev/null
+++ b/server/tries_test.go
@@ -0,0 +1,27 @@
+package server_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift"
+)
+
+// Guards against an outcome of a later try that its caller cannot fetch by the key.
+func TestWaitFindsLaterTries(t *testing.T) {
+	d := deploy(t, oneDomain())
+	s := work("booking", "10ms", 1)
+	s.Key = key("ikeja")
+	s.Deadline = time.Now().Add(testTimeout)
+	later := d.post("ikeja-1", s, 2)
+	d.g.Expect(later.Status).To(Equal(sesamedrift.Complete), later.Reason)
+	for _, host := range []string{"ikeja-1", "ikeja-2", "ikeja-3"} {
+		o, err := d.at(host).WaitTry(d.ctx, s.Key, 2)
+		d.g.Expect(err).NotTo(HaveOccurred())
+		d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), o.Reason)
+		d.g.Expect(o.Answers).To(Equal(later.Answers))
+	}
+	d.g.Expect(d.starts.of(s.Key.String())).To(Equal(1))
+}
