docs: check the names in the table of symptoms against the program

Cause: the page on operations names metrics, labels and events for each symptom by hand; a renamed one would send an operator looking for nothing. Only the table of metrics was checked.

Change: TestOperationsNameWhatExists reads the table and compares its metrics with the table of metrics (which TestMetricsAreThoseOfThePage compares with a host), its status labels with the outcomes and its event numbers with the catalogue of package reporter, and each event name of the whole page with that of its number.

Before: no check. Conclusion: the page needed no correction.

--- a/commander/docs_test.go
+++ b/commander/docs_test.go
@@ -26,6 +26,7 @@
 	"sesamedrift.example/sesamedrift/client"
 	"sesamedrift.example/sesamedrift/commander"
 	"sesamedrift.example/sesamedrift/launcher"
+	"sesamedrift.example/sesamedrift/reporter"
 )
 
 // rows returns the cells of the table rows of a page that match the pattern.
@@ -84,6 +85,31 @@
 	g.Consistently(func() []string { return served(url) }).Should(Equal(want))
 }
 
+// Guards against an operator who looks for a metric, a label or an event that a page names and no
+// host has. TestMetricsAreThoseOfThePage compares the table of metrics with those of a host.
+func TestOperationsNameWhatExists(t *testing.T) {
+	g := NewWithT(t)
+	metrics, events := map[string]bool{}, map[string]string{}
+	for _, r := range rows(g, "operations.md", "^\\| `(sesamedrift_\\w+)` \\| (?:counter|gauge) \\|") {
+		metrics[r[0]] = true
+	}
+	for _, e := range reporter.Catalogue() {
+		events[strconv.Itoa(e.ID)] = e.Name
+	}
+	for _, r := range rows(g, "operations.md", "\\b(\\d{4}) `([a-z-]+)`") {
+		g.Expect(events).To(HaveKeyWithValue(r[0], r[1]))
+	}
+	symptoms := rows(g, "operations.md", "(?s)^## Symptoms$(.+?)^## ")[0][0]
+	words := regexp.MustCompile(`\bsesamedrift_\w+|\b\d{4}\b|status="\w*"`).FindAllString(symptoms, -1)
+	g.Expect(words).NotTo(BeEmpty())
+	for _, word := range words {
+		_, isEvent := events[word]
+		status, isStatus := strings.CutPrefix(word, "status=")
+		isStatus = isStatus && slices.Contains(sesamedrift.Statuses, sesamedrift.Status(strings.Trim(status, `"`)))
+		g.Expect(isEvent || isStatus || metrics[word]).To(BeTrue(), word)
+	}
+}
+
 // served returns the names and types of the metrics of a host in order.
 func served(url string) []string {
 	text, err := request(http.MethodGet, url)
