server: let a joined call take over queued work of a dead coordinator

Cause: A call that had joined a submission at another host than its coordinator was answered "unknown" as soon as the coordinator could not be asked, although the claim may say that nothing started, in which case another member may run it once the view excludes the dead host.

Change: If the coordinator cannot be asked, or no longer has the submission without an outcome on a majority (as while it stops or after a restart), the joined call repeats its claim with each heartbeat until its deadline. After the exclusion the claim is granted if nothing started, and the submission runs at the joined host; otherwise it is unknown, as before. A host that has no lease for longer than two view changes gives up. Calls that look up a key are unchanged: they have no payload to run.

Conclusion: A submission of which nothing started survives its coordinator for every caller that waits at another host of the domain.

--- a/server/claiming.go
+++ b/server/claiming.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -16,6 +17,9 @@
 	maxJoins     = 20
 	minJoinPause = 2 * time.Millisecond
 	maxJoinPause = 30 * time.Millisecond
+	// viewChanges is the number of view changes without a lease that a waiting call spans,
+	// since the first change may find that a second host has died.
+	viewChanges = 2
 )
 
 // claimAndRun claims the key of a job and then queues, joins or ends it.
@@ -70,19 +74,29 @@
 }
 
 // joinOrClaim waits for the host that has the claim. If that host gave way to another
-// one in the meantime, or the claim was contested, the claim is tried again.
+// one in the meantime, or the claim was contested, the claim is tried again. If that host
+// cannot be asked, the claim is tried until the deadline: once the view excludes the host,
+// its submission is taken over if nothing started, and unknown otherwise.
 func (h *Host) joinOrClaim(r *request, j *job, a admission, claim claimer.Claim, d claimer.Decision) {
 	claim = withoutStart(claim)
-	for range maxJoins {
+	var lost *response // the outcome if the coordinator cannot be asked, nil before that
+	var err error      // of the last question to the coordinator
+	useful := h.now()  // when there last was something to wait for
+	for joins := 0; joins < maxJoins || lost != nil; joins++ {
 		switch d.Status {
 		case claimer.Joined:
-			response := h.join(j, d.Coordinator)
-			if response.Error == nil || response.Error.Code != codeNotCoordinator {
-				h.settleResponse(j, response)
+			var answer response
+			if answer, err = h.join(j, d.Coordinator); err != nil {
+				if lost == nil {
+					useful = h.now()
+				}
+				lost = &answer
+			} else if answer.Error == nil || answer.Error.Code != codeNotCoordinator {
+				h.settleResponse(j, answer)
 				return
 			}
 		case claimer.Unavailable:
-			if !h.members.holds(h.now()) {
+			if lost == nil && !h.members.holds(h.now()) {
 				h.settle(j, unavailable(j, r.HostKey))
 				return
 			}
@@ -94,16 +108,39 @@
 			h.follow(j, d)
 			return
 		}
-		if h.now().After(j.deadline) || !sleep(j.ctx, minJoinPause+rand.N(maxJoinPause-minJoinPause)) {
+		if h.members.holds(h.now()) && !errors.Is(err, errNoOutcome) {
+			useful = h.now()
+		}
+		if h.now().After(j.deadline) || h.now().Sub(useful) > h.patience() || !sleep(j.ctx, h.joinPause(lost != nil)) {
 			break
 		}
 		ctx, cancel := context.WithTimeout(j.ctx, claimTimeout)
 		d = h.claim(ctx, claim)
 		cancel()
 	}
+	if lost != nil {
+		h.settleResponse(j, *lost)
+		return
+	}
 	h.settle(j, unavailable(j, r.HostKey && d.Status == claimer.Unavailable))
 }
 
+// joinPause returns the time between two looks for the host that runs a submission. The
+// view changes with heartbeats, so that a lost host is not looked for more often.
+func (h *Host) joinPause(lost bool) time.Duration {
+	if lost {
+		return h.cfg.Settings.HeartbeatEvery.Std()
+	}
+	return minJoinPause + rand.N(maxJoinPause-minJoinPause)
+}
+
+// patience is how long a call waits for the exclusion of a lost host while this host has
+// no lease, or while the lost host answers that it has no such submission. A view change,
+// in which both occur, takes less.
+func (h *Host) patience() time.Duration {
+	return viewChanges * (h.cfg.Settings.SuspectAfter.Std() + h.cfg.Settings.LeaseTime.Std())
+}
+
 // withoutStart returns the claim of a job whose slots may have been taken by others since
 // it was admitted.
 func withoutStart(c claimer.Claim) claimer.Claim {
@@ -142,7 +179,9 @@
 	case claimer.Recorded:
 		h.settle(j, own(d.Outcome, j))
 	case claimer.Joined:
-		h.settleResponse(j, h.join(j, d.Coordinator))
+		// The answer says so if the coordinator cannot be asked.
+		answer, _ := h.join(j, d.Coordinator)
+		h.settleResponse(j, answer)
 	case claimer.Conflict:
 		h.settleError(j, keyConflict(j.sub.Key.String()))
 	case claimer.Expired:
--- a/server/forward.go
+++ b/server/forward.go
@@ -21,6 +21,10 @@
 	findTimeout = time.Minute
 )
 
+// errNoOutcome is the reason of an outcome unknown when the coordinator no longer has the
+// submission and no majority has an outcome of it.
+var errNoOutcome = errors.New("the submission has no recorded outcome")
+
 // lookup names a submission on its way to its home or to its coordinator.
 type lookup struct {
 	Key sesamedrift.Key `msgpack:"key"`
@@ -155,7 +159,9 @@
 		o.Key = l.Key.String()
 		return o, nil
 	case claimer.Joined:
-		return h.findAt(ctx, d.Coordinator, l)
+		// The outcome says so if the coordinator cannot be asked.
+		o, e, _ := h.findAt(ctx, d.Coordinator, l)
+		return o, e
 	case claimer.Expired:
 		return sesamedrift.Outcome{}, keyExpired(l.Key.String(), h.table.Retention())
 	case claimer.Unknown, claimer.Unavailable:
@@ -169,23 +175,31 @@
 	}
 }
 
-// findAt asks the coordinator of a submission.
-func (h *Host) findAt(ctx context.Context, m leaser.Member, l lookup) (sesamedrift.Outcome, *Error) {
+// findAt asks the coordinator of a submission. If it cannot be asked, the outcome is
+// unknown and the last result says why.
+func (h *Host) findAt(ctx context.Context, m leaser.Member, l lookup) (sesamedrift.Outcome, *Error, error) {
 	if m.Host == h.cfg.Settings.Host {
 		// The job ended between the two steps; its outcome is recorded by now.
-		return h.recorded(ctx, l)
+		o, e := h.recorded(ctx, l)
+		return o, e, nil
 	}
 	l.Here = true
 	call, cancel := context.WithTimeout(context.Background(), findTimeout)
 	defer cancel()
 	reply, err := h.askReleasing(ctx, call, m.Host, l.Release, messenger.KindFind, l)
 	if err != nil {
-		return keyUnknown(l.Key, "the host that runs the submission could not be asked: "+err.Error()), nil
+		return keyUnknown(l.Key, "the host that runs the submission could not be asked: "+err.Error()), nil, err
 	}
 	if reply.Error != nil && reply.Error.Code == "not-found" {
-		return h.recorded(ctx, l)
+		// The submission has just ended, or the host has restarted or stops.
+		o, e := h.recorded(ctx, l)
+		if o.Status == sesamedrift.Unknown && o.Reason == errNoOutcome.Error() {
+			return o, e, errNoOutcome
+		}
+		return o, e, nil
 	}
-	return unpack(reply)
+	o, e := unpack(reply)
+	return o, e, nil
 }
 
 // recorded returns the recorded outcome of a submission that has just ended.
@@ -194,7 +208,7 @@
 	defer cancel()
 	d, err := h.claims.Find(round, h.now(), l.identity())
 	if err != nil || d.Status != claimer.Recorded {
-		return keyUnknown(l.Key, "the submission has no recorded outcome"), nil
+		return keyUnknown(l.Key, errNoOutcome.Error()), nil
 	}
 	o := d.Outcome
 	o.Key = l.Key.String()
@@ -217,8 +231,9 @@
 	return h.wait(ctx, j)
 }
 
-// join waits for a job that another host coordinates.
-func (h *Host) join(j *job, m leaser.Member) response {
+// join waits for a job that another host coordinates. If that host cannot be asked, the
+// response is the outcome unknown, and the error says why.
+func (h *Host) join(j *job, m leaser.Member) (response, error) {
 	ctx, cancel := context.WithDeadline(context.Background(), j.deadline.Add(answerMargin))
 	defer cancel()
 	stop := context.AfterFunc(j.ctx, cancel)
@@ -228,12 +243,12 @@
 		Try:     j.try,
 		Release: uuid.NewString(),
 	}
-	o, e := h.findAt(ctx, m, l)
+	o, e, err := h.findAt(ctx, m, l)
 	if o.Status == sesamedrift.Unknown && o.Digest == "" {
 		// Outcomes that were looked up by key alone do not say what was submitted.
 		o.Digest = j.digest
 	}
-	return pack(o, e)
+	return pack(o, e), err
 }
 
 // jobHere returns the job with the identity, with one more waiting caller, or nil.
