server: refuse a submission whose host-made key is older than the horizon

Cause: after a domain lost its memory, a submission without a key got the outcome unknown ("may have run before") until the clock passed the horizon, although the host had made the key for this very request, so that no other copy of it exists. A key that the caller or the Go client made is still unknown. Checked: every other refusal is given for a host-made key whose claim was not granted, is recorded as final, or follows a job of which no task was sent. TestDomainLosesAllMemory failed before the change (unknown) and passes with it.

--- a/server/claiming.go
+++ b/server/claiming.go
@@ -54,7 +54,7 @@
 	case claimer.Joined, claimer.Unavailable:
 		h.joinOrClaim(r, j, a, claim, d)
 	default:
-		h.follow(j, d)
+		h.follow(r, j, d)
 	}
 }
 
@@ -91,7 +91,7 @@
 			h.run(j, a, claim)
 			return
 		default:
-			h.follow(j, d)
+			h.follow(r, j, d)
 			return
 		}
 		if h.now().After(j.deadline) || !sleep(j.ctx, minJoinPause+rand.N(maxJoinPause-minJoinPause)) {
@@ -137,7 +137,7 @@
 }
 
 // follow answers a job that this host may not run, from the claim that exists.
-func (h *Host) follow(j *job, d claimer.Decision) {
+func (h *Host) follow(r *request, j *job, d claimer.Decision) {
 	switch d.Status {
 	case claimer.Recorded:
 		h.settle(j, own(d.Outcome, j))
@@ -148,6 +148,10 @@
 	case claimer.Expired:
 		h.settleError(j, keyExpired(j.sub.Key.String(), h.table.Retention()))
 	case claimer.Unknown:
+		if r.HostKey {
+			h.settle(j, neverRan(j, "the failure domain has lost its claims"))
+			return
+		}
 		h.settle(j, sesamedrift.NotComplete(&j.sub, sesamedrift.Unknown, "the submission may have run before"))
 	case claimer.Granted, claimer.Unavailable, claimer.Absent:
 		panic("server: decision " + string(d.Status) + " has nothing to follow")
@@ -172,7 +176,7 @@
 	if d.Status == claimer.Granted || d.Status == claimer.Recorded && d.Outcome.Status == sesamedrift.Refused {
 		return true
 	}
-	h.follow(j, d)
+	h.follow(r, j, d)
 	return false
 }
 
@@ -180,13 +184,19 @@
 // key that this system made for this request is known to have no other copy.
 func unavailable(j *job, hostKey bool) sesamedrift.Outcome {
 	if hostKey {
-		o := sesamedrift.NotComplete(&j.sub, sesamedrift.Refused, "not run: no majority of the failure domain can be reached")
-		o.RetryAfter = time.Second
-		return o
+		return neverRan(j, "no majority of the failure domain can be reached")
 	}
 	return sesamedrift.NotComplete(&j.sub, sesamedrift.Unknown, "no majority of the failure domain can be reached")
 }
 
+// neverRan returns the refusal of a job whose key this host made for this very request and
+// whose claim was not granted: no other copy of it exists that could have run.
+func neverRan(j *job, reason string) sesamedrift.Outcome {
+	o := sesamedrift.NotComplete(&j.sub, sesamedrift.Refused, "not run: "+reason)
+	o.RetryAfter = time.Second
+	return o
+}
+
 // own returns a recorded outcome under the key text that the caller used.
 func own(o sesamedrift.Outcome, j *job) sesamedrift.Outcome {
 	o.Key = j.sub.Key.String()
--- a/server/failure_test.go
+++ b/server/failure_test.go
@@ -346,4 +346,18 @@
 	d.g.Expect(err).NotTo(HaveOccurred())
 	d.g.Expect(o.Status).To(Equal(sesamedrift.Unknown))
 	d.g.Expect(d.starts.total()).To(Equal(1))
+
+	// Guards against "unknown" for a key that the host makes before the horizon: no other
+	// copy exists, so that it is certain whether the submission runs.
+	s.Key = sesamedrift.Key{}
+	s.Deadline = time.Now().Add(testTimeout)
+	o = d.post("lekki-1", s, 1)
+	if o.Status == sesamedrift.Refused {
+		d.g.Expect(o.RetryAfter).To(BeNumerically(">", 0))
+		d.g.Expect(d.starts.of(o.Key)).To(BeZero())
+		return
+	}
+	// The horizon has passed before the key was made.
+	d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), o.Reason)
+	d.g.Expect(d.starts.of(o.Key)).To(Equal(1))
 }
