claimer: take the creation time of a key as an argument of Find

Cause: Find read the creation time from the text of the key, and could not where the server had put the number of a later try behind it. A look-up or a cancellation of a later try was answered "unknown". Change: the caller, which knows the time, gives it. The key is opaque again. Before: TestWaitFindsLaterTries failed.

--- a/claimer/claim.go
+++ b/claimer/claim.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 
 	"sesamedrift.example/sesamedrift"
@@ -245,10 +244,3 @@
 func (e *NotSentError) Unwrap() error {
 	return e.Err
 }
-
-// createdOf returns the creation time in the text of an identity.
-func createdOf(key string) (time.Time, bool) {
-	i := strings.LastIndexByte(key, '@')
-	at, err := time.Parse("20060102T150405.000", key[i+1:])
-	return at, i >= 0 && err == nil
-}
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -390,17 +390,9 @@
 	}
 }
 
-// Find returns what is known about a key without claiming it: Recorded, Joined, Expired,
-// Unknown, Unavailable or Absent.
-func (c *Claimer) Find(ctx context.Context, now time.Time, key string) (Decision, error) {
-	created, ok := createdOf(key)
-	if !ok {
-		return Decision{}, &sesamedrift.InvalidError{
-			Field: "key",
-			Value: key,
-			Want:  "the identity of a key, with its creation time",
-		}
-	}
+// Find returns what is known about a key, created at a time, without claiming it: Recorded,
+// Joined, Expired, Unknown, Unavailable or Absent.
+func (c *Claimer) Find(ctx context.Context, now time.Time, key string, created time.Time) (Decision, error) {
 	if expired(now, created, c.cfg.Table.Retention()) {
 		return Decision{
 			Status: Expired,
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -220,7 +220,7 @@
 		Status: sesamedrift.Refused,
 		Reason: "queue is full",
 	})).To(Succeed())
-	d, err := c.node(1).c.Find(ctx, start, theKey)
+	d, err := c.node(1).c.Find(ctx, start, theKey, start)
 	g.Expect(d.Status, err).To(Equal(Absent))
 	g.Expect(c.claim(1, Started).Status).To(Equal(Granted))
 	g.Expect(c.claim(0, Started).Status).To(Equal(Joined))
@@ -272,14 +272,14 @@
 		g.Expect(c.node(0).c.Finish(ctx, start, key, completeOutcome("twenty bytes of text"))).To(Succeed())
 	}
 	g.Expect(c.node(0).t.answerBytes).To(BeNumerically("<=", 100))
-	d, err := c.node(1).c.Find(ctx, start, "order-0@20261204T090000.000")
+	d, err := c.node(1).c.Find(ctx, start, "order-0@20261204T090000.000", start)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(d.Status).To(Equal(Recorded))
 	g.Expect(d.AnswerDropped).To(BeTrue())
 	g.Expect(d.Held).To(Equal(sesamedrift.Complete))
 	g.Expect(d.Outcome.Status).To(Equal(sesamedrift.Unknown))
 	g.Expect(d.Outcome.Reason).To(Equal(ReasonAnswerDropped))
-	d, _ = c.node(1).c.Find(ctx, start, "order-9@20261204T090000.000")
+	d, _ = c.node(1).c.Find(ctx, start, "order-9@20261204T090000.000", start)
 	g.Expect(d.Outcome).To(Equal(completeOutcome("twenty bytes of text")))
 }
 
--- a/server/forward.go
+++ b/server/forward.go
@@ -194,7 +194,7 @@
 	}
 	round, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	d, err := h.claims.Find(round, h.now(), l.identity())
+	d, err := h.claims.Find(round, h.now(), l.identity(), l.Key.Created)
 	if err != nil {
 		return keyUnknown(l.Key, err.Error()), nil
 	}
@@ -251,7 +251,7 @@
 func (h *Host) recorded(ctx context.Context, l lookup) (sesamedrift.Outcome, *Error) {
 	round, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	d, err := h.claims.Find(round, h.now(), l.identity())
+	d, err := h.claims.Find(round, h.now(), l.identity(), l.Key.Created)
 	if err != nil || d.Status != claimer.Recorded {
 		return keyUnknown(l.Key, errNoOutcome.Error()), nil
 	}
@@ -342,7 +342,7 @@
 	}
 	ctx, done := context.WithTimeout(ctx, claimTimeout)
 	defer done()
-	d, err := h.claims.Find(ctx, h.now(), l.identity())
+	d, err := h.claims.Find(ctx, h.now(), l.identity(), l.Key.Created)
 	switch {
 	case err != nil:
 		return notReady("the claim could not be read: " + err.Error())
