server: check the ownership of an upstream when a task is sent

Cause: the dispatcher checks that this host owns an upstream when it places a task, but the claim may be marked as started after that, which takes up to 0.5 s while a view changes. By then the upstream may have another owner, and gets a task for a slot that is taken. TestOneWayCut/refused and TestCancellationWave each failed once that way ("offered more tasks than it has slots"; the upstream refuses such a task, so nothing starts twice). That this is the cause of both was not proven: 32 more runs of TestOneWayCut under load did not fail. Change: the ownership is checked again when the task is sent; without it the task counts as not started. TestNothingIsSentAfterTheOwnershipEnded fails without.

--- a/server/remote.go
+++ b/server/remote.go
@@ -352,8 +352,15 @@
 	}
 }
 
-// attemptOn runs an attempt on an upstream until ctx ends or the upstream is lost.
+var errNotOwner = errors.New("the upstream has another owner")
+
+// attemptOn runs an attempt on an upstream until ctx ends or the upstream is lost. The
+// ownership may have ended since the dispatcher placed the task, for example while the
+// claim was marked as started.
 func (h *Host) attemptOn(ctx context.Context, u owned, run taskRun) taskAnswer {
+	if !h.members.owns(h.now(), u.Upstream) {
+		return notStarted(errNotOwner)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := context.AfterFunc(u.ctx, func() { cancel(context.Cause(u.ctx)) })
--- a/server/slots_test.go
+++ b/server/slots_test.go
@@ -1,11 +1,14 @@
 package server
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"sesamedrift.example/sesamedrift/leaser"
 	"sesamedrift.example/sesamedrift/scheduler"
 )
 
@@ -112,6 +115,25 @@
 	g.Expect(given).To(Equal(1))
 }
 
+// Guards against a task that a host sends to an upstream which has another owner by now.
+func TestNothingIsSentAfterTheOwnershipEnded(t *testing.T) {
+	g := NewWithT(t)
+	sent := make(chan bool, 1)
+	upstream := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { sent <- true }))
+	defer upstream.Close()
+	h := capacityHost(t, 1)
+	h.runner = newRunner(1024, 1)
+	defer h.runner.close()
+	u := *h.dispatcher.upstreams["worker-0"]
+	u.Address = upstream.Listener.Addr().String()
+	run := taskRun{TaskID: "a", Attempt: 1, Lease: time.Second}
+	h.attemptOn(t.Context(), u, run)
+	g.Expect(sent).To(Receive(), "while the host owns the upstream")
+	h.members.leaser.Install(h.now(), leaser.View{Domain: "ikeja", Number: 2, Members: []leaser.Member{{Host: peerName, Incarnation: 1}}})
+	g.Expect(h.attemptOn(t.Context(), u, run).Result).To(Equal(runNotStarted))
+	g.Expect(sent).NotTo(Receive())
+}
+
 // Guards against queues that swing to and fro between two hosts, and against a host
 // without upstreams that keeps its tasks.
 func TestQueuesAreBalanced(t *testing.T) {
