server: test two regions that lose each other; say why a change is not decided

Cause: No test cut a group of failure domains from the others. An operator who sent a change on the side without a majority of the replicas was told "no replica of the registers can be reached" although one answered, or "context deadline exceeded" on a silent cut.

Change: A change or read that no replica decides fails with "no majority of the replicas answered" and the last cause. The status line of a cut-off host says that the configuration may be old. launcher.CutRegion cuts a group of domains. TestRegionsLoseEachOther, with refused and silent cuts: one region has two of three replicas, the other two domains and one replica; each serves fresh submissions and keys whose home is in it, also across its own domains; only the majority accepts changes; after the healing all hosts have the newest version and a stale change is a conflict.

Conclusion: Regions that lose each other behave as cut-off domains do; the operator can tell.

--- a/commander/config.go
+++ b/commander/config.go
@@ -379,7 +379,7 @@
 		c.printf("unreachable: %s\n", strings.Join(s.Unreachable, ", "))
 	}
 	if s.CutOff {
-		c.printf("cut off: no majority of the replicas can be asked\n")
+		c.printf("cut off: no majority of the replicas can be asked, the configuration may be old\n")
 	}
 	return nil
 }
--- a/launcher/cuts.go
+++ b/launcher/cuts.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -58,9 +59,15 @@
 
 // CutDomain cuts a failure domain off from all others in both directions.
 func (d *Deployment) CutDomain(domain string, how server.Link) {
+	d.CutRegion([]string{domain}, how)
+}
+
+// CutRegion cuts a group of failure domains off from all others in both directions. The
+// domains of the group still reach each other.
+func (d *Deployment) CutRegion(domains []string, how server.Link) {
 	for _, in := range d.settings {
 		for _, out := range d.settings {
-			if in.Domain == domain && out.Domain != domain {
+			if slices.Contains(domains, in.Domain) && !slices.Contains(domains, out.Domain) {
 				d.Cut(in.Host, out.Host, how)
 				d.Cut(out.Host, in.Host, how)
 			}
--- a/server/partition_test.go
+++ b/server/partition_test.go
@@ -9,8 +9,10 @@
 	. "github.com/onsi/gomega"
 
 	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/client"
 	"sesamedrift.example/sesamedrift/launcher"
 	"sesamedrift.example/sesamedrift/server"
+	"sesamedrift.example/sesamedrift/validator"
 )
 
 // largeDomain has three hosts in one failure domain and one in each of two others, so
@@ -104,6 +106,66 @@
 	return late
 }
 
+// Guards against a region that stops to serve when it is cut off from the other one, against
+// a change on the side without a majority of the replicas, and against one that is lost on
+// either side after the healing.
+func TestRegionsLoseEachOther(t *testing.T) {
+	t.Parallel()
+	for name, how := range cutModes {
+		t.Run(name, func(t *testing.T) {
+			cfg := largeDomain()
+			folder := t.TempDir()
+			cfg.Adjust = func(s *validator.Settings) {
+				// The region of ikeja has two of the replicas, that of the other domains one.
+				switch s.Host {
+				case "ikeja-2":
+					s.Replica, s.Bootstrap, s.DataFolder = true, true, folder
+				case "lekki-1":
+					s.Replica, s.Bootstrap, s.DataFolder = false, false, ""
+				}
+			}
+			d := deploy(t, cfg)
+			d.untilVote("ikeja-1", "ikeja-2", "apapa-1")
+			d.CutRegion([]string{"lekki", "apapa"}, how)
+			minority := []string{"lekki-1", "apapa-1"}
+			for _, host := range minority {
+				d.g.Eventually(func() bool { return d.state(host).CutOff }, testTimeout).Should(BeTrue(), host)
+			}
+			d.g.Expect(d.state("ikeja-3").CutOff).To(BeFalse())
+			for host, home := range map[string]string{"ikeja-2": "ikeja", "ikeja-3": "", "lekki-1": "apapa", "apapa-1": "lekki"} {
+				s := work("booking", "10ms", 2)
+				s.Deadline = time.Now().Add(testTimeout)
+				if home != "" {
+					s.Key = key(home)
+				}
+				o := d.submit(host, s)
+				d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), host+": "+o.Reason)
+			}
+			var all sync.WaitGroup
+			for _, host := range minority {
+				all.Go(func() {
+					_, err := d.at(host).Apply(d.ctx, d.change(1, "by "+host, 7))
+					d.g.Expect(err).To(MatchError(ContainSubstring("no majority of the replicas")))
+				})
+			}
+			all.Wait()
+			d.applyMany("ikeja-3", 1, 3)
+			for _, host := range minority {
+				d.g.Expect(d.version(host)).To(Equal(uint64(1)))
+			}
+
+			d.Heal()
+			for _, host := range d.HostNames() {
+				d.g.Eventually(func() uint64 { return d.version(host) }, testTimeout).Should(Equal(uint64(3)), host)
+				d.g.Eventually(func() bool { return d.state(host).CutOff }, testTimeout).Should(BeFalse(), host)
+			}
+			d.g.Expect(d.apply("apapa-1", d.change(1, "by apapa-1", 7)).Status).To(Equal(client.ChangeConflict))
+			d.applyMany("lekki-1", 3, 4)
+			d.g.Expect(d.starts.most()).To(Equal(1))
+		})
+	}
+}
+
 // Guards against a host that goes on starting work after it was silently cut off, while
 // its upstreams have new owners.
 func TestSilentCutOfOneHost(t *testing.T) {
--- a/server/registers.go
+++ b/server/registers.go
@@ -73,6 +73,10 @@
 // errNoReplica is returned when no host with a disk can be asked.
 var errNoReplica = errors.New("no replica of the registers can be reached")
 
+// errNoMajority is wrapped by the error of a change or read on which no replica reports a
+// decision.
+var errNoMajority = errors.New("no majority of the replicas answered")
+
 // openReplica opens the journal and the registers of a host with a disk.
 func (h *Host) openReplica() error {
 	s := h.cfg.Settings
@@ -310,13 +314,13 @@
 			}
 		case <-next:
 		case <-ctx.Done():
-			return last.out, ctx.Err()
+			return last.out, fmt.Errorf("%w: %w", errNoMajority, ctx.Err())
 		}
 	}
 	if last.err == nil {
-		last.err = errNoReplica
+		return last.out, errNoMajority
 	}
-	return last.out, last.err
+	return last.out, fmt.Errorf("%w: %w", errNoMajority, last.err)
 }
 
 // repairUntil repairs this replica from the others if its folder was empty or damaged.
