server: test messages that arrive after their sender gave up; do not start late tasks

Cause: No test delivered a message between hosts after its sender had given up. A forwarded task that arrived so late was started, because it carried only the time that was left when it was sent: its caller had been answered "unknown", and nobody received the answer. A host that could not record an outcome kept its claim and answered "unknown" for the key from then on, also after another host had taken the claim over and recorded "complete".

Change: A forwarded task names its deadline by the clock of the sender; it is not started after this plus the clock margin. A host that is asked for a submission that it ended without a record tries to record it again; if the claim was taken over, it asks the others. The link state LinkHeld and launcher.Hold keep messages, or those of one kind, until the way is open, and then deliver them although their callers are gone. The seam Config.Link now gets the kind of the message. TestForwardedTaskArrivesLate, TestClaimArrivesLate (with a refusal) and TestStartMarkArrivesLate.

Conclusion: Late claims and marks started nothing before either; late forwarded tasks no longer do after their deadline.

--- a/launcher/cuts.go
+++ b/launcher/cuts.go
@@ -6,12 +6,15 @@
 	"sync"
 	"sync/atomic"
 
+	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/server"
 )
 
-// way is the direction from one host to another.
+// way is the direction from one host to another, for all messages or, if kind is not 0, for
+// those of a kind and the replies to them.
 type way struct {
 	from, to string
+	kind     messenger.Kind
 }
 
 // cuts holds the ways between hosts that are not open. It is safe for concurrent use.
@@ -21,29 +24,38 @@
 	all atomic.Pointer[map[way]server.Link]
 }
 
-func (c *cuts) link(from, to string) server.Link {
+func (c *cuts) link(from, to string, kind messenger.Kind) server.Link {
 	all := c.all.Load()
 	if all == nil {
 		return server.LinkOpen
 	}
+	if how := (*all)[way{from: from, to: to, kind: kind}]; how != server.LinkOpen {
+		return how
+	}
 	return (*all)[way{from: from, to: to}]
 }
 
-func (c *cuts) cut(from, to string, how server.Link) {
+func (c *cuts) cut(w way, how server.Link) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	next := map[way]server.Link{}
 	if all := c.all.Load(); all != nil {
 		next = maps.Clone(*all)
 	}
-	next[way{from: from, to: to}] = how
+	next[w] = how
 	c.all.Store(&next)
 }
 
 // Cut cuts the way from one host to another: messages and replies in this direction do
 // not arrive. The other direction stays as it is.
 func (d *Deployment) Cut(from, to string, how server.Link) {
-	d.cuts.cut(from, to, how)
+	d.cuts.cut(way{from: from, to: to}, how)
+}
+
+// Hold keeps the messages of a kind from one host to another, and the replies to such
+// messages in this direction, until Heal. Other messages arrive.
+func (d *Deployment) Hold(from, to string, kind messenger.Kind) {
+	d.cuts.cut(way{from: from, to: to, kind: kind}, server.LinkHeld)
 }
 
 // CutHost cuts a host off from all others in both directions. Clients and upstreams still
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -16,6 +16,7 @@
 	"sesamedrift.example/sesamedrift/client"
 	"sesamedrift.example/sesamedrift/executor"
 	"sesamedrift.example/sesamedrift/journaler"
+	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/scheduler"
 	"sesamedrift.example/sesamedrift/server"
 	"sesamedrift.example/sesamedrift/validator"
@@ -138,7 +139,7 @@
 		Policy:      d.cfg.Policy,
 		Delay:       d.delay(s.Domain),
 		Seed:        d.cfg.Seed + incarnation,
-		Link:        func(to string) server.Link { return d.cuts.link(name, to) },
+		Link:        func(to string, kind messenger.Kind) server.Link { return d.cuts.link(name, to, kind) },
 		Journal: func(j *journaler.Config) {
 			if d.cfg.Journal != nil {
 				d.cfg.Journal(name, j)
--- /dev/null
+++ b/server/delay_test.go
@@ -0,0 +1,135 @@
+package server_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/messenger"
+	"sesamedrift.example/sesamedrift/server"
+	"sesamedrift.example/sesamedrift/validator"
+)
+
+// clockMargin is the clock margin of the hosts of these tests, which share one clock.
+const clockMargin = 200 * time.Millisecond
+
+// oneOwner starts a failure domain with one upstream. It returns its owner and another host.
+func oneOwner(t *testing.T) (d *deployment, owner, other string) {
+	cfg := oneDomain()
+	cfg.Upstreams = 1
+	cfg.Adjust = func(s *validator.Settings) { s.ClockMargin = validator.Duration(clockMargin) }
+	d = deploy(t, cfg)
+	for _, host := range d.HostNames() {
+		if d.ownedBy(host) == 1 {
+			owner = host
+		} else {
+			other = host
+		}
+	}
+	return d, owner, other
+}
+
+// hold keeps what a host sends to the others.
+func (d *deployment) hold(from string) {
+	for _, host := range d.HostNames() {
+		if host != from {
+			d.Cut(from, host, server.LinkHeld)
+		}
+	}
+}
+
+// excluded waits until the others have excluded the owner of the only upstream. Before, they
+// would wait for its replies, which are kept.
+func (d *deployment) excluded(owner string) {
+	d.g.Eventually(func() bool { return d.state(owner).Lease }, testTimeout).Should(BeFalse())
+	d.g.Eventually(func() int { return d.ownedByAll() - d.ownedBy(owner) }, testTimeout).Should(Equal(1))
+}
+
+// deliver delivers what was kept and waits until every host serves.
+func (d *deployment) deliver() {
+	d.Heal()
+	for _, host := range d.HostNames() {
+		d.g.Eventually(func() []string { return d.state(host).Members }, testTimeout).Should(HaveLen(3), host)
+		d.g.Eventually(func() sesamedrift.Status {
+			return d.submit(host, work("booking", "10ms", 1)).Status
+		}, testTimeout).Should(Equal(sesamedrift.Complete), host)
+	}
+}
+
+// Guards against a start of a forwarded task whose message arrives after its sender has
+// given up and answered its caller.
+func TestForwardedTaskArrivesLate(t *testing.T) {
+	d, owner, other := oneOwner(t)
+	d.Hold(other, owner, messenger.KindRunTask)
+	s := work("booking", "10ms", 1)
+	s.Key = key("ikeja")
+	s.Deadline = time.Now().Add(time.Second)
+	o := d.post(other, s, 1)
+	d.g.Expect(o.Status).To(Equal(sesamedrift.Unknown), o.Reason)
+	d.g.Eventually(func() bool { return time.Now().After(s.Deadline.Add(clockMargin)) }, testTimeout).Should(BeTrue())
+	d.deliver()
+	s.Deadline = time.Now().Add(testTimeout)
+	again := d.post(owner, s, 1)
+	d.g.Expect(again.Status).To(Equal(o.Status), again.Reason)
+	d.g.Expect(d.starts.of(s.Key.String())).To(BeZero())
+}
+
+// Guards against a second start when a claim arrives after its host has given up and the
+// submission was sent to another host, and against a start after a refusal.
+func TestClaimArrivesLate(t *testing.T) {
+	d, owner, other := oneOwner(t)
+	s := work("booking", "10ms", 2)
+	s.Key = key("ikeja")
+	s.Deadline = time.Now().Add(testTimeout)
+	fresh := s
+	fresh.Key = sesamedrift.Key{}
+	d.hold(owner)
+	refused := make(chan sesamedrift.Outcome, 1)
+	go func() { refused <- d.post(owner, fresh, 1) }()
+	held := d.goSubmit(owner, s)
+	first, lost := <-held, <-refused
+	d.g.Expect(first.Status).To(Equal(sesamedrift.Unknown), first.Reason)
+	d.g.Expect(lost.Status).To(Equal(sesamedrift.Refused), lost.Reason)
+	d.excluded(owner)
+	o := d.decided(other, s)
+	d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), o.Reason)
+	d.deliver()
+	for _, host := range d.HostNames() {
+		d.g.Expect(d.submit(host, s).Answers).To(Equal(o.Answers), host)
+	}
+	d.g.Expect(d.starts.of(s.Key.String())).To(Equal(2))
+	d.g.Expect(d.starts.of(lost.Key)).To(BeZero())
+	d.g.Expect(d.starts.most()).To(Equal(1))
+}
+
+// Guards against a second start when the mark that a submission starts arrives after another
+// host has taken the submission over.
+func TestStartMarkArrivesLate(t *testing.T) {
+	d, owner, other := oneOwner(t)
+	filler := work("heavy-check", "19s", 8)
+	filler.Deadline = time.Now().Add(testTimeout)
+	d.goSubmit(owner, filler)
+	d.g.Eventually(d.starts.total, testTimeout).Should(Equal(8))
+	s := work("booking", "10ms", 2)
+	s.Key = key("ikeja")
+	s.Deadline = time.Now().Add(testTimeout)
+	d.goSubmit(owner, s)
+	d.g.Eventually(func() int { return d.state(owner).Queued }, testTimeout).Should(Equal(2))
+	d.hold(owner)
+	// The slots are free again: the owner would start the submission, and marks it.
+	d.g.Expect(d.KillUpstream("ikeja-worker-1")).To(Succeed())
+	d.g.Expect(d.StartUpstream("ikeja-worker-1", "ikeja", noFaults)).To(Succeed())
+	d.excluded(owner)
+	o := d.decided(other, s)
+	d.deliver()
+	for _, host := range d.HostNames() {
+		again := d.submit(host, s)
+		d.g.Expect(again.Status).To(Equal(o.Status), again.Reason)
+		d.g.Expect(again.Answers).To(Equal(o.Answers), host)
+	}
+	d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), o.Reason)
+	d.g.Expect(d.starts.of(s.Key.String())).To(Equal(2))
+	d.g.Expect(d.starts.most()).To(Equal(1))
+}
--- a/server/forward.go
+++ b/server/forward.go
@@ -179,8 +179,12 @@
 // unknown and the last result says why.
 func (h *Host) findAt(ctx context.Context, m leaser.Member, l lookup) (sesamedrift.Outcome, *Error, error) {
 	if m.Host == h.cfg.Settings.Host {
-		// The job ended between the two steps; its outcome is recorded by now.
+		// The job ended between the two steps; its outcome is recorded by now, unless no
+		// majority could be reached then.
 		o, e := h.recorded(ctx, l)
+		if withoutRecord(o) && h.claimLost(ctx, l, o) {
+			return o, e, errNoOutcome
+		}
 		return o, e, nil
 	}
 	l.Here = true
@@ -193,7 +197,7 @@
 	if reply.Error != nil && reply.Error.Code == "not-found" {
 		// The submission has just ended, or the host has restarted or stops.
 		o, e := h.recorded(ctx, l)
-		if o.Status == sesamedrift.Unknown && o.Reason == errNoOutcome.Error() {
+		if withoutRecord(o) {
 			return o, e, errNoOutcome
 		}
 		return o, e, nil
@@ -202,6 +206,21 @@
 	return o, e, nil
 }
 
+// claimLost records the outcome of a submission that this host ended without a record on a
+// majority. It reports whether another host has taken the claim over; this host then no
+// longer holds it, and the next claim or search asks the others.
+func (h *Host) claimLost(ctx context.Context, l lookup, o sesamedrift.Outcome) bool {
+	round, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	var lost *claimer.LostError
+	return errors.As(h.claims.Finish(round, h.now(), l.identity(), o), &lost)
+}
+
+// withoutRecord reports whether the outcome says that recorded found none.
+func withoutRecord(o sesamedrift.Outcome) bool {
+	return o.Status == sesamedrift.Unknown && o.Reason == errNoOutcome.Error()
+}
+
 // recorded returns the recorded outcome of a submission that has just ended.
 func (h *Host) recorded(ctx context.Context, l lookup) (sesamedrift.Outcome, *Error) {
 	round, cancel := context.WithTimeout(ctx, claimTimeout)
--- a/server/host.go
+++ b/server/host.go
@@ -59,9 +59,9 @@
 	Delay func(domain string) time.Duration
 	// Seed makes random choices repeatable.
 	Seed uint64
-	// Link, if set, gives the state of the way from this host to a peer. It is asked for
-	// each message and each reply; tests cut hosts off with it.
-	Link func(host string) Link
+	// Link, if set, gives the state of the way from this host to a peer for messages of a
+	// kind and replies to them. It is asked for each of them; tests cut hosts off with it.
+	Link func(host string, kind messenger.Kind) Link
 	// Journal, if set, may change how the journal in the data folder writes and syncs; tests
 	// make a disk fail with it.
 	Journal func(cfg *journaler.Config)
--- a/server/peers.go
+++ b/server/peers.go
@@ -48,10 +48,10 @@
 	if err != nil {
 		return out, &messenger.NotSentError{Err: err}
 	}
-	if err := h.link(ctx, host); err != nil {
+	if err := h.link(ctx, host, kind); err != nil {
 		return out, err
 	}
-	reply, err := p.conn.Call(ctx, kind, body)
+	reply, err := h.call(ctx, p, kind, body)
 	if err != nil {
 		return out, err
 	}
@@ -64,7 +64,19 @@
 // tell sends a one-way message. A message that cannot be sent is dropped.
 func (h *Host) tell(host string, kind messenger.Kind, in any) {
 	p, ok := h.peers[host]
-	if !ok || h.linkTo(host) != LinkOpen {
+	if !ok {
+		return
+	}
+	switch h.linkTo(host, kind) {
+	case LinkOpen:
+	case LinkHeld:
+		h.background.Go(func() {
+			if h.released(host, kind) {
+				h.tell(host, kind, in)
+			}
+		})
+		return
+	case LinkRefused, LinkSilent:
 		return
 	}
 	body, err := messenger.Encode(in)
@@ -110,13 +122,18 @@
 // handlePeer answers one message of a peer. While the way back is cut, the reply is lost.
 func (h *Host) handlePeer(ctx context.Context, from messenger.Hello, kind messenger.Kind, body []byte) ([]byte, error) {
 	reply, err := h.handleMessage(ctx, from, kind, body)
-	switch h.linkTo(from.Host) {
+	switch h.linkTo(from.Host, kind) {
 	case LinkOpen:
 		return reply, err
 	case LinkRefused:
 		return nil, errLinkCut
 	case LinkSilent:
 		return nil, messenger.ErrNoReply
+	case LinkHeld:
+		if !h.released(from.Host, kind) {
+			return nil, messenger.ErrNoReply
+		}
+		return reply, err
 	default:
 		panic("server: link state is not known")
 	}
--- a/server/remote.go
+++ b/server/remote.go
@@ -18,8 +18,11 @@
 	Slow     time.Duration `msgpack:"slow"`
 	// LongAfter is the run time after which the task counts as long.
 	LongAfter time.Duration `msgpack:"long-after"`
-	// Left is the time until the deadline.
+	// Left is the time until the deadline when the task was sent.
 	Left time.Duration `msgpack:"left"`
+	// Until is the deadline by the clock of the sender; a task that arrives after it, with
+	// the clock margin, is not started. It is zero if the sender does not know the field.
+	Until time.Time `msgpack:"until"`
 	// From is the host that forwards the task, and Number grows with each task that it
 	// forwards, over restarts as well.
 	From   string `msgpack:"from"`
@@ -147,6 +150,7 @@
 		Slow:      t.Slow,
 		LongAfter: t.LongAfter,
 		Left:      left,
+		Until:     j.deadline,
 		From:      h.cfg.Settings.Host,
 		Number:    n,
 	})
@@ -192,6 +196,9 @@
 			h.dispatcher.post(func(now time.Time) { h.dispatcher.peerTaskEnded(now, v, a) })
 		})
 	}
+	if !in.Until.IsZero() {
+		in.Left = min(in.Left, in.Until.Add(h.cfg.Settings.ClockMargin.Std()).Sub(h.now()))
+	}
 	if err := h.dispatcher.call(func(now time.Time) { h.dispatcher.addPeerTask(now, in, v) }); err != nil {
 		return forwardedAnswer{Answer: notStarted(err)}, nil
 	}
@@ -231,6 +238,10 @@
 		v.answers <- notStarted(errWithdrew)
 		return
 	}
+	if in.Left <= 0 {
+		v.answers <- notStarted(errExpired)
+		return
+	}
 	if d.queue.Stats(now, t.Service).Slots == 0 {
 		v.answers <- notStarted(errNoSlots)
 		return
