--- a/server/host_test.go
+++ b/server/host_test.go
@@ -61,7 +61,13 @@
 	if cfg.Slots == 0 {
 		cfg.Slots = 8
 	}
-	cfg.Adjust = patient
+	adjust := cfg.Adjust
+	cfg.Adjust = func(s *validator.Settings) {
+		patient(s)
+		if adjust != nil {
+			adjust(s)
+		}
+	}
 	d, err := launcher.New(ctx, cfg)
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { g.Expect(d.Close()).To(Succeed()) })
