claimer: find the claims of later tries

Cause: the identity of a later try ends with its number, which Find took for a part of the creation time, so that a look-up of such a try was always answered as unknown with the reason of an invalid key. Change: the number is cut off before the time is read. TestRefusedSubmissionCanBeClaimedAgain failed before with that error and passes now.

--- a/claimer/claim.go
+++ b/claimer/claim.go
@@ -246,9 +246,11 @@
 	return e.Err
 }
 
-// createdOf returns the creation time in the text of an identity.
+// createdOf returns the creation time in the text of an identity, which the number of a
+// later try may follow.
 func createdOf(key string) (time.Time, bool) {
 	i := strings.LastIndexByte(key, '@')
-	at, err := time.Parse("20060102T150405.000", key[i+1:])
+	created, _, _ := strings.Cut(key[i+1:], "+")
+	at, err := time.Parse("20060102T150405.000", created)
 	return at, i >= 0 && err == nil
 }
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -224,6 +224,10 @@
 	g.Expect(d.Status, err).To(Equal(Absent))
 	g.Expect(c.claim(1, Started).Status).To(Equal(Granted))
 	g.Expect(c.claim(0, Started).Status).To(Equal(Joined))
+	// The next try of the caller has an identity of its own, which must be found too.
+	g.Expect(c.claimKey(0, Started, theKey+"+2", start).Status).To(Equal(Granted))
+	d, err = c.node(2).c.Find(ctx, start, theKey+"+2")
+	g.Expect(d.Status, err).To(Equal(Joined))
 }
 
 // Guards against keys that are accepted with another payload, a time in the future or an
