claimer: give the comparison a request type of its own name

Cause: "sync" asked a table for all its records; a host that runs the former program and got the answer of a comparison for it would take it for an empty table, and claims would be lost. Change: the type is "compare", and a type that a table does not know is refused.

--- a/claimer/digest.go
+++ b/claimer/digest.go
@@ -230,7 +230,7 @@
 func (r *reader) request(t *Table) Request {
 	if !r.compared {
 		return Request{
-			Type:    TypeSync,
+			Type:    TypeCompare,
 			View:    r.view,
 			Buckets: t.buckets(),
 		}
--- a/claimer/operation.go
+++ b/claimer/operation.go
@@ -147,7 +147,7 @@
 			o.finish(o.recorded(c))
 			return
 		}
-	case TypeMark, TypeRecord, TypeWrite, TypeSync, TypeFetch:
+	case TypeMark, TypeRecord, TypeWrite, TypeCompare, TypeFetch:
 	}
 	switch {
 	case won:
@@ -201,7 +201,7 @@
 		o.prepared()
 	case TypeLookUp:
 		o.finish(o.found())
-	case TypeSync, TypeFetch:
+	case TypeCompare, TypeFetch:
 	}
 }
 
@@ -232,7 +232,7 @@
 			o.prepare()
 			return
 		}
-	case TypeMark, TypeRecord, TypeLookUp, TypeSync, TypeFetch:
+	case TypeMark, TypeRecord, TypeLookUp, TypeCompare, TypeFetch:
 	}
 	if o.finished {
 		return
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -40,9 +40,9 @@
 	TypeWrite RequestType = "write"
 	// TypeLookUp reads a record.
 	TypeLookUp RequestType = "look-up"
-	// TypeSync ends the views below View on the table and compares its records with Buckets.
-	TypeSync RequestType = "sync"
-	// TypeFetch reads the records of Buckets that differ, after a TypeSync.
+	// TypeCompare ends the views below View on the table and compares its records with Buckets.
+	TypeCompare RequestType = "compare"
+	// TypeFetch reads the records of Buckets that differ, after a TypeCompare.
 	TypeFetch RequestType = "fetch"
 )
 
@@ -181,7 +181,7 @@
 // the view, are answered with WrongView; sync requests of a higher view are answered, and
 // end the present view on this table.
 func (t *Table) Handle(now time.Time, view leaser.View, r Request) Reply {
-	if r.Type == TypeSync {
+	if r.Type == TypeCompare {
 		return t.compare(r)
 	}
 	t.mu.Lock()
@@ -309,8 +309,12 @@
 			}
 		}
 		rec.Claims = []Claim{c}
-	case TypeLookUp, TypeSync, TypeFetch:
+	case TypeLookUp, TypeCompare, TypeFetch:
 		return Accepted, false
+	default:
+		// The sender runs another version. "sync" asked for a whole table in one that had no
+		// TypeCompare; it must not take the answer for an empty table.
+		return WrongView, false
 	}
 	return Accepted, true
 }
--- a/claimer/world_test.go
+++ b/claimer/world_test.go
@@ -248,7 +248,7 @@
 func (w *world) handle(to int, r Request) Reply {
 	h := w.host(to)
 	t := h.c.cfg.Table
-	if w.s.broken == comparesEarly && r.Type == TypeSync {
+	if w.s.broken == comparesEarly && r.Type == TypeCompare {
 		fenced := t.fenced
 		reply := t.Handle(start, w.viewOf(h.view), r)
 		t.fenced = fenced
@@ -257,7 +257,7 @@
 	if w.s.broken == comparesEarly && r.Type == TypeFetch {
 		t.fence(r.View)
 	}
-	if w.s.broken == acceptsOldViews && r.Type != TypeSync && r.Type != TypeFetch {
+	if w.s.broken == acceptsOldViews && r.Type != TypeCompare && r.Type != TypeFetch {
 		synced, fenced := t.synced, t.fenced
 		t.synced, t.fenced = r.View, r.View
 		reply := t.Handle(start, w.viewOf(int(r.View)), r)
--- a/server/claims.go
+++ b/server/claims.go
@@ -46,7 +46,7 @@
 }
 
 func (h *Host) callMember(ctx context.Context, m leaser.Member, r claimer.Request) (claimer.Reply, error) {
-	if r.Type == claimer.TypeSync || r.Type == claimer.TypeFetch {
+	if r.Type == claimer.TypeCompare || r.Type == claimer.TypeFetch {
 		// A whole table takes long; each part of it must come soon.
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, syncPartTimeout)
