--- a/claimer/sync_test.go
+++ b/claimer/sync_test.go
@@ -146,3 +146,13 @@
 		g.Expect(other.get(r.Key)).To(Equal(r))
 	})
 }
+
+// Guards against a host with another program that takes the answer to a request that is
+// not known here for an empty table.
+func TestUnknownRequestsAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	n := newCluster(1).node(0)
+	reply := n.t.Handle(start, n.view, Request{Type: "sync", View: 1, Key: theKey, Created: start})
+	g.Expect(reply.Status).To(Equal(WrongView))
+	g.Expect(n.t.Len()).To(BeZero())
+}
