executor: find tasks by their escaped identifier when they are stopped

Cause: task identifiers contain a slash, and the router matched the unescaped path, so that every DELETE /tasks/{id} was answered by 404 and stopped nothing. The task ended only when its connection broke, after the host had used the slot again. A stop that overtook its task had no effect either. Change: the route matches the escaped path; the stop carries the attempt, and an attempt that arrives within 10 s after its stop does not start. Before: TestStop failed with 404 in place of 204. After: it passes, 3 times with -race.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -15,6 +15,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -31,6 +33,8 @@
 	// leaveGrace is how long hosts may still send work after they were told that the
 	// executor leaves (invariant P6 of docs/design.md).
 	leaveGrace = 2 * time.Second
+	// stopMemory is how long the stop of a task that did not run is remembered.
+	stopMemory = 10 * time.Second
 )
 
 // Faults changes how an executor behaves. The zero value is a healthy executor.
@@ -118,6 +122,7 @@
 	state   string
 	running map[string]*execution
 	full    int           // tasks that were refused because every slot was taken
+	stopped []stopNotice  // stops of tasks that did not run, oldest first
 	idle    chan struct{} // closed and replaced whenever running becomes empty
 	release chan struct{} // closed and replaced by POST /release
 }
@@ -240,7 +245,8 @@
 }
 
 func (e *Executor) routes() http.Handler {
-	r := mux.NewRouter()
+	// Task identifiers contain slashes, which are escaped in paths.
+	r := mux.NewRouter().UseEncodedPath()
 	r.HandleFunc("/tasks", e.run).Methods(http.MethodPost)
 	r.HandleFunc("/tasks", e.list).Methods(http.MethodGet)
 	r.HandleFunc("/tasks/{id}", e.stopTask).Methods(http.MethodDelete)
@@ -267,9 +273,42 @@
 	writeJSON(w, http.StatusOK, tasks)
 }
 
+// stopNotice is a request to stop a task that did not run when it came.
+type stopNotice struct {
+	task    string
+	attempt int
+	at      time.Time
+}
+
+// noteStop keeps the stop of a task that does not run. A host may stop a task whose request
+// is still on its way; it uses the slot again at once, so that the task must not start.
+func (e *Executor) noteStop(now time.Time, task string, attempt int) {
+	for len(e.stopped) > 0 && now.Sub(e.stopped[0].at) > stopMemory {
+		e.stopped = e.stopped[1:]
+	}
+	e.stopped = append(e.stopped, stopNotice{
+		task:    task,
+		attempt: attempt,
+		at:      now,
+	})
+}
+
+// stoppedEarly reports whether the attempt was stopped before it came.
+func (e *Executor) stoppedEarly(task string, attempt int) bool {
+	return slices.ContainsFunc(e.stopped, func(s stopNotice) bool { return s.task == task && attempt <= s.attempt })
+}
+
 func (e *Executor) stopTask(w http.ResponseWriter, r *http.Request) {
+	id, err := url.PathUnescape(mux.Vars(r)["id"])
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "bad-request", err.Error())
+		return
+	}
 	e.mu.Lock()
-	x, ok := e.running[mux.Vars(r)["id"]]
+	x, ok := e.running[id]
+	if attempt, err := strconv.Atoi(r.Header.Get(attemptHeader)); !ok && err == nil {
+		e.noteStop(time.Now(), id, attempt)
+	}
 	e.mu.Unlock()
 	if !ok {
 		writeError(w, http.StatusNotFound, "not-running", "the task does not run here")
--- a/executor/run.go
+++ b/executor/run.go
@@ -17,7 +17,10 @@
 	leaseHeader   = "Task-Lease"
 )
 
-var errNoSlot = errors.New("every slot is taken")
+var (
+	errNoSlot = errors.New("every slot is taken")
+	errEarly  = errors.New("the task was stopped before it came")
+)
 
 func (e *Executor) run(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(taskHeader)
@@ -65,6 +68,9 @@
 	if _, ok := e.running[id]; ok {
 		return nil, errors.New("the task runs here already")
 	}
+	if e.stoppedEarly(id, attempt) {
+		return nil, errEarly
+	}
 	if len(e.running) >= e.cfg.Slots {
 		e.full++
 		return nil, errNoSlot
--- a/server/runner.go
+++ b/server/runner.go
@@ -118,7 +118,7 @@
 	answer.Took = now().Sub(started)
 	if answer.Result == runLost && ctx.Err() != nil {
 		answer.Result = runStopped
-		r.stop(u, t.TaskID)
+		r.stop(u, t)
 	}
 	return answer
 }
@@ -203,14 +203,15 @@
 
 // stop asks the upstream to stop the task. An upstream that cannot be reached ends the
 // task with its lease.
-func (r *runner) stop(u leaser.Announcement, taskID string) {
+func (r *runner) stop(u leaser.Announcement, t taskRun) {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	target := "http://" + u.Address + "/tasks/" + url.PathEscape(taskID)
+	target := "http://" + u.Address + "/tasks/" + url.PathEscape(t.TaskID)
 	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, target, nil)
 	if err != nil {
 		return
 	}
+	req.Header.Set(attemptHeader, strconv.Itoa(t.Attempt))
 	if resp, err := r.http.Do(req); err == nil {
 		_ = resp.Body.Close()
 	}
