generator: measure what slot time goes into

Cause: the table of crest says that goodput is missed, but not what the capacity is lost to. Change: record when each task holds a slot of an upstream, and divide the slot time of a phase by what became of the job. The table of crest shows the shares; JSON has them by reason.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -62,7 +62,7 @@
 	// OnStart is called at each start of a task if it is set.
 	OnStart func(taskID string, attempt int)
 	// OnEnd is called at each end of a task, before its slot is free, if it is set.
-	OnEnd func()
+	OnEnd func(taskID string)
 }
 
 // Work is the payload that an executor understands. A payload of another form runs for
--- a/executor/run.go
+++ b/executor/run.go
@@ -98,7 +98,7 @@
 	defer e.mu.Unlock()
 	e.running[id].cancel(nil)
 	if e.cfg.OnEnd != nil {
-		e.cfg.OnEnd()
+		e.cfg.OnEnd(id)
 	}
 	close(e.running[id].ended)
 	delete(e.running, id)
--- a/generator/figures.go
+++ b/generator/figures.go
@@ -122,7 +122,12 @@
 	for i := range phases {
 		p := &phases[i]
 		refused := float64(p.Outcomes[sesamedrift.Refused])
+		used := p.SlotTime[inTimeUse]
+		idle := p.SlotTime[idleUse]
 		figures = append(figures,
+			plain("slot time of jobs answered in time at "+p.Name, "", used),
+			plain("slot time of other jobs at "+p.Name, "", 1-used-idle),
+			plain("slot time idle at "+p.Name, "", idle),
 			plain("refused share at "+p.Name, "", share(refused, float64(p.Jobs))),
 			plain("expired in the queue at "+p.Name, "jobs", float64(p.Expired)),
 			plain("refused without a hint at "+p.Name, "jobs", float64(p.Unhinted)),
--- a/generator/generator_test.go
+++ b/generator/generator_test.go
@@ -205,3 +205,26 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(out.String()).To(Equal(string(golden)))
 }
+
+// Guards against lost capacity that is put down to the wrong cause.
+func TestSlotTime(t *testing.T) {
+	g := NewWithT(t)
+	o := newOccupancy()
+	at := func(s int) time.Time { return begin.Add(time.Duration(s) * time.Second) }
+	for i, key := range []string{"good", "late", "failed", "earlier"} {
+		o.start(at(i), "u", key+"@t/0")
+		o.end(at(i+2), "u", key+"@t/0")
+	}
+	samples := []sample{
+		{key: "good", status: sesamedrift.Complete},
+		{key: "late", status: sesamedrift.Complete, late: true},
+		{key: "failed", status: sesamedrift.Failed, reason: "x"},
+	}
+	g.Expect(slotTime(samples, o.within(at(1), at(4)), 8)).To(Equal(map[string]float64{
+		inTimeUse:   0.125,
+		"complete":  0.25,
+		"failed: x": 0.25,
+		earlierUse:  0.125,
+		idleUse:     0.25,
+	}))
+}
--- a/generator/measure.go
+++ b/generator/measure.go
@@ -55,6 +55,8 @@
 	Expired  int `json:"expired"`
 	// LateBy counts the late jobs by outcome and reason.
 	LateBy map[string]int `json:"late-by"`
+	// SlotTime is the share of the capacity that went into jobs, by what became of them.
+	SlotTime map[string]float64 `json:"slot-time"`
 	// LostAnswers counts deliveries whose answer was lost.
 	LostAnswers int `json:"lost-answers"`
 	// Unhinted counts refusals without a retry hint.
@@ -130,6 +132,36 @@
 	return out
 }
 
+// The names of slot time in PhaseResult.SlotTime that brought an answer in time, that went
+// into jobs of an earlier phase, and that was not used. Other names are outcomes.
+const (
+	inTimeUse  = "answered in time"
+	earlierUse = "earlier phase"
+	idleUse    = "idle"
+)
+
+// slotTime divides the slot time of a phase by what became of the jobs.
+func slotTime(samples []sample, used map[string]time.Duration, capacity float64) map[string]float64 {
+	names := make(map[string]string, len(samples))
+	for i := range samples {
+		s := &samples[i]
+		names[s.key] = inTimeUse
+		if s.late || s.status != sesamedrift.Complete {
+			names[s.key] = s.outcome()
+		}
+	}
+	shares := map[string]float64{idleUse: 1}
+	for key, took := range used {
+		name, ok := names[key]
+		if !ok {
+			name = earlierUse
+		}
+		shares[name] += took.Seconds() / capacity
+		shares[idleUse] -= took.Seconds() / capacity
+	}
+	return shares
+}
+
 // outcome describes the sample without what differs between jobs.
 func (s *sample) outcome() string {
 	switch s.status {
@@ -170,6 +202,7 @@
 		if !inTime {
 			p.Late++
 			p.LateBy[s.outcome()]++
+			s.late = true
 		}
 	}
 	if s.status == sesamedrift.Complete && !j.Kind.Long {
--- a/generator/run.go
+++ b/generator/run.go
@@ -51,6 +51,7 @@
 	cfg     Config
 	d       *launcher.Deployment
 	ledger  *Ledger
+	slotUse *occupancy
 	targets []target
 	slots   int
 
@@ -77,6 +78,7 @@
 	r := &run{
 		cfg:      cfg,
 		ledger:   NewLedger(slotsPerUpstream),
+		slotUse:  newOccupancy(),
 		slots:    upstreams * slotsPerUpstream * len(s.Domains),
 		stopping: map[string]bool{},
 	}
@@ -115,9 +117,14 @@
 			Distance:  s.Distance,
 			Seed:      r.cfg.Seed,
 			OnStart: func(upstream, taskID string, attempt int) {
-				r.ledger.Start(time.Now(), upstream, taskID, attempt)
+				now := time.Now()
+				r.ledger.Start(now, upstream, taskID, attempt)
+				r.slotUse.start(now, upstream, taskID)
+			},
+			OnEnd: func(upstream, taskID string) {
+				r.slotUse.end(time.Now(), upstream, taskID)
+				r.ledger.End(upstream)
 			},
-			OnEnd: r.ledger.End,
 		})
 		if err == nil || try == maxDeployments || !errors.Is(err, syscall.EADDRINUSE) {
 			return err
@@ -208,6 +215,8 @@
 	after := r.ledger.Audit()
 	result := measure(p, r.slots, jobs, samples)
 	result.Took = took
+	result.SlotTime = slotTime(samples, r.slotUse.within(begin.Add(p.WarmUp), begin.Add(p.During)),
+		(p.During-p.WarmUp).Seconds()*float64(r.slots))
 	result.Starts = after.Starts - before.Starts
 	result.Duplicates = after.Duplicates - before.Duplicates
 	result.Counters = less(r.d.Counters(), counters)
--- a/generator/submit.go
+++ b/generator/submit.go
@@ -20,6 +20,7 @@
 
 // sample is what became of one job.
 type sample struct {
+	key string
 	// sent is when the job was sent, and ended when the caller had its answer, both
 	// after the start of the phase.
 	sent, ended time.Duration
@@ -30,6 +31,8 @@
 	failure    string
 	// lost counts the deliveries whose answer was lost.
 	lost int
+	// late says that the job was accepted and not answered completely within its deadline.
+	late bool
 }
 
 // submit sends one job, and some jobs a second time to another host.
@@ -38,6 +41,7 @@
 	now := time.Now()
 	out := sample{sent: now.Sub(begin)}
 	s := r.submission(now, begin, t, j)
+	out.key = s.Key.String()
 	r.ledger.Submit(s.Key.String(), len(s.Payloads), j.Kind.Idempotent)
 	var second sync.WaitGroup
 	if j.Resubmit {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -52,7 +52,7 @@
 	// OnStart is called at each start of a task on any upstream if it is set.
 	OnStart func(upstream, taskID string, attempt int)
 	// OnEnd is called at each end of a task on any upstream if it is set.
-	OnEnd func(upstream string)
+	OnEnd func(upstream, taskID string)
 	TTL   time.Duration
 	Seed  uint64
 	// Adjust may change the settings of a host before it starts.
@@ -249,7 +249,7 @@
 		cfg.OnStart = func(taskID string, attempt int) { d.cfg.OnStart(name, taskID, attempt) }
 	}
 	if d.cfg.OnEnd != nil {
-		cfg.OnEnd = func() { d.cfg.OnEnd(name) }
+		cfg.OnEnd = func(taskID string) { d.cfg.OnEnd(name, taskID) }
 	}
 	e, err := executor.New(cfg)
 	if err != nil {
