scheduler: start the rest of begun jobs before the order of the teams

A team that starts one task of a job goes behind all other teams before it starts the next one. Change: the queued tasks of a job that has begun go first, here and at a peer, if they are at most a quarter of the slots. The team is charged as before.

--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -117,7 +117,7 @@
 func (q *Queue) dequeue(e *entry) {
 	g := e.group
 	e.team = g.team
-	g.queue.virtual = max(g.queue.virtual, g.team.virtual)
+	g.queue.virtual = max(g.queue.virtual, g.queue.active.top().virtual)
 	g.team.charge(e.cost)
 	g.queue.remove(e)
 	q.queued--
@@ -138,6 +138,7 @@
 	}
 	e.changes = e.ends
 	e.job.start(e)
+	u.service.begin(e.job)
 	q.occupySlot(e, u)
 }
 
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -15,13 +15,17 @@
 // classQueue holds the queued tasks of one class of one service. Teams are ordered by
 // virtual time, which grows with the cost of the tasks that a team starts, divided by
 // its weight; jobs of a team by deadline; tasks of a job by estimate, longest first,
-// so that the job as a whole ends early.
+// so that the job as a whole ends early. Small jobs that have begun go before this order,
+// at the expense of the later tasks of their teams.
 type classQueue struct {
-	fifo    bool
-	teams   map[string]*team
-	list    []*team     // all teams, in a fixed order
-	active  heap[*team] // teams with queued tasks
-	virtual float64     // virtual time of the latest start, in seconds
+	fifo   bool
+	teams  map[string]*team
+	list   []*team     // all teams, in a fixed order
+	active heap[*team] // teams with queued tasks
+	// begun holds jobs that go before the order of the teams, by deadline, because tasks
+	// of theirs have started: the work of a job that does not end whole is lost.
+	begun   heap[*group]
+	virtual float64 // virtual time of the latest start, in seconds
 	tasks   int
 	work    time.Duration // sum of the costs of the tasks
 	pruneAt int
@@ -53,7 +57,8 @@
 	tasks       heap[*entry]
 	work        time.Duration
 	position    int // in team.jobs
-	// expiryPosition is the place in Queue.expiry.
+	// begunPosition is the place in classQueue.begun, expiryPosition that in Queue.expiry.
+	begunPosition  int
 	expiryPosition int
 }
 
@@ -70,6 +75,10 @@
 			},
 			position: func(t *team) *int { return &t.position },
 		},
+		begun: heap[*group]{
+			less:     earlierDeadline,
+			position: func(g *group) *int { return &g.begunPosition },
+		},
 		pruneAt: pruneAbove,
 	}
 }
@@ -79,6 +88,9 @@
 	if c.active.len() == 0 {
 		return nil
 	}
+	if c.begun.len() > 0 {
+		return c.begun.top().tasks.top()
+	}
 	return c.active.top().jobs.top().tasks.top()
 }
 
@@ -180,6 +192,9 @@
 		t.jobs.push(g)
 	} else if g.merge(e.task) {
 		t.jobs.fix(g)
+		if c.begun.contains(g) {
+			c.begun.fix(g)
+		}
 	}
 	e.group = g
 	g.tasks.push(e)
@@ -261,6 +276,7 @@
 func (c *classQueue) removeGroup(g *group) {
 	t := g.team
 	t.jobs.remove(g)
+	c.begun.remove(g)
 	t.work -= g.work
 	c.work -= g.work
 	c.tasks -= g.tasks.len()
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -78,13 +78,18 @@
 		q.jobs[name] = j
 	}
 	j.size++
+	j.begun = j.begun || e.task.Begun
 	e.job = j
 	q.queued++
 	q.enqueue(e)
 }
 
 func (q *Queue) enqueue(e *entry) {
-	g := q.service(e.task.Service).queue(e.task.Class).insert(e, q.cfg.TeamWeight)
+	s := q.service(e.task.Service)
+	g := s.queue(e.task.Class).insert(e, q.cfg.TeamWeight)
+	if e.job.begun {
+		s.hasten(g)
+	}
 	switch {
 	case g.deadline.IsZero():
 	case q.expiry.contains(g):
@@ -178,6 +183,8 @@
 		}
 		s.record(e)
 		q.dequeue(e)
+		e.task.Begun = e.job.begun
+		s.begin(e.job)
 		delete(q.tasks, e.task.ID)
 		q.forgetJob(e.job)
 		tasks = append(tasks, e.task)
--- a/scheduler/script_test.go
+++ b/scheduler/script_test.go
@@ -169,6 +169,7 @@
 			Class:    Class(args["class"]),
 			Estimate: length(estimates[min(i, len(estimates)-1)]),
 			Slow:     length(args["slow"]),
+			Begun:    args["begun"] == "true",
 		}
 		if d := args["deadline"]; d != "" {
 			tasks[i].Deadline = s.now.Add(length(d))
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// begunShare is the inverse of the share of the slots that the queued tasks of a begun job
+// may take before the order of the teams.
+const begunShare = 4
+
 // service holds the upstreams and the queues of one service. The sums and heaps cover
 // the serving upstreams; probing upstreams are kept apart.
 type service struct {
@@ -80,6 +84,22 @@
 	return s.short
 }
 
+// begin notes that a task of the job leaves the queue for an upstream.
+func (s *service) begin(j *job) {
+	j.begun = true
+	for _, g := range j.groups {
+		s.hasten(g)
+	}
+}
+
+// hasten puts a begun job before the order of the teams. Jobs that would fill a large part
+// of the slots at once stay in that order, so that other teams do not wait for all of them.
+func (s *service) hasten(g *group) {
+	if !s.fifo && g.tasks.len() <= s.slots/begunShare && !g.queue.begun.contains(g) {
+		g.queue.begun.push(g)
+	}
+}
+
 // uncount takes an upstream out of the sums and heaps before it changes.
 func (s *service) uncount(u *upstream) {
 	s.probes.remove(u)
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -46,6 +46,8 @@
 	// LongAfter is the run time after which a short task is late (see Queue.Late);
 	// 3 times the estimate if it is not above zero. A task without both is never late.
 	LongAfter time.Duration
+	// Begun says that another task of the job has started or has been taken.
+	Begun bool
 	// Queued is when the task was first queued; Add sets it if it is zero.
 	Queued time.Time
 }
@@ -128,6 +130,7 @@
 type job struct {
 	id      string
 	size    int      // number of tasks that were added
+	begun   bool     // a task has started or has been taken
 	groups  []*group // queued tasks; one group per class
 	running []*entry
 }
--- a/server/dispatcher.go
+++ b/server/dispatcher.go
@@ -393,6 +393,7 @@
 		Estimate:  e.P50,
 		Slow:      e.P95,
 		LongAfter: e.LongAfter,
+		Begun:     j.sent > 0,
 		Queued:    now,
 	}
 }
--- a/server/remote.go
+++ b/server/remote.go
@@ -18,6 +18,8 @@
 	Slow     time.Duration `msgpack:"slow"`
 	// LongAfter is the run time after which the task counts as long.
 	LongAfter time.Duration `msgpack:"long-after"`
+	// Begun says that another task of the job was sent before.
+	Begun bool `msgpack:"begun"`
 	// Left is the time until the deadline.
 	Left time.Duration `msgpack:"left"`
 	// From is the host that forwards the task, and Number grows with each task that it
@@ -146,6 +148,7 @@
 		Estimate:  t.Estimate,
 		Slow:      t.Slow,
 		LongAfter: t.LongAfter,
+		Begun:     t.Begun,
 		Left:      left,
 		From:      h.cfg.Settings.Host,
 		Number:    n,
@@ -224,6 +227,7 @@
 		Estimate:  in.Estimate,
 		Slow:      in.Slow,
 		LongAfter: in.LongAfter,
+		Begun:     in.Begun,
 		Queued:    now,
 	}
 	if _, stopped := d.earlyStops[t.ID]; stopped {
