scheduler: bound the slots of kinds whose run time is not known

Cause: a kind without samples counts as short. All its tasks may start before the first of them is late, and what is queued stays short afterwards, so that a kind that runs long takes every slot and short work waits until its tasks end. Change: of the queued and running tasks of a kind without samples, one (the trial) is short. The others count as long, which bounds them by the share of long work, until the first sample; then they get the class of the kind. Test: scheduler script unproven; without the change the unknown kind gets all four slots.

--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -67,6 +67,7 @@
 	if e.task.Class != Long {
 		e.task.Class = Short
 	}
+	q.hold(e)
 	e.cost = max(minCost, e.task.Estimate)
 	name := e.task.Job
 	if name == "" {
@@ -130,7 +131,7 @@
 		q.expiry.remove(g)
 		for _, e := range g.tasks.items {
 			tasks = append(tasks, e.task)
-			delete(q.tasks, e.task.ID)
+			q.forget(e)
 			q.queued--
 		}
 	}
@@ -185,7 +186,7 @@
 		q.dequeue(e)
 		e.task.Begun = e.job.begun
 		s.begin(e.job)
-		delete(q.tasks, e.task.ID)
+		q.forget(e)
 		q.forgetJob(e.job)
 		tasks = append(tasks, e.task)
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -84,6 +84,7 @@
 	upstreams map[string]*upstream
 	tasks     map[string]*entry // queued and running, by task identifier
 	jobs      map[string]*job
+	unproven  map[kindName]*unproven
 	expiry    heap[*group] // jobs with a deadline, by latest start
 	timeline  heap[*entry] // running tasks, by the next time at which their state changes
 	late      heap[*entry] // running tasks that became late since the last Late
@@ -109,6 +110,7 @@
 		upstreams: map[string]*upstream{},
 		tasks:     map[string]*entry{},
 		jobs:      map[string]*job{},
+		unproven:  map[kindName]*unproven{},
 		expiry: heap[*group]{
 			less:     func(a, b *group) bool { return a.latestStart.Before(b.latestStart) },
 			position: func(g *group) *int { return &g.expiryPosition },
--- a/scheduler/script_test.go
+++ b/scheduler/script_test.go
@@ -125,6 +125,8 @@
 		s.q.Done(s.now, args["id"])
 	case "reclass":
 		s.q.Reclass(s.now, args["id"], Class(args["class"]))
+	case "learned":
+		s.q.Learned(s.now, "s", args["kind"], Class(args["class"]))
 	case "occupy":
 		return strconv.FormatBool(s.q.Occupy(s.now, args["upstream"], args["id"], s.now.Add(length(args["for"]))))
 	case "cancel":
@@ -166,7 +168,9 @@
 			Index:    i,
 			Team:     args["team"],
 			Service:  "s",
+			Kind:     args["kind"],
 			Class:    Class(args["class"]),
+			Unproven: args["unproven"] == "true",
 			Estimate: length(estimates[min(i, len(estimates)-1)]),
 			Slow:     length(args["slow"]),
 			Begun:    args["begun"] == "true",
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -46,6 +46,9 @@
 	// LongAfter is the run time after which a short task is late (see Queue.Late);
 	// 3 times the estimate if it is not above zero. A task without both is never late.
 	LongAfter time.Duration
+	// Unproven says that the run time of the kind is not known: Add makes all queued and
+	// running tasks of the kind but one long until Learned.
+	Unproven bool
 	// Begun says that another task of the job has started or has been taken.
 	Begun bool
 	// Queued is when the task was first queued; Add sets it if it is zero.
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -213,7 +213,7 @@
 	u.service.load(e).remove(e)
 	q.timeline.remove(e)
 	q.late.remove(e)
-	delete(q.tasks, e.task.ID)
+	q.forget(e)
 	if e.job != nil {
 		e.job.end(e)
 		q.forgetJob(e.job)
--- a/server/dispatcher.go
+++ b/server/dispatcher.go
@@ -282,6 +282,9 @@
 	switch a.Result {
 	case runSucceeded:
 		d.times.Observe(now, service, kind, a.Took)
+		if d.queue.Unproven(service, kind) {
+			d.queue.Learned(now, service, kind, d.times.Estimate(now, service, kind).Class)
+		}
 		d.report(now, service, kind, a)
 	case runFailed, runLost, runNotStarted:
 		// A task that its deadline ended says nothing about its upstream.
@@ -393,6 +396,7 @@
 		Estimate:  e.P50,
 		Slow:      e.P95,
 		LongAfter: e.LongAfter,
+		Unproven:  e.Samples == 0,
 		Begun:     j.sent > 0,
 		Queued:    now,
 	}
