--- a/generator/figures.go
+++ b/generator/figures.go
@@ -18,6 +18,7 @@
 	boundedLoad    = 3
 	minFlatness    = 0.95
 	median, tail   = 50, 99
+	longest        = 100
 	microsPerMilli = 1000
 )
 
@@ -96,6 +97,7 @@
 		millis("short work with long work, median", with.response(median)),
 		millis("short work without long work, 99th percentile", without.response(tail)),
 		millis("short work with long work, 99th percentile", with.response(tail)),
+		millis("short work with long work, longest", with.response(longest)),
 		atMost("response over ideal with long work, median", with.ratio(median), maxMedianRatio),
 		atMost("response over ideal with long work, 99th percentile", with.ratio(tail), maxTailRatio),
 		plain("offered load with long work", "", with.Offered),
@@ -122,7 +124,12 @@
 	for i := range phases {
 		p := &phases[i]
 		refused := float64(p.Outcomes[sesamedrift.Refused])
+		used := p.SlotTime[inTimeUse]
+		idle := p.SlotTime[idleUse]
 		figures = append(figures,
+			plain("slot time of jobs answered in time at "+p.Name, "", used),
+			plain("slot time of other jobs at "+p.Name, "", 1-used-idle),
+			plain("slot time idle at "+p.Name, "", idle),
 			plain("refused share at "+p.Name, "", share(refused, float64(p.Jobs))),
 			plain("expired in the queue at "+p.Name, "jobs", float64(p.Expired)),
 			plain("refused without a hint at "+p.Name, "jobs", float64(p.Unhinted)),
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -67,6 +67,7 @@
 	if e.task.Class != Long {
 		e.task.Class = Short
 	}
+	q.hold(e)
 	e.cost = max(minCost, e.task.Estimate)
 	name := e.task.Job
 	if name == "" {
@@ -78,13 +79,18 @@
 		q.jobs[name] = j
 	}
 	j.size++
+	j.begun = j.begun || e.task.Begun
 	e.job = j
 	q.queued++
 	q.enqueue(e)
 }
 
 func (q *Queue) enqueue(e *entry) {
-	g := q.service(e.task.Service).queue(e.task.Class).insert(e, q.cfg.TeamWeight)
+	s := q.service(e.task.Service)
+	g := s.queue(e.task.Class).insert(e, q.cfg.TeamWeight)
+	if e.job.begun {
+		s.hasten(g)
+	}
 	switch {
 	case g.deadline.IsZero():
 	case q.expiry.contains(g):
@@ -125,7 +131,7 @@
 		q.expiry.remove(g)
 		for _, e := range g.tasks.items {
 			tasks = append(tasks, e.task)
-			delete(q.tasks, e.task.ID)
+			q.forget(e)
 			q.queued--
 		}
 	}
@@ -178,7 +184,9 @@
 		}
 		s.record(e)
 		q.dequeue(e)
-		delete(q.tasks, e.task.ID)
+		e.task.Begun = e.job.begun
+		s.begin(e.job)
+		q.forget(e)
 		q.forgetJob(e.job)
 		tasks = append(tasks, e.task)
 	}
--- a/server/remote.go
+++ b/server/remote.go
@@ -18,6 +18,8 @@
 	Slow     time.Duration `msgpack:"slow"`
 	// LongAfter is the run time after which the task counts as long.
 	LongAfter time.Duration `msgpack:"long-after"`
+	// Begun says that another task of the job was sent before.
+	Begun bool `msgpack:"begun"`
 	// Left is the time until the deadline when the task was sent.
 	Left time.Duration `msgpack:"left"`
 	// Until is the deadline by the clock of the sender; a task that arrives after it, with
@@ -164,6 +166,7 @@
 		Estimate:  t.Estimate,
 		Slow:      t.Slow,
 		LongAfter: t.LongAfter,
+		Begun:     t.Begun,
 		Left:      left,
 		Until:     j.deadline,
 		From:      h.cfg.Settings.Host,
@@ -246,6 +249,7 @@
 		Estimate:  in.Estimate,
 		Slow:      in.Slow,
 		LongAfter: in.LongAfter,
+		Begun:     in.Begun,
 		Queued:    now,
 	}
 	if _, stopped := d.earlyStops[t.ID]; stopped {
