server: count tasks on the way to an upstream that the host takes back

Cause: during a view change a host loses its upstreams and takes most of them back. It then asks the upstream which tasks run there, and counted only those slots as taken. Tasks that it had sent a few milliseconds before were missing from the list. A trace of TestOneWayCut showed it: 3 tasks in the list, several of the same host on the way, and 9 offers for taken slots in the next 30 ms. Change: attempts on own upstreams are noted until they end, and keep their slots when the upstream is added again. Ruled out: two owners at the same time (all offers came from one host). TestTasksOnTheWayKeepTheirSlots fails without the change.

--- a/server/directory.go
+++ b/server/directory.go
@@ -376,6 +376,11 @@
 	d.services[a.Service] = true
 	d.health.Add(a.Upstream, a.Service)
 	d.refresh(now, a.Upstream)
+	for id, f := range d.inFlight {
+		if f.upstream == a.Upstream {
+			d.queue.Occupy(now, a.Upstream, id, f.ends)
+		}
+	}
 	for id, ends := range running {
 		if d.queue.Occupy(now, a.Upstream, id, ends) {
 			u.occupied[id] = true
--- a/server/dispatcher.go
+++ b/server/dispatcher.go
@@ -62,6 +62,7 @@
 	upstreams  map[string]*owned          // upstreams in the queue, by name
 	peerTasks  map[string]*peerTask       // tasks that peers forwarded here, by task identifier
 	running    int                        // attempts on upstreams and peers
+	inFlight   map[string]flight          // attempts on upstreams of this host, by task identifier
 	earlyStops map[string]time.Time       // tasks of peers that were stopped before they came
 	orphans    map[string]*job            // jobs that no caller waits for, by identity
 	taking     map[string]time.Time       // upstreams that are asked what runs there, until when
@@ -90,6 +91,12 @@
 	occupied map[string]bool
 }
 
+// flight is an attempt that this host has sent to an upstream.
+type flight struct {
+	upstream string
+	ends     time.Time // the latest end
+}
+
 // peerTask is a task that a peer forwarded to this host.
 type peerTask struct {
 	run    taskRun
@@ -184,14 +191,26 @@
 	if v, ok := d.peerTasks[a.Task.ID]; ok {
 		v.placed = true
 		v.run.Lease = leaseFor(now, a.Task.Deadline, v.run.FullLease)
+		d.fly(now, a, v.run.Lease)
 		v.start(*u, v.run)
 		return
 	}
 	j := d.jobs[a.Task.Job]
 	run := d.sending(now, j, a.Task)
+	d.fly(now, a, run.Lease)
 	d.attempt(j, a.Task.Index, run, *u)
 }
 
+// fly notes an attempt that is about to be sent. If the host loses the upstream and gets it
+// back, the attempt may not have arrived there yet and be missing from the list of tasks
+// that run on it.
+func (d *dispatcher) fly(now time.Time, a scheduler.Assignment, lease time.Duration) {
+	d.inFlight[a.Task.ID] = flight{
+		upstream: a.Upstream,
+		ends:     now.Add(claimTimeout + lease + leaseGrace),
+	}
+}
+
 // sending notes that an attempt leaves this host and returns what is to be sent.
 func (d *dispatcher) sending(now time.Time, j *job, t scheduler.Task) taskRun {
 	state := &j.tasks[t.Index]
@@ -224,6 +243,7 @@
 	t := &j.tasks[index]
 	id := j.taskID(index)
 	d.running--
+	delete(d.inFlight, id)
 	d.learn(now, j.service, j.kind.Name, j.kind.MaxRunTime.Std(), a)
 	if j.finished {
 		d.queue.Done(now, id)
--- a/server/dispatcher_test.go
+++ b/server/dispatcher_test.go
@@ -22,6 +22,7 @@
 		queue:      scheduler.New(scheduler.Config{}),
 		upstreams:  map[string]*owned{},
 		peerTasks:  map[string]*peerTask{},
+		inFlight:   map[string]flight{},
 		received:   map[string]uint64{},
 		services:   map[string]bool{serviceUsed: true},
 		slotless:   map[string]time.Time{},
--- a/server/remote.go
+++ b/server/remote.go
@@ -315,6 +315,7 @@
 func (d *dispatcher) peerTaskEnded(now time.Time, v *peerTask, a taskAnswer) {
 	d.queue.Done(now, v.run.TaskID)
 	delete(d.peerTasks, v.run.TaskID)
+	delete(d.inFlight, v.run.TaskID)
 	v.answers <- a
 	d.learn(now, v.run.Service, v.run.Kind, v.run.FullLease, a)
 }
--- a/server/setup.go
+++ b/server/setup.go
@@ -56,6 +56,7 @@
 		jobs:        map[string]*job{},
 		upstreams:   map[string]*owned{},
 		peerTasks:   map[string]*peerTask{},
+		inFlight:    map[string]flight{},
 		orphans:     map[string]*job{},
 		taking:      map[string]time.Time{},
 		received:    map[string]uint64{},
--- a/server/slots_test.go
+++ b/server/slots_test.go
@@ -134,6 +134,31 @@
 	g.Expect(sent).NotTo(Receive())
 }
 
+// Guards against a slot that is used twice when a host loses an upstream and gets it back
+// while a task of its own is on the way there, so that the upstream does not list it.
+func TestTasksOnTheWayKeepTheirSlots(t *testing.T) {
+	g := NewWithT(t)
+	h := capacityHost(t, 1)
+	d, now := h.dispatcher, h.now()
+	free := func() int { return d.queue.Free("production/work") }
+	v := &peerTask{
+		run:     taskRun{TaskID: "a", FullLease: time.Minute, Service: "production/work"},
+		start:   func(owned, taskRun) {},
+		answers: make(chan taskAnswer, 1),
+	}
+	d.addPeerTask(now, forwardedTask{Run: v.run, Class: string(scheduler.Short), From: peerName, Left: time.Minute}, v)
+	d.place(now)
+	g.Expect(free()).To(Equal(7))
+	u := *d.upstreams["worker-0"]
+	d.drop(now, "worker-0")
+	d.add(now, u.Announcement, nil)
+	g.Expect(free()).To(Equal(7))
+	d.vacate(now, "worker-0", nil)
+	g.Expect(free()).To(Equal(7))
+	d.peerTaskEnded(now, v, taskAnswer{})
+	g.Expect(free()).To(Equal(8))
+}
+
 // Guards against queues that swing to and fro between two hosts, and against a host
 // without upstreams that keeps its tasks.
 func TestQueuesAreBalanced(t *testing.T) {
