server: share the set-up of the take-over and delay tests

Change: The tests of joined calls and of late messages use the same deployment, the same submissions and the same way to take all slots; the test of the event of a failed disk reads the log from a gbytes buffer. No check changed.

--- a/server/delay_test.go
+++ b/server/delay_test.go
@@ -80,9 +80,7 @@
 // submission was sent to another host, and against a start after a refusal.
 func TestClaimArrivesLate(t *testing.T) {
 	d, owner, other := oneOwner(t)
-	s := work("booking", "10ms", 2)
-	s.Key = key("ikeja")
-	s.Deadline = time.Now().Add(testTimeout)
+	s := keyed("10ms")
 	fresh := s
 	fresh.Key = sesamedrift.Key{}
 	d.hold(owner)
@@ -108,13 +106,8 @@
 // host has taken the submission over.
 func TestStartMarkArrivesLate(t *testing.T) {
 	d, owner, other := oneOwner(t)
-	filler := work("heavy-check", "19s", 8)
-	filler.Deadline = time.Now().Add(testTimeout)
-	d.goSubmit(owner, filler)
-	d.g.Eventually(d.starts.total, testTimeout).Should(Equal(8))
-	s := work("booking", "10ms", 2)
-	s.Key = key("ikeja")
-	s.Deadline = time.Now().Add(testTimeout)
+	d.occupy(owner)
+	s := keyed("10ms")
 	d.goSubmit(owner, s)
 	d.g.Eventually(func() int { return d.state(owner).Queued }, testTimeout).Should(Equal(2))
 	d.hold(owner)
--- a/server/disk_test.go
+++ b/server/disk_test.go
@@ -1,7 +1,6 @@
 package server_test
 
 import (
-	"bytes"
 	"fmt"
 	"log/slog"
 	"os"
@@ -11,6 +10,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 
 	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/client"
@@ -115,29 +115,11 @@
 	}
 }
 
-// syncBuffer is a buffer that is safe for concurrent use.
-type syncBuffer struct {
-	mu  sync.Mutex
-	all bytes.Buffer
-}
-
-func (b *syncBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.all.Write(p)
-}
-
-func (b *syncBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.all.String()
-}
-
 // Guards against a disk that fails without an event, here while the replica is set up.
 func TestFailedDiskIsReported(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	log := &syncBuffer{}
+	log := gbytes.NewBuffer()
 	h, err := server.New(server.Config{
 		Settings: validator.Settings{
 			Host:           "ikeja-1",
@@ -169,5 +151,5 @@
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	defer h.Kill()
-	g.Eventually(log.String, testTimeout).Should(ContainSubstring("journal-failed"))
+	g.Eventually(log, testTimeout).Should(gbytes.Say("journal-failed"))
 }
--- a/server/takeover_test.go
+++ b/server/takeover_test.go
@@ -9,25 +9,13 @@
 	"sesamedrift.example/sesamedrift"
 )
 
-// joinLost submits work at the only owner of the only upstream of ikeja and joins it at
+// joinLost submits work at the owner of the only upstream of ikeja and joins it at
 // another host; then the owner dies. If busy is set, every slot is taken before, so that no
 // task of the submission starts. It returns the outcome of the joined call.
-func (d *deployment) joinLost(s sesamedrift.Submission, busy bool) sesamedrift.Outcome {
-	owner, other := "", ""
-	for _, host := range d.HostNames() {
-		if d.ownedBy(host) == 1 {
-			owner = host
-		} else {
-			other = host
-		}
-	}
+func (d *deployment) joinLost(owner, other string, s sesamedrift.Submission, busy bool) sesamedrift.Outcome {
 	before := 0
 	if busy {
-		filler := work("heavy-check", "19s", 8)
-		filler.Deadline = time.Now().Add(testTimeout)
-		d.goSubmit(owner, filler)
-		before = len(filler.Payloads)
-		d.g.Eventually(d.starts.total, testTimeout).Should(Equal(before))
+		before = d.occupy(owner)
 	}
 	d.goSubmit(owner, s)
 	d.g.Eventually(func() int {
@@ -52,30 +40,39 @@
 	return o
 }
 
-func oneUpstream(t *testing.T) (*deployment, sesamedrift.Submission) {
-	cfg := oneDomain()
-	cfg.Upstreams = 1
-	d := deploy(t, cfg)
-	s := work("heavy-check", "5s", 2)
+// occupy takes all slots of the only upstream for longer than a test takes, and returns their
+// number.
+func (d *deployment) occupy(owner string) int {
+	s := work("heavy-check", "19s", 8)
+	s.Deadline = time.Now().Add(testTimeout)
+	d.goSubmit(owner, s)
+	d.g.Eventually(d.starts.total, testTimeout).Should(Equal(8))
+	return 8
+}
+
+// keyed returns work for ikeja with a key and a deadline that is far out.
+func keyed(runTime string) sesamedrift.Submission {
+	s := work("heavy-check", runTime, 2)
 	s.Key = key("ikeja")
 	s.Deadline = time.Now().Add(testTimeout)
-	return d, s
+	return s
 }
 
 // Guards against "unknown" for a submission of which nothing started before its coordinator
 // died, and against a second start of one of its tasks.
 func TestJoinedCallTakesOverQueuedWork(t *testing.T) {
-	d, s := oneUpstream(t)
-	s.Payloads = work("heavy-check", "10ms", 2).Payloads
-	o := d.joinLost(s, true)
+	d, owner, other := oneOwner(t)
+	s := keyed("10ms")
+	o := d.joinLost(owner, other, s, true)
 	d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), o.Reason)
 	d.g.Expect(d.starts.of(s.Key.String())).To(Equal(2))
 }
 
 // Guards against a second start of a submission that had started when its coordinator died.
 func TestJoinedCallOfStartedWorkIsUnknown(t *testing.T) {
-	d, s := oneUpstream(t)
-	o := d.joinLost(s, false)
+	d, owner, other := oneOwner(t)
+	s := keyed("5s")
+	o := d.joinLost(owner, other, s, false)
 	d.g.Expect(o.Status).To(Equal(sesamedrift.Unknown), o.Reason)
 	d.g.Expect(d.starts.of(s.Key.String())).To(Equal(2))
 }
