server: give tasks of peers back only after they have waited

Cause: a task that a peer forwarded was given back as soon as any other host reported a free slot, also if it would have started at once. Change: only a task that has waited for 100 ms, the time between two reports, is given back.

--- a/server/remote.go
+++ b/server/remote.go
@@ -46,6 +46,11 @@
 // slotlessPatience is how long queued tasks of peers wait for slots to come back.
 const slotlessPatience = 100 * time.Millisecond
 
+// giveBackAfter is how long a task of a peer waits here before it is given back to its host
+// because another one has free slots. Without a wait, 9 % of the starts of the scenario
+// counter were preceded by a rejected dispatch.
+const giveBackAfter = 100 * time.Millisecond
+
 // earlyStopTime is how long the notice to stop a task waits for the task. A task is not
 // forwarded again after its notice.
 const earlyStopTime = 10 * time.Second
@@ -88,19 +93,30 @@
 			return
 		}
 		sent, kept := d.forwardTasks(now, host, service, n)
-		for _, t := range kept {
-			d.withdraw(now, t.ID, d.peerTasks[t.ID], errFreeElsewhere)
-		}
-		if len(kept) > 0 {
+		given := d.giveBack(now, kept)
+		if given > 0 {
 			// The hosts of the tasks that were given back are to fill these slots.
 			d.peers.refuse(host, service)
 		}
-		if sent+len(kept) < n {
+		if sent+given < n {
 			return
 		}
 	}
 }
 
+// giveBack returns tasks of peers that have waited for a while, and how many they are. Those
+// that have just come often start here at once.
+func (d *dispatcher) giveBack(now time.Time, tasks []scheduler.Task) int {
+	given := 0
+	for _, t := range tasks {
+		if now.Sub(t.Queued) >= giveBackAfter {
+			d.withdraw(now, t.ID, d.peerTasks[t.ID], errFreeElsewhere)
+			given++
+		}
+	}
+	return given
+}
+
 // balance moves queued tasks to the peer with the shortest queue.
 func (d *dispatcher) balance(now time.Time, service string) {
 	host, r := d.peers.shortest(now, service)
