--- a/server/claims_test.go
+++ b/server/claims_test.go
@@ -47,6 +47,10 @@
 	}
 	d.g.Expect(d.starts.total()).To(BeZero())
 
+	// The host may not have heard of the upstream of its peer yet.
+	d.g.Eventually(func() sesamedrift.Status {
+		return d.submit("ikeja-2", work("booking", "10ms", 1)).Status
+	}, testTimeout).Should(Equal(sesamedrift.Complete))
 	for _, s := range []sesamedrift.Submission{refused, fenced} {
 		later := d.post("ikeja-2", s, 2)
 		d.g.Expect(later.Status).To(Equal(sesamedrift.Complete), later.Reason)
