Search the responsible node of an item in one place

Cause: Key.Home and leaser.ownerOf each had the loop over rendezvous hashes with the same rule for equal ones. Change: Responsible does it for both. No change of behaviour.

--- a/key.go
+++ b/key.go
@@ -110,15 +110,23 @@
 	if k.Domain != "" {
 		return k.Domain
 	}
-	var home string
+	home, _ := Responsible(k.ID, domains, func(d string) string { return d })
+	return home
+}
+
+// Responsible returns the node with the highest rendezvous hash for an item, of two equal
+// ones that with the lower name. It returns false if there are no nodes. Their order does
+// not matter.
+func Responsible[T any](item string, nodes []T, name func(n T) string) (T, bool) {
+	var best T
 	var highest uint64
-	for _, d := range domains {
-		h := RendezvousHash(k.ID, d)
-		if home == "" || h > highest || h == highest && d < home {
-			home, highest = d, h
+	for i, n := range nodes {
+		h := RendezvousHash(item, name(n))
+		if i == 0 || h > highest || h == highest && name(n) < name(best) {
+			best, highest = n, h
 		}
 	}
-	return home
+	return best, len(nodes) > 0
 }
 
 // RendezvousHash returns the weight of a node for an item. The node with the highest
--- a/leaser/view.go
+++ b/leaser/view.go
@@ -75,15 +75,7 @@
 }
 
 func ownerOf(members []Member, upstream string) (Member, bool) {
-	var owner Member
-	var highest uint64
-	for i, m := range members {
-		h := sesamedrift.RendezvousHash(upstream, m.Host)
-		if i == 0 || h > highest || h == highest && m.Host < owner.Host {
-			owner, highest = m, h
-		}
-	}
-	return owner, len(members) > 0
+	return sesamedrift.Responsible(upstream, members, func(m Member) string { return m.Host })
 }
 
 // blocking returns how many members must have left a view so that the others are no
