server: look at the state of a way once for each call

Cause: a call asked for the state of its way twice, in link and in call, and a state that changed in between was treated as two. Change: call switches on one state; callHeld has the part for kept messages.

--- a/server/link.go
+++ b/server/link.go
@@ -50,11 +50,29 @@
 	return true
 }
 
-// call calls a peer. A call that is kept is made even if ctx has ended by then.
+// call calls a peer over the way to it. On a silent way it waits for the end of ctx, like a
+// call whose message was lost.
 func (h *Host) call(ctx context.Context, p *peer, kind messenger.Kind, body []byte) ([]byte, error) {
-	if h.linkTo(p.Host, kind) != LinkHeld {
+	switch h.linkTo(p.Host, kind) {
+	case LinkOpen:
 		return p.conn.Call(ctx, kind, body)
+	case LinkHeld:
+		return h.callHeld(ctx, p, kind, body)
+	case LinkRefused:
+		return nil, &messenger.NotSentError{Err: errLinkCut}
+	case LinkSilent:
+		select {
+		case <-ctx.Done():
+		case <-h.dispatcher.stopped:
+		}
+		return nil, &messenger.LostError{Err: errLinkCut}
+	default:
+		panic("server: link state is not known")
 	}
+}
+
+// callHeld makes a call once the way is open, even if ctx has ended by then.
+func (h *Host) callHeld(ctx context.Context, p *peer, kind messenger.Kind, body []byte) ([]byte, error) {
 	type result struct {
 		reply []byte
 		err   error
@@ -66,7 +84,10 @@
 		}
 		// The call ends with the connection at the latest.
 		reply, err := p.conn.Call(context.WithoutCancel(ctx), kind, body)
-		results <- result{reply: reply, err: err}
+		results <- result{
+			reply: reply,
+			err:   err,
+		}
 	})
 	select {
 	case r := <-results:
@@ -76,22 +97,3 @@
 	}
 	return nil, &messenger.LostError{Err: errLinkCut}
 }
-
-// link returns the error of a call on a way that is cut. On a silent one it waits for the
-// end of ctx, like a call whose message was lost.
-func (h *Host) link(ctx context.Context, host string, kind messenger.Kind) error {
-	switch h.linkTo(host, kind) {
-	case LinkOpen, LinkHeld:
-		return nil
-	case LinkRefused:
-		return &messenger.NotSentError{Err: errLinkCut}
-	case LinkSilent:
-		select {
-		case <-ctx.Done():
-		case <-h.dispatcher.stopped:
-		}
-		return &messenger.LostError{Err: errLinkCut}
-	default:
-		panic("server: link state is not known")
-	}
-}
--- a/server/peers.go
+++ b/server/peers.go
@@ -54,9 +54,6 @@
 	if err != nil {
 		return out, &messenger.NotSentError{Err: err}
 	}
-	if err := h.link(ctx, host, kind); err != nil {
-		return out, err
-	}
 	reply, err := h.call(ctx, p, kind, body)
 	if err != nil {
 		return out, err
