--- a/claimer/digest.go
+++ b/claimer/digest.go
@@ -111,15 +111,20 @@
 	return reply
 }
 
+// wrongView answers a request of a view that the table is not in.
+func (t *Table) wrongView() Reply {
+	return Reply{
+		Status: WrongView,
+		Synced: t.synced,
+	}
+}
+
 // end ends the views below that of the request.
 func (t *Table) end(r Request) Reply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r.View < t.fenced {
-		return Reply{
-			Status: WrongView,
-			Synced: t.synced,
-		}
+		return t.wrongView()
 	}
 	t.fenced = r.View
 	return Reply{
@@ -134,10 +139,7 @@
 // as fit into one reply. The views below that of the request must have been ended.
 func (t *Table) fetch(r Request) Reply {
 	if r.View != t.fenced {
-		return Reply{
-			Status: WrongView,
-			Synced: t.synced,
-		}
+		return t.wrongView()
 	}
 	reply := Reply{
 		Status:  Accepted,
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -190,10 +190,7 @@
 		return t.fetch(r)
 	}
 	if r.View != view.Number || r.View != t.synced || t.fenced > r.View {
-		return Reply{
-			Status: WrongView,
-			Synced: t.synced,
-		}
+		return t.wrongView()
 	}
 	if now.Sub(r.Created) > t.retention {
 		return Reply{
