--- a/server/requests.go
+++ b/server/requests.go
@@ -101,46 +101,46 @@
 }
 
 // note notes that the host has begun an exchange.
-func (b *exchanges) note(host string, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.began[host] = now
-	delete(b.silent, host)
+func (x *exchanges) note(host string, now time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.began[host] = now
+	delete(x.silent, host)
 }
 
 // silentNow reports whether the host left the last exchange unanswered.
-func (b *exchanges) silentNow(host string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.silent[host]
+func (x *exchanges) silentNow(host string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.silent[host]
 }
 
 // asked returns when the host last began an exchange.
-func (b *exchanges) asked(host string) time.Time {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.began[host]
+func (x *exchanges) asked(host string) time.Time {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.began[host]
 }
 
 // begin reports whether no exchange with the host was under way.
-func (b *exchanges) begin(host string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.busy[host] {
+func (x *exchanges) begin(host string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.busy[host] {
 		return false
 	}
-	b.busy[host] = true
+	x.busy[host] = true
 	return true
 }
 
 // end ends an exchange and notes whether the host has answered.
-func (b *exchanges) end(host string, answered bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	delete(b.busy, host)
+func (x *exchanges) end(host string, answered bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.busy, host)
 	if answered {
-		delete(b.silent, host)
+		delete(x.silent, host)
 	} else {
-		b.silent[host] = true
+		x.silent[host] = true
 	}
 }
