--- a/server/dispatcher_test.go
+++ b/server/dispatcher_test.go
@@ -41,6 +41,35 @@
 	return d
 }
 
+// oneSlot gives the queue an upstream with one slot.
+func (d *dispatcher) oneSlot() {
+	d.queue.Set(start, scheduler.Upstream{
+		ID:          "u1",
+		Service:     serviceUsed,
+		Slots:       1,
+		Connections: 1,
+	})
+}
+
+// newPeerTask returns a task of a peer, and the message that brings it.
+func newPeerTask(id string) (*peerTask, forwardedTask) {
+	v := &peerTask{
+		run: taskRun{
+			TaskID:    id,
+			Service:   serviceUsed,
+			FullLease: time.Minute,
+		},
+		start:   func(owned, taskRun) {},
+		answers: make(chan taskAnswer, 1),
+	}
+	return v, forwardedTask{
+		Run:   v.run,
+		Class: string(scheduler.Short),
+		From:  peerName,
+		Left:  time.Minute,
+	}
+}
+
 // Guards against an upstream that is ejected because tasks that were sent to it shortly
 // before their deadline did not end in time, and against one that hangs and is not.
 func TestOnlyFullLeasesCountAgainstAnUpstream(t *testing.T) {
@@ -94,24 +123,9 @@
 func TestQueuedTasksOfPeersAreGivenBack(t *testing.T) {
 	g := NewWithT(t)
 	d := newLearner()
-	d.queue.Set(start, scheduler.Upstream{
-		ID:          "u1",
-		Service:     serviceUsed,
-		Slots:       1,
-		Connections: 1,
-	})
-	v := &peerTask{
-		run: taskRun{
-			TaskID:  "a/0",
-			Service: serviceUsed,
-		},
-		answers: make(chan taskAnswer, 1),
-	}
-	d.addPeerTask(start, forwardedTask{
-		Run:  v.run,
-		From: peerName,
-		Left: time.Minute,
-	}, v)
+	d.oneSlot()
+	v, in := newPeerTask("a/0")
+	d.addPeerTask(start, in, v)
 	d.tick(start)
 	g.Expect(v.answers).To(BeEmpty())
 	d.queue.Drop(start, "u1")
@@ -127,25 +141,10 @@
 func TestNoticeThatOvertakesItsTask(t *testing.T) {
 	g := NewWithT(t)
 	d := newLearner()
-	d.queue.Set(start, scheduler.Upstream{
-		ID:          "u1",
-		Service:     serviceUsed,
-		Slots:       1,
-		Connections: 1,
-	})
-	v := &peerTask{
-		run: taskRun{
-			TaskID:  "a/0",
-			Service: serviceUsed,
-		},
-		answers: make(chan taskAnswer, 1),
-	}
+	d.oneSlot()
+	v, in := newPeerTask("a/0")
 	d.stopPeerTask(start, v.run.TaskID)
-	d.addPeerTask(start, forwardedTask{
-		Run:  v.run,
-		From: peerName,
-		Left: time.Minute,
-	}, v)
+	d.addPeerTask(start, in, v)
 	g.Expect(v.answers).To(Receive(HaveField("Result", runNotStarted)))
 	g.Expect(d.queue.Len()).To(BeZero())
 	d.stopPeerTask(start, "b/0")
--- a/server/slots_test.go
+++ b/server/slots_test.go
@@ -77,24 +77,15 @@
 // against two tasks that are given back for the same slot.
 func TestTasksOfPeersAreGivenBack(t *testing.T) {
 	g := NewWithT(t)
-	d := &dispatcher{
-		queue:     scheduler.New(scheduler.Config{}),
-		peers:     newPeerSlots(),
-		known:     map[string]bool{serviceUsed: true},
-		peerTasks: map[string]*peerTask{},
-		received:  map[string]uint64{},
-	}
-	d.queue.Set(start, scheduler.Upstream{ID: "u", Service: serviceUsed, Slots: 1, Connections: 1, Weight: 1, State: scheduler.Serving})
+	d := newLearner()
+	d.peers = newPeerSlots()
+	d.known = d.services
+	d.oneSlot()
 	tasks := map[string]*peerTask{}
-	for n, id := range []string{"a", "b", "c"} {
-		tasks[id] = &peerTask{answers: make(chan taskAnswer, 1)}
-		d.addPeerTask(start, forwardedTask{
-			Run:    taskRun{TaskID: id, Service: serviceUsed},
-			Class:  string(scheduler.Short),
-			From:   "ikeja-3",
-			Left:   time.Minute,
-			Number: uint64(n),
-		}, tasks[id])
+	for _, id := range []string{"a", "b", "c"} {
+		v, in := newPeerTask(id)
+		tasks[id] = v
+		d.addPeerTask(start, in, v)
 	}
 	_, placed := d.queue.Next(start)
 	g.Expect(placed).To(BeTrue())
@@ -144,12 +135,10 @@
 	h := capacityHost(t, 1)
 	d, now := h.dispatcher, h.now()
 	free := func() int { return d.queue.Free("production/work") }
-	v := &peerTask{
-		run:     taskRun{TaskID: "a", FullLease: time.Minute, Service: "production/work"},
-		start:   func(owned, taskRun) {},
-		answers: make(chan taskAnswer, 1),
-	}
-	d.addPeerTask(now, forwardedTask{Run: v.run, Class: string(scheduler.Short), From: peerName, Left: time.Minute}, v)
+	v, in := newPeerTask("a")
+	in.Run.Service = "production/work"
+	v.run = in.Run
+	d.addPeerTask(now, in, v)
 	d.place(now)
 	g.Expect(free()).To(Equal(7))
 	u := *d.upstreams["worker-0"]
