commander: one wrapper for the commands about a request key

Cause: wait and cancel repeated their flags and the reading of the key. Change: keyFlags and withKey. Output, errors and their order stay; the scripts of the package pass with -race.

--- a/commander/submit.go
+++ b/commander/submit.go
@@ -26,6 +26,14 @@
 	Usage: "creation `TIME` (RFC 3339) of a key that is no UUIDv7",
 }
 
+// keyFlags are the flags of the commands about one submission, which its key names.
+var keyFlags = []cli.Flag{
+	hostsFlag,
+	jsonFlag,
+	tryFlag,
+	createdFlag,
+}
+
 func (c *commandLine) submitCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "submit",
@@ -170,17 +178,8 @@
 		ArgsUsage: "KEY",
 		Description: "Example:\n" +
 			"   sesamedrift cancel riga-a.0197c0de-0000-7000-8000-000000000001",
-		Flags: []cli.Flag{
-			hostsFlag,
-			jsonFlag,
-			tryFlag,
-			createdFlag,
-		},
-		Action: c.withClient(func(ctx context.Context, cmd *cli.Command, api *client.Client) error {
-			key, err := keyArgument(cmd)
-			if err != nil {
-				return err
-			}
+		Flags: keyFlags,
+		Action: c.withKey(func(ctx context.Context, cmd *cli.Command, api *client.Client, key sesamedrift.Key) error {
 			if err := api.CancelTry(ctx, key, cmd.Int("try")); err != nil {
 				return err
 			}
@@ -203,17 +202,8 @@
 			"of submit.\n\n" +
 			"Example:\n" +
 			"   sesamedrift wait riga-a.0197c0de-0000-7000-8000-000000000001",
-		Flags: []cli.Flag{
-			hostsFlag,
-			jsonFlag,
-			tryFlag,
-			createdFlag,
-		},
-		Action: c.withClient(func(ctx context.Context, cmd *cli.Command, api *client.Client) error {
-			key, err := keyArgument(cmd)
-			if err != nil {
-				return err
-			}
+		Flags: keyFlags,
+		Action: c.withKey(func(ctx context.Context, cmd *cli.Command, api *client.Client, key sesamedrift.Key) error {
 			o, err := api.WaitTry(ctx, key, cmd.Int("try"))
 			if err != nil {
 				return submissionError(err)
@@ -223,13 +213,19 @@
 	}
 }
 
-// keyArgument returns the request key that the only argument names.
-func keyArgument(cmd *cli.Command) (sesamedrift.Key, error) {
-	text, err := argument(cmd)
-	if err != nil {
-		return sesamedrift.Key{}, err
-	}
-	return sesamedrift.ParseKey(text, cmd.String("created"))
+// withKey returns an action that is given the request key that the only argument names.
+func (c *commandLine) withKey(action func(ctx context.Context, cmd *cli.Command, api *client.Client, key sesamedrift.Key) error) cli.ActionFunc {
+	return c.withClient(func(ctx context.Context, cmd *cli.Command, api *client.Client) error {
+		text, err := argument(cmd)
+		if err != nil {
+			return err
+		}
+		key, err := sesamedrift.ParseKey(text, cmd.String("created"))
+		if err != nil {
+			return err
+		}
+		return action(ctx, cmd, api, key)
+	})
 }
 
 // withClient returns an action that is given a client of the hosts that the flags name.
