--- a/commander/commander.go
+++ b/commander/commander.go
@@ -1,7 +1,7 @@
 // Package commander is the command line of sesamedrift.
 //
 // Run returns the exit code: 0 for success and a complete outcome, otherwise the code of
-// the outcome or of the error as listed in docs/operations.md. Commands print to the
+// the outcome or of the error as listed in docs/OPERATIONS.md. Commands print to the
 // given writers only, so that the package can be embedded and tested.
 package commander
 
@@ -121,7 +121,7 @@
 		ErrWriter: c.Err,
 		// Run prints errors and chooses the exit code.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		Description: "The exit codes are listed in docs/operations.md.\n\n" +
+		Description: "The exit codes are listed in docs/OPERATIONS.md.\n\n" +
 			"Example:\n   sesamedrift status --help",
 		Commands: []*cli.Command{
 			c.hostCommand(),
