--- a/commander/commander.go
+++ b/commander/commander.go
@@ -133,6 +133,7 @@
 			c.statusCommand(),
 			c.demoCommand(),
 			c.loadCommand(),
+			c.platformCommand(),
 		},
 	}
 	checkUsage(root)
--- a/commander/docs_test.go
+++ b/commander/docs_test.go
@@ -79,7 +79,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { g.Expect(d.Close()).To(Succeed()) }()
 
-	want := lines(rows(g, "operations.md", "^\\| `(sesamedrift_\\w+)` \\| (counter|gauge) \\|"))
+	want := lines(rows(g, "OPERATIONS.md", "^\\| `(sesamedrift_\\w+)` \\| (counter|gauge) \\|"))
 	url := d.URLs(system.Domains[0].Name)[0] + "/metrics"
 	g.Eventually(func() []string { return served(url) }).WithTimeout(waitLimit).Should(Equal(want))
 	g.Consistently(func() []string { return served(url) }).Should(Equal(want))
@@ -90,16 +90,16 @@
 func TestOperationsNameWhatExists(t *testing.T) {
 	g := NewWithT(t)
 	metrics, events := map[string]bool{}, map[string]string{}
-	for _, r := range rows(g, "operations.md", "^\\| `(sesamedrift_\\w+)` \\| (?:counter|gauge) \\|") {
+	for _, r := range rows(g, "OPERATIONS.md", "^\\| `(sesamedrift_\\w+)` \\| (?:counter|gauge) \\|") {
 		metrics[r[0]] = true
 	}
 	for _, e := range reporter.Catalogue() {
 		events[strconv.Itoa(e.ID)] = e.Name
 	}
-	for _, r := range rows(g, "operations.md", "\\b(\\d{4}) `([a-z-]+)`") {
+	for _, r := range rows(g, "OPERATIONS.md", "\\b(\\d{4}) `([a-z-]+)`") {
 		g.Expect(events).To(HaveKeyWithValue(r[0], r[1]))
 	}
-	symptoms := rows(g, "operations.md", "(?s)^## Symptoms$(.+?)^## ")[0][0]
+	symptoms := rows(g, "OPERATIONS.md", "(?s)^## Symptoms$(.+?)^## ")[0][0]
 	words := regexp.MustCompile(`\bsesamedrift_\w+|\b\d{4}\b|status="\w*"`).FindAllString(symptoms, -1)
 	g.Expect(words).NotTo(BeEmpty())
 	for _, word := range words {
@@ -148,7 +148,7 @@
 		want[strconv.Itoa(s.ExitCode())] = "`" + string(s) + "`"
 	}
 	found := map[string]string{}
-	for _, r := range rows(g, "operations.md", `^\| (\d) \| (.+) \|$`) {
+	for _, r := range rows(g, "OPERATIONS.md", `^\| (\d) \| (.+) \|$`) {
 		found[r[0]] = r[1]
 	}
 	g.Expect(slices.Sorted(maps.Keys(found))).To(Equal(slices.Sorted(maps.Keys(want))))
--- /dev/null
+++ b/controller/controller.go
@@ -0,0 +1,308 @@
+// Package controller is a control host: it stores the operator's document on its disk
+// together with the other control hosts, and keeps the lists of hosts and upstreams.
+//
+// Operators and upstreams talk to any control host. A document is acknowledged once a
+// majority of the replicas has stored it; a read returns the newest one or an error. Reports
+// of upstreams are kept in memory and passed on to all hosts that ask for news.
+//
+// All exported methods are safe for concurrent use.
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"sesamedrift.example/sesamedrift/finder"
+	"sesamedrift.example/sesamedrift/inquirer"
+	"sesamedrift.example/sesamedrift/messenger"
+	"sesamedrift.example/sesamedrift/publisher"
+	"sesamedrift.example/sesamedrift/registrar"
+	"sesamedrift.example/sesamedrift/replicator"
+	"sesamedrift.example/sesamedrift/reporter"
+)
+
+const (
+	// documentRegister is the register of the operator's document.
+	documentRegister = "document"
+	// registerFolder is the part of the data folder that holds the registers.
+	registerFolder = "registers"
+	// callTimeout bounds one message of the quorum protocol, synced write included. A lost
+	// replica must not hold a change up for long, since operators wait for a second.
+	callTimeout = 500 * time.Millisecond
+	// repairEvery is the time between two tries to repair an empty replica, and to begin at
+	// the first start. It is short since nothing is served before.
+	repairEvery = 200 * time.Millisecond
+	// syncEvery is the time between two exchanges of a replica with the others.
+	syncEvery = time.Second
+)
+
+// Config describes a control host.
+type Config struct {
+	// Self is this host; its Life grows with each start, its Address names the replica.
+	Self finder.Host
+	// Seeds are the addresses of some control hosts, which may include this one. At the
+	// first start all control hosts have the same seeds, and these are the replicas.
+	Seeds []string
+	// Token is the secret that all hosts share.
+	Token string
+	// Folder is the data folder.
+	Folder string
+	// Bootstrap says that the whole system starts for the first time.
+	Bootstrap bool
+	Log       *slog.Logger
+	Now       func() time.Time
+}
+
+// Host is a running control host.
+type Host struct {
+	cfg       Config
+	log       *slog.Logger
+	replica   *replicator.Replica
+	publisher *publisher.Publisher
+	listener  *messenger.Listener
+	asker     *inquirer.Asker
+	ctx       context.Context // ends with Close
+	cancel    context.CancelFunc
+	duties    sync.WaitGroup
+
+	mu        sync.Mutex
+	hosts     *finder.List[finder.Host]
+	upstreams *finder.List[finder.Upstream]
+	document  publisher.Published
+	// changed is closed and replaced when there is news.
+	changed chan struct{}
+	asking  map[string]bool
+	peers   map[string]*messenger.Peer
+}
+
+// New starts a control host. Its internal address is open when it returns.
+func New(cfg Config) (*Host, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &Host{
+		cfg:       cfg,
+		log:       cfg.Log,
+		ctx:       ctx,
+		cancel:    cancel,
+		hosts:     finder.NewList[finder.Host](),
+		upstreams: finder.NewList[finder.Upstream](),
+		changed:   make(chan struct{}),
+		asking:    map[string]bool{},
+		peers:     map[string]*messenger.Peer{},
+	}
+	h.asker = &inquirer.Asker{
+		Self:  cfg.Self,
+		Token: cfg.Token,
+		Apply: h.apply,
+		Log:   cfg.Log,
+	}
+	h.hosts.Put(cfg.Now(), cfg.Self)
+	var err error
+	h.replica, err = replicator.Open(replicator.Config{
+		ID:          cfg.Self.Address,
+		Replicas:    h.initialReplicas(),
+		Bootstrap:   cfg.Bootstrap && h.isSeed(),
+		Call:        h.callReplica,
+		Learned:     h.learned,
+		Folder:      filepath.Join(cfg.Folder, registerFolder),
+		RepairEvery: repairEvery,
+		SyncEvery:   syncEvery,
+		Log:         cfg.Log,
+		Now:         cfg.Now,
+	})
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	h.publisher = &publisher.Publisher{
+		Register: documentRegister,
+		Read:     h.replica.Registers().Read,
+		Change:   h.replica.Registers().Change,
+	}
+	h.listener, err = messenger.Listen(cfg.Self.Address, messenger.Config{
+		Local:        h.hello(),
+		Handle:       h.handle,
+		WriteTimeout: time.Second,
+	})
+	if err != nil {
+		cancel()
+		h.replica.Close()
+		return nil, err
+	}
+	h.duties.Go(func() { h.replica.Run(ctx) })
+	h.mu.Lock()
+	for _, seed := range cfg.Seeds {
+		h.askNews(seed)
+	}
+	h.mu.Unlock()
+	return h, nil
+}
+
+func (h *Host) hello() messenger.Hello {
+	return messenger.Hello{
+		Token:       h.cfg.Token,
+		Host:        h.cfg.Self.ID,
+		Domain:      h.cfg.Self.Domain,
+		Incarnation: h.cfg.Self.Life,
+	}
+}
+
+func (h *Host) isSeed() bool {
+	for _, seed := range h.cfg.Seeds {
+		if seed == h.cfg.Self.Address {
+			return true
+		}
+	}
+	return false
+}
+
+// initialReplicas returns the replicas of the first start, or for a host that is none of
+// these the replicas that it asks for their state.
+func (h *Host) initialReplicas() []string {
+	if h.isSeed() {
+		return h.cfg.Seeds
+	}
+	return append([]string{h.cfg.Self.Address}, h.cfg.Seeds...)
+}
+
+// Close ends the host at once.
+func (h *Host) Close() {
+	h.cancel()
+	// The error of a listener that is being closed tells nothing.
+	_ = h.listener.Close()
+	h.replica.Close()
+	h.duties.Wait()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range h.peers {
+		_ = p.Close()
+	}
+}
+
+// ErrNotReady is returned while this host does not take part in decisions about documents.
+var ErrNotReady = errors.New("the replica of this host is not ready")
+
+// Publish stores a document unless a version that is at least as high is stored. An error
+// says that the document may or may not take effect.
+func (h *Host) Publish(ctx context.Context, who string, d publisher.Published) error {
+	if !h.replica.Votes() {
+		return ErrNotReady
+	}
+	began := h.cfg.Now()
+	held, err := h.publisher.Publish(ctx, began, who, d)
+	reporter.Log(ctx, h.log, reporter.ConfigurationChanged, "who", who, "version", d.Version, "held", held,
+		"error", err, "took", h.cfg.Now().Sub(began))
+	return err
+}
+
+// Newest returns the newest document, or an error if this host cannot be sure which one
+// that is. The version is 0 before the first document.
+func (h *Host) Newest(ctx context.Context) (publisher.Published, error) {
+	if !h.replica.Votes() {
+		return publisher.Published{}, ErrNotReady
+	}
+	return h.publisher.Newest(ctx, h.cfg.Now())
+}
+
+// Report takes in what an upstream says about itself.
+func (h *Host) Report(u finder.Upstream) {
+	now := h.cfg.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.upstreams.Put(now, u) {
+		return
+	}
+	h.log.Info("upstream changed", "upstream", u.ID, "state", u.State, "life", u.Life, "report", u.Report,
+		"address", u.Address)
+	h.wake()
+}
+
+// Upstream returns the newest report of an upstream.
+func (h *Host) Upstream(id string) (finder.Upstream, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.upstreams.Get(id)
+}
+
+// wake answers the questions that wait for news. The caller holds the lock.
+func (h *Host) wake() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// learned takes in a document that the replica has learned.
+func (h *Host) learned(e registrar.Entry) {
+	if e.Register != documentRegister {
+		return
+	}
+	d := publisher.Decode(e.Value)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if d.Version <= h.document.Version {
+		return
+	}
+	h.document = d
+	h.wake()
+}
+
+// handle serves the internal protocol.
+func (h *Host) handle(ctx context.Context, _ messenger.Hello, kind messenger.Kind, body []byte) ([]byte, error) {
+	switch kind {
+	case messenger.KindNews:
+		var q inquirer.Question
+		if err := messenger.Decode(body, &q); err != nil {
+			return nil, err
+		}
+		return messenger.Encode(h.answer(ctx, q))
+	case messenger.KindRegister:
+		var r registrar.Request
+		if err := messenger.Decode(body, &r); err != nil {
+			return nil, err
+		}
+		return messenger.Encode(h.replica.Registers().Handle(h.cfg.Now(), r))
+	default:
+		return nil, &messenger.RemoteError{
+			Code:    "not-served",
+			Message: "a control host does not serve messages of kind " + kind.String(),
+		}
+	}
+}
+
+// callReplica sends a message of the quorum protocol.
+func (h *Host) callReplica(ctx context.Context, replica string, r registrar.Request) (registrar.Reply, error) {
+	var reply registrar.Reply
+	body, err := messenger.Encode(r)
+	if err != nil {
+		return reply, fmt.Errorf("message to replica %s: %w", replica, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	p := h.peer(replica)
+	answer, err := p.Call(ctx, messenger.KindRegister, body)
+	if err != nil {
+		if ctx.Err() != nil {
+			p.Renew()
+		}
+		return reply, err
+	}
+	return reply, messenger.Decode(answer, &reply)
+}
+
+func (h *Host) peer(address string) *messenger.Peer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.peers[address]
+	if p == nil {
+		p = messenger.NewPeer(address, messenger.Config{
+			Local:        h.hello(),
+			DialTimeout:  callTimeout,
+			WriteTimeout: time.Second,
+		})
+		h.peers[address] = p
+	}
+	return p
+}
--- /dev/null
+++ b/dispatcher/entry.go
@@ -0,0 +1,248 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"sesamedrift.example/sesamedrift/router"
+	"sesamedrift.example/sesamedrift/tracker"
+)
+
+// Result is the answer to a job.
+type Result struct {
+	Outcome tracker.Outcome
+	Reason  string
+	// RetryAfter is when a job that was not run may be sent again; 0 says nothing.
+	RetryAfter time.Duration
+}
+
+// ErrBusy is returned for a job that was not taken because too much waits already.
+var ErrBusy = errors.New("too much waits on this host")
+
+// job is a job whose callers are connected to this host.
+type job struct {
+	tracker *tracker.Tracker
+	// callers holds a channel, with room for the result, for each caller that waits.
+	callers map[chan Result]bool
+	result  Result
+	// askedAt is when the placer was last told of tasks that wait; zero if none wait there.
+	askedAt time.Time
+	// watchAt is when keepers are asked again about runs that were moved; zero for never.
+	watchAt time.Time
+	// orphanSince is when an active run was first found to have no keeper.
+	orphanSince time.Time
+}
+
+// Run takes a job and returns its result. It returns early if ctx ends, as it does when the
+// caller has gone; the job then ends unless another caller waits for it.
+func (h *Host) Run(ctx context.Context, j tracker.Job) (Result, error) {
+	caller := make(chan Result, 1)
+	taken := h.inbox.put(func(now time.Time) { h.submit(now, j, caller) })
+	if !taken {
+		return Result{}, ErrBusy
+	}
+	select {
+	case r := <-caller:
+		return r, nil
+	case <-ctx.Done():
+		h.inbox.force(func(now time.Time) { h.callerGone(now, j.ID, caller) })
+		return Result{}, ctx.Err()
+	}
+}
+
+func (h *Host) submit(now time.Time, tj tracker.Job, caller chan Result) {
+	if j := h.jobs[tj.ID]; j != nil {
+		j.callers[caller] = true
+		return
+	}
+	j := &job{
+		tracker: tracker.New(tj),
+		callers: map[chan Result]bool{caller: true},
+	}
+	h.jobs[tj.ID] = j
+	h.askPlaces(now, j)
+}
+
+func (h *Host) callerGone(now time.Time, id string, caller chan Result) {
+	j := h.jobs[id]
+	if j == nil || !j.callers[caller] {
+		return
+	}
+	delete(j.callers, caller)
+	if len(j.callers) == 0 {
+		j.tracker.End(tracker.Abandoned, "the caller has gone")
+		h.settle(now, j)
+	}
+}
+
+// askPlaces tells the placer of all tasks of a job that need a place.
+func (h *Host) askPlaces(now time.Time, j *job) {
+	t := j.tracker
+	needs := t.Needs()
+	if len(needs) == 0 {
+		j.askedAt = time.Time{}
+		return
+	}
+	a := ask{
+		Job:      t.Job.ID,
+		Queue:    t.Job.Queue,
+		Service:  t.Job.Service,
+		Priority: t.Job.Priority,
+		Slack:    t.Job.Slack,
+		Target:   t.Job.Target,
+		Age:      now.Sub(t.Job.Arrived),
+		Left:     t.Job.Deadline.Sub(now),
+	}
+	for _, n := range needs {
+		step := t.Job.Steps[n.Step]
+		a.Tasks = append(a.Tasks, askedTask{
+			Run:         n.Run,
+			Demand:      step.Demand,
+			Estimate:    step.Estimate,
+			Requires:    step.Requires,
+			Rack:        step.Rack,
+			PerUpstream: step.PerUpstream,
+			Avoid:       n.Avoid,
+		})
+	}
+	j.askedAt = now
+	h.tell(h.placerAt, kindAsk, a)
+}
+
+func (h *Host) receiveGranted(from string, g granted) {
+	j := h.jobs[g.Job]
+	byKeeper := map[string]*start{}
+	for _, p := range g.Places {
+		place := tracker.Place{
+			Upstream: p.Upstream,
+			Keeper:   p.Keeper,
+		}
+		if j == nil || !j.tracker.Place(p.Run, place) {
+			h.tell(from, kindReturn, returned{
+				Upstream: p.Upstream,
+				Run:      p.Run,
+			})
+			continue
+		}
+		s := byKeeper[p.Keeper]
+		if s == nil {
+			s = &start{Content: j.tracker.Job.Content}
+			byKeeper[p.Keeper] = s
+		}
+		s.Runs = append(s.Runs, runOn(p.Upstream, p.Run, j.tracker.Job.Steps[p.Run.Task.Step].Demand))
+	}
+	for _, k := range slices.Sorted(maps.Keys(byKeeper)) {
+		h.tell(k, kindStart, *byKeeper[k])
+	}
+}
+
+func (h *Host) receiveRefused(now time.Time, from string, r refused) {
+	j := h.jobs[r.Job]
+	if j == nil || from != h.placerAt {
+		return
+	}
+	j.askedAt = time.Time{}
+	j.result.RetryAfter = r.RetryAfter
+	j.tracker.Refuse(r.Reason)
+	h.settle(now, j)
+}
+
+func (h *Host) receiveRunEnded(now time.Time, m runEnded) {
+	j := h.jobs[m.Run.Task.Job]
+	if j == nil {
+		return
+	}
+	j.tracker.RunEnded(m.Run, m.How, m.Reason)
+	h.settle(now, j)
+}
+
+// settle answers a job that has ended, and asks for places for one that goes on.
+func (h *Host) settle(now time.Time, j *job) {
+	outcome, reason, ended := j.tracker.Ended()
+	if !ended {
+		h.askPlaces(now, j)
+		return
+	}
+	id := j.tracker.Job.ID
+	delete(h.jobs, id)
+	if !j.askedAt.IsZero() {
+		h.tell(h.placerAt, kindWithdraw, withdraw{Job: id})
+	}
+	for _, a := range j.tracker.Active() {
+		h.tell(a.Place.Keeper, kindStop, stop{
+			Upstream: a.Place.Upstream,
+			Run:      a.Run,
+		})
+	}
+	j.result.Outcome = outcome
+	j.result.Reason = reason
+	for caller := range j.callers {
+		caller <- j.result
+	}
+	h.log.Info("job ended", "job", id, "queue", j.tracker.Job.Queue, "outcome", outcome, "reason", reason,
+		"took", now.Sub(j.tracker.Job.Arrived))
+}
+
+// expireJobs ends jobs whose callers wait no longer, and asks again about runs whose keeper
+// has changed.
+func (h *Host) expireJobs(now time.Time) {
+	for _, j := range h.jobs {
+		switch {
+		case now.After(j.tracker.Job.Deadline):
+			j.tracker.End(tracker.Expired, "the deadline of the caller has passed")
+			h.settle(now, j)
+		case !j.watchAt.IsZero() && !now.Before(j.watchAt):
+			h.watchMoved(now, j)
+		}
+		if !j.askedAt.IsZero() && now.Sub(j.askedAt) >= askAgain {
+			h.askPlaces(now, j)
+		}
+	}
+}
+
+// followKeepers asks the new keepers of upstreams about the runs of this host's jobs.
+func (h *Host) followKeepers(now time.Time) {
+	for _, j := range h.jobs {
+		for _, a := range j.tracker.Active() {
+			at := h.assigned.Keepers[a.Place.Upstream]
+			if at != "" && at != a.Place.Keeper {
+				j.tracker.Moved(a.Place.Upstream, at)
+				j.watchAt = now
+			}
+		}
+		if !j.watchAt.IsZero() {
+			h.watchMoved(now, j)
+		}
+	}
+}
+
+// watchMoved asks the keepers of all active runs of a job how they are. A keeper that knows
+// the run already changes nothing.
+func (h *Host) watchMoved(now time.Time, j *job) {
+	active := j.tracker.Active()
+	j.watchAt = time.Time{}
+	if len(active) == 0 {
+		return
+	}
+	j.watchAt = now.Add(watchAgain)
+	for _, a := range active {
+		h.tell(a.Place.Keeper, kindWatch, watch{
+			Of: runOn(a.Place.Upstream, a.Run, j.tracker.Job.Steps[a.Step].Demand),
+		})
+	}
+}
+
+// Table returns the queues in force, or nil.
+func (h *Host) Table(ctx context.Context) *router.Table {
+	result := make(chan *router.Table, 1)
+	h.inbox.force(func(time.Time) { result <- h.table })
+	select {
+	case t := <-result:
+		return t
+	case <-ctx.Done():
+		return nil
+	}
+}
--- /dev/null
+++ b/dispatcher/messages.go
@@ -0,0 +1,152 @@
+package dispatcher
+
+import (
+	"time"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/courier"
+	"sesamedrift.example/sesamedrift/finder"
+	"sesamedrift.example/sesamedrift/inquirer"
+	"sesamedrift.example/sesamedrift/keeper"
+)
+
+// Kinds of messages between entry hosts. The numbers are part of the protocol and are never
+// reused.
+const (
+	kindKnown      courier.Kind = 1
+	kindJoin       courier.Kind = 2
+	kindAssignment courier.Kind = 3
+	kindAsk        courier.Kind = 4
+	kindWithdraw   courier.Kind = 5
+	kindReturn     courier.Kind = 6
+	kindGranted    courier.Kind = 7
+	kindRefused    courier.Kind = 8
+	kindStart      courier.Kind = 9
+	kindStop       courier.Kind = 10
+	kindWatch      courier.Kind = 11
+	kindRunEnded   courier.Kind = 12
+	kindRuns       courier.Kind = 13
+	kindFreed      courier.Kind = 14
+	kindLeaving    courier.Kind = 15
+)
+
+// known carries all that a host knows to one that may have just started.
+type known struct {
+	Hosts     []finder.Host     `msgpack:"hosts"`
+	Upstreams []finder.Upstream `msgpack:"upstreams"`
+	Document  inquirer.Document `msgpack:"document"`
+}
+
+// join tells the placer that the sender regards it as such.
+type join struct{}
+
+// assignment names the keeper of each upstream of a domain.
+type assignment struct {
+	// Number grows with each assignment of one placer.
+	Number  uint64            `msgpack:"number"`
+	Keepers map[string]string `msgpack:"keepers"`
+}
+
+// ask tells the placer of all waiting tasks of a job.
+type ask struct {
+	Job      string        `msgpack:"job"`
+	Queue    string        `msgpack:"queue"`
+	Service  string        `msgpack:"service"`
+	Priority int           `msgpack:"priority"`
+	Slack    float64       `msgpack:"slack"`
+	Target   time.Duration `msgpack:"target"`
+	// Age is the time since the job arrived, Left the time until its deadline.
+	Age   time.Duration `msgpack:"age"`
+	Left  time.Duration `msgpack:"left"`
+	Tasks []askedTask   `msgpack:"tasks"`
+}
+
+type askedTask struct {
+	Run         sesamedrift.Run       `msgpack:"run"`
+	Demand      sesamedrift.Resources `msgpack:"demand"`
+	Estimate    time.Duration         `msgpack:"estimate"`
+	Requires    string                `msgpack:"requires,omitempty"`
+	Rack        string                `msgpack:"rack,omitempty"`
+	PerUpstream int                   `msgpack:"per-upstream,omitempty"`
+	Avoid       string                `msgpack:"avoid,omitempty"`
+}
+
+// withdraw tells the placer that a job needs no place any more.
+type withdraw struct {
+	Job string `msgpack:"job"`
+}
+
+// returned gives a place back that will not be used.
+type returned struct {
+	Upstream string          `msgpack:"upstream"`
+	Run      sesamedrift.Run `msgpack:"run"`
+}
+
+// granted tells the entry where tasks run.
+type granted struct {
+	Job    string       `msgpack:"job"`
+	Places []grantedRun `msgpack:"places"`
+}
+
+type grantedRun struct {
+	Run      sesamedrift.Run `msgpack:"run"`
+	Upstream string          `msgpack:"upstream"`
+	Keeper   string          `msgpack:"keeper"`
+}
+
+// refused tells the entry that the waiting tasks of a job get no place.
+type refused struct {
+	Job        string        `msgpack:"job"`
+	Reason     string        `msgpack:"reason"`
+	RetryAfter time.Duration `msgpack:"retry-after"`
+}
+
+// start asks the keeper to start runs of one job, which share their content.
+type start struct {
+	Content string       `msgpack:"content"`
+	Runs    []startedRun `msgpack:"runs"`
+}
+
+type startedRun struct {
+	Upstream string                `msgpack:"upstream"`
+	Run      sesamedrift.Run       `msgpack:"run"`
+	Demand   sesamedrift.Resources `msgpack:"demand"`
+}
+
+// stop asks the keeper to stop a run.
+type stop struct {
+	Upstream string          `msgpack:"upstream"`
+	Run      sesamedrift.Run `msgpack:"run"`
+}
+
+// watch asks a new keeper for the end of a run that a former one has started.
+type watch struct {
+	Of startedRun `msgpack:"of"`
+}
+
+// runEnded tells the entry how a run has ended.
+type runEnded struct {
+	Upstream string          `msgpack:"upstream"`
+	Run      sesamedrift.Run `msgpack:"run"`
+	How      keeper.How      `msgpack:"how"`
+	Reason   keeper.Reason   `msgpack:"reason,omitempty"`
+}
+
+// runs tells the placer the state of an upstream.
+type runs struct {
+	Upstream string        `msgpack:"upstream"`
+	Ready    bool          `msgpack:"ready"`
+	Running  []keeper.Task `msgpack:"running"`
+}
+
+// freed tells the placer that a run has ended.
+type freed struct {
+	Upstream string          `msgpack:"upstream"`
+	Run      sesamedrift.Run `msgpack:"run"`
+	How      keeper.How      `msgpack:"how"`
+	Reason   keeper.Reason   `msgpack:"reason,omitempty"`
+	Took     time.Duration   `msgpack:"took"`
+}
+
+// leaving tells the other hosts of the domain that the sender takes part no longer.
+type leaving struct{}
--- /dev/null
+++ b/keeper/keeper.go
@@ -0,0 +1,710 @@
+// Package keeper holds one upstream under a lease: it orders runs to start and stop, renews
+// the lease of what runs, and learns how runs have ended.
+//
+// A Session makes the decisions and has no input or output. The caller sends the orders
+// that Drain returns, reports each answer or its absence once, and calls Tick from time to
+// time. The Session promises:
+//
+//   - Exactly one Ended event for each task that was started or watched, unless the session
+//     is closed. After an event other than Began the run surely does not run, and will not
+//     begin, on this upstream.
+//   - A run counts as ended only if the upstream has listed its end, no longer knows it
+//     after it was known or stopped, has begun another life, or if the lease has run out
+//     by the slowest clock that an upstream may have.
+//   - The fencing token of the session never falls, so that orders of a former keeper that
+//     arrive late do nothing.
+//
+// A Session is not safe for concurrent use. It reads no clock: the present time is an
+// argument, and the clock of the upstream is what its answers carry.
+package keeper
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/finder"
+)
+
+// stopAgain is after how many times the stop time a stop that was acknowledged, but has not
+// ended its run, is sent again.
+const stopAgain = 4
+
+// Config holds the times of a session.
+type Config struct {
+	// Lease is how long what runs may run on without a renewal. It is shorter than the
+	// longest lease that upstreams grant.
+	Lease time.Duration
+	// Wait is how long an upstream may delay the answer to a renewal if nothing ends.
+	// Together with Answer it is shorter than Lease.
+	Wait time.Duration
+	// Answer is the time after which an order counts as unanswered, without Wait.
+	Answer time.Duration
+	// Idle is the time between two looks at an upstream on which nothing runs.
+	Idle time.Duration
+	// Retry is the time between two looks at a silent upstream, at first; it doubles up to
+	// MaxRetry.
+	Retry, MaxRetry time.Duration
+	// StopTime is how long an upstream takes to end a run that was stopped.
+	StopTime time.Duration
+	// Drift is by how much the clock of an upstream may be slow, as a share.
+	Drift float64
+	// Margin is added to times after which something is certain, for timers that fire late.
+	Margin time.Duration
+	// Adopt is how long runs of a former keeper go on before a host has asked for them.
+	Adopt time.Duration
+}
+
+// How says how a run has ended.
+type How string
+
+// The ends of runs. The first six are told by upstreams.
+const (
+	Done    How = "done"
+	Failed  How = "failed"
+	Stopped How = "stopped"
+	Lapsed  How = "lapsed"
+	Broken  How = "broken"
+	Alone   How = "alone"
+	// Lost means that the run does not run any more; how it ended is not known.
+	Lost How = "lost"
+	// Rejected means that the run never began.
+	Rejected How = "rejected"
+)
+
+// Reason says why an upstream rejected an order.
+type Reason string
+
+// The reasons of rejections.
+const (
+	// Fenced: another keeper has used a higher fencing token.
+	Fenced Reason = "fenced"
+	// OldRun: this or a later run of the task was stopped or has ended there.
+	OldRun Reason = "old-run"
+	// LateOrder: the lease that the order names has run out already.
+	LateOrder Reason = "late-order"
+	// NoRoom: the resources of the task are not free.
+	NoRoom Reason = "no-room"
+	// Unhealthy: the upstream takes nothing at present.
+	Unhealthy Reason = "unhealthy"
+	// Malformed: the upstream cannot read the order.
+	Malformed Reason = "malformed"
+	// Unreachable: the session has no contact with the upstream; nothing was sent.
+	Unreachable Reason = "unreachable"
+	// LeavingUpstream: the upstream takes nothing new; nothing was sent.
+	LeavingUpstream Reason = "leaving"
+	// NoAnswer: the order was not answered and has been withdrawn.
+	NoAnswer Reason = "no-answer"
+)
+
+// Task is one run of a task that an entry host wants on the upstream.
+type Task struct {
+	Run sesamedrift.Run `msgpack:"run"`
+	// Entry is the address of the host that is told how the run ends.
+	Entry  string                `msgpack:"entry"`
+	Demand sesamedrift.Resources `msgpack:"demand"`
+	// Content is what the upstream is told to run.
+	Content string `msgpack:"content"`
+}
+
+// OrderKind says what an upstream is asked to do.
+type OrderKind string
+
+// The kinds of orders.
+const (
+	StartOrder OrderKind = "start"
+	StopOrder  OrderKind = "stop"
+	// HoldOrder renews the lease, acknowledges ends and asks what runs.
+	HoldOrder OrderKind = "hold"
+)
+
+// Order is one call to the upstream.
+type Order struct {
+	Kind OrderKind
+	ID   uint64
+	// Life is the life of the upstream that the order is for, or 0 for any.
+	Life  uint64
+	Token uint64
+	// Lease is the time on the upstream's clock until which everything may run, in
+	// milliseconds; 0 leaves the lease as it is.
+	Lease   int64
+	Run     sesamedrift.Run // of a start or stop
+	Content string          // of a start
+	Seen    uint64          // of a hold: the ends up to this number are acknowledged
+	Wait    time.Duration   // of a hold
+	Sent    time.Time
+	// Timeout is how long an answer is waited for.
+	Timeout time.Duration
+}
+
+// Status is the answer to an order.
+type Status string
+
+// The answers to orders.
+const (
+	Accepted  Status = "accepted"
+	Refused   Status = "refused"
+	NotHeard  Status = "no-answer"
+	OtherLife Status = "other-life"
+)
+
+// Running is a run that an upstream lists.
+type Running struct {
+	Run sesamedrift.Run
+	// Percent is how much of the work is done.
+	Percent int
+}
+
+// End is the end of a run that an upstream lists.
+type End struct {
+	Number uint64
+	Run    sesamedrift.Run
+	How    How
+}
+
+// Answer is what came back for an order.
+type Answer struct {
+	Order  Order
+	Status Status
+	Reason Reason
+	// Clock is the time on the upstream's clock in milliseconds, if HasClock is set.
+	Clock    int64
+	HasClock bool
+	// Life is the life of the upstream that answered, or 0 if the answer does not say.
+	Life    uint64
+	Running []Running
+	Ended   []End
+}
+
+// EventKind says what a session tells.
+type EventKind string
+
+// The kinds of events.
+const (
+	// Ended: the run has ended as How says.
+	Ended EventKind = "ended"
+	// Ready: the upstream answers and what runs on it is known.
+	Ready EventKind = "ready"
+	// Silent: the upstream does not answer.
+	Silent EventKind = "silent"
+	// Overtaken: another keeper has taken the upstream.
+	Overtaken EventKind = "overtaken"
+	// Replaced: the upstream has begun another life, or another one has its address.
+	Replaced EventKind = "replaced"
+)
+
+// Event is what a session tells its caller.
+type Event struct {
+	Kind   EventKind
+	Task   Task
+	How    How
+	Reason Reason
+	// Took is the time from the start order to the end.
+	Took time.Duration
+}
+
+type phase int
+
+const (
+	// ordered: the start order is on its way.
+	ordered phase = iota
+	// confirmed: the upstream has accepted the start or lists the run.
+	confirmed
+	// unsure: the start order was not answered.
+	unsure
+)
+
+// task is a run that the session follows.
+type task struct {
+	Task
+	phase phase
+	// since is when the phase began.
+	since     time.Time
+	orderedAt time.Time
+	// foreign is set for runs that the session has not started itself, until a host asks
+	// for them.
+	foreign bool
+	percent int
+
+	stopWanted bool
+	stopSent   time.Time // zero if no stop order is on its way
+	stopAcked  time.Time // zero if no stop was acknowledged
+}
+
+// Session is the state of one upstream.
+type Session struct {
+	cfg      Config
+	upstream finder.Upstream
+	token    uint64
+	life     uint64 // 0 until the upstream has said it
+
+	tasks   map[sesamedrift.Run]*task
+	watched []Task // asked for before the session was ready
+
+	ready    bool
+	over     bool // another keeper or another life has taken over
+	seen     uint64
+	lastID   uint64
+	failures int
+
+	holding int       // holds on their way
+	nextAt  time.Time // of the next hold if none is on its way
+	extraAt time.Time // of one more hold beside the one on its way; zero for none
+
+	clock      int64 // of the newest answer that had one
+	clockKnown bool
+	askedAt    time.Time // when the order of that answer was sent
+	heardAt    time.Time // when that answer came
+	leaseUntil int64     // the latest lease that was ordered, on the upstream's clock
+
+	orders []Order
+	events []Event
+}
+
+// New returns a session that takes the upstream over with a fencing token.
+func New(cfg Config, now time.Time, u finder.Upstream, token uint64) *Session {
+	return &Session{
+		cfg:      cfg,
+		upstream: u,
+		token:    token,
+		tasks:    map[sesamedrift.Run]*task{},
+		nextAt:   now,
+	}
+}
+
+// Drain returns the orders to send and the events since the last call.
+func (s *Session) Drain() ([]Order, []Event) {
+	orders, events := s.orders, s.events
+	s.orders, s.events = nil, nil
+	return orders, events
+}
+
+// Upstream returns the newest report of the upstream.
+func (s *Session) Upstream() finder.Upstream { return s.upstream }
+
+// Token returns the fencing token of the session.
+func (s *Session) Token() uint64 { return s.token }
+
+// Ready reports whether the upstream answers.
+func (s *Session) Ready() bool { return s.ready && !s.over }
+
+// Tasks returns what runs or may run, with its progress, in the order of the runs.
+func (s *Session) Tasks() []Progress {
+	all := make([]Progress, 0, len(s.tasks))
+	for _, t := range s.tasks {
+		all = append(all, Progress{
+			Task:    t.Task,
+			Began:   t.orderedAt,
+			Percent: t.percent,
+		})
+	}
+	slices.SortFunc(all, func(a, b Progress) int { return compareRuns(a.Task.Run, b.Task.Run) })
+	return all
+}
+
+// Progress is what is known of a run.
+type Progress struct {
+	Task    Task
+	Began   time.Time
+	Percent int
+}
+
+func compareRuns(a, b sesamedrift.Run) int {
+	return cmp.Or(a.Task.Compare(b.Task), cmp.Compare(a.Number, b.Number))
+}
+
+// Update takes in a newer report of the same life of the upstream.
+func (s *Session) Update(u finder.Upstream) { s.upstream = u }
+
+// Start orders a run.
+func (s *Session) Start(now time.Time, t Task) {
+	switch {
+	case s.tasks[t.Run] != nil:
+		s.tasks[t.Run].adopt(t)
+		return
+	case !s.Ready():
+		s.reject(t, Unreachable)
+		return
+	case s.upstream.State != finder.Serving:
+		s.reject(t, LeavingUpstream)
+		return
+	}
+	s.tasks[t.Run] = &task{
+		Task:      t,
+		phase:     ordered,
+		since:     now,
+		orderedAt: now,
+	}
+	o := s.order(now, StartOrder, s.cfg.Answer)
+	o.Run = t.Run
+	o.Content = t.Content
+	o.Lease = s.lease(now)
+	s.send(o)
+	s.nextAt = now
+}
+
+func (t *task) adopt(by Task) {
+	t.foreign = false
+	t.Entry = by.Entry
+	t.Demand = by.Demand
+	t.Content = by.Content
+}
+
+func (s *Session) reject(t Task, reason Reason) {
+	s.events = append(s.events, Event{
+		Kind:   Ended,
+		Task:   t,
+		How:    Rejected,
+		Reason: reason,
+	})
+}
+
+// Watch asks for the end of a run that a former keeper has started.
+func (s *Session) Watch(t Task) {
+	switch {
+	case s.tasks[t.Run] != nil:
+		s.tasks[t.Run].adopt(t)
+	case s.Ready() || s.over:
+		s.events = append(s.events, Event{
+			Kind: Ended,
+			Task: t,
+			How:  Lost,
+		})
+	default:
+		s.watched = append(s.watched, t)
+	}
+}
+
+// Stop ends a run. Its end is told by an event as usual.
+func (s *Session) Stop(now time.Time, run sesamedrift.Run) {
+	if t := s.tasks[run]; t != nil && !t.stopWanted {
+		t.stopWanted = true
+		s.orderStop(now, t)
+	}
+}
+
+// StopAll ends the runs of an entry host.
+func (s *Session) StopAll(now time.Time, entry string) {
+	for _, t := range s.sorted() {
+		if t.Entry == entry {
+			s.Stop(now, t.Run)
+		}
+	}
+	s.watched = slices.DeleteFunc(s.watched, func(t Task) bool { return t.Entry == entry })
+}
+
+func (s *Session) sorted() []*task {
+	all := make([]*task, 0, len(s.tasks))
+	for _, t := range s.tasks {
+		all = append(all, t)
+	}
+	slices.SortFunc(all, func(a, b *task) int { return compareRuns(a.Run, b.Run) })
+	return all
+}
+
+func (s *Session) orderStop(now time.Time, t *task) {
+	t.stopSent = now
+	o := s.order(now, StopOrder, s.cfg.Answer)
+	o.Run = t.Run
+	s.send(o)
+}
+
+func (s *Session) order(now time.Time, kind OrderKind, timeout time.Duration) Order {
+	s.lastID++
+	return Order{
+		Kind:    kind,
+		ID:      s.lastID,
+		Life:    s.life,
+		Token:   s.token,
+		Sent:    now,
+		Timeout: timeout,
+	}
+}
+
+func (s *Session) send(o Order) {
+	s.leaseUntil = max(s.leaseUntil, o.Lease)
+	s.orders = append(s.orders, o)
+}
+
+// lease returns the end of a lease that begins now, or 0 if the clock of the upstream is
+// not known. The upstream's clock cannot be later than its last reading and the time
+// since that reading was asked for.
+func (s *Session) lease(now time.Time) int64 {
+	if !s.clockKnown {
+		return 0
+	}
+	return s.clock + (now.Sub(s.askedAt) + s.cfg.Lease).Milliseconds()
+}
+
+// lapsedAt returns the time at which the latest lease has surely run out: the clock of the
+// upstream has gone on from its last reading since the answer came at the latest, and may
+// be slow.
+func (s *Session) lapsedAt() time.Time {
+	left := float64(s.leaseUntil-s.clock) / (1 - s.cfg.Drift)
+	return s.heardAt.Add(time.Duration(left*float64(time.Millisecond)) + s.cfg.Margin)
+}
+
+// Tick does what is due.
+func (s *Session) Tick(now time.Time) {
+	if s.over {
+		return
+	}
+	if s.holding == 0 && !now.Before(s.nextAt) {
+		s.hold(now, s.wait())
+	} else if !s.extraAt.IsZero() && !now.Before(s.extraAt) {
+		s.extraAt = time.Time{}
+		s.hold(now, 0)
+	}
+	if !s.ready && s.clockKnown && len(s.tasks) > 0 && now.After(s.lapsedAt()) {
+		for _, t := range s.sorted() {
+			s.end(now, t, Lapsed, "")
+		}
+	}
+	for _, t := range s.sorted() {
+		switch {
+		case t.foreign && now.Sub(t.since) >= s.cfg.Adopt:
+			s.Stop(now, t.Run)
+		case t.stopWanted && t.stopAcked.IsZero() && t.stopSent.IsZero() && s.ready:
+			s.orderStop(now, t)
+		}
+	}
+}
+
+// wait is how long the next hold may wait: not at all if the state of the upstream is not
+// known or nothing runs there.
+func (s *Session) wait() time.Duration {
+	if !s.ready || len(s.tasks) == 0 {
+		return 0
+	}
+	return s.cfg.Wait
+}
+
+func (s *Session) hold(now time.Time, wait time.Duration) {
+	o := s.order(now, HoldOrder, wait+s.cfg.Answer)
+	o.Seen = s.seen
+	o.Wait = wait
+	// A look at a silent upstream renews nothing: it may be carried out although its answer
+	// is lost, and the lease would never be known to have run out.
+	if len(s.tasks) > 0 && s.ready {
+		o.Lease = s.lease(now)
+	}
+	s.holding++
+	s.send(o)
+}
+
+// look asks for one more hold soon.
+func (s *Session) look(at time.Time) {
+	if s.extraAt.IsZero() || at.Before(s.extraAt) {
+		s.extraAt = at
+	}
+}
+
+// Answered takes in the answer to an order, or that there was none.
+func (s *Session) Answered(now time.Time, a Answer) {
+	if a.Order.Kind == HoldOrder {
+		s.holding--
+	}
+	if s.over {
+		return
+	}
+	if a.Status != NotHeard && s.heardLife(now, a) {
+		return
+	}
+	if a.HasClock {
+		s.readClock(now, a)
+	}
+	if a.Status == Refused && a.Reason == Fenced && a.Order.Token >= s.token {
+		s.over = true
+		s.events = append(s.events, Event{Kind: Overtaken})
+		return
+	}
+	switch a.Order.Kind {
+	case StartOrder:
+		s.startAnswered(now, a)
+	case StopOrder:
+		s.stopAnswered(now, a)
+	case HoldOrder:
+		s.holdAnswered(now, a)
+	}
+}
+
+func (s *Session) readClock(now time.Time, a Answer) {
+	if s.clockKnown && a.Order.Sent.Before(s.askedAt) {
+		return
+	}
+	s.clock = a.Clock
+	s.clockKnown = true
+	s.askedAt = a.Order.Sent
+	s.heardAt = now
+}
+
+// heardLife ends the session if another life answers. All runs of the former life have
+// ended with it.
+func (s *Session) heardLife(now time.Time, a Answer) bool {
+	if s.life == 0 && a.Status != OtherLife {
+		s.life = a.Life
+	}
+	if a.Status != OtherLife && (a.Life == 0 || a.Life == s.life) {
+		return false
+	}
+	s.Replace(now)
+	return true
+}
+
+// Replace ends the session because the upstream has begun another life, with which all
+// runs of the former one have ended.
+func (s *Session) Replace(now time.Time) {
+	if s.over {
+		return
+	}
+	s.over = true
+	for _, t := range s.sorted() {
+		s.end(now, t, Lost, "")
+	}
+	s.answerWatches()
+	s.events = append(s.events, Event{Kind: Replaced})
+}
+
+func (s *Session) startAnswered(now time.Time, a Answer) {
+	t := s.tasks[a.Order.Run]
+	if t == nil || t.phase != ordered {
+		return
+	}
+	switch a.Status {
+	case Accepted:
+		t.phase = confirmed
+		t.since = now
+	case Refused:
+		s.end(now, t, Rejected, a.Reason)
+	case NotHeard:
+		t.phase = unsure
+		t.since = now
+		s.look(now)
+	case OtherLife:
+	}
+}
+
+func (s *Session) stopAnswered(now time.Time, a Answer) {
+	t := s.tasks[a.Order.Run]
+	if t == nil {
+		return
+	}
+	t.stopSent = time.Time{}
+	if a.Status == NotHeard {
+		return
+	}
+	t.stopAcked = now
+	s.look(now.Add(s.cfg.StopTime + s.cfg.Margin))
+}
+
+func (s *Session) holdAnswered(now time.Time, a Answer) {
+	if a.Status != Accepted {
+		s.holdFailed(now)
+		return
+	}
+	s.failures = 0
+	for _, e := range a.Ended {
+		if e.Number <= s.seen {
+			continue
+		}
+		s.seen = e.Number
+		if t := s.tasks[e.Run]; t != nil {
+			s.end(now, t, e.How, "")
+		}
+	}
+	s.reconcile(now, a)
+	if !s.ready {
+		s.ready = true
+		s.events = append(s.events, Event{Kind: Ready})
+		s.answerWatches()
+	}
+	s.nextAt = now
+	if len(s.tasks) == 0 {
+		s.nextAt = now.Add(s.cfg.Idle)
+	}
+}
+
+func (s *Session) holdFailed(now time.Time) {
+	if s.holding > 0 {
+		return
+	}
+	s.nextAt = now.Add(min(s.cfg.Retry<<min(s.failures, 10), s.cfg.MaxRetry))
+	if s.failures == 0 {
+		s.nextAt = now
+	}
+	s.failures++
+	if s.ready {
+		s.ready = false
+		s.events = append(s.events, Event{Kind: Silent})
+	}
+}
+
+// reconcile compares what the upstream lists as running with what the session follows.
+func (s *Session) reconcile(now time.Time, a Answer) {
+	listed := make(map[sesamedrift.Run]bool, len(a.Running))
+	for _, r := range a.Running {
+		listed[r.Run] = true
+		t := s.tasks[r.Run]
+		if t == nil {
+			t = &task{
+				Task:      Task{Run: r.Run},
+				phase:     confirmed,
+				since:     now,
+				orderedAt: now,
+				foreign:   true,
+			}
+			s.tasks[r.Run] = t
+		}
+		if t.phase != confirmed {
+			t.phase = confirmed
+			t.since = now
+		}
+		t.percent = r.Percent
+		if !t.stopAcked.IsZero() && a.Order.Sent.After(t.stopAcked.Add(stopAgain*s.cfg.StopTime)) {
+			t.stopAcked = time.Time{}
+		}
+	}
+	for _, t := range s.sorted() {
+		if !listed[t.Run] {
+			s.missing(now, t, a.Order.Sent)
+		}
+	}
+}
+
+// missing decides about a run that a look, sent at the given time, does not list.
+func (s *Session) missing(now time.Time, t *task, sent time.Time) {
+	stopped := !t.stopAcked.IsZero() && sent.After(t.stopAcked.Add(s.cfg.StopTime))
+	switch {
+	case t.phase == confirmed && sent.After(t.since):
+		s.end(now, t, Lost, "")
+	case t.phase == unsure && stopped:
+		s.end(now, t, Rejected, NoAnswer)
+	case t.phase == unsure && !t.stopWanted && sent.After(t.since):
+		t.stopWanted = true
+		s.orderStop(now, t)
+	}
+}
+
+func (s *Session) end(now time.Time, t *task, how How, reason Reason) {
+	delete(s.tasks, t.Run)
+	if t.foreign {
+		return
+	}
+	s.events = append(s.events, Event{
+		Kind:   Ended,
+		Task:   t.Task,
+		How:    how,
+		Reason: reason,
+		Took:   now.Sub(t.orderedAt),
+	})
+}
+
+// answerWatches settles the watches that came before the session was ready.
+func (s *Session) answerWatches() {
+	watched := s.watched
+	s.watched = nil
+	for _, t := range watched {
+		s.Watch(t)
+	}
+}
--- a/messenger/kinds.go
+++ b/messenger/kinds.go
@@ -37,6 +37,10 @@
 	KindInstallView Kind = 16
 	// KindRelease says that the caller of a forwarded submission has gone.
 	KindRelease Kind = 17
+	// KindCourier carries a batch of a session between two hosts.
+	KindCourier Kind = 18
+	// KindNews asks a control host for changes of its lists and of the document.
+	KindNews Kind = 19
 )
 
 var kindNames = map[Kind]string{
@@ -55,6 +59,8 @@
 	KindStatus:         "status",
 	KindInstallView:    "install-view",
 	KindRelease:        "release",
+	KindCourier:        "courier",
+	KindNews:           "news",
 }
 
 // String returns the name of the kind in kebab case, or its number.
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -15,6 +15,8 @@
 // anything but replies.
 var errUnsolicited = &MalformedError{Reason: "a frame from the listener is not a reply"}
 
+var errRenewed = errors.New("the connection was given up for a new one")
+
 var errRefused = errors.New("the peer did not accept the message: it is stopping or too many handlers run")
 
 // Peer sends messages to one other host. It dials when a message is to be sent and keeps
@@ -327,6 +329,18 @@
 	}
 }
 
+// Renew ends the present connection, so that the next message goes over a new one. It is
+// for callers that got no answer in time: a connection may stay silent for good while new
+// ones work.
+func (p *Peer) Renew() {
+	p.mu.Lock()
+	link := p.link
+	p.mu.Unlock()
+	if link != nil {
+		link.fail(errRenewed)
+	}
+}
+
 // backOff sets the time of the next dial: the backoff doubles with each failure and is
 // spread over its upper half, so that hosts do not dial in step.
 func (p *Peer) backOff(err error) {
--- a/server/host.go
+++ b/server/host.go
@@ -27,6 +27,7 @@
 	"sesamedrift.example/sesamedrift/leaser"
 	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/registrar"
+	"sesamedrift.example/sesamedrift/replicator"
 	"sesamedrift.example/sesamedrift/reporter"
 	"sesamedrift.example/sesamedrift/scheduler"
 	"sesamedrift.example/sesamedrift/validator"
@@ -79,9 +80,8 @@
 	members    *membership
 	claims     *claimer.Claimer
 	table      *claimer.Table
-	registers  *registrar.Registrar // nil on a host without a disk
-	journal    *journaler.Journal   // nil on a host without a disk
-	diskFailed atomic.Bool          // set once the failure of the journal is reported
+	replica    *replicator.Replica  // nil on a host without a disk
+	registers  *registrar.Registrar // those of replica
 	entries    *registrar.Cache
 	documents  documents
 	directory  directory
@@ -162,10 +162,7 @@
 		if err := h.openReplica(); err != nil {
 			return err
 		}
-		h.duties.Go(func() {
-			h.repairUntil(ctx)
-			h.syncReplicaUntil(ctx)
-		})
+		h.duties.Go(func() { h.replica.Run(ctx) })
 	}
 	var err error
 	h.listener, err = messenger.Listen(s.PeerAddress, messenger.Config{
@@ -301,12 +298,9 @@
 	h.duties.Wait()
 	h.dispatcher.abandon()
 	h.background.Wait()
-	if h.registers != nil {
-		h.registers.Close()
+	if h.replica != nil {
+		h.replica.Close()
 	}
 	h.metrics.close()
-	if h.journal != nil {
-		_ = h.stored(h.journal.Close())
-	}
 	h.runner.close()
 }
--- a/server/registers.go
+++ b/server/registers.go
@@ -4,16 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
-	"os"
 	"path/filepath"
 	"slices"
 	"strings"
 	"time"
 
-	"sesamedrift.example/sesamedrift/journaler"
 	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/registrar"
-	"sesamedrift.example/sesamedrift/reporter"
+	"sesamedrift.example/sesamedrift/replicator"
 )
 
 const (
@@ -26,10 +24,6 @@
 	// too. It is above the time of a change with its synced writes, so that changes are
 	// normally proposed once, and well below the 2 s for which an upstream may be idle.
 	hedgeAfter = 200 * time.Millisecond
-	// repairEvery is the time between two tries to repair an empty replica.
-	repairEvery = time.Second
-	// replicaSyncEvery is the time between two exchanges of a replica with the others.
-	replicaSyncEvery = 2 * time.Second
 	// journalFolder is the part of the data folder that holds the registers.
 	journalFolder = "registers"
 )
@@ -77,77 +71,28 @@
 // decision.
 var errNoMajority = errors.New("no majority of the replicas answered")
 
-// openReplica opens the journal and the registers of a host with a disk.
+// openReplica opens the registers of a host with a disk.
 func (h *Host) openReplica() error {
 	s := h.cfg.Settings
-	dir := filepath.Join(s.DataFolder, journalFolder)
-	journal, recovery, damaged, err := openJournal(h, dir)
+	replica, err := replicator.Open(replicator.Config{
+		ID:        s.Host,
+		Replicas:  s.Replicas(),
+		Bootstrap: s.Bootstrap,
+		Call:      h.callReplica,
+		Learned:   h.learn,
+		Folder:    filepath.Join(s.DataFolder, journalFolder),
+		Journal:   h.cfg.Journal,
+		Log:       h.log,
+		Now:       h.now,
+	})
 	if err != nil {
 		return err
 	}
-	h.journal = journal
-	if recovery.TornBytes > 0 {
-		reporter.Log(context.Background(), h.log, reporter.JournalTornTail, "bytes", recovery.TornBytes)
-	}
-	cfg := registrar.Config{
-		ID:          s.Host,
-		Replicas:    s.Replicas(),
-		Append:      func(record []byte) error { return h.stored(journal.Append(record)) },
-		Snapshot:    func(state []byte) error { return h.stored(journal.Snapshot(state)) },
-		Snapshotted: recovery.Snapshot,
-		Records:     recovery.Records,
-		Empty:       recovery.Snapshot == nil,
-		Bootstrap:   s.Bootstrap && !damaged,
-		Call:        h.callReplica,
-		Learned:     h.learn,
-	}
-	h.registers, err = registrar.New(cfg)
-	var unreadable *registrar.DamageError
-	if errors.As(err, &unreadable) {
-		reporter.Log(context.Background(), h.log, reporter.JournalDamaged, "error", err)
-		cfg.Empty = true
-		cfg.Bootstrap = false
-		h.registers, err = registrar.New(cfg)
-	}
-	if err != nil {
-		return fmt.Errorf("registers: %w", err)
-	}
-	for _, e := range h.registers.Entries(nil) {
-		h.learn(e)
-	}
+	h.replica = replica
+	h.registers = replica.Registers()
 	return nil
 }
 
-// stored returns the error of a journal's method and reports the first one.
-func (h *Host) stored(err error) error {
-	if err != nil && !h.diskFailed.Swap(true) {
-		reporter.Log(context.Background(), h.log, reporter.JournalFailed, "error", err)
-	}
-	return err
-}
-
-// openJournal opens the journal. A damaged one is kept aside, and the replica starts
-// empty, to be repaired from the others; the third result says so.
-func openJournal(h *Host, dir string) (*journaler.Journal, journaler.Recovery, bool, error) {
-	if err := os.MkdirAll(dir, 0o750); err != nil {
-		return nil, journaler.Recovery{}, false, fmt.Errorf("data folder: %w", err)
-	}
-	cfg := journaler.Config{Dir: dir}
-	if h.cfg.Journal != nil {
-		h.cfg.Journal(&cfg)
-	}
-	journal, recovery, err := journaler.Open(cfg)
-	var damaged *journaler.DamageError
-	if errors.As(err, &damaged) {
-		reporter.Log(context.Background(), h.log, reporter.JournalDamaged, "error", err)
-		journal, recovery, err = journaler.StartOver(cfg)
-	}
-	if err != nil {
-		return nil, journaler.Recovery{}, false, fmt.Errorf("journal: %w", err)
-	}
-	return journal, recovery, damaged != nil, nil
-}
-
 func (h *Host) callReplica(ctx context.Context, replica string, r registrar.Request) (registrar.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, registerCallTimeout)
 	defer cancel()
@@ -208,7 +153,7 @@
 
 // votes reports whether this host is a replica that takes part in decisions.
 func (h *Host) votes() bool {
-	return h.registers != nil && h.registers.Ready() && h.registers.Failed() == nil
+	return h.replica != nil && h.replica.Votes()
 }
 
 // replicas returns the hosts with disks, this host first if it is one that votes, then
@@ -323,33 +268,6 @@
 	return last.out, fmt.Errorf("%w: %w", errNoMajority, last.err)
 }
 
-// repairUntil repairs this replica from the others if its folder was empty or damaged.
-func (h *Host) repairUntil(ctx context.Context) {
-	for !h.registers.Ready() && h.registers.Failed() == nil {
-		round, cancel := context.WithTimeout(ctx, registerChangeTimeout)
-		err := h.registers.Repair(round, h.now())
-		cancel()
-		if err == nil {
-			reporter.Log(ctx, h.log, reporter.ReplicaRepaired)
-			return
-		}
-		if !sleep(ctx, repairEvery) {
-			return
-		}
-	}
-}
-
-// syncReplicaUntil fetches what this replica has missed from the others until ctx is done
-// or the replica can store nothing any more.
-func (h *Host) syncReplicaUntil(ctx context.Context) {
-	for sleep(ctx, replicaSyncEvery) && h.registers.Failed() == nil {
-		round, cancel := context.WithTimeout(ctx, registerChangeTimeout)
-		// A replica that cannot be reached is asked again in the next round.
-		_ = h.registers.Sync(round, h.now())
-		cancel()
-	}
-}
-
 // sleep waits and reports whether ctx is still alive.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
