keeper: a session that was overtaken says nothing of runs

Cause: after a takeover the former session answered questions about its runs with "lost", though they went on under the new keeper; their tasks were placed again. Hosts that had just started took all upstreams before they knew of each other, which made takeovers common.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -41,6 +41,11 @@
 	// askAgain is the time after which the placer is told again of tasks that wait. It is for
 	// messages that were lost while the placer changed.
 	askAgain = time.Second
+	// settleLeast and settleMost bound the time from the first news to the choice of a
+	// placer. A process may start 0.3 s after the others; those that are listed but do not
+	// answer are waited for a little longer.
+	settleLeast = 300 * time.Millisecond
+	settleMost  = 700 * time.Millisecond
 	// retakeAfter is how long a keeper whose upstream was taken by another waits before it
 	// takes the upstream back if it is still assigned to it.
 	retakeAfter = 500 * time.Millisecond
@@ -91,6 +96,9 @@
 	up       map[string]bool
 	newsFrom map[string]context.CancelFunc
 	stopping bool
+	// started is when this host first heard of others; zero before.
+	started   time.Time
+	isSettled bool
 
 	// placerAt is the address of the placer of the domain.
 	placerAt string
--- a/dispatcher/loop.go
+++ b/dispatcher/loop.go
@@ -96,6 +96,9 @@
 
 // due does what the passing of time asks for.
 func (h *Host) due(now time.Time) {
+	if !h.isSettled {
+		h.choosePlacer(now)
+	}
 	h.expireJobs(now)
 	h.tickKeeps(now)
 	if h.placer != nil {
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -151,6 +151,9 @@
 			h.hostChanged(now, host)
 		}
 	}
+	if h.started.IsZero() {
+		h.started = now
+	}
 	changed := false
 	for _, u := range k.Upstreams {
 		if h.upstreams.Put(now, u) {
@@ -256,10 +259,29 @@
 	return addresses
 }
 
+// settled reports whether this host has had the time to find the other hosts of its domain
+// since it started. A host that places before that would take upstreams from their keepers
+// only to give them back.
+func (h *Host) settled(now time.Time) bool {
+	if h.isSettled || h.started.IsZero() {
+		return h.isSettled
+	}
+	missing := false
+	for _, host := range h.hosts.All() {
+		if host.Role == finder.Entry && host.Domain == h.cfg.Self.Domain && host.State == finder.Serving &&
+			host.Address != h.cfg.Self.Address && !h.up[host.Address] {
+			missing = true
+		}
+	}
+	known := now.Sub(h.started)
+	h.isSettled = known >= settleMost || known >= settleLeast && !missing
+	return h.isSettled
+}
+
 // choosePlacer finds out which host places, and begins or ends to place itself.
 func (h *Host) choosePlacer(now time.Time) {
 	members := h.members()
-	if len(members) == 0 || members[0] == h.placerAt {
+	if len(members) == 0 || members[0] == h.placerAt || !h.settled(now) {
 		return
 	}
 	h.placerAt = members[0]
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -242,8 +242,11 @@
 	tasks   map[sesamedrift.Run]*task
 	watched []Task // asked for before the session was ready
 
-	ready    bool
-	over     bool // another keeper or another life has taken over
+	ready bool
+	// over says that another keeper or another life has taken over, replaced that it was
+	// another life, so that nothing of the former one runs.
+	over     bool
+	replaced bool
 	seen     uint64
 	lastID   uint64
 	failures int
@@ -360,12 +363,13 @@
 	})
 }
 
-// Watch asks for the end of a run that a former keeper has started.
+// Watch asks for the end of a run that a former keeper has started. A session that another
+// keeper has overtaken does not know it, and is not asked.
 func (s *Session) Watch(t Task) {
 	switch {
 	case s.tasks[t.Run] != nil:
 		s.tasks[t.Run].adopt(t)
-	case s.Ready() || s.over:
+	case s.Ready() || s.replaced:
 		s.events = append(s.events, Event{
 			Kind: Ended,
 			Task: t,
@@ -559,6 +563,7 @@
 		return
 	}
 	s.over = true
+	s.replaced = true
 	for _, t := range s.sorted() {
 		s.end(now, t, Lost, "")
 	}
