--- a/dispatcher/status.go
+++ b/dispatcher/status.go
@@ -86,9 +86,9 @@
 	return reason
 }
 
-// Leave begins a planned stop: the other hosts of the domain take over, and the jobs of
-// this host's callers end. It returns when nothing is left to do, or ctx ends.
-func (h *Host) Leave(ctx context.Context) {
+// BeginLeave begins a planned stop: the other hosts of the domain take over the placing and
+// the upstreams of this host. Jobs of callers that still come are served.
+func (h *Host) BeginLeave() {
 	h.do(func(now time.Time) {
 		h.stopping = true
 		for peer, member := range h.up {
@@ -98,6 +98,10 @@
 		}
 		h.choosePlacer(now)
 	})
+}
+
+// AwaitLeave returns when no job and no upstream is left on this host, or ctx ends.
+func (h *Host) AwaitLeave(ctx context.Context) {
 	for ctx.Err() == nil {
 		left := 0
 		h.do(func(time.Time) { left = len(h.jobs) + len(h.keeps) })
