--- a/controller/controller.go
+++ b/controller/controller.go
@@ -95,7 +95,7 @@
 		peers:     map[string]*messenger.Peer{},
 	}
 	h.asker = &inquirer.Asker{
-		Self:  cfg.Self,
+		Self:  func() finder.Host { return cfg.Self },
 		Token: cfg.Token,
 		Apply: h.apply,
 		Log:   cfg.Log,
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -85,6 +85,10 @@
 	duties   sync.WaitGroup
 	calls    sync.WaitGroup
 
+	// selfMu guards self, the present report about this host.
+	selfMu sync.Mutex
+	self   finder.Host
+
 	// The fields below belong to the loop.
 
 	hosts     *finder.List[finder.Host]
@@ -108,7 +112,10 @@
 	keeps map[string]*keep
 
 	placer     *placer.Placer // nil unless this host places
+	neighbours map[string]*neighbour
+	relays     map[string]relay
 	placing    map[string]placedUpstream
+	reportedAt time.Time
 	lastTokens map[string]uint64
 }
 
@@ -128,6 +135,8 @@
 		jobs:       map[string]*job{},
 		keeps:      map[string]*keep{},
 		placing:    map[string]placedUpstream{},
+		neighbours: map[string]*neighbour{},
+		relays:     map[string]relay{},
 		lastTokens: map[string]uint64{},
 	}
 	local := messenger.Config{
@@ -151,8 +160,9 @@
 		Deliver:      h.deliver,
 		Now:          cfg.Now,
 	})
+	h.self = cfg.Self
 	h.asker = &inquirer.Asker{
-		Self:  cfg.Self,
+		Self:  h.present,
 		Token: cfg.Token,
 		Apply: h.apply,
 		Log:   cfg.Log,
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -22,56 +22,76 @@
 // ErrBusy is returned for a job that was not taken because too much waits already.
 var ErrBusy = errors.New("too much waits on this host")
 
-// job is a job whose callers are connected to this host.
+// caller waits for the result of a job: a request to this host, or the relay of another
+// domain.
+type caller struct {
+	// result has room for the result; nil for a relay.
+	result chan Result
+	relay  string
+}
+
+// job is a job that this host tracks.
 type job struct {
 	tracker *tracker.Tracker
-	// callers holds a channel, with room for the result, for each caller that waits.
-	callers map[chan Result]bool
+	callers map[caller]bool
 	result  Result
 	// askedAt is when the placer was last told of tasks that wait; zero if none wait there.
 	askedAt time.Time
 	// watchAt is when keepers are asked again about runs that were moved; zero for never.
 	watchAt time.Time
-	// orphanSince is when an active run was first found to have no keeper.
-	orphanSince time.Time
+	// passedTo is the domain that the job was passed on to, or empty.
+	passedTo string
+	// returnAt is when a job whose way to another domain is lost is placed here again;
+	// by then it surely runs nowhere. Zero for never.
+	returnAt time.Time
+}
+
+// passedOn reports whether the job came from another domain.
+func (j *job) passedOn() bool {
+	for c := range j.callers {
+		if c.relay != "" {
+			return true
+		}
+	}
+	return false
 }
 
 // Run takes a job and returns its result. It returns early if ctx ends, as it does when the
 // caller has gone; the job then ends unless another caller waits for it.
 func (h *Host) Run(ctx context.Context, j tracker.Job) (Result, error) {
-	caller := make(chan Result, 1)
-	taken := h.inbox.put(func(now time.Time) { h.submit(now, j, caller) })
+	c := caller{result: make(chan Result, 1)}
+	taken := h.inbox.put(func(now time.Time) { h.submit(now, j, c) })
 	if !taken {
 		return Result{}, ErrBusy
 	}
 	select {
-	case r := <-caller:
+	case r := <-c.result:
 		return r, nil
 	case <-ctx.Done():
-		h.inbox.force(func(now time.Time) { h.callerGone(now, j.ID, caller) })
+		h.inbox.force(func(now time.Time) { h.callerGone(now, j.ID, c) })
 		return Result{}, ctx.Err()
 	}
 }
 
-func (h *Host) submit(now time.Time, tj tracker.Job, caller chan Result) {
+func (h *Host) submit(now time.Time, tj tracker.Job, c caller) {
 	if j := h.jobs[tj.ID]; j != nil {
-		j.callers[caller] = true
+		j.callers[c] = true
 		return
 	}
 	j := &job{
 		tracker: tracker.New(tj),
-		callers: map[chan Result]bool{caller: true},
+		callers: map[caller]bool{c: true},
 	}
 	h.jobs[tj.ID] = j
 	h.askPlaces(now, j)
 }
 
-func (h *Host) callerGone(now time.Time, id string, caller chan Result) {
+func (h *Host) callerGone(now time.Time, id string, c caller) {
 	j := h.jobs[id]
-	if j == nil || !j.callers[caller] {
+	if j == nil || !j.callers[c] {
 		return
 	}
-	delete(j.callers, caller)
+	delete(j.callers, c)
 	if len(j.callers) == 0 {
 		j.tracker.End(tracker.Abandoned, "the caller has gone")
 		h.settle(now, j)
@@ -82,7 +102,7 @@
 func (h *Host) askPlaces(now time.Time, j *job) {
 	t := j.tracker
 	needs := t.Needs()
-	if len(needs) == 0 {
+	if len(needs) == 0 || j.passedTo != "" || !j.returnAt.IsZero() {
 		j.askedAt = time.Time{}
 		return
 	}
@@ -95,8 +115,11 @@
 		Target:   t.Job.Target,
 		Age:      now.Sub(t.Job.Arrived),
 		Left:     t.Job.Deadline.Sub(now),
+		Begun:    t.Started(),
+		PassedOn: j.passedOn(),
 	}
 	for _, n := range needs {
+		a.Rest = max(a.Rest, t.Rest(n.Step))
 		step := t.Job.Steps[n.Step]
 		a.Tasks = append(a.Tasks, askedTask{
 			Run:         n.Run,
@@ -159,6 +182,17 @@
 	h.settle(now, j)
 }
 
+// receiveSuperseded ends a job that its caller has sent again to another host.
+func (h *Host) receiveSuperseded(now time.Time, from string, m superseded) {
+	j := h.jobs[m.Job]
+	if j == nil || from != h.placerAt {
+		return
+	}
+	j.askedAt = time.Time{}
+	j.tracker.End(tracker.Abandoned, "the caller has sent the job again to another host")
+	h.settle(now, j)
+}
+
 // settle answers a job that has ended, and asks for places for one that goes on.
 func (h *Host) settle(now time.Time, j *job) {
 	outcome, reason, ended := j.tracker.Ended()
@@ -179,8 +213,11 @@
 	}
 	j.result.Outcome = outcome
 	j.result.Reason = reason
-	for caller := range j.callers {
-		caller <- j.result
+	for c := range j.callers {
+		h.answer(id, c, j.result)
+	}
+	if j.passedTo != "" {
+		h.tell(h.placerAt, kindDrop, drop{Job: id})
 	}
 	h.log.Info("job ended", "job", id, "queue", j.tracker.Job.Queue, "outcome", outcome, "reason", reason,
 		"took", now.Sub(j.tracker.Job.Arrived))
@@ -194,6 +231,9 @@
 		case now.After(j.tracker.Job.Deadline):
 			j.tracker.End(tracker.Expired, "the deadline of the caller has passed")
 			h.settle(now, j)
+		case !j.returnAt.IsZero() && !now.Before(j.returnAt):
+			j.returnAt = time.Time{}
+			h.askPlaces(now, j)
 		case !j.watchAt.IsZero() && !now.Before(j.watchAt):
 			h.watchMoved(now, j)
 		}
--- a/dispatcher/keeping.go
+++ b/dispatcher/keeping.go
@@ -67,7 +67,7 @@
 // upstreamChanged takes in a newer report of an upstream.
 func (h *Host) upstreamChanged(now time.Time, u finder.Upstream) {
 	h.log.Info("upstream changed", "upstream", u.ID, "state", u.State, "life", u.Life, "service", u.Service)
-	h.placeOn(u)
+	h.placeOn(now, u)
 	k := h.keeps[u.ID]
 	if k == nil {
 		return
@@ -112,6 +112,39 @@
 	}
 }
 
+// reportEvery is the time between two reports on the progress of runs, and reportFrom how
+// long a run must have run to be in one; most runs end before.
+const (
+	reportEvery = 100 * time.Millisecond
+	reportFrom  = 80 * time.Millisecond
+)
+
+// reportProgress tells the placer how much of the longer runs is done.
+func (h *Host) reportProgress(now time.Time) {
+	if now.Sub(h.reportedAt) < reportEvery || h.placerAt == "" {
+		return
+	}
+	h.reportedAt = now
+	var m progress
+	for _, k := range h.sortedKeeps() {
+		if !k.session.Ready() {
+			continue
+		}
+		for _, t := range k.session.Tasks() {
+			if now.Sub(t.Began) >= reportFrom {
+				m.Runs = append(m.Runs, runProgress{
+					Upstream: k.session.Upstream().ID,
+					Run:      t.Task.Run,
+					Percent:  t.Percent,
+				})
+			}
+		}
+	}
+	if len(m.Runs) > 0 {
+		h.tell(h.placerAt, kindProgress, m)
+	}
+}
+
 // sendOrders sends what the sessions have decided.
 func (h *Host) sendOrders(now time.Time) {
 	for _, k := range h.keeps {
--- a/dispatcher/loop.go
+++ b/dispatcher/loop.go
@@ -101,8 +101,10 @@
 	}
 	h.expireJobs(now)
 	h.tickKeeps(now)
+	h.reportProgress(now)
 	if h.placer != nil {
 		h.placer.Tick(now)
+		h.tellRoom(now)
 	}
 }
 
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -16,8 +16,20 @@
 
 // sessionEvent takes in what has happened in a session.
 func (h *Host) sessionEvent(now time.Time, e courier.Event) {
+	if n := h.neighbours[e.Peer]; n != nil && e.Kind != courier.Delivered {
+		if e.Kind == courier.Up {
+			h.neighbourUp(n)
+		} else {
+			h.neighbourDown(now, e.Peer, n)
+		}
+		return
+	}
 	switch e.Kind {
 	case courier.Up:
+		if host, known := h.hosts.Get(e.Peer); known && host.Domain != h.cfg.Self.Domain {
+			// A placer of another domain that this host has not heard of as such.
+			return
+		}
 		h.up[e.Peer] = true
 		h.log.Info("session begun", "peer", e.Peer)
 		h.tell(e.Peer, kindKnown, known{
@@ -43,6 +55,10 @@
 
 // peerLost drops what a host has asked of this one.
 func (h *Host) peerLost(now time.Time, peer string) {
+	h.dropCallers(now, peer)
+	if peer == h.placerAt {
+		h.returnPassed(now)
+	}
 	for _, k := range h.sortedKeeps() {
 		k.session.StopAll(now, peer)
 	}
@@ -92,6 +108,20 @@
 		decode[freed](h, now, from, m)
 	case kindLeaving:
 		decode[leaving](h, now, from, m)
+	case kindRoom:
+		decode[room](h, now, from, m)
+	case kindPassOn:
+		decode[passOn](h, now, from, m)
+	case kindForward:
+		decode[forward](h, now, from, m)
+	case kindForwarded:
+		decode[forwarded](h, now, from, m)
+	case kindDrop:
+		decode[drop](h, now, from, m)
+	case kindProgress:
+		decode[progress](h, now, from, m)
+	case kindSuperseded:
+		decode[superseded](h, now, from, m)
 	default:
 		h.log.Warn("message of an unknown kind", "peer", from, "kind", m.Kind)
 	}
@@ -139,6 +169,20 @@
 		h.receiveFreed(now, from, m)
 	case leaving:
 		h.receiveLeaving(now, from)
+	case room:
+		h.receiveRoom(now, from, m)
+	case passOn:
+		h.receivePassOn(now, from, m)
+	case forward:
+		h.receiveForward(now, from, m)
+	case forwarded:
+		h.receiveForwarded(now, from, m)
+	case drop:
+		h.receiveDrop(now, from, m)
+	case progress:
+		h.receiveProgress(now, from, m)
+	case superseded:
+		h.receiveSuperseded(now, from, m)
 	default:
 		panic("dispatcher: a message has no handler")
 	}
@@ -183,6 +227,23 @@
 	reporter.Log(context.Background(), h.log, reporter.ConfigurationInForce, "version", d.Version, "queues", len(parsed.Queues))
 }
 
+// present returns the present report about this host.
+func (h *Host) present() finder.Host {
+	h.selfMu.Lock()
+	defer h.selfMu.Unlock()
+	return h.self
+}
+
+// setPlaces reports whether this host places.
+func (h *Host) setPlaces(now time.Time, places bool) {
+	h.selfMu.Lock()
+	h.self.Report++
+	h.self.Places = places
+	self := h.self
+	h.selfMu.Unlock()
+	h.hosts.Put(now, self)
+}
+
 // askNews begins to ask a control host for news, until the host closes or the control host
 // has gone.
 func (h *Host) askNews(address string) {
@@ -219,7 +280,10 @@
 	case host.Address == h.cfg.Self.Address:
 	case host.Role == finder.Control && host.State != finder.Gone:
 		h.askNews(host.Address)
-	case host.Role == finder.Entry && host.Domain == h.cfg.Self.Domain && host.State != finder.Gone:
+	case host.Role == finder.Entry && host.Domain != h.cfg.Self.Domain:
+		h.placerChanged(host)
+		return
+	case host.Role == finder.Entry && host.State != finder.Gone:
 		h.courier.Connect(host.Address)
 	case host.State == finder.Gone:
 		h.courier.Disconnect(host.Address)
@@ -288,9 +352,10 @@
 	h.log.Info("placer chosen", "placer", h.placerAt, "members", len(members))
 	if h.placerAt == h.cfg.Self.Address {
 		h.beginPlacing(now)
-	} else {
-		h.placer = nil
+	} else if h.placer != nil {
+		h.endPlacing()
 	}
+	h.returnPassed(now)
 	h.tell(h.placerAt, kindJoin, join{})
 	for _, k := range h.sortedKeeps() {
 		h.reportRuns(k)
--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -8,6 +8,8 @@
 	"sesamedrift.example/sesamedrift/finder"
 	"sesamedrift.example/sesamedrift/inquirer"
 	"sesamedrift.example/sesamedrift/keeper"
+	"sesamedrift.example/sesamedrift/placer"
+	"sesamedrift.example/sesamedrift/tracker"
 )
 
 // Kinds of messages between entry hosts. The numbers are part of the protocol and are never
@@ -28,6 +30,13 @@
 	kindRuns       courier.Kind = 13
 	kindFreed      courier.Kind = 14
 	kindLeaving    courier.Kind = 15
+	kindRoom       courier.Kind = 16
+	kindPassOn     courier.Kind = 17
+	kindForward    courier.Kind = 18
+	kindForwarded  courier.Kind = 19
+	kindDrop       courier.Kind = 20
+	kindProgress   courier.Kind = 21
+	kindSuperseded courier.Kind = 22
 )
 
 // known carries all that a host knows to one that may have just started.
@@ -56,9 +65,15 @@
 	Slack    float64       `msgpack:"slack"`
 	Target   time.Duration `msgpack:"target"`
 	// Age is the time since the job arrived, Left the time until its deadline.
-	Age   time.Duration `msgpack:"age"`
-	Left  time.Duration `msgpack:"left"`
-	Tasks []askedTask   `msgpack:"tasks"`
+	Age  time.Duration `msgpack:"age"`
+	Left time.Duration `msgpack:"left"`
+	// Rest is the estimated time of the steps after the waiting tasks.
+	Rest time.Duration `msgpack:"rest,omitempty"`
+	// Begun says that tasks of the job run or have run, PassedOn that the job comes from
+	// another domain.
+	Begun    bool        `msgpack:"begun,omitempty"`
+	PassedOn bool        `msgpack:"passed-on,omitempty"`
+	Tasks    []askedTask `msgpack:"tasks"`
 }
 
 type askedTask struct {
@@ -148,5 +163,62 @@
 	Took     time.Duration   `msgpack:"took"`
 }
 
+// room tells the placer of another domain how much is free.
+type room struct {
+	Domain string      `msgpack:"domain"`
+	Room   placer.Room `msgpack:"room"`
+}
+
+// passOn tells the entry that its job should run in another domain.
+type passOn struct {
+	Job    string `msgpack:"job"`
+	Domain string `msgpack:"domain"`
+}
+
+// forward carries a whole job to the own placer, which relays it to that of another domain.
+type forward struct {
+	Domain   string         `msgpack:"domain"`
+	ID       string         `msgpack:"id"`
+	Queue    string         `msgpack:"queue"`
+	Service  string         `msgpack:"service"`
+	Priority int            `msgpack:"priority"`
+	Attempts int            `msgpack:"attempts"`
+	Slack    float64        `msgpack:"slack"`
+	Target   time.Duration  `msgpack:"target"`
+	Content  string         `msgpack:"content"`
+	Steps    []tracker.Step `msgpack:"steps"`
+	Age      time.Duration  `msgpack:"age"`
+	Left     time.Duration  `msgpack:"left"`
+}
+
+// forwarded carries the result of a job back.
+type forwarded struct {
+	Job        string          `msgpack:"job"`
+	Outcome    tracker.Outcome `msgpack:"outcome"`
+	Reason     string          `msgpack:"reason"`
+	RetryAfter time.Duration   `msgpack:"retry-after"`
+}
+
+// drop says that nobody waits for a forwarded job any more.
+type drop struct {
+	Job string `msgpack:"job"`
+}
+
+// progress tells the placer how much of some runs is done.
+type progress struct {
+	Runs []runProgress `msgpack:"runs"`
+}
+
+type runProgress struct {
+	Upstream string          `msgpack:"upstream"`
+	Run      sesamedrift.Run `msgpack:"run"`
+	Percent  int             `msgpack:"percent"`
+}
+
+// superseded tells an entry that the caller has sent its job again to another one.
+type superseded struct {
+	Job string `msgpack:"job"`
+}
+
 // leaving tells the other hosts of the domain that the sender takes part no longer.
 type leaving struct{}
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -17,16 +17,18 @@
 
 // beginPlacing makes this host the placer of its domain.
 func (h *Host) beginPlacing(now time.Time) {
-	h.placer = placer.New()
+	h.placer = placer.New(placer.Config{Domain: h.cfg.Self.Domain})
+	h.setPlaces(now, true)
+	h.connectNeighbours()
 	h.placing = map[string]placedUpstream{}
 	for _, u := range h.upstreams.All() {
-		h.placeOn(u)
+		h.placeOn(now, u)
 	}
 	h.assign(now)
 }
 
 // placeOn passes an upstream of the domain on to the placer.
-func (h *Host) placeOn(u finder.Upstream) {
+func (h *Host) placeOn(now time.Time, u finder.Upstream) {
 	if h.placer == nil || u.Domain != h.cfg.Self.Domain {
 		return
 	}
@@ -42,16 +44,23 @@
 		Rack:     u.Rack,
 		Capacity: u.Capacity,
 	})
-	h.updateUsable(u.ID)
+	h.updateUsable(now, u.ID)
+}
+
+// endPlacing leaves the placing to another host of the domain. Jobs that this host has passed
+// on to other domains go on.
+func (h *Host) endPlacing() {
+	h.placer = nil
+	h.setPlaces(h.cfg.Now(), false)
 }
 
 // updateUsable tells the placer whether tasks may be placed on an upstream: its keeper says
 // that it is ready, and it does not leave.
-func (h *Host) updateUsable(id string) {
+func (h *Host) updateUsable(now time.Time, id string) {
 	u, known := h.upstreams.Get(id)
 	p := h.placing[id]
 	usable := known && u.State == finder.Serving && p.keeper != "" && p.keeper == h.assigned.Keepers[id]
-	h.placer.SetUsable(id, usable)
+	h.placer.SetUsable(now, id, usable)
 }
 
 // assign chooses a keeper for each upstream of the domain and tells all members if that
@@ -121,7 +130,7 @@
 	h.updateKeeps(now)
 	if h.placer != nil {
 		for id := range a.Keepers {
-			h.updateUsable(id)
+			h.updateUsable(now, id)
 		}
 	}
 	h.followKeepers(now)
@@ -160,6 +169,9 @@
 		Target:   a.Target,
 		Arrived:  now.Add(-a.Age),
 		Deadline: now.Add(a.Left),
+		Rest:     a.Rest,
+		Begun:    a.Begun,
+		PassedOn: a.PassedOn,
 	}
 	for _, t := range a.Tasks {
 		j.Tasks = append(j.Tasks, placer.Task{
@@ -202,14 +214,25 @@
 		h.placer.Report(now, r.Upstream, r.Running)
 	}
 	h.placing[r.Upstream] = p
-	h.updateUsable(r.Upstream)
+	h.updateUsable(now, r.Upstream)
 }
 
 func (h *Host) receiveFreed(now time.Time, from string, f freed) {
 	if h.placer == nil || h.assigned.Keepers[f.Upstream] != from {
 		return
 	}
-	h.placer.Ended(now, f.Upstream, f.Run, f.How, f.Took)
+	h.placer.Ended(now, f.Upstream, f.Run, f.How, f.Reason, f.Took)
+}
+
+func (h *Host) receiveProgress(now time.Time, from string, m progress) {
+	if h.placer == nil {
+		return
+	}
+	for _, r := range m.Runs {
+		if h.assigned.Keepers[r.Upstream] == from {
+			h.placer.Progress(now, r.Upstream, r.Run, r.Percent)
+		}
+	}
 }
 
 // sendDecisions tells entries what the placer has decided.
@@ -218,7 +241,21 @@
 		return
 	}
 	for _, d := range h.placer.Drain() {
-		if len(d.Grants) > 0 {
+		switch {
+		case d.Stop != nil:
+			h.log.Info("run moved", "run", d.Stop.Run.String(), "upstream", d.Stop.Upstream)
+			h.tell(h.assigned.Keepers[d.Stop.Upstream], kindStop, stop{
+				Upstream: d.Stop.Upstream,
+				Run:      d.Stop.Run,
+			})
+		case d.PassTo != "":
+			h.tell(d.Entry, kindPassOn, passOn{
+				Job:    d.Job,
+				Domain: d.PassTo,
+			})
+		case d.Superseded:
+			h.tell(d.Entry, kindSuperseded, superseded{Job: d.Job})
+		case len(d.Grants) > 0:
 			g := granted{Job: d.Job}
 			for _, one := range d.Grants {
 				g.Places = append(g.Places, grantedRun{
@@ -228,11 +265,10 @@
 				})
 			}
 			h.tell(d.Entry, kindGranted, g)
-		}
-		if d.Refused {
+		case d.Refused:
 			h.tell(d.Entry, kindRefused, refused{
 				Job:        d.Job,
-				Reason:     d.Reason,
+				Reason:     string(d.Reason),
 				RetryAfter: d.RetryAfter,
 			})
 		}
--- a/finder/finder.go
+++ b/finder/finder.go
@@ -53,9 +53,12 @@
 	// Address is where the internal protocol is served, as IP:port. It names the host: a
 	// host that comes back elsewhere is another host.
 	Address string `msgpack:"address"`
-	// Life grows with each start of the process.
-	Life  uint64 `msgpack:"life"`
-	State State  `msgpack:"state"`
+	// Life grows with each start of the process, Report with each change within a life.
+	Life   uint64 `msgpack:"life"`
+	Report uint64 `msgpack:"report"`
+	State  State  `msgpack:"state"`
+	// Places says that the host places the tasks of its domain.
+	Places bool `msgpack:"places"`
 }
 
 // Upstream is what an upstream says about itself.
@@ -87,10 +90,10 @@
 // merge returns the report that stays known of two about one host, and whether the new one
 // says anything that the old one did not.
 func (h Host) merge(n Host) (Host, bool) {
-	if n.Life < h.Life || n.Life == h.Life && stateOrder[n.State] <= stateOrder[h.State] {
+	if n.Life < h.Life || n.Life == h.Life && n.Report <= h.Report {
 		return h, false
 	}
-	return n, true
+	return n, n != h
 }
 
 func (u Upstream) merge(n Upstream) (Upstream, bool) {
--- a/inquirer/inquirer.go
+++ b/inquirer/inquirer.go
@@ -58,7 +58,8 @@
 
 // Asker asks control hosts on behalf of one host.
 type Asker struct {
-	Self  finder.Host
+	// Self returns the present report of the host.
+	Self  func() finder.Host
 	Token string
 	// Apply takes in news and returns the version of the newest known document. It is called
 	// by several goroutines.
@@ -68,18 +69,19 @@
 
 // Ask keeps asking one control host until ctx is done.
 func (a *Asker) Ask(ctx context.Context, address string) {
+	self := a.Self()
 	peer := messenger.NewPeer(address, messenger.Config{
 		Local: messenger.Hello{
 			Token:       a.Token,
-			Host:        a.Self.ID,
-			Domain:      a.Self.Domain,
-			Incarnation: a.Self.Life,
+			Host:        self.ID,
+			Domain:      self.Domain,
+			Incarnation: self.Life,
 		},
 		DialTimeout:  timeout - Wait,
 		WriteTimeout: time.Second,
 	})
 	defer func() { _ = peer.Close() }()
-	q := Question{Self: a.Self}
+	q := Question{Self: self}
 	contact := false
 	for ctx.Err() == nil {
 		n, err := ask(ctx, peer, q)
@@ -94,6 +96,7 @@
 			}
 			continue
 		}
+		q.Self = a.Self()
 		q.Version = a.Apply(ctx, n)
 		q.Life = n.Life
 		q.Hosts = n.HostsSeq
--- /dev/null
+++ b/placer/fit.go
@@ -0,0 +1,100 @@
+package placer
+
+import (
+	"time"
+
+	"sesamedrift.example/sesamedrift"
+)
+
+// plenty is the share of the capacity of a service that must be free for tasks to go to the
+// fastest upstreams instead of the fullest ones.
+const plenty = 0.4
+
+// fit returns the upstream for a task, or nil if none has room.
+func (p *Placer) fit(now time.Time, w *waiting, t Task) *upstream {
+	if p.inUse[t.Run.Task] > 0 {
+		return nil
+	}
+	var best *upstream
+	better := p.tighter
+	if p.cfg.Policy == FirstCome {
+		better = roomier
+	} else if p.freeShare(w.Service) > plenty {
+		better = faster
+	}
+	for _, u := range p.sorted {
+		if !p.takes(now, u, w, t) {
+			continue
+		}
+		if best == nil || better(u, best) {
+			best = u
+		}
+	}
+	return best
+}
+
+// takes reports whether a task may run on an upstream now.
+func (p *Placer) takes(now time.Time, u *upstream, w *waiting, t Task) bool {
+	if !u.usable || u.Service != w.Service || u.ID == t.Avoid || !t.Demand.Fits(u.free) {
+		return false
+	}
+	if t.Requires != "" && t.Requires != u.Kind && t.Requires != u.Rack {
+		return false
+	}
+	if t.PerUpstream > 0 && u.tasksOf(t.Run.Task) >= t.PerUpstream {
+		return false
+	}
+	return p.cfg.Policy == FirstCome || u.health.takes(now)
+}
+
+// tasksOf returns the number of runs of the step of a task.
+func (u *upstream) tasksOf(id sesamedrift.TaskID) int {
+	n := 0
+	for run := range u.runs {
+		if run.Task.Job == id.Job && run.Task.Step == id.Step {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *Placer) freeShare(service string) float64 {
+	var free, all int64
+	for _, u := range p.sorted {
+		if u.usable && u.Service == service {
+			free += u.free.CPU
+			all += u.Capacity.CPU
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return float64(free) / float64(all)
+}
+
+// tighter prefers the upstream with less room, and among equals the faster one.
+func (p *Placer) tighter(a, b *upstream) bool {
+	if a.free.CPU != b.free.CPU {
+		return a.free.CPU < b.free.CPU
+	}
+	return faster(a, b)
+}
+
+// faster prefers the faster upstream, and among equals the one with less room.
+func faster(a, b *upstream) bool {
+	switch {
+	case a.health.slowness != b.health.slowness:
+		return a.health.slowness < b.health.slowness
+	case a.free.CPU != b.free.CPU:
+		return a.free.CPU < b.free.CPU
+	default:
+		return a.ID < b.ID
+	}
+}
+
+func roomier(a, b *upstream) bool {
+	if a.free.CPU != b.free.CPU {
+		return a.free.CPU > b.free.CPU
+	}
+	return a.ID < b.ID
+}
--- /dev/null
+++ b/placer/neighbour.go
@@ -0,0 +1,101 @@
+package placer
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// roomValid is how long what another domain has said of its room is believed.
+	roomValid = 300 * time.Millisecond
+	// roomKept is the number of places of another domain that are left to its own jobs.
+	roomKept = 2
+)
+
+// Room is what a domain tells others of its free capacity.
+type Room struct {
+	// Places is the number of tasks of usual size that find room at once.
+	Places int `msgpack:"places"`
+	// Waiting is the number of jobs that wait.
+	Waiting int `msgpack:"waiting"`
+}
+
+// neighbour is another failure domain.
+type neighbour struct {
+	room Room
+	at   time.Time
+	// passed is the number of tasks that were passed on since.
+	passed int
+}
+
+// SetNeighbour takes in what another domain says of its room.
+func (p *Placer) SetNeighbour(now time.Time, domain string, r Room) {
+	p.neighbours[domain] = &neighbour{
+		room: r,
+		at:   now,
+	}
+	if len(p.order) > 0 {
+		p.relieve(now)
+	}
+}
+
+// DropNeighbour forgets a domain that cannot be reached.
+func (p *Placer) DropNeighbour(domain string) { delete(p.neighbours, domain) }
+
+// Room returns the free capacity of this domain in places for tasks of the usual demand.
+func (p *Placer) Room(now time.Time) Room {
+	r := Room{Waiting: len(p.order)}
+	for _, u := range p.sorted {
+		if !u.usable || !u.health.takes(now) || u.health.trial {
+			continue
+		}
+		if p.usual > 0 {
+			r.Places += int(float64(u.free.CPU) / p.usual)
+		}
+	}
+	return r
+}
+
+// neighbourFor returns the domain with the most room for a job that has not begun, or "" if
+// none has enough.
+func (p *Placer) neighbourFor(now time.Time, w *waiting) string {
+	if w.PassedOn || w.Begun {
+		return ""
+	}
+	best, most := "", len(w.Tasks)+roomKept-1
+	for _, domain := range p.neighbourNames() {
+		n := p.neighbours[domain]
+		if now.Sub(n.at) > roomValid || n.room.Waiting > 0 {
+			continue
+		}
+		if left := n.room.Places - n.passed; left > most {
+			best, most = domain, left
+		}
+	}
+	return best
+}
+
+// passOn sends a job to another domain. It reports false if none has enough room.
+func (p *Placer) passOn(now time.Time, w *waiting) bool {
+	domain := p.neighbourFor(now, w)
+	if domain == "" {
+		return false
+	}
+	p.neighbours[domain].passed += len(w.Tasks)
+	p.Withdraw(w.Entry, w.ID)
+	p.decisions = append(p.decisions, Decision{
+		Job:    w.ID,
+		Entry:  w.Entry,
+		PassTo: domain,
+	})
+	return true
+}
+
+func (p *Placer) neighbourNames() []string {
+	names := make([]string, 0, len(p.neighbours))
+	for name := range p.neighbours {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -1,21 +1,58 @@
 // Package placer decides where the tasks of jobs run, which of them wait, and which jobs
-// are rejected, for all upstreams of one failure domain.
+// are rejected or passed on, for all upstreams of one failure domain.
 //
-// A Placer is told of upstreams, of jobs and of the ends of runs, and returns decisions. It
-// has no input or output, reads no clock, makes no random choices and is not safe for
-// concurrent use. It is lost with its process: another host begins with an empty one and is
-// told again what waits and what runs.
+// A Placer is told of upstreams, of jobs, and of the progress and the ends of runs, and
+// returns decisions. It has no input or output, reads no clock, makes no random choices and
+// is not safe for concurrent use. It is lost with its process: another host begins with an
+// empty one and is told again what waits and what runs.
+//
+// The rules, each with the load that it is for:
+//
+//   - Jobs wait in the order of the latest time at which they can begin and still meet their
+//     objective (order.go). Under a swing of demand this serves the jobs that can wait
+//     behind those that cannot; jobs that have begun go first, since their last task decides.
+//   - A job is rejected as soon as the work ahead of it shows that it cannot begin in time
+//     (shed.go). Under more load than there is capacity, waiting would make all jobs late.
+//     Queues that use more than their fair share are rejected first, so that a burst on one
+//     queue takes nothing from the others.
+//   - Tasks go where the least room is left over (fit.go), so that room for large tasks
+//     stays whole at the crest, and to faster upstreams while there is plenty of room.
+//   - Upstreams that fail, stall or fall behind get no tasks for a while, and runs that
+//     stand still there are moved (health.go).
+//   - Jobs that find no room go to a failure domain that has some (neighbour.go).
 package placer
 
 import (
-	"cmp"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/estimator"
 	"sesamedrift.example/sesamedrift/keeper"
 )
 
+// Policy is the set of rules that a Placer applies.
+type Policy string
+
+// The policies.
+const (
+	// Objective applies all rules of the package comment.
+	Objective Policy = "objective"
+	// FirstCome serves jobs in the order of their arrival on the upstream with the most
+	// room and rejects them at their deadline. It is the baseline of measurements.
+	FirstCome Policy = "first-come"
+)
+
+// Config describes a Placer.
+type Config struct {
+	// Policy is Objective if it is empty.
+	Policy Policy
+	// Domain is the failure domain of the placer.
+	Domain string
+}
+
 // Upstream is what the placer needs to know of an upstream.
 type Upstream struct {
 	ID       string
@@ -39,6 +76,12 @@
 	Arrived  time.Time
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+	// Rest is the estimated time of the steps that follow the waiting tasks.
+	Rest time.Duration
+	// Begun says that other tasks of the job run or have run.
+	Begun bool
+	// PassedOn says that the job comes from another failure domain. It is not passed on again.
+	PassedOn bool
 	Tasks    []Task
 }
 
@@ -62,57 +105,96 @@
 	Upstream string
 }
 
-// Decision is about one job: some of its tasks were given places, or it is refused.
+// Decision is about one job.
 type Decision struct {
-	Job    string
-	Entry  string
+	Job   string
+	Entry string
+	// Grants are places for some of the tasks.
 	Grants []Grant
+	// PassTo is the domain that the job should be sent to, or empty.
+	PassTo string
 	// Refused says that the waiting tasks of the job get no place, for Reason.
 	Refused bool
-	Reason  string
+	Reason  Reason
 	// RetryAfter is when a caller may send a refused job again.
 	RetryAfter time.Duration
+	// Stop is a run to be stopped and placed again, on the upstream that it names.
+	Stop *Grant
+	// Superseded says that the caller has sent the job again to another entry, which has it
+	// from now on.
+	Superseded bool
 }
 
-// Reasons of refusals.
+// Reason says why a job is refused.
+type Reason string
+
+// The reasons of refusals.
 const (
-	ReasonDeadline = "the job cannot end before its deadline"
-	ReasonTooLarge = "no upstream is large enough for a task of the job"
-	ReasonNoPool   = "no upstream of the service is known"
+	// ReasonDeadline: the job cannot end before its caller stops waiting.
+	ReasonDeadline Reason = "the job cannot end before its deadline"
+	// ReasonLoad: the job cannot begin in time, because of the work ahead of it.
+	ReasonLoad Reason = "too much work waits"
+	// ReasonTooLarge: no upstream is large enough for a task of the job.
+	ReasonTooLarge Reason = "no upstream is large enough for a task of the job"
 )
 
 type jobKey struct{ entry, id string }
 
 // Placer is the state of one failure domain.
 type Placer struct {
-	upstreams map[string]*upstream
-	jobs      map[jobKey]*Job
-	// order holds the jobs with waiting tasks, the next to be placed first.
-	order     []*Job
+	cfg        Config
+	upstreams  map[string]*upstream
+	sorted     []*upstream // in the order of their identifiers
+	jobs       map[jobKey]*waiting
+	order      []*waiting
+	queues     map[string]*queue
+	works      map[jobKey]*work
+	times      *estimator.Estimator
+	neighbours map[string]*neighbour
+	// inUse counts the runs of each task; a task with a run is not placed again.
+	inUse map[sesamedrift.TaskID]int
+	// usual is the mean processor demand of the tasks that were asked for lately.
+	usual     float64
 	decisions []Decision
+	ticked    time.Time
 }
 
+// upstream is an upstream with what was placed on it.
 type upstream struct {
 	Upstream
 	usable bool
 	free   sesamedrift.Resources
 	runs   map[sesamedrift.Run]*placed
+	health health
 }
 
+// placed is a run that was given a place.
 type placed struct {
-	demand sesamedrift.Resources
-	queue  string
-	entry  string
-	at     time.Time
+	demand   sesamedrift.Resources
+	key      jobKey
+	queue    string
+	at       time.Time
+	expected time.Duration
 	// reported says that the keeper has listed the run.
 	reported bool
+	progress progress
+	moving   bool
 }
 
 // New returns a placer that knows no upstream.
-func New() *Placer {
+func New(cfg Config) *Placer {
+	if cfg.Policy == "" {
+		cfg.Policy = Objective
+	}
 	return &Placer{
-		upstreams: map[string]*upstream{},
-		jobs:      map[jobKey]*Job{},
+		cfg:        cfg,
+		upstreams:  map[string]*upstream{},
+		jobs:       map[jobKey]*waiting{},
+		queues:     map[string]*queue{},
+		works:      map[jobKey]*work{},
+		times:      estimator.New(estimator.Config{HalfLife: runTimeHalfLife}),
+		neighbours: map[string]*neighbour{},
+		inUse:      map[sesamedrift.TaskID]int{},
 	}
 }
 
@@ -129,6 +211,8 @@
 	if k == nil {
 		k = &upstream{runs: map[sesamedrift.Run]*placed{}}
 		p.upstreams[u.ID] = k
+		at, _ := slices.BinarySearchFunc(p.sorted, u.ID, compareID)
+		p.sorted = slices.Insert(p.sorted, at, k)
 	}
 	k.Upstream = u
 	k.count()
@@ -142,19 +226,26 @@
 }
 
 // DropUpstream forgets an upstream with all that runs there.
-func (p *Placer) DropUpstream(id string) { delete(p.upstreams, id) }
-
-// SetUsable says whether tasks may be placed on an upstream.
-func (p *Placer) SetUsable(id string, usable bool) {
+func (p *Placer) DropUpstream(id string) {
 	if u := p.upstreams[id]; u != nil {
-		u.usable = usable
+		for run := range u.runs {
+			p.forget(u, run)
+		}
+	}
+	delete(p.upstreams, id)
+	if at, found := slices.BinarySearchFunc(p.sorted, id, compareID); found {
+		p.sorted = slices.Delete(p.sorted, at, at+1)
 	}
 }
 
-// Usable reports whether tasks may be placed on an upstream.
-func (p *Placer) Usable(id string) bool {
-	u := p.upstreams[id]
-	return u != nil && u.usable
+func compareID(u *upstream, id string) int { return strings.Compare(u.ID, id) }
+
+// SetUsable says whether tasks may be placed on an upstream.
+func (p *Placer) SetUsable(now time.Time, id string, usable bool) {
+	if u := p.upstreams[id]; u != nil && u.usable != usable {
+		u.usable = usable
+		p.place(now)
+	}
 }
 
 // Report takes in everything that runs on an upstream, as its keeper knows it. Grants that
@@ -169,19 +260,38 @@
 		known[t.Run] = true
 		r := u.runs[t.Run]
 		if r == nil {
-			r = &placed{at: now}
-			u.runs[t.Run] = r
+			r = &placed{
+				key: jobKey{
+					entry: t.Entry,
+					id:    t.Run.Task.Job,
+				},
+				at: now,
+			}
+			p.note(u, t.Run, r)
 		}
 		r.demand = t.Demand
-		r.entry = t.Entry
 		r.reported = true
 	}
 	for run, r := range u.runs {
 		if !known[run] && (r.reported || now.Sub(r.at) > unreportedFor) {
-			delete(u.runs, run)
+			p.forget(u, run)
 		}
 	}
 	u.count()
+	p.place(now)
+}
+
+// note and forget keep count of the runs of each task.
+func (p *Placer) note(u *upstream, run sesamedrift.Run, r *placed) {
+	u.runs[run] = r
+	p.inUse[run.Task]++
+}
+
+func (p *Placer) forget(u *upstream, run sesamedrift.Run) {
+	delete(u.runs, run)
+	if p.inUse[run.Task]--; p.inUse[run.Task] <= 0 {
+		delete(p.inUse, run.Task)
+	}
 }
 
 // unreportedFor is how long a granted place is kept for a run that the keeper does not
@@ -194,27 +304,89 @@
 	if len(j.Tasks) == 0 {
 		return
 	}
-	p.jobs[jobKey{j.Entry, j.ID}] = &j
-	at, _ := slices.BinarySearchFunc(p.order, &j, compareJobs)
-	p.order = slices.Insert(p.order, at, &j)
+	w := p.newWaiting(j)
+	p.supersede(w)
+	p.learnDemand(j)
+	if !p.possible(w) {
+		p.refuse(w, ReasonTooLarge, now)
+		return
+	}
+	p.jobs[w.key] = w
+	p.insert(w)
 	p.place(now)
+	if p.jobs[w.key] == nil || p.cfg.Policy == Objective && p.passOn(now, w) {
+		return
+	}
+	p.relieve(now)
+}
+
+// supersede tells another entry of the same job that this one has it now. Its runs end
+// before the tasks are placed again.
+func (p *Placer) supersede(w *waiting) {
+	others := map[string]bool{}
+	for key := range p.jobs {
+		if key.id == w.ID && key.entry != w.Entry {
+			others[key.entry] = true
+		}
+	}
+	for _, t := range w.Tasks {
+		if p.inUse[t.Run.Task] == 0 {
+			continue
+		}
+		for _, u := range p.sorted {
+			for run, r := range u.runs {
+				if run.Task == t.Run.Task && r.key.entry != w.Entry && r.key.entry != "" {
+					others[r.key.entry] = true
+				}
+			}
+		}
+	}
+	for _, entry := range slices.Sorted(maps.Keys(others)) {
+		p.Withdraw(entry, w.ID)
+		p.decisions = append(p.decisions, Decision{
+			Job:        w.ID,
+			Entry:      entry,
+			Superseded: true,
+		})
+	}
+}
+
+// demandWeight is the weight of one job in the usual demand.
+const demandWeight = 0.02
+
+func (p *Placer) learnDemand(j Job) {
+	cpu := float64(j.Tasks[0].Demand.CPU)
+	if p.usual == 0 {
+		p.usual = cpu
+	}
+	p.usual += demandWeight * (cpu - p.usual)
 }
 
-func compareJobs(a, b *Job) int {
-	return cmp.Or(
-		cmp.Compare(a.Priority, b.Priority),
-		a.Arrived.Compare(b.Arrived),
-		cmp.Compare(a.ID, b.ID),
-		cmp.Compare(a.Entry, b.Entry),
-	)
+// possible reports whether any known upstream is large enough for each task. Before
+// upstreams are known everything is possible.
+func (p *Placer) possible(w *waiting) bool {
+	for _, t := range w.Tasks {
+		large, known := false, false
+		for _, u := range p.sorted {
+			known = known || u.Service == w.Service
+			large = large || u.Service == w.Service && t.Demand.Fits(u.Capacity)
+		}
+		if known && !large {
+			return false
+		}
+	}
+	return true
 }
 
 // Withdraw forgets the waiting tasks of a job.
 func (p *Placer) Withdraw(entry, id string) {
-	key := jobKey{entry, id}
-	if j := p.jobs[key]; j != nil {
+	key := jobKey{
+		entry: entry,
+		id:    id,
+	}
+	if w := p.jobs[key]; w != nil {
 		delete(p.jobs, key)
-		p.order = slices.DeleteFunc(p.order, func(o *Job) bool { return o == j })
+		p.remove(w)
 	}
 }
 
@@ -231,16 +403,18 @@
 	}
 	r := u.runs[run]
 	if r != nil {
-		delete(u.runs, run)
+		p.forget(u, run)
 		u.free = u.free.Plus(r.demand)
 	}
 	return r
 }
 
 // Ended takes in the end of a run.
-func (p *Placer) Ended(now time.Time, id string, run sesamedrift.Run, how keeper.How, took time.Duration) {
-	p.free(id, run)
-	_, _ = how, took
+func (p *Placer) Ended(now time.Time, id string, run sesamedrift.Run, how keeper.How, reason keeper.Reason, took time.Duration) {
+	r := p.free(id, run)
+	if r != nil {
+		p.learn(now, id, r, how, reason, took)
+	}
 	p.place(now)
 }
 
@@ -252,10 +426,10 @@
 			p.Withdraw(entry, key.id)
 		}
 	}
-	for _, u := range p.upstreams {
+	for _, u := range p.sorted {
 		for run, r := range u.runs {
-			if r.entry == entry && !r.reported {
-				delete(u.runs, run)
+			if r.key.entry == entry && !r.reported {
+				p.forget(u, run)
 			}
 		}
 		u.count()
@@ -263,93 +437,105 @@
 	p.place(now)
 }
 
-// Tick rejects jobs that cannot be served any more, and places what can be placed.
+// Tick does what the passing of time asks for.
 func (p *Placer) Tick(now time.Time) {
-	for _, j := range slices.Clone(p.order) {
-		if now.Add(longest(j)).After(j.Deadline) {
-			p.refuse(j, ReasonDeadline)
-		}
-	}
+	p.decay(now)
+	p.watchRuns(now)
 	p.place(now)
+	p.relieve(now)
+	p.forgetWorks(now)
 }
 
-func longest(j *Job) time.Duration {
-	var most time.Duration
-	for _, t := range j.Tasks {
-		most = max(most, t.Estimate)
-	}
-	return most
-}
-
-func (p *Placer) refuse(j *Job, reason string) {
-	p.Withdraw(j.Entry, j.ID)
+func (p *Placer) refuse(w *waiting, reason Reason, now time.Time) {
+	p.Withdraw(w.Entry, w.ID)
 	p.decisions = append(p.decisions, Decision{
-		Job:        j.ID,
-		Entry:      j.Entry,
+		Job:        w.ID,
+		Entry:      w.Entry,
 		Refused:    true,
 		Reason:     reason,
-		RetryAfter: time.Second,
+		RetryAfter: p.retryAfter(now),
 	})
 }
 
-// Waiting returns the number of jobs of a queue of which no task was given a place.
+// Waiting returns the number of jobs with waiting tasks.
 func (p *Placer) Waiting() int { return len(p.order) }
 
 // place gives places to waiting tasks in the order of their jobs.
 func (p *Placer) place(now time.Time) {
-	for _, j := range slices.Clone(p.order) {
-		p.placeJob(now, j)
+	for i := 0; i < len(p.order); {
+		w := p.order[i]
+		p.placeJob(now, w)
+		if len(w.Tasks) > 0 {
+			i++
+			continue
+		}
+		p.Withdraw(w.Entry, w.ID)
 	}
 }
 
-func (p *Placer) placeJob(now time.Time, j *Job) {
-	var grants []Grant
+// placeJob gives places to the waiting tasks of a job that find one. A job that has not begun
+// and finds no places for all of its tasks is passed on instead if another domain has room for
+// it: its last task decides when it ends.
+func (p *Placer) placeJob(now time.Time, w *waiting) {
+	var found []*upstream
 	var left []Task
-	for _, t := range j.Tasks {
-		u := p.best(j, t)
+	for _, t := range w.Tasks {
+		u := p.fit(now, w, t)
+		found = append(found, u)
 		if u == nil {
 			left = append(left, t)
 			continue
 		}
-		u.runs[t.Run] = &placed{
-			demand: t.Demand,
-			queue:  j.Queue,
-			entry:  j.Entry,
-			at:     now,
+		p.reserve(now, w, t, u)
+	}
+	if len(left) == len(w.Tasks) || len(left) > 0 && p.cfg.Policy == Objective && !w.Begun && p.neighbourFor(now, w) != "" {
+		p.release(w, found)
+		return
+	}
+	var grants []Grant
+	for i, u := range found {
+		if u == nil {
+			continue
 		}
-		u.free = u.free.Minus(t.Demand)
+		t := w.Tasks[i]
+		u.health.placed()
+		p.workOf(now, w.key).open++
+		p.used(w.Queue, t, u.runs[t.Run].expected)
 		grants = append(grants, Grant{
 			Run:      t.Run,
 			Upstream: u.ID,
 		})
 	}
-	if len(grants) == 0 {
-		return
+	w.Tasks = left
+	if !w.Begun {
+		w.Begun = true
+		p.remove(w)
+		p.insert(w)
 	}
-	j.Tasks = left
 	p.decisions = append(p.decisions, Decision{
-		Job:    j.ID,
-		Entry:  j.Entry,
+		Job:    w.ID,
+		Entry:  w.Entry,
 		Grants: grants,
 	})
-	if len(left) == 0 {
-		p.Withdraw(j.Entry, j.ID)
-	}
 }
 
-// best returns the upstream with the least room that is large enough for the task, or nil.
-func (p *Placer) best(j *Job, t Task) *upstream {
-	var best *upstream
-	for _, u := range p.upstreams {
-		if !u.usable || u.Service != j.Service || u.ID == t.Avoid || !t.Demand.Fits(u.free) {
-			continue
-		}
-		if t.Requires != "" && t.Requires != u.Kind && t.Requires != u.Rack {
-			continue
-		}
-		if best == nil || u.free.CPU < best.free.CPU || u.free.CPU == best.free.CPU && u.ID < best.ID {
-			best = u
+// reserve takes the room of a task on an upstream.
+func (p *Placer) reserve(now time.Time, w *waiting, t Task, u *upstream) {
+	p.note(u, t.Run, &placed{
+		demand:   t.Demand,
+		key:      w.key,
+		queue:    w.Queue,
+		at:       now,
+		expected: u.health.expected(p.estimate(now, &w.Job, t)),
+	})
+	u.free = u.free.Minus(t.Demand)
+}
+
+// release gives the room back that was reserved for the tasks of a job.
+func (p *Placer) release(w *waiting, found []*upstream) {
+	for i, u := range found {
+		if u != nil {
+			p.free(u.ID, w.Tasks[i].Run)
 		}
 	}
-	return best
 }
--- /dev/null
+++ b/placer/shed.go
@@ -0,0 +1,179 @@
+package placer
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// usageTime is the time over which the use of capacity by queues is compared. It is that
+	// of a crest of demand.
+	usageTime = 2 * time.Second
+	// overdue is what is left of a run that has run for longer than expected, as a share of
+	// the expected run time.
+	overdue = 0.3
+	// wasted is the share of the capacity that cannot be used because tasks do not fill
+	// upstreams exactly.
+	wasted = 0.1
+	// leastRetry and mostRetry bound the time after which a refused caller may return.
+	leastRetry = 200 * time.Millisecond
+	mostRetry  = 5 * time.Second
+)
+
+// queue is what is known of the jobs of one queue.
+type queue struct {
+	// usage is the work, in core-seconds, that was placed lately; older work counts less.
+	usage float64
+}
+
+func (p *Placer) queueOf(name string) *queue {
+	q := p.queues[name]
+	if q == nil {
+		q = &queue{}
+		p.queues[name] = q
+	}
+	return q
+}
+
+// used notes work that was placed.
+func (p *Placer) used(name string, t Task, expected time.Duration) {
+	p.queueOf(name).usage += float64(t.Demand.CPU) / 1000 * expected.Seconds()
+}
+
+// decay lets work that was placed earlier count less.
+func (p *Placer) decay(now time.Time) {
+	if !p.ticked.IsZero() {
+		keep := math.Exp(-float64(now.Sub(p.ticked)) / float64(usageTime))
+		for _, q := range p.queues {
+			q.usage *= keep
+		}
+	}
+	p.ticked = now
+}
+
+// release is room that becomes free at a time.
+type release struct {
+	at  time.Time
+	cpu int64
+}
+
+// relieve rejects or passes on jobs until all that wait can begin in time.
+func (p *Placer) relieve(now time.Time) {
+	if p.cfg.Policy == FirstCome {
+		p.expire(now)
+		return
+	}
+	for len(p.order) > 0 {
+		late, at := p.firstLate(now)
+		if late == nil {
+			return
+		}
+		victim := p.victim(at)
+		if victim == nil {
+			return
+		}
+		if p.passOn(now, victim) {
+			continue
+		}
+		reason := ReasonLoad
+		if now.After(victim.Deadline.Add(-victim.estimate)) {
+			reason = ReasonDeadline
+		}
+		p.refuse(victim, reason, now)
+	}
+}
+
+// expire rejects jobs that cannot end before their deadline.
+func (p *Placer) expire(now time.Time) {
+	for _, w := range slices.Clone(p.order) {
+		if now.Add(w.estimate).After(w.Deadline) {
+			p.refuse(w, ReasonDeadline, now)
+		}
+	}
+}
+
+// firstLate predicts when each waiting job begins and returns the first one that has not
+// begun and will begin too late, with its place in the order.
+func (p *Placer) firstLate(now time.Time) (*waiting, int) {
+	free, releases := p.releases(now)
+	for i, w := range p.order {
+		need := int64(0)
+		for _, t := range w.Tasks {
+			need += t.Demand.CPU
+		}
+		begin := now
+		need = int64(float64(need) / (1 - wasted))
+		for free < need && len(releases) > 0 {
+			free += releases[0].cpu
+			begin = releases[0].at
+			releases = releases[1:]
+		}
+		if !w.Begun && (free < need || begin.After(w.latest)) {
+			return w, i
+		}
+		free -= need
+		end := release{
+			at:  begin.Add(w.estimate),
+			cpu: need,
+		}
+		at, _ := slices.BinarySearchFunc(releases, end, compareReleases)
+		releases = slices.Insert(releases, at, end)
+	}
+	return nil, 0
+}
+
+func compareReleases(a, b release) int {
+	return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.cpu, b.cpu))
+}
+
+// releases returns the processor room that is free now on usable upstreams, and when more
+// becomes free.
+func (p *Placer) releases(now time.Time) (free int64, all []release) {
+	for _, u := range p.sorted {
+		if !u.usable || !u.health.takes(now) {
+			continue
+		}
+		free += u.free.CPU
+		for _, r := range u.runs {
+			end := r.at.Add(r.expected)
+			if end.Before(now) {
+				end = now.Add(time.Duration(overdue * float64(r.expected)))
+			}
+			all = append(all, release{
+				at:  end,
+				cpu: r.demand.CPU,
+			})
+		}
+	}
+	slices.SortFunc(all, compareReleases)
+	return free, all
+}
+
+// victim returns the job to give up among those up to a place in the order: of the queue
+// that uses the most capacity, the one that can wait the longest. Jobs that have begun are
+// not given up.
+func (p *Placer) victim(last int) *waiting {
+	var victim *waiting
+	for _, w := range p.order[:last+1] {
+		if w.Begun {
+			continue
+		}
+		if victim == nil || p.queueOf(w.Queue).usage >= p.queueOf(victim.Queue).usage {
+			victim = w
+		}
+	}
+	return victim
+}
+
+// retryAfter returns when a refused caller may return: when the room that is taken now will
+// have become free.
+func (p *Placer) retryAfter(now time.Time) time.Duration {
+	_, releases := p.releases(now)
+	wait := leastRetry
+	if n := len(releases); n > 0 {
+		wait = releases[n/2].at.Sub(now)
+	}
+	return min(max(wait, leastRetry), mostRetry)
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -41,18 +41,18 @@
 
 // Step is a number of equal tasks.
 type Step struct {
-	Tasks  int
-	Demand sesamedrift.Resources
+	Tasks  int                   `msgpack:"tasks"`
+	Demand sesamedrift.Resources `msgpack:"demand"`
 	// Estimate is the caller's idea of the run time of a task.
-	Estimate time.Duration
+	Estimate time.Duration `msgpack:"estimate"`
 	// After lists earlier steps, all of whose tasks must be done first.
-	After []int
+	After []int `msgpack:"after,omitempty"`
 	// Requires is a label that the upstream must have, or empty.
-	Requires string
+	Requires string `msgpack:"requires,omitempty"`
 	// Rack is where the data of the step is, or empty.
-	Rack string
+	Rack string `msgpack:"rack,omitempty"`
 	// PerUpstream bounds the tasks of the step on one upstream; 0 stands for no bound.
-	PerUpstream int
+	PerUpstream int `msgpack:"per-upstream,omitempty"`
 }
 
 // Outcome says how a job has ended.
@@ -195,6 +195,19 @@
 	return needs
 }
 
+// Rest returns the estimated time from the end of a step to the end of the job.
+func (t *Tracker) Rest(step int) time.Duration {
+	var longest time.Duration
+	for later := step + 1; later < len(t.Job.Steps); later++ {
+		for _, earlier := range t.Job.Steps[later].After {
+			if earlier == step {
+				longest = max(longest, t.Job.Steps[later].Estimate+t.Rest(later))
+			}
+		}
+	}
+	return longest
+}
+
 // Active returns the runs that were given a place and have not ended.
 func (t *Tracker) Active() []Active {
 	var all []Active
