--- a/dispatcher/keeping.go
+++ b/dispatcher/keeping.go
@@ -131,11 +131,12 @@
 			continue
 		}
 		for _, t := range k.session.Tasks() {
-			if now.Sub(t.Began) >= reportFrom {
+			if t.Ran >= reportFrom {
 				m.Runs = append(m.Runs, runProgress{
 					Upstream: k.session.Upstream().ID,
 					Run:      t.Task.Run,
 					Percent:  t.Percent,
+					Ran:      t.Ran,
 				})
 			}
 		}
--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -213,6 +213,8 @@
 	Upstream string          `msgpack:"upstream"`
 	Run      sesamedrift.Run `msgpack:"run"`
 	Percent  int             `msgpack:"percent"`
+	// Ran is for how long the run had run when Percent was seen.
+	Ran time.Duration `msgpack:"ran"`
 }
 
 // superseded tells an entry that the caller has sent its job again to another one.
--- a/dispatcher/passing.go
+++ b/dispatcher/passing.go
@@ -217,6 +217,7 @@
 	j.passedTo = ""
 	if m.Outcome == tracker.Lost {
 		// The other side may not know yet that the way is lost.
+		j.tracker.MayHaveRun()
 		j.returnAt = now.Add(returnAfter)
 		return
 	}
@@ -240,6 +241,7 @@
 	for _, j := range h.jobs {
 		if j.passedTo != "" {
 			j.passedTo = ""
+			j.tracker.MayHaveRun()
 			j.returnAt = now.Add(returnAfter)
 		}
 	}
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -230,7 +230,7 @@
 	}
 	for _, r := range m.Runs {
 		if h.assigned.Keepers[r.Upstream] == from {
-			h.placer.Progress(now, r.Upstream, r.Run, r.Percent)
+			h.placer.Progress(r.Upstream, r.Run, r.Percent, r.Ran)
 		}
 	}
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -225,7 +225,9 @@
 	// foreign is set for runs that the session has not started itself, until a host asks
 	// for them.
 	foreign bool
+	// percent is how much of the work was done at seen.
 	percent int
+	seen    time.Time
 
 	stopWanted bool
 	stopSent   time.Time // zero if no stop order is on its way
@@ -298,7 +300,7 @@
 	for _, t := range s.tasks {
 		all = append(all, Progress{
 			Task:    t.Task,
-			Began:   t.orderedAt,
+			Ran:     t.seen.Sub(t.orderedAt),
 			Percent: t.percent,
 		})
 	}
@@ -308,9 +310,11 @@
 
 // Progress is what is known of a run.
 type Progress struct {
-	Task    Task
-	Began   time.Time
+	Task Task
+	// Percent is how much of the work was done after the run had run for Ran. Ran is not
+	// above zero if the upstream has not listed the run yet.
 	Percent int
+	Ran     time.Duration
 }
 
 func compareRuns(a, b sesamedrift.Run) int {
@@ -666,6 +670,7 @@
 			t.since = now
 		}
 		t.percent = r.Percent
+		t.seen = now
 		if !t.stopAcked.IsZero() && a.Order.Sent.After(t.stopAcked.Add(stopAgain*s.cfg.StopTime)) {
 			t.stopAcked = time.Time{}
 		}
--- a/placer/health.go
+++ b/placer/health.go
@@ -102,9 +102,14 @@
 
 // progress is what the keeper says of a run.
 type progress struct {
-	percent int
-	// at is when the percentage was last seen to grow.
-	at time.Time
+	// percent was done after the run had run for ran, and had grown last after grown.
+	percent    int
+	ran, grown time.Duration
+}
+
+// total returns how long the run will take at its present speed.
+func (p progress) total() time.Duration {
+	return time.Duration(float64(p.grown) * 100 / float64(p.percent))
 }
 
 const (
@@ -126,17 +131,18 @@
 	moveCost = 80 * time.Millisecond
 )
 
-// Progress takes in how much of a run is done.
-func (p *Placer) Progress(now time.Time, id string, run sesamedrift.Run, percent int) {
+// Progress takes in how much of a run was done after it had run for a time.
+func (p *Placer) Progress(id string, run sesamedrift.Run, percent int, ran time.Duration) {
 	u := p.upstreams[id]
-	if u == nil || u.runs[run] == nil {
+	if u == nil || u.runs[run] == nil || ran <= u.runs[run].progress.ran {
 		return
 	}
-	r := u.runs[run]
-	if percent > r.progress.percent || r.progress.at.IsZero() {
-		r.progress.percent = percent
-		r.progress.at = now
+	r := &u.runs[run].progress
+	if percent > r.percent || r.ran == 0 {
+		r.percent = percent
+		r.grown = ran
 	}
+	r.ran = ran
 }
 
 // watchRuns finds runs that stand still or go on too slowly, lets their upstreams rest and
@@ -159,8 +165,7 @@
 }
 
 func (p *Placer) watchRun(now time.Time, u *upstream, run sesamedrift.Run, r *placed) {
-	ran := now.Sub(r.at)
-	if ran < slowLeast || r.progress.at.IsZero() {
+	if r.progress.ran < slowLeast {
 		return
 	}
 	usual := u.health.usual(r.expected)
@@ -170,18 +175,17 @@
 		factor = relativeSlowFactor
 	}
 	left := time.Duration(math.MaxInt64)
-	stalled := now.Sub(r.progress.at) > stallAfter
+	stalled := r.progress.ran-r.progress.grown > stallAfter
 	if !stalled && r.progress.percent > 0 {
-		// The percentage is of the time at which it was seen.
-		total := time.Duration(float64(r.progress.at.Sub(r.at)) * 100 / float64(r.progress.percent))
+		total := r.progress.total()
 		if float64(total) < factor*float64(usual) {
 			return
 		}
-		left = total - ran
+		left = total - now.Sub(r.at)
 	} else if !stalled {
 		return
 	}
-	if stalled || factor == relativeSlowFactor || p.slowBeside(u, run, now) {
+	if stalled || factor == relativeSlowFactor || p.slowBeside(u, run) {
 		if !now.Before(u.health.resting) {
 			u.health.failed(now)
 		}
@@ -203,13 +207,12 @@
 }
 
 // slowBeside reports whether a run of another job on the upstream is slow as well.
-func (p *Placer) slowBeside(u *upstream, run sesamedrift.Run, now time.Time) bool {
+func (p *Placer) slowBeside(u *upstream, run sesamedrift.Run) bool {
 	for other, r := range u.runs {
-		if other.Task.Job == run.Task.Job || r.progress.percent == 0 || now.Sub(r.at) < slowLeast {
+		if other.Task.Job == run.Task.Job || r.progress.percent == 0 || r.progress.ran < slowLeast {
 			continue
 		}
-		total := float64(r.progress.at.Sub(r.at)) * 100 / float64(r.progress.percent)
-		if total >= relativeSlowFactor*float64(r.expected) {
+		if float64(r.progress.total()) >= relativeSlowFactor*float64(r.expected) {
 			return true
 		}
 	}
--- a/replayer/world.go
+++ b/replayer/world.go
@@ -547,7 +547,7 @@
 			}
 			for run, r := range u.runs {
 				done := r.done + float64(w.now-r.since)*u.pace()/float64(r.work)
-				s.placer.Progress(w.time(), u.id, run, int(100*min(done, 1)))
+				s.placer.Progress(u.id, run, int(100*min(done, 1)), w.now-r.began)
 			}
 		}
 		w.decide(s)
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -331,6 +331,9 @@
 	return t.outcome, t.reason, t.ended
 }
 
+// MayHaveRun notes that tasks of the job may have run where this tracker does not follow them.
+func (t *Tracker) MayHaveRun() { t.ran = true }
+
 // Started reports whether any task may have begun.
 func (t *Tracker) Started() bool {
 	if t.ran {
