Contact hosts sooner after a power loss; a program of its own for the provider

Cause: after all machines had lost power, entry hosts found control hosts 0.3 s and each other 0.5 s late: long dial timeouts against dark machines and pauses that doubled.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -21,6 +21,7 @@
 
 	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/client"
+	"sesamedrift.example/sesamedrift/platform"
 	"sesamedrift.example/sesamedrift/validator"
 )
 
@@ -88,12 +89,13 @@
 	var exit *exitError
 	var api *client.APIError
 	var invalid *sesamedrift.InvalidError
+	var settings *platform.SettingsError
 	switch {
 	case errors.As(err, &exit):
 		return exit.code
 	case errors.As(err, &api):
 		return apiExitCode(api.Code)
-	case errors.As(err, &invalid):
+	case errors.As(err, &invalid), errors.As(err, &settings):
 		return sesamedrift.ExitUsage
 	}
 	return sesamedrift.ExitError
@@ -133,7 +135,7 @@
 			c.statusCommand(),
 			c.demoCommand(),
 			c.loadCommand(),
-			c.platformCommand(),
+			platform.Command(c.Out),
 		},
 	}
 	checkUsage(root)
--- a/commander/host.go
+++ b/commander/host.go
@@ -93,8 +93,3 @@
 	}
 	return slog.New(slog.NewJSONHandler(c.Err, &slog.HandlerOptions{Level: l})), nil
 }
-
-// outputLogger writes to standard output, where the provider's machines expect logs.
-func (c *commandLine) outputLogger() *slog.Logger {
-	return slog.New(slog.NewJSONHandler(c.Out, nil))
-}
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -25,7 +25,7 @@
 	// for so long counts as lost.
 	maxQueue = 1 << 16
 	// maxIdleBeats bounds the pause between two attempts to reach a lost peer, in beats.
-	maxIdleBeats = 10
+	maxIdleBeats = 4
 )
 
 // Config describes the courier of one host.
@@ -153,14 +153,19 @@
 	posted := p.session.Post(m)
 	p.mu.Unlock()
 	if posted {
-		select {
-		case p.wake <- struct{}{}:
-		default:
-		}
+		p.poke()
 	}
 	return posted
 }
 
+// poke makes the peer's goroutine send a batch now.
+func (p *peer) poke() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Peers returns the addresses of the hosts with which a session is kept or tried.
 func (c *Courier) Peers() []string {
 	c.mu.Lock()
@@ -183,6 +188,7 @@
 	c.mu.Lock()
 	p := c.connect(b.From)
 	c.mu.Unlock()
+	p.conn.Heard()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !c.deliver(p, nil) {
@@ -190,6 +196,10 @@
 	}
 	ack, events := p.session.Receive(c.cfg.Now(), b)
 	c.deliver(p, events)
+	if !p.session.Up() {
+		// The peer can be reached again.
+		p.poke()
+	}
 	return messenger.Encode(ack)
 }
 
@@ -212,7 +222,7 @@
 	defer func() { _ = p.conn.Close() }()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	idle := 1
+	idle := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -220,18 +230,18 @@
 		case <-p.wake:
 		case <-timer.C:
 		}
-		if c.exchange(ctx, p) {
-			idle = 1
-		} else {
-			idle = min(2*idle, maxIdleBeats)
-		}
+		answered := c.exchange(ctx, p)
 		p.mu.Lock()
 		c.deliver(p, p.session.Check(c.cfg.Now()))
 		pause := c.cfg.Beat
 		switch {
-		case p.session.Up() && p.session.Waiting():
+		case answered && (!p.session.Up() || p.session.Waiting()):
+			// The answer has told what the next batch must say to begin a session.
 			pause = 0
-		case !p.session.Up():
+		case answered:
+			idle = 0
+		default:
+			idle = min(idle+1, maxIdleBeats)
 			pause *= time.Duration(idle)
 		}
 		p.mu.Unlock()
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -44,8 +44,8 @@
 	// settleLeast and settleMost bound the time from the first news to the choice of a
 	// placer. A process may start 0.3 s after the others; those that are listed but do not
 	// answer are waited for a little longer.
-	settleLeast = 300 * time.Millisecond
-	settleMost  = 700 * time.Millisecond
+	settleLeast = 100 * time.Millisecond
+	settleMost  = 500 * time.Millisecond
 	// retakeAfter is how long a keeper whose upstream was taken by another waits before it
 	// takes the upstream back if it is still assigned to it.
 	retakeAfter = 500 * time.Millisecond
--- a/inquirer/inquirer.go
+++ b/inquirer/inquirer.go
@@ -21,8 +21,12 @@
 	// timeout bounds a question. A busy host with a fraction of a core answers within the
 	// time that it adds to Wait.
 	timeout = Wait + 400*time.Millisecond
-	// pause is the time between two questions to a control host that does not answer.
-	pause = 200 * time.Millisecond
+	// dialTimeout bounds the time to connect. A host that loses its power takes the opening
+	// packets of connections with it, so that waiting longer does not help.
+	dialTimeout = 100 * time.Millisecond
+	// pause is the time between two questions to a control host that does not answer. It
+	// bounds how long a host waits after both have started.
+	pause = 50 * time.Millisecond
 )
 
 // Question asks for what is newer than the numbers in it.
@@ -77,7 +81,7 @@
 			Domain:      self.Domain,
 			Incarnation: self.Life,
 		},
-		DialTimeout:  timeout - Wait,
+		DialTimeout:  dialTimeout,
 		WriteTimeout: time.Second,
 	})
 	defer func() { _ = peer.Close() }()
