--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -80,10 +80,10 @@
 		Keepers: keepers,
 	}
 	h.setAssignment(now, next)
-	for _, m := range members {
-		if m != h.cfg.Self.Address {
-			h.tell(m, kindAssignment, next)
-		}
+	// Hosts that leave are told too: they let go of their upstreams and ask the new keepers
+	// about the runs of their jobs.
+	for _, peer := range slices.Sorted(maps.Keys(h.up)) {
+		h.tell(peer, kindAssignment, next)
 	}
 }
 
--- a/placer/estimate.go
+++ b/placer/estimate.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/keeper"
 )
 
@@ -36,6 +37,8 @@
 	// open is the number of runs that were placed and have not ended.
 	open    int
 	samples []sample
+	// moved holds the tasks that were stopped on an upstream that seemed slow.
+	moved map[sesamedrift.TaskID]bool
 	// failedOn holds the upstreams on which tasks of the job have failed.
 	failedOn map[string]bool
 	until    time.Time
@@ -67,7 +70,10 @@
 func (p *Placer) workOf(now time.Time, key jobKey) *work {
 	w := p.works[key]
 	if w == nil {
-		w = &work{failedOn: map[string]bool{}}
+		w = &work{
+			moved:    map[sesamedrift.TaskID]bool{},
+			failedOn: map[string]bool{},
+		}
 		p.works[key] = w
 	}
 	w.until = now.Add(workMemory)
--- a/placer/health.go
+++ b/placer/health.go
@@ -168,9 +168,14 @@
 	if r.progress.ran < slowLeast {
 		return
 	}
+	w := p.workOf(now, r.key)
+	if w.moved[run.Task] {
+		// It was slow elsewhere as well, so that the task is to blame and not the upstreams.
+		return
+	}
 	usual := u.health.usual(r.expected)
 	factor := slowFactor
-	if w := p.works[r.key]; w != nil && len(w.samples) > 0 {
+	if len(w.samples) > 0 {
 		usual = w.usual()
 		factor = relativeSlowFactor
 	}
@@ -195,6 +200,7 @@
 	}
 	if float64(left) > moveGain*float64(usual)+float64(moveCost) {
 		r.moving = true
+		w.moved[run.Task] = true
 		p.decisions = append(p.decisions, Decision{
 			Job:   run.Task.Job,
 			Entry: r.key.entry,
