--- /dev/null
+++ b/dispatcher/core.go
@@ -0,0 +1,227 @@
+package dispatcher
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"sesamedrift.example/sesamedrift/courier"
+	"sesamedrift.example/sesamedrift/finder"
+	"sesamedrift.example/sesamedrift/inquirer"
+	"sesamedrift.example/sesamedrift/keeper"
+	"sesamedrift.example/sesamedrift/messenger"
+	"sesamedrift.example/sesamedrift/placer"
+	"sesamedrift.example/sesamedrift/router"
+)
+
+// Times of an entry host.
+const (
+	// watchAgain is the time between two questions about a run whose keeper has changed.
+	watchAgain = 300 * time.Millisecond
+	// askAgain is the time after which the placer is told again of tasks that wait. It is for
+	// messages that were lost while the placer changed.
+	askAgain = time.Second
+	// settleLeast and settleMost bound the time from the first news to the choice of a
+	// placer. A process may start 0.3 s after the others; those that are listed but do not
+	// answer are waited for a little longer.
+	settleLeast = 100 * time.Millisecond
+	settleMost  = 500 * time.Millisecond
+	// retakeAfter is how long a keeper whose upstream was taken by another waits before it
+	// takes the upstream back if it is still assigned to it.
+	retakeAfter = 500 * time.Millisecond
+)
+
+// CoreConfig describes what an entry host decides with.
+type CoreConfig struct {
+	// Self is this host; its Life grows with each start.
+	Self finder.Host
+	// Keeping holds the times of leases.
+	Keeping keeper.Config
+	// Parse reads a published document.
+	Parse func(content []byte) (*router.Document, error)
+	Log   *slog.Logger
+}
+
+// Out is what a Core asks for. None of the functions may block or call the Core.
+type Out struct {
+	// Post sends a message in the session with a host. It reports false if there is none.
+	Post func(to string, m courier.Message) bool
+	// Connect begins to keep a session with a host, Disconnect ends that.
+	Connect, Disconnect func(address string)
+	// Ask begins to ask a control host for news, StopAsking ends that.
+	Ask, StopAsking func(address string)
+	// Present is told of each change of the report about this host.
+	Present func(self finder.Host)
+	// Order sends an order to an upstream. The answer, or that there was none within the
+	// timeout of the order, is handed to done.
+	Order func(u finder.Upstream, o keeper.Order, done func(now time.Time, a keeper.Answer))
+	// InForce is told of each newer document, in order.
+	InForce func(t *router.Table)
+}
+
+// Core is everything that an entry host decides, without input and output: it is driven by
+// calls that carry the present time, and acts through the functions of Out. It is not safe
+// for concurrent use. After each call, or several, the caller calls Flush.
+type Core struct {
+	cfg CoreConfig
+	out Out
+	log *slog.Logger
+	// local holds messages of this host to itself.
+	local []func(now time.Time)
+
+	self      finder.Host
+	hosts     *finder.List[finder.Host]
+	upstreams *finder.List[finder.Upstream]
+	table     *router.Table
+	published inquirer.Document
+	// up holds the hosts of the domain with which there is a session; those that leave map
+	// to false.
+	up       map[string]bool
+	asking   map[string]bool
+	stopping bool
+	// started is when this host first heard of others; zero before.
+	started   time.Time
+	isSettled bool
+
+	// placerAt is the address of the placer of the domain.
+	placerAt string
+	assigned assignment
+
+	jobs  map[string]*job
+	keeps map[string]*keep
+	// lastTokens holds the fencing token that was last used for each upstream.
+	lastTokens map[string]uint64
+	reportedAt time.Time
+
+	placer     *placer.Placer // nil unless this host places
+	placing    map[string]placedUpstream
+	neighbours map[string]*neighbour
+	relays     map[string]relay
+}
+
+// NewCore returns the Core of a host that knows only control hosts.
+func NewCore(cfg CoreConfig, out Out, now time.Time, seeds []string) *Core {
+	c := &Core{
+		cfg:        cfg,
+		out:        out,
+		log:        cfg.Log,
+		self:       cfg.Self,
+		hosts:      finder.NewList[finder.Host](),
+		upstreams:  finder.NewList[finder.Upstream](),
+		up:         map[string]bool{},
+		asking:     map[string]bool{},
+		jobs:       map[string]*job{},
+		keeps:      map[string]*keep{},
+		lastTokens: map[string]uint64{},
+		placing:    map[string]placedUpstream{},
+		neighbours: map[string]*neighbour{},
+		relays:     map[string]relay{},
+	}
+	c.hosts.Put(now, cfg.Self)
+	for _, seed := range seeds {
+		c.askNews(seed)
+	}
+	return c
+}
+
+// Flush carries out what was decided since the last call.
+func (c *Core) Flush(now time.Time) {
+	for {
+		local := c.local
+		c.local = nil
+		for _, step := range local {
+			step(now)
+		}
+		c.sendDecisions()
+		c.sendOrders(now)
+		if len(c.local) == 0 {
+			return
+		}
+	}
+}
+
+// Due does what the passing of time asks for.
+func (c *Core) Due(now time.Time) {
+	if !c.isSettled {
+		c.choosePlacer(now)
+	}
+	c.expireJobs(now)
+	c.tickKeeps(now)
+	c.reportProgress(now)
+	if c.placer != nil {
+		c.placer.Tick(now)
+		c.tellRoom(now)
+	}
+}
+
+// tell sends a message to a host of the domain, which may be this one. A message to a host
+// without a session is dropped; the end of the session is handled where it is noticed.
+func (c *Core) tell(to string, kind courier.Kind, v any) {
+	if to == c.cfg.Self.Address {
+		c.local = append(c.local, func(now time.Time) { c.receive(now, to, kind, v) })
+		return
+	}
+	body, err := messenger.Encode(v)
+	if err != nil {
+		panic("dispatcher: message cannot be encoded: " + err.Error())
+	}
+	c.out.Post(to, courier.Message{
+		Kind: kind,
+		Body: body,
+	})
+}
+
+// Waiting returns the number of jobs of a queue whose callers are connected to this host
+// and of which no task may have begun.
+func (c *Core) Waiting(queue string) int {
+	n := 0
+	for _, j := range c.jobs {
+		if j.tracker.Job.Queue == queue && !j.tracker.Started() {
+			n++
+		}
+	}
+	return n
+}
+
+// State returns the state of a job whose callers are connected to this host.
+func (c *Core) State(id string) (state string, found bool) {
+	j := c.jobs[id]
+	switch {
+	case j == nil:
+		return "", false
+	case j.tracker.Started():
+		return "running", true
+	default:
+		return "queued", true
+	}
+}
+
+// NotReady returns why this host should get no new callers, or "".
+func (c *Core) NotReady() string {
+	switch {
+	case c.stopping:
+		return "the host is stopping"
+	case c.table == nil:
+		return "no document is in force"
+	case len(c.assigned.Keepers) == 0:
+		return "no upstream is known"
+	default:
+		return ""
+	}
+}
+
+// Leave begins a planned stop: the other hosts of the domain take over the placing and the
+// upstreams of this host. Jobs of callers that still come are served.
+func (c *Core) Leave(now time.Time) {
+	c.stopping = true
+	for _, peer := range slices.Sorted(maps.Keys(c.up)) {
+		if c.up[peer] {
+			c.tell(peer, kindLeaving, leaving{})
+		}
+	}
+	c.choosePlacer(now)
+}
+
+// Left returns the number of jobs and upstreams that this host still has to do with.
+func (c *Core) Left() int { return len(c.jobs) + len(c.keeps) }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -6,8 +6,9 @@
 // tasks run. Each upstream has one keeper, which alone sends it orders. docs/platform.md
 // describes the messages between them and what each loss does.
 //
-// All state belongs to one goroutine, the loop; HTTP handlers, sessions and answers of
-// upstreams hand it functions to run. All exported methods are safe for concurrent use.
+// Core makes all decisions and has no input or output. Host is a running host: one
+// goroutine, the loop, owns its Core; HTTP handlers, sessions and answers of upstreams hand
+// the loop functions to run. All exported methods of Host are safe for concurrent use.
 package dispatcher
 
 import (
@@ -21,34 +22,22 @@
 	"sesamedrift.example/sesamedrift/inquirer"
 	"sesamedrift.example/sesamedrift/keeper"
 	"sesamedrift.example/sesamedrift/messenger"
-	"sesamedrift.example/sesamedrift/placer"
 	"sesamedrift.example/sesamedrift/router"
+	"sesamedrift.example/sesamedrift/tracker"
 )
 
-// Times of an entry host.
 const (
 	// beat is the time between two batches of a session without messages.
 	beat = 100 * time.Millisecond
 	// resend is the time after which a batch without an answer is sent again. It is above
 	// the pauses of a busy host with a fraction of a core.
 	resend = 200 * time.Millisecond
-	// suspectAfter ends a session. It allows for one batch that is lost and sent again.
-	suspectAfter = 500 * time.Millisecond
+	// SuspectAfter ends a session. It allows for one batch that is lost and sent again.
+	SuspectAfter = 500 * time.Millisecond
 	// tick is the time between two looks at what is due.
 	tick = 20 * time.Millisecond
-	// watchAgain is the time between two questions about a run whose keeper has changed.
-	watchAgain = 300 * time.Millisecond
-	// askAgain is the time after which the placer is told again of tasks that wait. It is for
-	// messages that were lost while the placer changed.
-	askAgain = time.Second
-	// settleLeast and settleMost bound the time from the first news to the choice of a
-	// placer. A process may start 0.3 s after the others; those that are listed but do not
-	// answer are waited for a little longer.
-	settleLeast = 100 * time.Millisecond
-	settleMost  = 500 * time.Millisecond
-	// retakeAfter is how long a keeper whose upstream was taken by another waits before it
-	// takes the upstream back if it is still assigned to it.
-	retakeAfter = 500 * time.Millisecond
+	// leavePoll is the time between two looks whether a planned stop is finished.
+	leavePoll = 20 * time.Millisecond
 )
 
 // Config describes an entry host.
@@ -75,7 +64,7 @@
 // Host is a running entry host.
 type Host struct {
 	cfg      Config
-	log      *slog.Logger
+	core     *Core // belongs to the loop
 	courier  *courier.Courier
 	listener *messenger.Listener
 	asker    *inquirer.Asker
@@ -85,59 +74,24 @@
 	duties   sync.WaitGroup
 	calls    sync.WaitGroup
 
-	// selfMu guards self, the present report about this host.
-	selfMu sync.Mutex
-	self   finder.Host
-
-	// The fields below belong to the loop.
-
-	hosts     *finder.List[finder.Host]
-	upstreams *finder.List[finder.Upstream]
-	table     *router.Table
-	published inquirer.Document
-	// up holds the hosts of the domain with which there is a session; those that leave map
-	// to false.
-	up       map[string]bool
-	newsFrom map[string]context.CancelFunc
-	stopping bool
-	// started is when this host first heard of others; zero before.
-	started   time.Time
-	isSettled bool
-
-	// placerAt is the address of the placer of the domain.
-	placerAt string
-	assigned assignment
-
-	jobs  map[string]*job
-	keeps map[string]*keep
-
-	placer     *placer.Placer // nil unless this host places
-	neighbours map[string]*neighbour
-	relays     map[string]relay
-	placing    map[string]placedUpstream
-	reportedAt time.Time
-	lastTokens map[string]uint64
+	// mu guards the fields below.
+	mu sync.Mutex
+	// self is the present report about this host.
+	self finder.Host
+	// asking holds what ends the questions to each control host.
+	asking map[string]context.CancelFunc
 }
 
 // New starts an entry host. Its internal address is open when it returns.
 func New(cfg Config) (*Host, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{
-		cfg:        cfg,
-		log:        cfg.Log,
-		inbox:      newInbox(),
-		ctx:        ctx,
-		cancel:     cancel,
-		hosts:      finder.NewList[finder.Host](),
-		upstreams:  finder.NewList[finder.Upstream](),
-		up:         map[string]bool{},
-		newsFrom:   map[string]context.CancelFunc{},
-		jobs:       map[string]*job{},
-		keeps:      map[string]*keep{},
-		placing:    map[string]placedUpstream{},
-		neighbours: map[string]*neighbour{},
-		relays:     map[string]relay{},
-		lastTokens: map[string]uint64{},
+		cfg:    cfg,
+		inbox:  newInbox(),
+		ctx:    ctx,
+		cancel: cancel,
+		self:   cfg.Self,
+		asking: map[string]context.CancelFunc{},
 	}
 	local := messenger.Config{
 		Local: messenger.Hello{
@@ -155,12 +109,11 @@
 		Life:         cfg.Self.Life,
 		Beat:         beat,
 		Resend:       resend,
-		SuspectAfter: suspectAfter,
+		SuspectAfter: SuspectAfter,
 		Local:        local,
 		Deliver:      h.deliver,
 		Now:          cfg.Now,
 	})
-	h.self = cfg.Self
 	h.asker = &inquirer.Asker{
 		Self:  h.present,
 		Token: cfg.Token,
@@ -173,10 +126,21 @@
 		cancel()
 		return nil, err
 	}
-	h.hosts.Put(cfg.Now(), cfg.Self)
-	for _, seed := range cfg.Seeds {
-		h.askNews(seed)
-	}
+	h.core = NewCore(CoreConfig{
+		Self:    cfg.Self,
+		Keeping: cfg.Keeping,
+		Parse:   cfg.Parse,
+		Log:     cfg.Log,
+	}, Out{
+		Post:       h.courier.Post,
+		Connect:    h.courier.Connect,
+		Disconnect: h.courier.Disconnect,
+		Ask:        h.ask,
+		StopAsking: h.stopAsking,
+		Present:    h.setPresent,
+		Order:      h.order,
+		InForce:    cfg.InForce,
+	}, cfg.Now(), cfg.Seeds)
 	h.duties.Go(func() { h.loop(ctx) })
 	return h, nil
 }
@@ -206,7 +170,137 @@
 func (h *Host) deliver(events []courier.Event) bool {
 	return h.inbox.put(func(now time.Time) {
 		for _, e := range events {
-			h.sessionEvent(now, e)
+			h.core.Session(now, e)
 		}
 	})
 }
+
+func (h *Host) present() finder.Host {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.self
+}
+
+func (h *Host) setPresent(self finder.Host) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.self = self
+}
+
+// ask begins to ask a control host for news, until the host closes or stopAsking is called.
+func (h *Host) ask(address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ctx, cancel := context.WithCancel(h.ctx)
+	h.asking[address] = cancel
+	h.duties.Go(func() { h.asker.Ask(ctx, address) })
+}
+
+func (h *Host) stopAsking(address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if cancel := h.asking[address]; cancel != nil {
+		cancel()
+		delete(h.asking, address)
+	}
+}
+
+// apply takes in news from a control host.
+func (h *Host) apply(ctx context.Context, n inquirer.News) uint64 {
+	version := make(chan uint64, 1)
+	h.inbox.force(func(now time.Time) { version <- h.core.News(now, n) })
+	select {
+	case v := <-version:
+		return v
+	case <-ctx.Done():
+		return 0
+	}
+}
+
+// order sends an order to an upstream.
+func (h *Host) order(u finder.Upstream, o keeper.Order, done func(now time.Time, a keeper.Answer)) {
+	h.calls.Go(func() {
+		ctx, cancel := context.WithTimeout(h.ctx, o.Timeout)
+		defer cancel()
+		a := h.cfg.Order(ctx, u, o)
+		h.inbox.force(func(now time.Time) { done(now, a) })
+	})
+}
+
+// Run takes a job and returns its result. It returns early if ctx ends, as it does when the
+// caller has gone; the job then ends unless another caller waits for it.
+func (h *Host) Run(ctx context.Context, j tracker.Job) (Result, error) {
+	result := make(chan Result, 1)
+	caller := NewCaller(func(r Result) { result <- r })
+	if !h.inbox.put(func(now time.Time) { h.core.Submit(now, j, caller) }) {
+		return Result{}, ErrBusy
+	}
+	select {
+	case r := <-result:
+		return r, nil
+	case <-ctx.Done():
+		h.inbox.force(func(now time.Time) { h.core.Gone(now, j.ID, caller) })
+		return Result{}, ctx.Err()
+	}
+}
+
+// do runs a function in the loop and waits for it. It reports false if the host has closed.
+func (h *Host) do(f func(now time.Time)) bool {
+	done := make(chan struct{})
+	h.inbox.force(func(now time.Time) {
+		f(now)
+		close(done)
+	})
+	select {
+	case <-done:
+		return true
+	case <-h.ctx.Done():
+		return false
+	}
+}
+
+// Waiting is Core.Waiting.
+func (h *Host) Waiting(queue string) (n int) {
+	h.do(func(time.Time) { n = h.core.Waiting(queue) })
+	return n
+}
+
+// State is Core.State.
+func (h *Host) State(id string) (state string, found bool) {
+	h.do(func(time.Time) { state, found = h.core.State(id) })
+	return state, found
+}
+
+// Cancel is Core.Cancel.
+func (h *Host) Cancel(id string) (found bool) {
+	h.do(func(now time.Time) { found = h.core.Cancel(now, id) })
+	return found
+}
+
+// NotReady is Core.NotReady. A host that has closed is not ready.
+func (h *Host) NotReady() string {
+	reason := ""
+	if !h.do(func(time.Time) { reason = h.core.NotReady() }) {
+		return "the host has closed"
+	}
+	return reason
+}
+
+// BeginLeave is Core.Leave.
+func (h *Host) BeginLeave() {
+	h.do(func(now time.Time) { h.core.Leave(now) })
+}
+
+// AwaitLeave returns when no job and no upstream is left on this host, or ctx ends.
+func (h *Host) AwaitLeave(ctx context.Context) {
+	for ctx.Err() == nil {
+		left := 0
+		if !h.do(func(time.Time) { left = h.core.Left() }) || left == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(leavePoll):
+		}
+	}
+}
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -1,13 +1,11 @@
 package dispatcher
 
 import (
-	"context"
 	"errors"
 	"maps"
 	"slices"
 	"time"
 
-	"sesamedrift.example/sesamedrift/router"
 	"sesamedrift.example/sesamedrift/tracker"
 )
 
@@ -22,18 +20,21 @@
 // ErrBusy is returned for a job that was not taken because too much waits already.
 var ErrBusy = errors.New("too much waits on this host")
 
-// caller waits for the result of a job: a request to this host, or the relay of another
+// Caller waits for the result of a job: a request to this host, or the relay of another
 // domain.
-type caller struct {
-	// result has room for the result; nil for a relay.
-	result chan Result
+type Caller struct {
+	// result takes the result once; nil for a relay.
+	result func(Result)
 	relay  string
 }
 
+// NewCaller returns a caller whose result is handed to a function, which must not block.
+func NewCaller(result func(Result)) *Caller { return &Caller{result: result} }
+
 // job is a job that this host tracks.
 type job struct {
 	tracker *tracker.Tracker
-	callers map[caller]bool
+	callers map[*Caller]bool
 	result  Result
 	// askedAt is when the placer was last told of tasks that wait; zero if none wait there.
 	askedAt time.Time
@@ -56,50 +57,45 @@
 	return false
 }
 
-// Run takes a job and returns its result. It returns early if ctx ends, as it does when the
-// caller has gone; the job then ends unless another caller waits for it.
-func (h *Host) Run(ctx context.Context, j tracker.Job) (Result, error) {
-	c := caller{result: make(chan Result, 1)}
-	taken := h.inbox.put(func(now time.Time) { h.submit(now, j, c) })
-	if !taken {
-		return Result{}, ErrBusy
-	}
-	select {
-	case r := <-c.result:
-		return r, nil
-	case <-ctx.Done():
-		h.inbox.force(func(now time.Time) { h.callerGone(now, j.ID, c) })
-		return Result{}, ctx.Err()
+// relayFrom returns the caller that stands for the relay of a host, or nil.
+func (j *job) relayFrom(address string) *Caller {
+	for c := range j.callers {
+		if c.relay == address {
+			return c
+		}
 	}
+	return nil
 }
 
-func (h *Host) submit(now time.Time, tj tracker.Job, c caller) {
-	if j := h.jobs[tj.ID]; j != nil {
-		j.callers[c] = true
+// Submit takes a job for a caller. A job that is known already gets one caller more.
+func (c *Core) Submit(now time.Time, tj tracker.Job, from *Caller) {
+	if j := c.jobs[tj.ID]; j != nil {
+		j.callers[from] = true
 		return
 	}
 	j := &job{
 		tracker: tracker.New(tj),
-		callers: map[caller]bool{c: true},
+		callers: map[*Caller]bool{from: true},
 	}
-	h.jobs[tj.ID] = j
-	h.askPlaces(now, j)
+	c.jobs[tj.ID] = j
+	c.askPlaces(now, j)
 }
 
-func (h *Host) callerGone(now time.Time, id string, c caller) {
-	j := h.jobs[id]
-	if j == nil || !j.callers[c] {
+// Gone notes that a caller waits no longer. The job ends with its last caller.
+func (c *Core) Gone(now time.Time, id string, from *Caller) {
+	j := c.jobs[id]
+	if j == nil || !j.callers[from] {
 		return
 	}
-	delete(j.callers, c)
+	delete(j.callers, from)
 	if len(j.callers) == 0 {
 		j.tracker.End(tracker.Abandoned, "the caller has gone")
-		h.settle(now, j)
+		c.settle(now, j)
 	}
 }
 
 // askPlaces tells the placer of all tasks of a job that need a place.
-func (h *Host) askPlaces(now time.Time, j *job) {
+func (c *Core) askPlaces(now time.Time, j *job) {
 	t := j.tracker
 	needs := t.Needs()
 	if len(needs) == 0 || j.passedTo != "" || !j.returnAt.IsZero() {
@@ -132,11 +128,11 @@
 		})
 	}
 	j.askedAt = now
-	h.tell(h.placerAt, kindAsk, a)
+	c.tell(c.placerAt, kindAsk, a)
 }
 
-func (h *Host) receiveGranted(from string, g granted) {
-	j := h.jobs[g.Job]
+func (c *Core) receiveGranted(from string, g granted) {
+	j := c.jobs[g.Job]
 	byKeeper := map[string]*start{}
 	for _, p := range g.Places {
 		place := tracker.Place{
@@ -144,7 +140,7 @@
 			Keeper:   p.Keeper,
 		}
 		if j == nil || !j.tracker.Place(p.Run, place) {
-			h.tell(from, kindReturn, returned{
+			c.tell(from, kindReturn, returned{
 				Upstream: p.Upstream,
 				Run:      p.Run,
 			})
@@ -158,110 +154,132 @@
 		s.Runs = append(s.Runs, runOn(p.Upstream, p.Run, j.tracker.Job.Steps[p.Run.Task.Step].Demand))
 	}
 	for _, k := range slices.Sorted(maps.Keys(byKeeper)) {
-		h.tell(k, kindStart, *byKeeper[k])
+		c.tell(k, kindStart, *byKeeper[k])
 	}
 }
 
-func (h *Host) receiveRefused(now time.Time, from string, r refused) {
-	j := h.jobs[r.Job]
-	if j == nil || from != h.placerAt {
+func (c *Core) receiveRefused(now time.Time, from string, r refused) {
+	j := c.jobs[r.Job]
+	if j == nil || from != c.placerAt {
 		return
 	}
 	j.askedAt = time.Time{}
 	j.result.RetryAfter = r.RetryAfter
 	j.tracker.Refuse(r.Reason)
-	h.settle(now, j)
+	c.settle(now, j)
 }
 
-func (h *Host) receiveRunEnded(now time.Time, m runEnded) {
-	j := h.jobs[m.Run.Task.Job]
-	if j == nil {
+// receiveRunEnded takes in the end of a run. A host that is not the keeper of its upstream any
+// more cannot know how it is.
+func (c *Core) receiveRunEnded(now time.Time, from string, m runEnded) {
+	j := c.jobs[m.Run.Task.Job]
+	if j == nil || j.tracker.Keeper(m.Run) != from {
 		return
 	}
 	j.tracker.RunEnded(m.Run, m.How, m.Reason)
-	h.settle(now, j)
+	c.settle(now, j)
 }
 
 // receiveSuperseded ends a job that its caller has sent again to another host.
-func (h *Host) receiveSuperseded(now time.Time, from string, m superseded) {
-	j := h.jobs[m.Job]
-	if j == nil || from != h.placerAt {
+func (c *Core) receiveSuperseded(now time.Time, from string, m superseded) {
+	j := c.jobs[m.Job]
+	if j == nil || from != c.placerAt {
 		return
 	}
 	j.askedAt = time.Time{}
 	j.tracker.End(tracker.Abandoned, "the caller has sent the job again to another host")
-	h.settle(now, j)
+	c.settle(now, j)
+}
+
+// Cancel ends a job whose callers are connected to this host.
+func (c *Core) Cancel(now time.Time, id string) bool {
+	j := c.jobs[id]
+	if j == nil {
+		return false
+	}
+	j.tracker.End(tracker.Abandoned, "the job was cancelled")
+	c.settle(now, j)
+	return true
+}
+
+// sortedJobs returns the jobs in the order of their identifiers.
+func (c *Core) sortedJobs() []*job {
+	all := make([]*job, 0, len(c.jobs))
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		all = append(all, c.jobs[id])
+	}
+	return all
 }
 
 // settle answers a job that has ended, and asks for places for one that goes on.
-func (h *Host) settle(now time.Time, j *job) {
+func (c *Core) settle(now time.Time, j *job) {
 	outcome, reason, ended := j.tracker.Ended()
 	if !ended {
-		h.askPlaces(now, j)
+		c.askPlaces(now, j)
 		return
 	}
 	id := j.tracker.Job.ID
-	delete(h.jobs, id)
+	delete(c.jobs, id)
 	if !j.askedAt.IsZero() {
-		h.tell(h.placerAt, kindWithdraw, withdraw{Job: id})
+		c.tell(c.placerAt, kindWithdraw, withdraw{Job: id})
 	}
 	for _, a := range j.tracker.Active() {
-		h.tell(a.Place.Keeper, kindStop, stop{
+		c.tell(a.Place.Keeper, kindStop, stop{
 			Upstream: a.Place.Upstream,
 			Run:      a.Run,
 		})
 	}
 	j.result.Outcome = outcome
 	j.result.Reason = reason
-	for c := range j.callers {
-		h.answer(id, c, j.result)
+	for to := range j.callers {
+		c.answer(id, to, j.result)
 	}
 	if j.passedTo != "" {
-		h.tell(h.placerAt, kindDrop, drop{Job: id})
+		c.tell(c.placerAt, kindDrop, drop{Job: id})
 	}
-	h.log.Info("job ended", "job", id, "queue", j.tracker.Job.Queue, "outcome", outcome, "reason", reason,
+	c.log.Info("job ended", "job", id, "queue", j.tracker.Job.Queue, "outcome", outcome, "reason", reason,
 		"took", now.Sub(j.tracker.Job.Arrived))
 }
 
 // expireJobs ends jobs whose callers wait no longer, and asks again about runs whose keeper
 // has changed.
-func (h *Host) expireJobs(now time.Time) {
-	for _, j := range h.jobs {
+func (c *Core) expireJobs(now time.Time) {
+	for _, j := range c.sortedJobs() {
 		switch {
 		case now.After(j.tracker.Job.Deadline):
 			j.tracker.End(tracker.Expired, "the deadline of the caller has passed")
-			h.settle(now, j)
+			c.settle(now, j)
 		case !j.returnAt.IsZero() && !now.Before(j.returnAt):
 			j.returnAt = time.Time{}
-			h.askPlaces(now, j)
+			c.askPlaces(now, j)
 		case !j.watchAt.IsZero() && !now.Before(j.watchAt):
-			h.watchMoved(now, j)
+			c.watchMoved(now, j)
 		}
 		if !j.askedAt.IsZero() && now.Sub(j.askedAt) >= askAgain {
-			h.askPlaces(now, j)
+			c.askPlaces(now, j)
 		}
 	}
 }
 
 // followKeepers asks the new keepers of upstreams about the runs of this host's jobs.
-func (h *Host) followKeepers(now time.Time) {
-	for _, j := range h.jobs {
+func (c *Core) followKeepers(now time.Time) {
+	for _, j := range c.sortedJobs() {
 		for _, a := range j.tracker.Active() {
-			at := h.assigned.Keepers[a.Place.Upstream]
+			at := c.assigned.Keepers[a.Place.Upstream]
 			if at != "" && at != a.Place.Keeper {
 				j.tracker.Moved(a.Place.Upstream, at)
 				j.watchAt = now
 			}
 		}
 		if !j.watchAt.IsZero() {
-			h.watchMoved(now, j)
+			c.watchMoved(now, j)
 		}
 	}
 }
 
 // watchMoved asks the keepers of all active runs of a job how they are. A keeper that knows
 // the run already changes nothing.
-func (h *Host) watchMoved(now time.Time, j *job) {
+func (c *Core) watchMoved(now time.Time, j *job) {
 	active := j.tracker.Active()
 	j.watchAt = time.Time{}
 	if len(active) == 0 {
@@ -269,20 +287,8 @@
 	}
 	j.watchAt = now.Add(watchAgain)
 	for _, a := range active {
-		h.tell(a.Place.Keeper, kindWatch, watch{
+		c.tell(a.Place.Keeper, kindWatch, watch{
 			Of: runOn(a.Place.Upstream, a.Run, j.tracker.Job.Steps[a.Step].Demand),
 		})
 	}
 }
-
-// Table returns the queues in force, or nil.
-func (h *Host) Table(ctx context.Context) *router.Table {
-	result := make(chan *router.Table, 1)
-	h.inbox.force(func(time.Time) { result <- h.table })
-	select {
-	case t := <-result:
-		return t
-	case <-ctx.Done():
-		return nil
-	}
-}
--- a/dispatcher/keeping.go
+++ b/dispatcher/keeping.go
@@ -1,7 +1,7 @@
 package dispatcher
 
 import (
-	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -16,14 +16,13 @@
 	session *keeper.Session
 	// overtakenAt is when another keeper was noticed; zero otherwise.
 	overtakenAt time.Time
-	// stop ends the orders that are on their way.
-	stop context.CancelFunc
-	ctx  context.Context
+	// closed says that answers to orders are not waited for any more.
+	closed bool
 }
 
-func (h *Host) sortedKeeps() []*keep {
-	all := make([]*keep, 0, len(h.keeps))
-	for _, k := range h.keeps {
+func (c *Core) sortedKeeps() []*keep {
+	all := make([]*keep, 0, len(c.keeps))
+	for _, k := range c.keeps {
 		all = append(all, k)
 	}
 	slices.SortFunc(all, func(a, b *keep) int {
@@ -34,84 +33,89 @@
 
 // updateKeeps takes over the upstreams that are assigned to this host and lets go of the
 // others.
-func (h *Host) updateKeeps(now time.Time) {
-	for id, k := range h.keeps {
-		if at := h.assigned.Keepers[id]; at != "" && at != h.cfg.Self.Address {
-			k.stop()
-			delete(h.keeps, id)
+func (c *Core) updateKeeps(now time.Time) {
+	for _, k := range c.sortedKeeps() {
+		if at := c.assigned.Keepers[k.session.Upstream().ID]; at != "" && at != c.cfg.Self.Address {
+			c.letGo(k)
 		}
 	}
-	for id, at := range h.assigned.Keepers {
-		u, known := h.upstreams.Get(id)
-		if at == h.cfg.Self.Address && known && h.keeps[id] == nil {
-			h.take(now, u)
+	for _, id := range slices.Sorted(maps.Keys(c.assigned.Keepers)) {
+		at := c.assigned.Keepers[id]
+		u, known := c.upstreams.Get(id)
+		if at == c.cfg.Self.Address && known && c.keeps[id] == nil {
+			c.take(now, u)
 		}
 	}
 }
 
+// letGo ends the keeping of an upstream.
+func (c *Core) letGo(k *keep) {
+	k.closed = true
+	delete(c.keeps, k.session.Upstream().ID)
+}
+
 // take begins to keep an upstream.
-func (h *Host) take(now time.Time, u finder.Upstream) {
+func (c *Core) take(now time.Time, u finder.Upstream) {
 	// Wall clocks of hosts differ by less than the time between two takeovers, or the
 	// upstream rejects the token and the next one is higher.
-	token := max(uint64(now.UnixMilli()), h.lastTokens[u.ID]+1)
-	h.lastTokens[u.ID] = token
-	ctx, cancel := context.WithCancel(context.Background())
-	h.keeps[u.ID] = &keep{
-		session: keeper.New(h.cfg.Keeping, now, u, token),
-		ctx:     ctx,
-		stop:    cancel,
-	}
-	h.log.Info("upstream taken", "upstream", u.ID, "address", u.Address, "token", token)
+	token := max(uint64(now.UnixMilli()), c.lastTokens[u.ID]+1)
+	c.lastTokens[u.ID] = token
+	c.keeps[u.ID] = &keep{session: keeper.New(c.cfg.Keeping, now, u, token)}
+	c.log.Info("upstream taken", "upstream", u.ID, "address", u.Address, "token", token)
 }
 
 // upstreamChanged takes in a newer report of an upstream.
-func (h *Host) upstreamChanged(now time.Time, u finder.Upstream) {
-	h.log.Info("upstream changed", "upstream", u.ID, "state", u.State, "life", u.Life, "service", u.Service)
-	h.placeOn(now, u)
-	k := h.keeps[u.ID]
+func (c *Core) upstreamChanged(now time.Time, u finder.Upstream) {
+	c.log.Info("upstream changed", "upstream", u.ID, "state", u.State, "life", u.Life, "service", u.Service)
+	c.placeOn(now, u)
+	k := c.keeps[u.ID]
 	if k == nil {
 		return
 	}
 	if k.session.Upstream().Life != u.Life || k.session.Upstream().Address != u.Address {
 		// Runs of the former life have ended with it. Its session learns that by itself if
 		// anything ran; the new life gets a session of its own.
-		h.replace(now, k, u)
+		c.replace(now, k, u)
 		return
 	}
 	k.session.Update(u)
 }
 
 // replace ends the session of a former life and begins one for the new life.
-func (h *Host) replace(now time.Time, k *keep, u finder.Upstream) {
+func (c *Core) replace(now time.Time, k *keep, u finder.Upstream) {
 	k.session.Replace(now)
-	h.sendKeeperEvents(k)
-	k.stop()
-	delete(h.keeps, u.ID)
-	if h.assigned.Keepers[u.ID] == h.cfg.Self.Address {
-		h.take(now, u)
+	_, events := k.session.Drain()
+	c.tellEvents(now, k, events)
+	c.letGo(k)
+	if c.assigned.Keepers[u.ID] == c.cfg.Self.Address {
+		c.take(now, u)
 	}
 }
 
 // tickKeeps does what is due on all upstreams of this host.
-func (h *Host) tickKeeps(now time.Time) {
-	for _, k := range h.sortedKeeps() {
+func (c *Core) tickKeeps(now time.Time) {
+	for _, k := range c.sortedKeeps() {
 		u := k.session.Upstream()
 		switch {
 		case !k.overtakenAt.IsZero() && now.Sub(k.overtakenAt) >= retakeAfter:
-			k.stop()
-			delete(h.keeps, u.ID)
-			if h.assigned.Keepers[u.ID] == h.cfg.Self.Address {
-				h.take(now, u)
+			c.letGo(k)
+			if c.assigned.Keepers[u.ID] == c.cfg.Self.Address {
+				c.take(now, u)
 			}
-		case h.assigned.Keepers[u.ID] == "" && len(k.session.Tasks()) == 0:
-			k.stop()
-			delete(h.keeps, u.ID)
+		case c.assigned.Keepers[u.ID] == "" && len(k.session.Tasks()) == 0:
+			c.letGo(k)
 		default:
-			k.session.Tick(now)
+			k.session.Tick(now, c.keepsAlone())
 		}
 	}
 }
 
+// keepsAlone reports whether this host would know if the placer had given its upstreams to
+// another keeper.
+func (c *Core) keepsAlone() bool {
+	return c.placerAt == c.cfg.Self.Address || c.up[c.placerAt]
+}
+
 // reportEvery is the time between two reports on the progress of runs, and reportFrom how
 // long a run must have run to be in one; most runs end before.
 const (
@@ -120,13 +124,13 @@
 )
 
 // reportProgress tells the placer how much of the longer runs is done.
-func (h *Host) reportProgress(now time.Time) {
-	if now.Sub(h.reportedAt) < reportEvery || h.placerAt == "" {
+func (c *Core) reportProgress(now time.Time) {
+	if now.Sub(c.reportedAt) < reportEvery || c.placerAt == "" {
 		return
 	}
-	h.reportedAt = now
+	c.reportedAt = now
 	var m progress
-	for _, k := range h.sortedKeeps() {
+	for _, k := range c.sortedKeeps() {
 		if !k.session.Ready() {
 			continue
 		}
@@ -142,48 +146,40 @@
 		}
 	}
 	if len(m.Runs) > 0 {
-		h.tell(h.placerAt, kindProgress, m)
+		c.tell(c.placerAt, kindProgress, m)
 	}
 }
 
 // sendOrders sends what the sessions have decided.
-func (h *Host) sendOrders(now time.Time) {
-	for _, k := range h.keeps {
-		k.session.Tick(now)
+func (c *Core) sendOrders(now time.Time) {
+	exclusive := c.keepsAlone()
+	for _, k := range c.sortedKeeps() {
+		k.session.Tick(now, exclusive)
 		orders, events := k.session.Drain()
-		h.tellEvents(now, k, events)
+		c.tellEvents(now, k, events)
 		u := k.session.Upstream()
 		for _, o := range orders {
-			h.calls.Go(func() {
-				call, cancel := context.WithTimeout(k.ctx, o.Timeout)
-				defer cancel()
-				a := h.cfg.Order(call, u, o)
-				h.inbox.force(func(now time.Time) {
+			c.out.Order(u, o, func(now time.Time, a keeper.Answer) {
+				if !k.closed {
 					k.session.Answered(now, a)
-				})
+				}
 			})
 		}
 	}
 }
 
-// sendKeeperEvents tells what a session that is given up has decided.
-func (h *Host) sendKeeperEvents(k *keep) {
-	_, events := k.session.Drain()
-	h.tellEvents(h.cfg.Now(), k, events)
-}
-
-func (h *Host) tellEvents(now time.Time, k *keep, events []keeper.Event) {
+func (c *Core) tellEvents(now time.Time, k *keep, events []keeper.Event) {
 	id := k.session.Upstream().ID
 	for _, e := range events {
 		switch e.Kind {
 		case keeper.Ended:
-			h.tell(e.Task.Entry, kindRunEnded, runEnded{
+			c.tell(e.Task.Entry, kindRunEnded, runEnded{
 				Upstream: id,
 				Run:      e.Task.Run,
 				How:      e.How,
 				Reason:   e.Reason,
 			})
-			h.tell(h.placerAt, kindFreed, freed{
+			c.tell(c.placerAt, kindFreed, freed{
 				Upstream: id,
 				Run:      e.Task.Run,
 				How:      e.How,
@@ -191,22 +187,22 @@
 				Took:     e.Took,
 			})
 		case keeper.Ready, keeper.Silent:
-			h.log.Info("upstream contact", "upstream", id, "ready", e.Kind == keeper.Ready)
-			h.reportRuns(k)
+			c.log.Info("upstream contact", "upstream", id, "ready", e.Kind == keeper.Ready)
+			c.reportRuns(k)
 		case keeper.Overtaken:
-			h.log.Warn("upstream taken by another host", "upstream", id, "token", k.session.Token())
+			c.log.Warn("upstream taken by another host", "upstream", id, "token", k.session.Token())
 			k.overtakenAt = now
-			h.reportRuns(k)
+			c.reportRuns(k)
 		case keeper.Replaced:
-			h.log.Info("upstream has begun another life", "upstream", id)
+			c.log.Info("upstream has begun another life", "upstream", id)
 			k.overtakenAt = now
-			h.reportRuns(k)
+			c.reportRuns(k)
 		}
 	}
 }
 
 // reportRuns tells the placer the state of an upstream.
-func (h *Host) reportRuns(k *keep) {
+func (c *Core) reportRuns(k *keep) {
 	r := runs{
 		Upstream: k.session.Upstream().ID,
 		Ready:    k.session.Ready(),
@@ -216,10 +212,10 @@
 		t.Content = ""
 		r.Running = append(r.Running, t)
 	}
-	h.tell(h.placerAt, kindRuns, r)
+	c.tell(c.placerAt, kindRuns, r)
 }
 
-func (h *Host) receiveStart(now time.Time, from string, m start) {
+func (c *Core) receiveStart(now time.Time, from string, m start) {
 	for _, r := range m.Runs {
 		t := keeper.Task{
 			Run:     r.Run,
@@ -227,15 +223,15 @@
 			Demand:  r.Demand,
 			Content: m.Content,
 		}
-		k := h.keeps[r.Upstream]
+		k := c.keeps[r.Upstream]
 		if k == nil {
-			h.tell(from, kindRunEnded, runEnded{
+			c.tell(from, kindRunEnded, runEnded{
 				Upstream: r.Upstream,
 				Run:      r.Run,
 				How:      keeper.Rejected,
 				Reason:   keeper.Unreachable,
 			})
-			h.tell(h.placerAt, kindReturn, returned{
+			c.tell(c.placerAt, kindReturn, returned{
 				Upstream: r.Upstream,
 				Run:      r.Run,
 			})
@@ -245,21 +241,21 @@
 	}
 }
 
-func (h *Host) receiveStop(now time.Time, m stop) {
-	if k := h.keeps[m.Upstream]; k != nil {
+func (c *Core) receiveStop(now time.Time, m stop) {
+	if k := c.keeps[m.Upstream]; k != nil {
 		k.session.Stop(now, m.Run)
 	}
 }
 
-func (h *Host) receiveWatch(from string, m watch) {
+func (c *Core) receiveWatch(now time.Time, from string, m watch) {
 	// Without a session nothing is known; the entry asks again.
-	if k := h.keeps[m.Of.Upstream]; k != nil {
-		k.session.Watch(keeper.Task{
+	if k := c.keeps[m.Of.Upstream]; k != nil {
+		k.session.Watch(now, keeper.Task{
 			Run:    m.Of.Run,
 			Entry:  from,
 			Demand: m.Of.Demand,
 		})
-		h.reportRuns(k)
+		c.reportRuns(k)
 	}
 }
 
--- a/dispatcher/loop.go
+++ b/dispatcher/loop.go
@@ -4,9 +4,6 @@
 	"context"
 	"sync"
 	"time"
-
-	"sesamedrift.example/sesamedrift/courier"
-	"sesamedrift.example/sesamedrift/messenger"
 )
 
 // maxInbox bounds the steps that wait for the loop. Beyond it batches of other hosts and
@@ -72,55 +69,11 @@
 			return
 		case <-h.inbox.wake:
 		case <-ticker.C:
-			h.due(h.cfg.Now())
-		}
-		h.run()
-	}
-}
-
-// run runs all steps, also those that come of them, and sends what they decided.
-func (h *Host) run() {
-	for {
-		now := h.cfg.Now()
-		steps := h.inbox.take()
-		for _, s := range steps {
-			s(now)
+			h.core.Due(h.cfg.Now())
 		}
-		h.sendDecisions()
-		h.sendOrders(now)
-		if len(steps) == 0 {
-			return
+		for _, s := range h.inbox.take() {
+			s(h.cfg.Now())
 		}
+		h.core.Flush(h.cfg.Now())
 	}
 }
-
-// due does what the passing of time asks for.
-func (h *Host) due(now time.Time) {
-	if !h.isSettled {
-		h.choosePlacer(now)
-	}
-	h.expireJobs(now)
-	h.tickKeeps(now)
-	h.reportProgress(now)
-	if h.placer != nil {
-		h.placer.Tick(now)
-		h.tellRoom(now)
-	}
-}
-
-// tell sends a message to a host of the domain, which may be this one. A message to a host
-// without a session is dropped; the end of the session is handled where it is noticed.
-func (h *Host) tell(to string, kind courier.Kind, v any) {
-	if to == h.cfg.Self.Address {
-		h.inbox.force(func(now time.Time) { h.receive(now, to, kind, v) })
-		return
-	}
-	body, err := messenger.Encode(v)
-	if err != nil {
-		panic("dispatcher: message cannot be encoded: " + err.Error())
-	}
-	h.courier.Post(to, courier.Message{
-		Kind: kind,
-		Body: body,
-	})
-}
--- a/dispatcher/passing.go
+++ b/dispatcher/passing.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"sesamedrift.example/sesamedrift/finder"
@@ -21,7 +23,7 @@
 	// returnAfter is the time from the end of a session over which a job was passed on until
 	// it surely runs nowhere: the other side notices within suspectAfter and stops the runs,
 	// or they end with a lease that is not renewed.
-	returnAfter = suspectAfter + 800*time.Millisecond
+	returnAfter = SuspectAfter + 800*time.Millisecond
 )
 
 // relay is a job that this host has passed on for an entry of its domain.
@@ -40,12 +42,12 @@
 }
 
 // answer gives a result to a caller.
-func (h *Host) answer(id string, c caller, r Result) {
-	if c.result != nil {
-		c.result <- r
+func (c *Core) answer(id string, to *Caller, r Result) {
+	if to.result != nil {
+		to.result(r)
 		return
 	}
-	h.tell(c.relay, kindForwarded, forwarded{
+	c.tell(to.relay, kindForwarded, forwarded{
 		Job:        id,
 		Outcome:    r.Outcome,
 		Reason:     r.Reason,
@@ -54,30 +56,31 @@
 }
 
 // placerChanged notes that a host of another domain has begun or ceased to place.
-func (h *Host) placerChanged(host finder.Host) {
-	n := h.neighbours[host.Address]
+func (c *Core) placerChanged(host finder.Host) {
+	n := c.neighbours[host.Address]
 	switch {
 	case host.Places && host.State != finder.Gone && n == nil:
-		h.neighbours[host.Address] = &neighbour{domain: host.Domain}
-		if h.placer != nil {
-			h.courier.Connect(host.Address)
+		c.neighbours[host.Address] = &neighbour{domain: host.Domain}
+		if c.placer != nil {
+			c.out.Connect(host.Address)
 		}
 	case (!host.Places || host.State == finder.Gone) && n != nil:
-		h.courier.Disconnect(host.Address)
-		delete(h.neighbours, host.Address)
+		c.out.Disconnect(host.Address)
+		delete(c.neighbours, host.Address)
 	}
 }
 
 // connectNeighbours begins the sessions that a placer keeps.
-func (h *Host) connectNeighbours() {
-	for address := range h.neighbours {
-		h.courier.Connect(address)
+func (c *Core) connectNeighbours() {
+	for _, address := range slices.Sorted(maps.Keys(c.neighbours)) {
+		c.out.Connect(address)
 	}
 }
 
 // neighbourOf returns the address of the placer of a domain, or "" if there is no session.
-func (h *Host) neighbourOf(domain string) string {
-	for address, n := range h.neighbours {
+func (c *Core) neighbourOf(domain string) string {
+	for _, address := range slices.Sorted(maps.Keys(c.neighbours)) {
+		n := c.neighbours[address]
 		if n.domain == domain && n.up {
 			return address
 		}
@@ -86,73 +89,76 @@
 }
 
 // tellRoom tells the other domains of the room in this one.
-func (h *Host) tellRoom(now time.Time) {
-	if h.placer == nil || len(h.neighbours) == 0 {
+func (c *Core) tellRoom(now time.Time) {
+	if c.placer == nil || len(c.neighbours) == 0 {
 		return
 	}
-	r := h.placer.Room(now)
-	for address, n := range h.neighbours {
+	r := c.placer.Room(now)
+	for _, address := range slices.Sorted(maps.Keys(c.neighbours)) {
+		n := c.neighbours[address]
 		since := now.Sub(n.toldAt)
 		if !n.up || since < roomEvery || r == n.told && since < roomAnyway {
 			continue
 		}
 		n.told, n.toldAt = r, now
-		h.tell(address, kindRoom, room{
-			Domain: h.cfg.Self.Domain,
+		c.tell(address, kindRoom, room{
+			Domain: c.cfg.Self.Domain,
 			Room:   r,
 		})
 	}
 }
 
-func (h *Host) receiveRoom(now time.Time, from string, m room) {
-	if h.placer == nil {
+func (c *Core) receiveRoom(now time.Time, from string, m room) {
+	if c.placer == nil {
 		return
 	}
-	if n := h.neighbours[from]; n != nil && n.up {
-		h.placer.SetNeighbour(now, m.Domain, m.Room)
+	if n := c.neighbours[from]; n != nil && n.up {
+		c.placer.SetNeighbour(now, m.Domain, m.Room)
 	}
 }
 
 // neighbourUp and neighbourDown note the sessions with placers of other domains.
-func (h *Host) neighbourUp(n *neighbour) { n.up = true }
+func (c *Core) neighbourUp(n *neighbour) { n.up = true }
 
-func (h *Host) neighbourDown(now time.Time, address string, n *neighbour) {
+func (c *Core) neighbourDown(now time.Time, address string, n *neighbour) {
 	n.up = false
-	if h.placer != nil {
-		h.placer.DropNeighbour(n.domain)
+	if c.placer != nil {
+		c.placer.DropNeighbour(n.domain)
 	}
-	for id, r := range h.relays {
+	for _, id := range slices.Sorted(maps.Keys(c.relays)) {
+		r := c.relays[id]
 		if r.to == address {
-			delete(h.relays, id)
-			h.tell(r.entry, kindForwarded, forwarded{
+			delete(c.relays, id)
+			c.tell(r.entry, kindForwarded, forwarded{
 				Job:     id,
 				Outcome: tracker.Lost,
 				Reason:  "the way to the other failure domain was lost",
 			})
 		}
 	}
-	h.dropCallers(now, address)
+	c.dropCallers(now, address)
 }
 
 // dropCallers ends the jobs that were passed on by a host that has gone.
-func (h *Host) dropCallers(now time.Time, address string) {
-	for id, j := range h.jobs {
-		if c := (caller{relay: address}); j.callers[c] {
-			h.callerGone(now, id, c)
+func (c *Core) dropCallers(now time.Time, address string) {
+	for _, j := range c.sortedJobs() {
+		id := j.tracker.Job.ID
+		if relay := j.relayFrom(address); relay != nil {
+			c.Gone(now, id, relay)
 		}
 	}
 }
 
 // receivePassOn sends a job to the placer to be relayed.
-func (h *Host) receivePassOn(now time.Time, from string, m passOn) {
-	j := h.jobs[m.Job]
-	if j == nil || from != h.placerAt || j.tracker.Started() {
+func (c *Core) receivePassOn(now time.Time, from string, m passOn) {
+	j := c.jobs[m.Job]
+	if j == nil || from != c.placerAt || j.tracker.Started() {
 		return
 	}
 	j.askedAt = time.Time{}
 	j.passedTo = m.Domain
 	t := &j.tracker.Job
-	h.tell(from, kindForward, forward{
+	c.tell(from, kindForward, forward{
 		Domain:   m.Domain,
 		ID:       t.ID,
 		Queue:    t.Queue,
@@ -166,29 +172,29 @@
 		Age:      now.Sub(t.Arrived),
 		Left:     t.Deadline.Sub(now),
 	})
-	h.log.Info("job passed on", "job", t.ID, "queue", t.Queue, "domain", m.Domain)
+	c.log.Info("job passed on", "job", t.ID, "queue", t.Queue, "domain", m.Domain)
 }
 
 // receiveForward relays a job of the own domain, or takes one of another domain.
-func (h *Host) receiveForward(now time.Time, from string, m forward) {
-	if m.Domain != h.cfg.Self.Domain {
-		to := h.neighbourOf(m.Domain)
+func (c *Core) receiveForward(now time.Time, from string, m forward) {
+	if m.Domain != c.cfg.Self.Domain {
+		to := c.neighbourOf(m.Domain)
 		if to == "" {
-			h.tell(from, kindForwarded, forwarded{
+			c.tell(from, kindForwarded, forwarded{
 				Job:     m.ID,
 				Outcome: tracker.NotRun,
 				Reason:  "the other failure domain cannot be reached",
 			})
 			return
 		}
-		h.relays[m.ID] = relay{
+		c.relays[m.ID] = relay{
 			entry: from,
 			to:    to,
 		}
-		h.tell(to, kindForward, m)
+		c.tell(to, kindForward, m)
 		return
 	}
-	h.submit(now, tracker.Job{
+	c.Submit(now, tracker.Job{
 		ID:       m.ID,
 		Queue:    m.Queue,
 		Service:  m.Service,
@@ -200,18 +206,18 @@
 		Steps:    m.Steps,
 		Arrived:  now.Add(-m.Age),
 		Deadline: now.Add(m.Left),
-	}, caller{relay: from})
+	}, &Caller{relay: from})
 }
 
 // receiveForwarded takes in the result of a job that was passed on.
-func (h *Host) receiveForwarded(now time.Time, from string, m forwarded) {
-	if r, relayed := h.relays[m.Job]; relayed && r.to == from {
-		delete(h.relays, m.Job)
-		h.tell(r.entry, kindForwarded, m)
+func (c *Core) receiveForwarded(now time.Time, from string, m forwarded) {
+	if r, relayed := c.relays[m.Job]; relayed && r.to == from {
+		delete(c.relays, m.Job)
+		c.tell(r.entry, kindForwarded, m)
 		return
 	}
-	j := h.jobs[m.Job]
-	if j == nil || j.passedTo == "" || from != h.placerAt {
+	j := c.jobs[m.Job]
+	if j == nil || j.passedTo == "" || from != c.placerAt {
 		return
 	}
 	j.passedTo = ""
@@ -223,22 +229,26 @@
 	}
 	j.result.RetryAfter = m.RetryAfter
 	j.tracker.End(m.Outcome, m.Reason)
-	h.settle(now, j)
+	c.settle(now, j)
 }
 
 // receiveDrop ends a forwarded job that nobody waits for any more.
-func (h *Host) receiveDrop(now time.Time, from string, m drop) {
-	if r, relayed := h.relays[m.Job]; relayed && r.entry == from {
-		delete(h.relays, m.Job)
-		h.tell(r.to, kindDrop, m)
+func (c *Core) receiveDrop(now time.Time, from string, m drop) {
+	if r, relayed := c.relays[m.Job]; relayed && r.entry == from {
+		delete(c.relays, m.Job)
+		c.tell(r.to, kindDrop, m)
 		return
 	}
-	h.callerGone(now, m.Job, caller{relay: from})
+	if j := c.jobs[m.Job]; j != nil {
+		if relay := j.relayFrom(from); relay != nil {
+			c.Gone(now, m.Job, relay)
+		}
+	}
 }
 
 // returnPassed takes back the jobs that were passed on by way of a placer that is lost.
-func (h *Host) returnPassed(now time.Time) {
-	for _, j := range h.jobs {
+func (c *Core) returnPassed(now time.Time) {
+	for _, j := range c.sortedJobs() {
 		if j.passedTo != "" {
 			j.passedTo = ""
 			j.tracker.MayHaveRun()
--- /dev/null
+++ b/emulator/faults.go
@@ -0,0 +1,98 @@
+package emulator
+
+import (
+	"fmt"
+	"time"
+)
+
+// faultsEvery is the mean time between two faults of a seed.
+const faultsEvery = 600 * time.Millisecond
+
+// PlanFaults plans random faults from the seed of the world, in series and overlapping,
+// until the given time. All of them are over some seconds later.
+func (w *World) PlanFaults(until time.Duration) {
+	for at := 2 * time.Second; at < until; {
+		at += time.Duration(w.random.ExpFloat64() * float64(faultsEvery))
+		kind := w.random.IntN(12)
+		lasts := time.Duration((0.2 + 4*w.random.Float64()) * float64(time.Second))
+		host := w.Hosts[w.random.IntN(len(w.Hosts))]
+		other := w.Hosts[w.random.IntN(len(w.Hosts))]
+		station := w.Upstreams[w.random.IntN(len(w.Upstreams))]
+		w.At(at, func() { w.fault(kind, lasts, host, other, station) })
+	}
+}
+
+func (w *World) fault(kind int, lasts time.Duration, host, other *Node, s *Station) {
+	if w.cfg.Log != nil {
+		fmt.Fprintf(w.cfg.Log, "at=%.4f fault kind=%d lasts=%s host=%s other=%s upstream=%s\n", w.now.Seconds(), kind, lasts, host.Name,
+			other.Name, s.Name)
+	}
+	switch kind {
+	case 0:
+		host.Kill()
+		w.after(lasts/4, host.Start)
+	case 1:
+		host.Freeze(lasts / 2)
+	case 2:
+		w.cutFor(lasts, [2]string{host.Name, other.Name}, [2]string{other.Name, host.Name})
+	case 3:
+		w.isolate(host, lasts)
+	case 4:
+		s.Crash()
+		w.after(lasts/2, s.Start)
+	case 5:
+		for _, n := range w.Hosts {
+			w.cutFor(lasts, [2]string{n.Name, s.Name}, [2]string{s.Name, n.Name})
+		}
+	case 6:
+		for _, n := range w.Hosts {
+			w.cutFor(lasts, [2]string{s.Name, n.Name})
+		}
+	case 7:
+		s.SetLate(0.2)
+		w.after(lasts, func() { s.SetLate(0) })
+	case 8:
+		conditions := []Condition{Failing, Hanging, Slow, Unhealthy}
+		s.SetCondition(conditions[w.random.IntN(len(conditions))])
+		w.after(lasts, func() { s.SetCondition(Sound) })
+	case 9:
+		s.Drain(lasts)
+		w.after(lasts+time.Second, s.Start)
+	case 10:
+		w.restart(host)
+	case 11:
+		w.ControlDown = true
+		w.after(lasts, func() { w.ControlDown = false })
+	}
+}
+
+// cutFor cuts ways for a time.
+func (w *World) cutFor(lasts time.Duration, ways ...[2]string) {
+	for _, way := range ways {
+		w.Cut(way[0], way[1])
+		w.after(lasts, func() { w.Heal(way[0], way[1]) })
+	}
+}
+
+// isolate cuts a host off from all other hosts and from control hosts, but not from upstreams
+// and callers.
+func (w *World) isolate(host *Node, lasts time.Duration) {
+	w.cutFor(lasts, [2]string{host.Name, "control"})
+	for _, n := range w.Hosts {
+		if n != host {
+			w.cutFor(lasts, [2]string{host.Name, n.Name}, [2]string{n.Name, host.Name})
+		}
+	}
+}
+
+// restart stops a host as planned and starts it again.
+func (w *World) restart(host *Node) {
+	host.Leave()
+	life := host.life
+	w.after(5*time.Second, func() {
+		if host.life == life {
+			host.Kill()
+			w.after(100*time.Millisecond, host.Start)
+		}
+	})
+}
--- /dev/null
+++ b/emulator/upstream.go
@@ -0,0 +1,266 @@
+package emulator
+
+import (
+	"slices"
+	"time"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/finder"
+	"sesamedrift.example/sesamedrift/keeper"
+)
+
+// Condition is what is wrong with an upstream.
+type Condition string
+
+// The conditions of upstreams.
+const (
+	Sound Condition = ""
+	// Failing: all runs fail soon after their start.
+	Failing Condition = "failing"
+	// Hanging: runs make no progress.
+	Hanging Condition = "hanging"
+	// Slow: runs take slowFactor times as long.
+	Slow Condition = "slow"
+	// Unhealthy: starts are rejected.
+	Unhealthy Condition = "unhealthy"
+)
+
+const (
+	// slowFactor is how many times as long runs take on a slow upstream.
+	slowFactor = 7
+	// failAfter is the share of its work after which a run fails.
+	failAfter = 0.25
+	// listMost bounds the ends in one answer.
+	listMost = 500
+)
+
+// Upstream is one life of an emulated upstream. It keeps its leases on a clock of its own,
+// checks fencing tokens and room, and lists the ends of runs until they are acknowledged.
+// Its methods carry the true time.
+type Upstream struct {
+	Report finder.Upstream
+	// Pace is the speed of the upstream's clock in relation to true time, at most 1.
+	Pace float64
+	// LongestLease is the longest lease that is granted, by the upstream's clock.
+	LongestLease time.Duration
+	// StopTime is how long a stop takes.
+	StopTime time.Duration
+	// Work returns how long a run takes on a sound upstream, and whether it fails by
+	// itself.
+	Work      func(run sesamedrift.Run, content string) (took time.Duration, fails bool)
+	Condition Condition
+	// Started and Ended are told of each run, if set.
+	Started func(now time.Time, u *Upstream, run sesamedrift.Run)
+	Ended   func(now time.Time, u *Upstream, run sesamedrift.Run, how keeper.How)
+
+	born  time.Time
+	token uint64
+	lease int64 // the end of the lease of all runs, on the upstream's clock
+	free  sesamedrift.Resources
+	runs  map[sesamedrift.Run]*run
+	// highest holds, for each task, the highest run that was stopped or has ended here.
+	highest map[sesamedrift.TaskID]int
+	ends    []keeper.End
+	number  uint64
+}
+
+// run is a run on an upstream.
+type run struct {
+	demand sesamedrift.Resources
+	took   time.Duration
+	fails  bool
+	done   time.Duration // work that was done until at
+	at     time.Time
+	stopAt time.Time // zero if it was not stopped
+}
+
+// Begin begins the life of the upstream.
+func (u *Upstream) Begin(now time.Time) {
+	u.born = now
+	u.free = u.Report.Capacity
+	u.runs = map[sesamedrift.Run]*run{}
+	u.highest = map[sesamedrift.TaskID]int{}
+}
+
+// Clock returns the time on the upstream's clock in milliseconds.
+func (u *Upstream) Clock(now time.Time) int64 {
+	return int64(float64(now.Sub(u.born).Milliseconds()) * u.Pace)
+}
+
+func (u *Upstream) speed() float64 {
+	switch u.Condition {
+	case Hanging:
+		return 0
+	case Slow:
+		return 1.0 / slowFactor
+	case Sound, Failing, Unhealthy:
+	}
+	return 1
+}
+
+// SetCondition changes the condition; runs go on at their new speed.
+func (u *Upstream) SetCondition(now time.Time, c Condition) {
+	u.Advance(now)
+	u.Condition = c
+}
+
+// Advance carries out what has happened until now: work, ends, stops and leases that run out.
+func (u *Upstream) Advance(now time.Time) {
+	if len(u.runs) > 0 && u.Clock(now) > u.lease {
+		for _, id := range u.sorted() {
+			u.end(now, id, keeper.Lapsed)
+		}
+		return
+	}
+	for _, id := range u.sorted() {
+		r := u.runs[id]
+		r.done += time.Duration(float64(now.Sub(r.at)) * u.speed())
+		r.at = now
+		failing := r.fails || u.Condition == Failing
+		switch {
+		case !r.stopAt.IsZero() && !now.Before(r.stopAt):
+			u.end(now, id, keeper.Stopped)
+		case failing && float64(r.done) >= failAfter*float64(r.took):
+			u.end(now, id, keeper.Failed)
+		case r.done >= r.took:
+			u.end(now, id, keeper.Done)
+		}
+	}
+}
+
+func (u *Upstream) sorted() []sesamedrift.Run {
+	all := make([]sesamedrift.Run, 0, len(u.runs))
+	for id := range u.runs {
+		all = append(all, id)
+	}
+	slices.SortFunc(all, func(a, b sesamedrift.Run) int { return a.Task.Compare(b.Task) })
+	return all
+}
+
+func (u *Upstream) end(now time.Time, id sesamedrift.Run, how keeper.How) {
+	r := u.runs[id]
+	delete(u.runs, id)
+	u.free = u.free.Plus(r.demand)
+	u.highest[id.Task] = max(u.highest[id.Task], id.Number)
+	u.number++
+	u.ends = append(u.ends, keeper.End{
+		Number: u.number,
+		Run:    id,
+		How:    how,
+	})
+	if u.Ended != nil {
+		u.Ended(now, u, id, how)
+	}
+}
+
+// Running returns the runs of the upstream.
+func (u *Upstream) Running() []sesamedrift.Run { return u.sorted() }
+
+// Crash ends everything without a trace.
+func (u *Upstream) Crash(now time.Time) {
+	for _, id := range u.sorted() {
+		u.end(now, id, keeper.Lost)
+	}
+}
+
+// NextEnd returns when the next run ends or lapses if nothing else happens; false if none
+// does.
+func (u *Upstream) NextEnd(now time.Time) (time.Time, bool) {
+	next, any := time.Time{}, false
+	take := func(at time.Time) {
+		if !any || at.Before(next) {
+			next, any = at, true
+		}
+	}
+	for _, r := range u.runs {
+		if !r.stopAt.IsZero() {
+			take(r.stopAt)
+		}
+		if speed := u.speed(); speed > 0 {
+			work := r.took
+			if r.fails || u.Condition == Failing {
+				work = time.Duration(failAfter * float64(work))
+			}
+			take(r.at.Add(time.Duration(float64(work-r.done)/speed) + time.Microsecond))
+		}
+	}
+	if len(u.runs) > 0 {
+		left := float64(u.lease-u.Clock(now)+1) / u.Pace
+		take(now.Add(time.Duration(left * float64(time.Millisecond))))
+	}
+	return next, any
+}
+
+// Order carries out an order and returns the answer. A hold is answered at once; its caller
+// repeats it to wait.
+func (u *Upstream) Order(now time.Time, o keeper.Order, demand sesamedrift.Resources) keeper.Answer {
+	u.Advance(now)
+	a := keeper.Answer{
+		Order:    o,
+		Status:   keeper.Accepted,
+		Clock:    u.Clock(now),
+		HasClock: true,
+		Life:     u.Report.Life,
+	}
+	if o.Token < u.token {
+		return refuse(a, keeper.Fenced)
+	}
+	u.token = o.Token
+	longest := u.Clock(now) + u.LongestLease.Milliseconds()
+	late := o.Lease > 0 && o.Lease <= u.Clock(now)
+	u.lease = max(u.lease, min(o.Lease, longest))
+	switch o.Kind {
+	case keeper.StartOrder:
+		return u.start(now, a, demand, late)
+	case keeper.StopOrder:
+		u.highest[o.Run.Task] = max(u.highest[o.Run.Task], o.Run.Number)
+		if r := u.runs[o.Run]; r != nil && r.stopAt.IsZero() {
+			r.stopAt = now.Add(u.StopTime)
+		}
+	case keeper.HoldOrder:
+		u.ends = slices.DeleteFunc(u.ends, func(e keeper.End) bool { return e.Number <= o.Seen })
+		a.Ended = slices.Clone(u.ends[:min(len(u.ends), listMost)])
+		for _, id := range u.sorted() {
+			r := u.runs[id]
+			a.Running = append(a.Running, keeper.Running{
+				Run:     id,
+				Percent: int(100 * r.done / r.took),
+			})
+		}
+	}
+	return a
+}
+
+func refuse(a keeper.Answer, reason keeper.Reason) keeper.Answer {
+	a.Status = keeper.Refused
+	a.Reason = reason
+	return a
+}
+
+func (u *Upstream) start(now time.Time, a keeper.Answer, demand sesamedrift.Resources, late bool) keeper.Answer {
+	o := a.Order
+	switch {
+	case u.runs[o.Run] != nil:
+		return a
+	case u.Condition == Unhealthy:
+		return refuse(a, keeper.Unhealthy)
+	case o.Run.Number <= u.highest[o.Run.Task]:
+		return refuse(a, keeper.OldRun)
+	case late:
+		return refuse(a, keeper.LateOrder)
+	case !demand.Fits(u.free):
+		return refuse(a, keeper.NoRoom)
+	}
+	took, fails := u.Work(o.Run, o.Content)
+	u.free = u.free.Minus(demand)
+	u.runs[o.Run] = &run{
+		demand: demand,
+		took:   took,
+		fails:  fails,
+		at:     now,
+	}
+	if u.Started != nil {
+		u.Started(now, u, o.Run)
+	}
+	return a
+}
--- /dev/null
+++ b/emulator/world.go
@@ -0,0 +1,688 @@
+// Package emulator runs entry hosts, upstreams, callers and the network between them in
+// simulated time and in one goroutine.
+//
+// The hosts are the Core of package dispatcher and the sessions of package courier, as they
+// run in the daemons; upstreams keep leases on clocks of their own and check fences, room and
+// old runs. Control hosts are reduced to a list that every host can ask while it can reach
+// one. Faults come from a plan or from a seed. A World checks the promises to callers while
+// it runs, from what callers and upstreams see, and collects each break with its time. A run
+// depends on its configuration alone.
+package emulator
+
+import (
+	"container/heap"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/courier"
+	"sesamedrift.example/sesamedrift/dispatcher"
+	"sesamedrift.example/sesamedrift/finder"
+	"sesamedrift.example/sesamedrift/inquirer"
+	"sesamedrift.example/sesamedrift/keeper"
+	"sesamedrift.example/sesamedrift/router"
+)
+
+// Times of the emulated world.
+const (
+	tick   = 20 * time.Millisecond
+	beat   = 100 * time.Millisecond
+	resend = 200 * time.Millisecond
+	// newsEvery is how often a host hears of changes from control hosts.
+	newsEvery = 50 * time.Millisecond
+	// resubmitAfter is how long a caller waits before it sends a job again whose connection
+	// broke.
+	resubmitAfter = 1300 * time.Millisecond
+	// maxQueue bounds the messages that wait in a session.
+	maxQueue = 1 << 16
+)
+
+// Keeping holds the times of leases of the emulated hosts.
+var Keeping = keeper.Config{
+	Lease:    600 * time.Millisecond,
+	Wait:     150 * time.Millisecond,
+	Answer:   120 * time.Millisecond,
+	Idle:     time.Second,
+	Retry:    50 * time.Millisecond,
+	MaxRetry: 500 * time.Millisecond,
+	StopTime: 50 * time.Millisecond,
+	Drift:    0.02,
+	Margin:   10 * time.Millisecond,
+	Adopt:    time.Second,
+}
+
+// Config describes a world.
+type Config struct {
+	Seed uint64
+	// Domains is the number of failure domains, Hosts and Upstreams their sizes.
+	Domains, Hosts, Upstreams int
+	// JobsPerSecond is the number of jobs of each domain.
+	JobsPerSecond float64
+	// Lasts is how long jobs arrive.
+	Lasts time.Duration
+	// Log takes the logs of the hosts; they are dropped if it is nil.
+	Log io.Writer
+}
+
+// Epoch is the time at which each world begins.
+var Epoch = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].seq < e[j].seq
+}
+
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push adds an event; it is called by package heap.
+func (e *events) Push(x any) {
+	v, ok := x.(event)
+	if !ok {
+		panic("emulator: only events are pushed")
+	}
+	*e = append(*e, v)
+}
+
+// Pop removes the last event; it is called by package heap.
+func (e *events) Pop() any {
+	old := *e
+	v := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return v
+}
+
+// World is an emulated system.
+type World struct {
+	cfg    Config
+	random *rand.Rand
+	now    time.Duration
+	queue  events
+	seq    int
+
+	Hosts     []*Node
+	Upstreams []*Station
+	// known is what control hosts know.
+	hosts     *finder.List[finder.Host]
+	upstreams *finder.List[finder.Upstream]
+	document  inquirer.Document
+	table     *router.Document
+	// ControlDown says that no control host can be reached.
+	ControlDown bool
+	// cuts holds the ways on which messages are lost, from and to.
+	cuts map[[2]string]bool
+
+	jobs   map[string]*callerJob
+	checks *checks
+	// Counts are what came of the jobs.
+	Counts Counts
+}
+
+// Counts are numbers of jobs.
+type Counts struct {
+	Sent, Complete, Failed, NotRun, Lost, Unanswered int
+}
+
+// Node is a host with its process.
+type Node struct {
+	w       *World
+	Name    string
+	Domain  string
+	Address string
+	life    uint64
+	core    *dispatcher.Core // nil while the process is down
+	// frozen is until when the process stands still.
+	frozen   time.Duration
+	sessions map[string]*channel
+	newsSeen [3]uint64
+}
+
+// channel is the sender of one host's session with another.
+type channel struct {
+	session *courier.Session
+	busy    bool
+	closed  bool
+}
+
+// Station is a place where an upstream runs, one life after the other.
+type Station struct {
+	w        *World
+	Name     string
+	Domain   string
+	up       *Upstream // nil while it is down
+	life     uint64
+	report   uint64
+	draining bool
+	// late is the share of orders that are not answered and carried out seconds later.
+	late float64
+	next int // number of the planned look at the next end
+}
+
+// New returns a world whose hosts start now.
+func New(cfg Config) *World {
+	w := &World{
+		cfg:       cfg,
+		random:    rand.New(rand.NewPCG(cfg.Seed, 7)),
+		hosts:     finder.NewList[finder.Host](),
+		upstreams: finder.NewList[finder.Upstream](),
+		cuts:      map[[2]string]bool{},
+		jobs:      map[string]*callerJob{},
+	}
+	w.checks = newChecks(w)
+	w.table = &router.Document{
+		Version:  1,
+		Services: []router.Service{{Name: "service"}},
+	}
+	w.document = inquirer.Document{
+		Version: 1,
+		Content: []byte("document"),
+	}
+	for d := range cfg.Domains {
+		domain := fmt.Sprint("domain-", d)
+		for i := range cfg.Hosts {
+			n := &Node{
+				w:       w,
+				Name:    fmt.Sprintf("host-%d-%d", d, i),
+				Domain:  domain,
+				Address: fmt.Sprintf("10.%d.0.%d:1", d, i),
+			}
+			w.Hosts = append(w.Hosts, n)
+			w.after(time.Duration(w.random.Int64N(int64(300*time.Millisecond))), n.Start)
+		}
+		for i := range cfg.Upstreams {
+			s := &Station{
+				w:      w,
+				Name:   fmt.Sprintf("upstream-%d-%02d", d, i),
+				Domain: domain,
+			}
+			w.Upstreams = append(w.Upstreams, s)
+			s.Start()
+		}
+	}
+	w.sendJobs()
+	w.every(newsEvery, w.spreadNews)
+	w.every(tick, w.checks.look)
+	return w
+}
+
+func (w *World) time() time.Time { return Epoch.Add(w.now) }
+
+func (w *World) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{
+		at:  w.now + d,
+		seq: w.seq,
+		do:  do,
+	})
+}
+
+// At does something at a time after the beginning of the world.
+func (w *World) At(at time.Duration, do func()) { w.after(max(0, at-w.now), do) }
+
+func (w *World) every(d time.Duration, do func()) {
+	var again func()
+	again = func() {
+		do()
+		w.after(d, again)
+	}
+	w.after(d, again)
+}
+
+// Run lets time pass until the given time after the beginning.
+func (w *World) Run(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e, ok := heap.Pop(&w.queue).(event)
+		if !ok {
+			panic("emulator: only events are queued")
+		}
+		w.now = e.at
+		e.do()
+	}
+	w.now = until
+}
+
+// Broken returns the promises that were broken, in the order of time.
+func (w *World) Broken() []string { return w.checks.broken }
+
+// Cut makes messages from one place to another get lost, until Heal.
+func (w *World) Cut(from, to string) { w.cuts[[2]string{from, to}] = true }
+
+// Heal ends a cut.
+func (w *World) Heal(from, to string) { delete(w.cuts, [2]string{from, to}) }
+
+func (w *World) open(from, to string) bool { return !w.cuts[[2]string{from, to}] }
+
+// distance is the time of a message.
+func (w *World) distance(from, to string) time.Duration {
+	base := 200 * time.Microsecond
+	if from != to {
+		base = 500 * time.Microsecond
+	}
+	return base + time.Duration(w.random.Int64N(int64(200*time.Microsecond)))
+}
+
+// Start starts the process of a host, unless it runs.
+func (n *Node) Start() {
+	if n.core != nil {
+		return
+	}
+	w := n.w
+	n.life = uint64(w.time().UnixNano())
+	n.sessions = map[string]*channel{}
+	n.newsSeen = [3]uint64{}
+	log := slog.New(slog.DiscardHandler)
+	if w.cfg.Log != nil {
+		log = slog.New(slog.NewTextHandler(w.cfg.Log, &slog.HandlerOptions{
+			ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
+				if a.Key == slog.TimeKey {
+					return slog.String("at", fmt.Sprintf("%.4f", w.now.Seconds()))
+				}
+				return a
+			},
+		})).With("host", n.Name)
+	}
+	life := n.life
+	alive := func(do func()) func() {
+		return func() {
+			if n.core != nil && n.life == life {
+				n.awake(do)
+			}
+		}
+	}
+	n.core = dispatcher.NewCore(dispatcher.CoreConfig{
+		Self: finder.Host{
+			ID:      n.Name,
+			Domain:  n.Domain,
+			Role:    finder.Entry,
+			Address: n.Address,
+			Life:    life,
+			State:   finder.Serving,
+		},
+		Keeping: Keeping,
+		Parse:   func([]byte) (*router.Document, error) { return w.table, nil },
+		Log:     log,
+	}, dispatcher.Out{
+		Post:       n.post,
+		Connect:    n.connect,
+		Disconnect: n.disconnect,
+		Ask:        func(string) {},
+		StopAsking: func(string) {},
+		Present:    func(finder.Host) {},
+		Order: func(u finder.Upstream, o keeper.Order, done func(now time.Time, a keeper.Answer)) {
+			w.order(n, u, o, func(a keeper.Answer) {
+				alive(func() {
+					done(w.time(), a)
+					n.core.Flush(w.time())
+				})()
+			})
+		},
+		InForce: func(*router.Table) {},
+	}, w.time(), nil)
+	var due func()
+	due = alive(func() {
+		n.core.Due(w.time())
+		n.core.Flush(w.time())
+		w.after(tick, due)
+	})
+	due()
+}
+
+// awake does something now, or when the host thaws.
+func (n *Node) awake(do func()) {
+	if n.frozen > n.w.now {
+		n.w.At(n.frozen, func() {
+			if n.core != nil {
+				n.awake(do)
+			}
+		})
+		return
+	}
+	do()
+}
+
+// Kill ends the process of a host without a word.
+func (n *Node) Kill() {
+	if n.core == nil {
+		return
+	}
+	n.core = nil
+	for _, c := range n.sessions {
+		c.closed = true
+	}
+	n.w.hostDied(n)
+}
+
+// Freeze makes the process stand still for a time.
+func (n *Node) Freeze(d time.Duration) { n.frozen = n.w.now + d }
+
+// Leave begins a planned stop.
+func (n *Node) Leave() {
+	if n.core != nil {
+		n.core.Leave(n.w.time())
+		n.core.Flush(n.w.time())
+	}
+}
+
+// Up reports whether the process of the host runs.
+func (n *Node) Up() bool { return n.core != nil }
+
+func (w *World) hostAt(address string) *Node {
+	for _, n := range w.Hosts {
+		if n.Address == address {
+			return n
+		}
+	}
+	return nil
+}
+
+func (n *Node) connect(address string) { n.channel(address) }
+
+func (n *Node) channel(address string) *channel {
+	if c := n.sessions[address]; c != nil {
+		return c
+	}
+	c := &channel{
+		session: &courier.Session{
+			Self:         n.Address,
+			Peer:         address,
+			Life:         n.life,
+			SuspectAfter: dispatcher.SuspectAfter,
+			MaxQueue:     maxQueue,
+		},
+	}
+	n.sessions[address] = c
+	var again func()
+	again = func() {
+		if c.closed {
+			return
+		}
+		n.awake(func() {
+			if c.closed {
+				return
+			}
+			n.deliver(c.session.Check(n.w.time()))
+			n.send(address, c)
+		})
+		n.w.after(beat, again)
+	}
+	n.w.after(0, again)
+	return c
+}
+
+func (n *Node) disconnect(address string) {
+	c := n.sessions[address]
+	if c == nil {
+		return
+	}
+	delete(n.sessions, address)
+	c.closed = true
+	events := c.session.End()
+	// The Core has asked for this and must not be called from here.
+	n.w.after(0, func() {
+		if n.core != nil {
+			n.deliver(events)
+		}
+	})
+}
+
+func (n *Node) post(to string, m courier.Message) bool {
+	c := n.sessions[to]
+	if c == nil || !c.session.Post(m) {
+		return false
+	}
+	n.w.after(0, func() { n.send(to, c) })
+	return true
+}
+
+func (n *Node) deliver(events []courier.Event) {
+	for _, e := range events {
+		n.core.Session(n.w.time(), e)
+	}
+	if len(events) > 0 {
+		n.core.Flush(n.w.time())
+	}
+}
+
+// send sends the next batch of a session, unless one is on its way.
+func (n *Node) send(address string, c *channel) {
+	w := n.w
+	if c.closed || c.busy || n.core == nil {
+		return
+	}
+	c.busy = true
+	b := c.session.Next()
+	to := w.hostAt(address)
+	answered := false
+	w.after(resend, func() {
+		if !answered {
+			answered = true
+			c.busy = false
+		}
+	})
+	if to == nil || !w.open(n.Name, to.Name) {
+		return
+	}
+	w.after(w.distance(n.Domain, to.Domain), func() {
+		if to.core == nil {
+			return
+		}
+		to.awake(func() {
+			back := to.channel(n.Address)
+			ack, events := back.session.Receive(w.time(), b)
+			to.deliver(events)
+			if !w.open(to.Name, n.Name) {
+				return
+			}
+			w.after(w.distance(n.Domain, to.Domain), func() {
+				if n.core == nil || c.closed {
+					return
+				}
+				n.awake(func() { n.acked(address, c, b, ack, &answered) })
+			})
+		})
+	})
+}
+
+func (n *Node) acked(address string, c *channel, b courier.Batch, a courier.Ack, answered *bool) {
+	if *answered || c.closed {
+		return
+	}
+	*answered = true
+	c.busy = false
+	n.deliver(c.session.Acked(n.w.time(), b, a))
+	if !c.session.Up() || c.session.Waiting() {
+		n.send(address, c)
+	}
+}
+
+// spreadNews tells each host that reaches a control host what has changed.
+func (w *World) spreadNews() {
+	if w.ControlDown {
+		return
+	}
+	for _, n := range w.Hosts {
+		if n.core == nil || n.frozen > w.now || !w.open(n.Name, "control") {
+			continue
+		}
+		w.hosts.Put(w.time(), n.core.Self())
+		news := inquirer.News{
+			Hosts:     w.hosts.Since(n.newsSeen[0]),
+			Upstreams: w.upstreams.Since(n.newsSeen[1]),
+			Document:  w.document,
+		}
+		n.newsSeen[0], n.newsSeen[1] = w.hosts.Seq(), w.upstreams.Seq()
+		n.core.News(w.time(), news)
+		n.core.Flush(w.time())
+	}
+}
+
+// allHeard reports whether all hosts have heard of the newest reports of upstreams.
+func (w *World) allHeard() bool {
+	for _, n := range w.Hosts {
+		if n.core != nil && n.newsSeen[1] != w.upstreams.Seq() {
+			return false
+		}
+	}
+	return true
+}
+
+// Start begins a new life of the upstream, unless one lives.
+func (s *Station) Start() {
+	if s.up != nil {
+		return
+	}
+	w := s.w
+	s.life++
+	s.report = 1
+	s.draining = false
+	s.up = &Upstream{
+		Report: finder.Upstream{
+			ID:       fmt.Sprintf("%s-life-%d", s.Name, s.life),
+			Service:  "service",
+			Address:  s.Name,
+			Domain:   s.Domain,
+			Life:     s.life,
+			Report:   s.report,
+			State:    finder.Serving,
+			Capacity: sesamedrift.Resources{CPU: 16000, Memory: 32768},
+		},
+		Pace:         1 - Keeping.Drift*w.random.Float64(),
+		LongestLease: time.Second,
+		StopTime:     Keeping.StopTime,
+		Work:         w.work,
+		Started:      w.checks.started,
+		Ended:        w.checks.ended,
+	}
+	s.up.Begin(w.time())
+	w.upstreams.Put(w.time(), s.up.Report)
+}
+
+// Crash ends the upstream without a word.
+func (s *Station) Crash() {
+	if s.up != nil {
+		s.up.Crash(s.w.time())
+		s.up = nil
+	}
+}
+
+// Drain makes the upstream say that it leaves; it ends some seconds later.
+func (s *Station) Drain(linger time.Duration) {
+	if s.up == nil || s.draining {
+		return
+	}
+	w, u := s.w, s.up
+	s.draining = true
+	s.report++
+	u.Report.Report = s.report
+	u.Report.State = finder.Leaving
+	w.upstreams.Put(w.time(), u.Report)
+	w.after(linger, func() {
+		if s.up != u {
+			return
+		}
+		gone := u.Report
+		gone.State = finder.Gone
+		s.Crash()
+		w.upstreams.Put(w.time(), gone)
+	})
+}
+
+// SetCondition changes the condition of the upstream.
+func (s *Station) SetCondition(c Condition) {
+	if s.up != nil {
+		s.up.SetCondition(s.w.time(), c)
+		s.plan()
+	}
+}
+
+// SetLate makes a share of the orders go unanswered and be carried out seconds later.
+func (s *Station) SetLate(share float64) { s.late = share }
+
+// plan plans the next look at the ends of runs.
+func (s *Station) plan() {
+	if s.up == nil {
+		return
+	}
+	s.next++
+	number, u := s.next, s.up
+	at, any := u.NextEnd(s.w.time())
+	if !any {
+		return
+	}
+	s.w.after(max(0, at.Sub(s.w.time())), func() {
+		if s.up == u && s.next == number {
+			u.Advance(s.w.time())
+			s.plan()
+		}
+	})
+}
+
+// order carries an order from a host to an upstream and the answer back.
+func (w *World) order(n *Node, to finder.Upstream, o keeper.Order, done func(keeper.Answer)) {
+	unheard := keeper.Answer{
+		Order:  o,
+		Status: keeper.NotHeard,
+	}
+	answered := false
+	answer := func(a keeper.Answer) {
+		if !answered {
+			answered = true
+			done(a)
+		}
+	}
+	w.after(o.Timeout, func() { answer(unheard) })
+	at := slices.IndexFunc(w.Upstreams, func(s *Station) bool { return s.Name == to.Address })
+	if at < 0 || !w.open(n.Name, w.Upstreams[at].Name) {
+		return
+	}
+	s := w.Upstreams[at]
+	if s.late > 0 && w.random.Float64() < s.late {
+		w.after(time.Duration(2+10*w.random.Float64())*time.Second, func() {
+			if s.up != nil && s.up.Report.ID == to.ID {
+				s.up.Order(w.time(), o, w.demand(o.Run.Task.Job))
+				s.plan()
+			}
+		})
+		return
+	}
+	w.after(w.distance(n.Domain, s.Domain), func() { s.serve(n, to, o, w.now+o.Wait, answer) })
+}
+
+// serve answers an order, or a hold when something ends or its wait is over.
+func (s *Station) serve(n *Node, to finder.Upstream, o keeper.Order, until time.Duration, answer func(keeper.Answer)) {
+	w := s.w
+	if s.up == nil {
+		return
+	}
+	a := keeper.Answer{
+		Order:  o,
+		Status: keeper.OtherLife,
+		Life:   s.up.Report.Life,
+	}
+	if s.up.Report.ID == to.ID {
+		a = s.up.Order(w.time(), o, w.demand(o.Run.Task.Job))
+		s.plan()
+		if o.Kind == keeper.HoldOrder && a.Status == keeper.Accepted && len(a.Ended) == 0 && w.now < until {
+			w.after(min(time.Millisecond, until-w.now), func() { s.serve(n, to, o, until, answer) })
+			return
+		}
+	}
+	if w.open(s.Name, n.Name) {
+		w.after(w.distance(n.Domain, s.Domain), func() { answer(a) })
+	}
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -234,6 +234,11 @@
 	stopAcked  time.Time // zero if no stop was acknowledged
 }
 
+type watched struct {
+	Task
+	at time.Time
+}
+
 // Session is the state of one upstream.
 type Session struct {
 	cfg      Config
@@ -241,8 +246,10 @@
 	token    uint64
 	life     uint64 // 0 until the upstream has said it
 
-	tasks   map[sesamedrift.Run]*task
-	watched []Task // asked for before the session was ready
+	tasks map[sesamedrift.Run]*task
+	// watched holds runs that were asked for but are not known; the next look that is sent
+	// after the question tells of them.
+	watched []watched
 
 	ready bool
 	// over says that another keeper or another life has taken over, replaced that it was
@@ -369,21 +376,30 @@
 
 // Watch asks for the end of a run that a former keeper has started. A session that another
 // keeper has overtaken does not know it, and is not asked.
-func (s *Session) Watch(t Task) {
+func (s *Session) Watch(now time.Time, t Task) {
+	known := slices.ContainsFunc(s.watched, func(w watched) bool { return w.Run == t.Run })
 	switch {
 	case s.tasks[t.Run] != nil:
 		s.tasks[t.Run].adopt(t)
-	case s.Ready() || s.replaced:
-		s.events = append(s.events, Event{
-			Kind: Ended,
+	case s.replaced:
+		s.lost(t)
+	case !s.over && !known:
+		s.watched = append(s.watched, watched{
 			Task: t,
-			How:  Lost,
+			at:   now,
 		})
-	default:
-		s.watched = append(s.watched, t)
+		s.look(now)
 	}
 }
 
+func (s *Session) lost(t Task) {
+	s.events = append(s.events, Event{
+		Kind: Ended,
+		Task: t,
+		How:  Lost,
+	})
+}
+
 // Stop ends a run. Its end is told by an event as usual.
 func (s *Session) Stop(now time.Time, run sesamedrift.Run) {
 	if t := s.tasks[run]; t != nil && !t.stopWanted {
@@ -399,7 +415,7 @@
 			s.Stop(now, t.Run)
 		}
 	}
-	s.watched = slices.DeleteFunc(s.watched, func(t Task) bool { return t.Entry == entry })
+	s.watched = slices.DeleteFunc(s.watched, func(w watched) bool { return w.Entry == entry })
 }
 
 func (s *Session) sorted() []*task {
@@ -453,8 +469,9 @@
 	return s.heardAt.Add(time.Duration(left*float64(time.Millisecond)) + s.cfg.Margin)
 }
 
-// Tick does what is due.
-func (s *Session) Tick(now time.Time) {
+// Tick does what is due. Only if no other host can have become the keeper, exclusive is set;
+// another one may have renewed the lease.
+func (s *Session) Tick(now time.Time, exclusive bool) {
 	if s.over {
 		return
 	}
@@ -464,7 +481,7 @@
 		s.extraAt = time.Time{}
 		s.hold(now, 0)
 	}
-	if !s.ready && s.clockKnown && len(s.tasks) > 0 && now.After(s.lapsedAt()) {
+	if exclusive && !s.ready && s.clockKnown && len(s.tasks) > 0 && now.After(s.lapsedAt()) {
 		for _, t := range s.sorted() {
 			s.end(now, t, Lapsed, "")
 		}
@@ -571,7 +588,10 @@
 	for _, t := range s.sorted() {
 		s.end(now, t, Lost, "")
 	}
-	s.answerWatches()
+	for _, w := range s.watched {
+		s.lost(w.Task)
+	}
+	s.watched = nil
 	s.events = append(s.events, Event{Kind: Replaced})
 }
 
@@ -626,8 +646,8 @@
 	if !s.ready {
 		s.ready = true
 		s.events = append(s.events, Event{Kind: Ready})
-		s.answerWatches()
 	}
+	s.answerWatches(a.Order.Sent)
 	s.nextAt = now
 	if len(s.tasks) == 0 {
 		s.nextAt = now.Add(s.cfg.Idle)
@@ -710,11 +730,22 @@
 	})
 }
 
-// answerWatches settles the watches that came before the session was ready.
-func (s *Session) answerWatches() {
-	watched := s.watched
-	s.watched = nil
-	for _, t := range watched {
-		s.Watch(t)
+// answerWatches settles the questions about runs that came before a look was sent. Another
+// keeper may have started the run since the look before, so that an earlier one tells nothing.
+func (s *Session) answerWatches(sent time.Time) {
+	s.watched = slices.DeleteFunc(s.watched, func(w watched) bool {
+		t := s.tasks[w.Run]
+		switch {
+		case t != nil:
+			t.adopt(w.Task)
+		case sent.After(w.at):
+			s.lost(w.Task)
+		default:
+			return false
+		}
+		return true
+	})
+	if len(s.watched) > 0 {
+		s.look(sent)
 	}
 }
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -69,7 +69,7 @@
 // after lets time pass and takes what the session has decided.
 func (b *bed) after(d time.Duration) {
 	b.now = b.now.Add(d)
-	b.s.Tick(b.now)
+	b.s.Tick(b.now, true)
 	orders, events := b.s.Drain()
 	b.orders = append(b.orders, orders...)
 	b.events = append(b.events, events...)
@@ -137,7 +137,7 @@
 		Reason: Fenced,
 	})
 	b.g.Expect(b.told()).To(ConsistOf(HaveField("Kind", Overtaken)))
-	b.s.Watch(taskOf(0, 1))
+	b.s.Watch(b.now, taskOf(0, 1))
 	b.after(time.Second)
 	b.g.Expect(b.told()).To(BeEmpty())
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -421,9 +421,9 @@
 // Leave forgets the jobs of an entry host, and the places that it was given but has not
 // used yet.
 func (p *Placer) Leave(now time.Time, entry string) {
-	for key := range p.jobs {
-		if key.entry == entry {
-			p.Withdraw(entry, key.id)
+	for _, w := range slices.Clone(p.order) {
+		if w.Entry == entry {
+			p.Withdraw(entry, w.ID)
 		}
 	}
 	for _, u := range p.sorted {
--- a/replayer/sweep_test.go
+++ b/replayer/sweep_test.go
@@ -11,7 +11,10 @@
 func TestSweep(t *testing.T) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	type sum struct{ worth, worst, n, wasted float64; byQ map[string]float64 }
+	type sum struct {
+		worth, worst, n, wasted float64
+		byQ                     map[string]float64
+	}
 	total := sum{byQ: map[string]float64{}}
 	slots := make(chan struct{}, 6)
 	for _, name := range names(t) {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -245,6 +245,14 @@
 	return true
 }
 
+// Keeper returns the address of the host that keeps the upstream of an active run, or "".
+func (t *Tracker) Keeper(run sesamedrift.Run) string {
+	if k := t.find(run); k != nil && k.phase == active {
+		return k.place.Keeper
+	}
+	return ""
+}
+
 // Moved notes that another host keeps an upstream, and returns the active runs there.
 func (t *Tracker) Moved(upstream, keeper string) []Active {
 	var moved []Active
