dispatcher: hosts that are cut off leave the others' upstreams alone; slow hosts hand over

Cause: an entry host that was cut off from all others took all upstreams of its domain, which took them back each half second; a placer on a machine that had become five times slower made the jobs of its domain late; a question for places that crossed with the decision to pass the job on ran the job in both domains. Ruled out: the delay of the loop as a measure of speed (5 ms, and it falls with the load).

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -98,7 +98,9 @@
 		Self:  func() finder.Host { return cfg.Self },
 		Token: cfg.Token,
 		Apply: h.apply,
-		Log:   cfg.Log,
+		// Control hosts decide nothing by whom they reach.
+		Contact: func(string, bool) {},
+		Log:     cfg.Log,
 	}
 	h.hosts.Put(cfg.Now(), cfg.Self)
 	var err error
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -15,6 +15,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sesamedrift.example/sesamedrift/messenger"
@@ -60,8 +61,9 @@
 
 // peer is one other host. Its goroutine sends the batches.
 type peer struct {
-	conn   *messenger.Peer
-	wake   chan struct{}
+	conn atomic.Pointer[messenger.Peer]
+	wake chan struct{}
+	// cancel ends the goroutine; nil while there is none. The lock of the courier guards it.
 	cancel context.CancelFunc
 
 	// mu orders the steps of the session and the delivery of their events.
@@ -89,14 +91,24 @@
 }
 
 func (c *Courier) connect(address string) *peer {
-	if p, ok := c.peers[address]; ok {
-		return p
+	p := c.peers[address]
+	if p == nil {
+		p = c.newPeer(address)
+		c.peers[address] = p
 	}
-	ctx, cancel := context.WithCancel(c.ctx)
-	p := &peer{
-		conn:   messenger.NewPeer(address, c.cfg.Local),
-		wake:   make(chan struct{}, 1),
-		cancel: cancel,
+	if p.cancel == nil && c.ctx.Err() == nil {
+		ctx, cancel := context.WithCancel(c.ctx)
+		p.cancel = cancel
+		conn := messenger.NewPeer(address, c.cfg.Local)
+		p.conn.Store(conn)
+		c.duties.Go(func() { c.send(ctx, p, conn) })
+	}
+	return p
+}
+
+func (c *Courier) newPeer(address string) *peer {
+	return &peer{
+		wake: make(chan struct{}, 1),
 		session: Session{
 			Self:         c.cfg.Self,
 			Peer:         address,
@@ -105,24 +117,28 @@
 			MaxQueue:     maxQueue,
 		},
 	}
-	c.peers[address] = p
-	if c.ctx.Err() == nil {
-		c.duties.Go(func() { c.send(ctx, p) })
+}
+
+// stop ends the goroutine that sends to the peer. The caller holds the lock of the courier.
+func (p *peer) stop() {
+	if p.cancel != nil {
+		p.cancel()
+		p.cancel = nil
 	}
-	return p
 }
 
 // Disconnect ends the session with a host and sends it nothing more, unless the host
-// begins a session itself.
+// begins a session itself. The epoch is remembered, so that the host learns of the end.
 func (c *Courier) Disconnect(address string) {
 	c.mu.Lock()
 	p := c.peers[address]
-	delete(c.peers, address)
+	if p != nil {
+		p.stop()
+	}
 	c.mu.Unlock()
 	if p == nil {
 		return
 	}
-	p.cancel()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.deliver(p, p.session.End())
@@ -188,7 +204,9 @@
 	c.mu.Lock()
 	p := c.connect(b.From)
 	c.mu.Unlock()
-	p.conn.Heard()
+	if conn := p.conn.Load(); conn != nil {
+		conn.Heard()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !c.deliver(p, nil) {
@@ -218,8 +236,8 @@
 }
 
 // send exchanges batches with one peer until ctx ends.
-func (c *Courier) send(ctx context.Context, p *peer) {
-	defer func() { _ = p.conn.Close() }()
+func (c *Courier) send(ctx context.Context, p *peer, conn *messenger.Peer) {
+	defer func() { _ = conn.Close() }()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	idle := 0
@@ -230,7 +248,7 @@
 		case <-p.wake:
 		case <-timer.C:
 		}
-		answered := c.exchange(ctx, p)
+		answered := c.exchange(ctx, p, conn)
 		p.mu.Lock()
 		c.deliver(p, p.session.Check(c.cfg.Now()))
 		pause := c.cfg.Beat
@@ -250,7 +268,7 @@
 }
 
 // exchange sends one batch and takes in its answer. It reports whether there was one.
-func (c *Courier) exchange(ctx context.Context, p *peer) bool {
+func (c *Courier) exchange(ctx context.Context, p *peer, conn *messenger.Peer) bool {
 	p.mu.Lock()
 	batch := p.session.Next()
 	p.mu.Unlock()
@@ -260,14 +278,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Resend)
 	defer cancel()
-	reply, err := p.conn.Call(ctx, messenger.KindCourier, body)
+	reply, err := conn.Call(ctx, messenger.KindCourier, body)
 	var ack Ack
 	if err == nil {
 		err = messenger.Decode(reply, &ack)
 	}
 	if err != nil {
 		if ctx.Err() != nil {
-			p.conn.Renew()
+			conn.Renew()
 		}
 		return false
 	}
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -2,8 +2,6 @@
 
 import (
 	"log/slog"
-	"maps"
-	"slices"
 	"time"
 
 	"sesamedrift.example/sesamedrift/courier"
@@ -30,6 +28,9 @@
 	// retakeAfter is how long a keeper whose upstream was taken by another waits before it
 	// takes the upstream back if it is still assigned to it.
 	retakeAfter = 500 * time.Millisecond
+	// lostFor is how long a host that was lost counts as cut off; after that it counts as
+	// gone. Machines are back within that time.
+	lostFor = 10 * time.Second
 )
 
 // CoreConfig describes what an entry host decides with.
@@ -75,15 +76,23 @@
 	upstreams *finder.List[finder.Upstream]
 	table     *router.Table
 	published inquirer.Document
-	// up holds the hosts of the domain with which there is a session; those that leave map
-	// to false.
-	up       map[string]bool
-	asking   map[string]bool
+	// up holds the hosts of the domain with which there is a session, and whether they take
+	// part.
+	up map[string]bool
+	// lostAt is when the session with a host that took part was lost.
+	lostAt map[string]time.Time
+	asking map[string]bool
+	// contacts holds the control hosts that answer.
+	contacts map[string]bool
 	stopping bool
+	// unable says that this host is too slow to place and to keep.
+	unable bool
 	// started is when this host first heard of others; zero before.
 	started   time.Time
 	isSettled bool
 
+	// cutOff says that others have taken upstreams of this host while it was isolated.
+	cutOff bool
 	// placerAt is the address of the placer of the domain.
 	placerAt string
 	assigned assignment
@@ -110,7 +119,9 @@
 		hosts:      finder.NewList[finder.Host](),
 		upstreams:  finder.NewList[finder.Upstream](),
 		up:         map[string]bool{},
+		lostAt:     map[string]time.Time{},
 		asking:     map[string]bool{},
+		contacts:   map[string]bool{},
 		jobs:       map[string]*job{},
 		keeps:      map[string]*keep{},
 		lastTokens: map[string]uint64{},
@@ -146,6 +157,7 @@
 	if !c.isSettled {
 		c.choosePlacer(now)
 	}
+	c.cutOff = c.cutOff && c.isolated(now)
 	c.expireJobs(now)
 	c.tickKeeps(now)
 	c.reportProgress(now)
@@ -206,6 +218,10 @@
 		return "no document is in force"
 	case len(c.assigned.Keepers) == 0:
 		return "no upstream is known"
+	case c.unable:
+		return "the machine is slow"
+	case c.cutOff:
+		return "the host is cut off from the others of its failure domain"
 	default:
 		return ""
 	}
@@ -215,12 +231,8 @@
 // upstreams of this host. Jobs of callers that still come are served.
 func (c *Core) Leave(now time.Time) {
 	c.stopping = true
-	for _, peer := range slices.Sorted(maps.Keys(c.up)) {
-		if c.up[peer] {
-			c.tell(peer, kindLeaving, leaving{})
-		}
-	}
-	c.choosePlacer(now)
+	c.tellStanding()
+	c.reorganize(now)
 }
 
 // Left returns the number of jobs and upstreams that this host still has to do with.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -118,7 +118,10 @@
 		Self:  h.present,
 		Token: cfg.Token,
 		Apply: h.apply,
-		Log:   cfg.Log,
+		Contact: func(address string, answers bool) {
+			h.inbox.force(func(time.Time) { h.core.Contact(address, answers) })
+		},
+		Log: cfg.Log,
 	}
 	var err error
 	h.listener, err = messenger.Listen(cfg.Self.Address, local)
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -47,6 +47,10 @@
 	returnAt time.Time
 }
 
+// here reports whether tasks of the job may run in this domain. A question for places that was
+// sent again may be answered after the job was passed on.
+func (j *job) here() bool { return j.passedTo == "" && j.returnAt.IsZero() }
+
 // passedOn reports whether the job came from another domain.
 func (j *job) passedOn() bool {
 	for c := range j.callers {
@@ -98,7 +102,7 @@
 func (c *Core) askPlaces(now time.Time, j *job) {
 	t := j.tracker
 	needs := t.Needs()
-	if len(needs) == 0 || j.passedTo != "" || !j.returnAt.IsZero() {
+	if len(needs) == 0 || !j.here() {
 		j.askedAt = time.Time{}
 		return
 	}
@@ -139,7 +143,7 @@
 			Upstream: p.Upstream,
 			Keeper:   p.Keeper,
 		}
-		if j == nil || !j.tracker.Place(p.Run, place) {
+		if j == nil || !j.here() || !j.tracker.Place(p.Run, place) {
 			c.tell(from, kindReturn, returned{
 				Upstream: p.Upstream,
 				Run:      p.Run,
@@ -160,7 +164,7 @@
 
 func (c *Core) receiveRefused(now time.Time, from string, r refused) {
 	j := c.jobs[r.Job]
-	if j == nil || from != c.placerAt {
+	if j == nil || from != c.placerAt || !j.here() {
 		return
 	}
 	j.askedAt = time.Time{}
@@ -261,6 +265,20 @@
 	}
 }
 
+// loseRuns ends the jobs with runs on an upstream that hosts have taken which cannot be
+// reached. They stop these runs, since nobody asks for them.
+func (c *Core) loseRuns(now time.Time, upstream string) {
+	for _, j := range c.sortedJobs() {
+		for _, a := range j.tracker.Active() {
+			if a.Place.Upstream == upstream {
+				j.tracker.End(tracker.Lost, "this host is cut off from the others of its failure domain")
+				c.settle(now, j)
+				break
+			}
+		}
+	}
+}
+
 // followKeepers asks the new keepers of upstreams about the runs of this host's jobs.
 func (c *Core) followKeepers(now time.Time) {
 	for _, j := range c.sortedJobs() {
--- a/dispatcher/keeping.go
+++ b/dispatcher/keeping.go
@@ -97,6 +97,7 @@
 	for _, k := range c.sortedKeeps() {
 		u := k.session.Upstream()
 		switch {
+		case !k.overtakenAt.IsZero() && c.isolated(now):
 		case !k.overtakenAt.IsZero() && now.Sub(k.overtakenAt) >= retakeAfter:
 			c.letGo(k)
 			if c.assigned.Keepers[u.ID] == c.cfg.Self.Address {
@@ -193,6 +194,10 @@
 			c.log.Warn("upstream taken by another host", "upstream", id, "token", k.session.Token())
 			k.overtakenAt = now
 			c.reportRuns(k)
+			if c.isolated(now) {
+				c.cutOff = true
+				c.loseRuns(now, id)
+			}
 		case keeper.Replaced:
 			c.log.Info("upstream has begun another life", "upstream", id)
 			k.overtakenAt = now
--- a/dispatcher/loop.go
+++ b/dispatcher/loop.go
@@ -63,13 +63,16 @@
 func (h *Host) loop(ctx context.Context) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
+	var p pulse
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-h.inbox.wake:
 		case <-ticker.C:
-			h.core.Due(h.cfg.Now())
+			now := h.cfg.Now()
+			h.core.SetAble(now, !p.slow(now))
+			h.core.Due(now)
 		}
 		for _, s := range h.inbox.take() {
 			s(h.cfg.Now())
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -30,18 +31,24 @@
 			return
 		}
 		c.up[e.Peer] = true
+		delete(c.lostAt, e.Peer)
 		c.log.Info("session begun", "peer", e.Peer)
 		c.tell(e.Peer, kindKnown, known{
 			Hosts:     c.hosts.All(),
 			Upstreams: c.upstreams.All(),
 			Document:  c.published,
 		})
-		c.choosePlacer(now)
+		if !c.takesPart() {
+			c.tell(e.Peer, kindStanding, standing{})
+		}
+		c.reorganize(now)
 		if c.placer != nil {
-			c.assign(now)
 			c.tell(e.Peer, kindAssignment, c.assigned)
 		}
 	case courier.Down:
+		if c.up[e.Peer] {
+			c.lostAt[e.Peer] = now
+		}
 		delete(c.up, e.Peer)
 		c.log.Info("session ended", "peer", e.Peer)
 		c.peerLost(now, e.Peer)
@@ -68,10 +75,7 @@
 		// What was sent to the peer, or came from it, may be lost.
 		j.watchAt = now.Add(watchAgain)
 	}
-	c.choosePlacer(now)
-	if c.placer != nil {
-		c.assign(now)
-	}
+	c.reorganize(now)
 }
 
 // receiveEncoded decodes a message and takes it in.
@@ -105,8 +109,8 @@
 		decode[runs](c, now, from, m)
 	case kindFreed:
 		decode[freed](c, now, from, m)
-	case kindLeaving:
-		decode[leaving](c, now, from, m)
+	case kindStanding:
+		decode[standing](c, now, from, m)
 	case kindRoom:
 		decode[room](c, now, from, m)
 	case kindPassOn:
@@ -166,8 +170,8 @@
 		c.receiveRuns(now, from, m)
 	case freed:
 		c.receiveFreed(now, from, m)
-	case leaving:
-		c.receiveLeaving(now, from)
+	case standing:
+		c.receiveStanding(now, from, m)
 	case room:
 		c.receiveRoom(now, from, m)
 	case passOn:
@@ -278,15 +282,27 @@
 	c.choosePlacer(now)
 }
 
-// members returns the addresses of the hosts of the domain that take part, this one
-// included, in the order in which they started.
+// members returns the addresses of the hosts of the domain that take part, in the order in
+// which they started. If none does, all that can be reached have to.
 func (c *Core) members() []string {
+	members := c.accepted(func(address string) bool {
+		return c.up[address] || address == c.cfg.Self.Address && c.takesPart()
+	})
+	if len(members) > 0 {
+		return members
+	}
+	return c.accepted(func(address string) bool {
+		_, up := c.up[address]
+		return up || address == c.cfg.Self.Address
+	})
+}
+
+// accepted returns the addresses of the entry hosts of the domain that a function accepts, in
+// the order in which they started.
+func (c *Core) accepted(accept func(address string) bool) []string {
 	var all []finder.Host
 	for _, host := range c.hosts.All() {
-		if host.Role != finder.Entry || host.Domain != c.cfg.Self.Domain {
-			continue
-		}
-		if c.up[host.Address] || host.Address == c.cfg.Self.Address && !c.stopping {
+		if host.Role == finder.Entry && host.Domain == c.cfg.Self.Domain && accept(host.Address) {
 			all = append(all, host)
 		}
 	}
@@ -348,11 +364,66 @@
 	}
 }
 
-// receiveLeaving notes that a host of the domain stops.
-func (c *Core) receiveLeaving(now time.Time, from string) {
-	c.up[from] = false
+// receiveStanding notes whether a host of the domain takes part.
+func (c *Core) receiveStanding(now time.Time, from string, m standing) {
+	if _, up := c.up[from]; !up {
+		return
+	}
+	c.up[from] = m.TakesPart
+	c.reorganize(now)
+}
+
+// reorganize chooses the placer again and, if that is this host, the keepers.
+func (c *Core) reorganize(now time.Time) {
 	c.choosePlacer(now)
 	if c.placer != nil {
 		c.assign(now)
 	}
 }
+
+// SetAble says whether this host is fast enough to take part in placing and keeping.
+func (c *Core) SetAble(now time.Time, able bool) {
+	if c.unable == !able {
+		return
+	}
+	c.unable = !able
+	c.log.Warn("host takes part", "able", able)
+	c.tellStanding()
+	c.reorganize(now)
+}
+
+func (c *Core) takesPart() bool { return !c.stopping && !c.unable }
+
+// tellStanding tells the other hosts of the domain whether this host takes part.
+func (c *Core) tellStanding() {
+	for _, peer := range slices.Sorted(maps.Keys(c.up)) {
+		c.tell(peer, kindStanding, standing{TakesPart: c.takesPart()})
+	}
+}
+
+// Contact says whether a control host answers this host.
+func (c *Core) Contact(address string, answers bool) {
+	if answers {
+		c.contacts[address] = true
+	} else {
+		delete(c.contacts, address)
+	}
+}
+
+// isolated reports whether this host seems to be cut off from the others of its domain,
+// rather than they to be down: it has lost half of them or more lately, and reaches no control
+// host. The others then take over its upstreams, and it leaves theirs alone.
+func (c *Core) isolated(now time.Time) bool {
+	if len(c.contacts) > 0 {
+		return false
+	}
+	lost := 0
+	for peer, at := range c.lostAt {
+		if now.Sub(at) > lostFor {
+			delete(c.lostAt, peer)
+			continue
+		}
+		lost++
+	}
+	return lost > 0 && len(c.up)+1 <= lost
+}
--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -29,7 +29,7 @@
 	kindRunEnded   courier.Kind = 12
 	kindRuns       courier.Kind = 13
 	kindFreed      courier.Kind = 14
-	kindLeaving    courier.Kind = 15
+	kindStanding   courier.Kind = 15
 	kindRoom       courier.Kind = 16
 	kindPassOn     courier.Kind = 17
 	kindForward    courier.Kind = 18
@@ -222,5 +222,8 @@
 	Job string `msgpack:"job"`
 }
 
-// leaving tells the other hosts of the domain that the sender takes part no longer.
-type leaving struct{}
+// standing tells the other hosts of the domain whether the sender takes part in placing and
+// keeping. One that stops or is too slow does not, but its callers' jobs are still served.
+type standing struct {
+	TakesPart bool `msgpack:"takes-part"`
+}
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -72,6 +72,14 @@
 		return
 	}
 	keepers := share(c.domainUpstreams(), c.assigned.Keepers, members)
+	if c.isolated(now) {
+		// The lost hosts may be up and keep their upstreams.
+		for id, k := range c.assigned.Keepers {
+			if _, known := keepers[id]; known && !slices.Contains(members, k) {
+				keepers[id] = k
+			}
+		}
+	}
 	if maps.Equal(keepers, c.assigned.Keepers) {
 		return
 	}
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -156,7 +156,9 @@
 type channel struct {
 	session *courier.Session
 	busy    bool
-	closed  bool
+	// idle says that the host was told to disconnect; closed that its process has ended.
+	idle   bool
+	closed bool
 }
 
 // Station is a place where an upstream runs, one life after the other.
@@ -394,6 +396,7 @@
 
 func (n *Node) channel(address string) *channel {
 	if c := n.sessions[address]; c != nil {
+		c.idle = false
 		return c
 	}
 	c := &channel{
@@ -429,8 +432,7 @@
 	if c == nil {
 		return
 	}
-	delete(n.sessions, address)
-	c.closed = true
+	c.idle = true
 	events := c.session.End()
 	// The Core has asked for this and must not be called from here.
 	n.w.after(0, func() {
@@ -461,7 +463,7 @@
 // send sends the next batch of a session, unless one is on its way.
 func (n *Node) send(address string, c *channel) {
 	w := n.w
-	if c.closed || c.busy || n.core == nil {
+	if c.closed || c.idle || c.busy || n.core == nil {
 		return
 	}
 	c.busy = true
@@ -512,11 +514,13 @@
 
 // spreadNews tells each host that reaches a control host what has changed.
 func (w *World) spreadNews() {
-	if w.ControlDown {
-		return
-	}
 	for _, n := range w.Hosts {
-		if n.core == nil || n.frozen > w.now || !w.open(n.Name, "control") {
+		if n.core == nil || n.frozen > w.now {
+			continue
+		}
+		reached := !w.ControlDown && w.open(n.Name, "control")
+		n.core.Contact("control", reached)
+		if !reached {
 			continue
 		}
 		w.hosts.Put(w.time(), n.core.Self())
--- a/inquirer/inquirer.go
+++ b/inquirer/inquirer.go
@@ -68,7 +68,9 @@
 	// Apply takes in news and returns the version of the newest known document. It is called
 	// by several goroutines.
 	Apply func(ctx context.Context, n News) (version uint64)
-	Log   *slog.Logger
+	// Contact is told when a control host begins or ceases to answer.
+	Contact func(address string, answers bool)
+	Log     *slog.Logger
 }
 
 // Ask keeps asking one control host until ctx is done.
@@ -91,6 +93,7 @@
 		n, err := ask(ctx, peer, q)
 		if (err == nil) != contact && ctx.Err() == nil {
 			contact = err == nil
+			a.Contact(address, contact)
 			a.Log.Info("contact to control host", "address", address, "contact", contact, "error", err)
 		}
 		if err != nil {
