dispatcher: domains hear of each other's room in both directions

Cause: a session with the placer of another domain that began before this host had heard of it as a placer was ignored, so that about half of the placers passed nothing on.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -76,6 +76,8 @@
 	upstreams *finder.List[finder.Upstream]
 	table     *router.Table
 	published inquirer.Document
+	// sessions holds the hosts with which there is a session.
+	sessions map[string]bool
 	// up holds the hosts of the domain with which there is a session, and whether they take
 	// part.
 	up map[string]bool
@@ -118,6 +120,7 @@
 		self:       cfg.Self,
 		hosts:      finder.NewList[finder.Host](),
 		upstreams:  finder.NewList[finder.Upstream](),
+		sessions:   map[string]bool{},
 		up:         map[string]bool{},
 		lostAt:     map[string]time.Time{},
 		asking:     map[string]bool{},
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -16,18 +16,17 @@
 
 // Session takes in what has happened in a session with another host.
 func (c *Core) Session(now time.Time, e courier.Event) {
-	if n := c.neighbours[e.Peer]; n != nil && e.Kind != courier.Delivered {
-		if e.Kind == courier.Up {
-			c.neighbourUp(n)
-		} else {
-			c.neighbourDown(now, e.Peer, n)
-		}
+	if e.Kind != courier.Delivered {
+		c.sessions[e.Peer] = e.Kind == courier.Up
+	}
+	if n := c.neighbours[e.Peer]; n != nil && e.Kind == courier.Down {
+		c.neighbourDown(now, e.Peer, n)
 		return
 	}
 	switch e.Kind {
 	case courier.Up:
 		if host, known := c.hosts.Get(e.Peer); known && host.Domain != c.cfg.Self.Domain {
-			// A placer of another domain that this host has not heard of as such.
+			// The placer of another domain, of which this host may not have heard as such yet.
 			return
 		}
 		c.up[e.Peer] = true
--- a/dispatcher/passing.go
+++ b/dispatcher/passing.go
@@ -35,7 +35,6 @@
 // neighbour is the placer of another domain.
 type neighbour struct {
 	domain string
-	up     bool
 	// told is what it was last told of the room here, toldAt when.
 	told   placer.Room
 	toldAt time.Time
@@ -81,7 +80,7 @@
 func (c *Core) neighbourOf(domain string) string {
 	for _, address := range slices.Sorted(maps.Keys(c.neighbours)) {
 		n := c.neighbours[address]
-		if n.domain == domain && n.up {
+		if n.domain == domain && c.sessions[address] {
 			return address
 		}
 	}
@@ -97,7 +96,7 @@
 	for _, address := range slices.Sorted(maps.Keys(c.neighbours)) {
 		n := c.neighbours[address]
 		since := now.Sub(n.toldAt)
-		if !n.up || since < roomEvery || r == n.told && since < roomAnyway {
+		if !c.sessions[address] || since < roomEvery || r == n.told && since < roomAnyway {
 			continue
 		}
 		n.told, n.toldAt = r, now
@@ -112,16 +111,13 @@
 	if c.placer == nil {
 		return
 	}
-	if n := c.neighbours[from]; n != nil && n.up {
+	if c.neighbours[from] != nil {
 		c.placer.SetNeighbour(now, m.Domain, m.Room)
 	}
 }
 
-// neighbourUp and neighbourDown note the sessions with placers of other domains.
-func (c *Core) neighbourUp(n *neighbour) { n.up = true }
-
+// neighbourDown notes that the session with the placer of another domain has ended.
 func (c *Core) neighbourDown(now time.Time, address string, n *neighbour) {
-	n.up = false
 	if c.placer != nil {
 		c.placer.DropNeighbour(n.domain)
 	}
--- a/placer/estimate.go
+++ b/placer/estimate.go
@@ -64,8 +64,12 @@
 	return time.Duration(math.Exp(w.mean()) * float64(time.Second))
 }
 
-// workMemory is how long the run times of a job are kept after its last task.
-const workMemory = 10 * time.Second
+const (
+	// workMemory is how long the run times of a job are kept after its last task.
+	workMemory = 5 * time.Second
+	// forgetEvery is the time between two searches for jobs to forget.
+	forgetEvery = time.Second
+)
 
 func (p *Placer) workOf(now time.Time, key jobKey) *work {
 	w := p.works[key]
@@ -81,6 +85,10 @@
 }
 
 func (p *Placer) forgetWorks(now time.Time) {
+	if now.Before(p.forgetAt) {
+		return
+	}
+	p.forgetAt = now.Add(forgetEvery)
 	for key, w := range p.works {
 		if now.After(w.until) {
 			delete(p.works, key)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -157,6 +157,7 @@
 	usual     float64
 	decisions []Decision
 	ticked    time.Time
+	forgetAt  time.Time
 }
 
 // upstream is an upstream with what was placed on it.
@@ -462,14 +463,11 @@
 
 // place gives places to waiting tasks in the order of their jobs.
 func (p *Placer) place(now time.Time) {
-	for i := 0; i < len(p.order); {
-		w := p.order[i]
+	for _, w := range slices.Clone(p.order) {
 		p.placeJob(now, w)
-		if len(w.Tasks) > 0 {
-			i++
-			continue
+		if len(w.Tasks) == 0 {
+			p.Withdraw(w.Entry, w.ID)
 		}
-		p.Withdraw(w.Entry, w.ID)
 	}
 }
 
@@ -488,8 +486,12 @@
 		}
 		p.reserve(now, w, t, u)
 	}
-	if len(left) == len(w.Tasks) || len(left) > 0 && p.cfg.Policy == Objective && !w.Begun && p.neighbourFor(now, w) != "" {
+	if len(left) == len(w.Tasks) {
+		return
+	}
+	if len(left) > 0 && p.cfg.Policy == Objective && p.neighbourFor(now, w) != "" {
 		p.release(w, found)
+		p.passOn(now, w)
 		return
 	}
 	var grants []Grant
