dispatcher: a job that was passed on ends there before it runs elsewhere

Cause: a relay whose entry was lost did not drop the job; a job that was sent again was passed on while runs of its former try were being stopped, or placed while they went on in another domain.

--- a/cmd/sesamedrift-platform/main.go
+++ b/cmd/sesamedrift-platform/main.go
@@ -14,10 +14,15 @@
 )
 
 func main() {
+	os.Exit(run())
+}
+
+func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := platform.Command(os.Stdout).Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "sesamedrift-platform:", err)
-		os.Exit(1)
+		return 1
 	}
+	return 0
 }
--- /dev/null
+++ b/courier/courier_test.go
@@ -0,0 +1,138 @@
+package courier
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"sesamedrift.example/sesamedrift/messenger"
+)
+
+// node is a courier with its listener.
+type node struct {
+	courier  *Courier
+	listener *messenger.Listener
+
+	mu     sync.Mutex
+	got    []string
+	up     int
+	down   int
+	refuse bool
+}
+
+func newNode(t *testing.T, life uint64) *node {
+	t.Helper()
+	n := &node{}
+	cfg := messenger.Config{
+		Local: messenger.Hello{
+			Token: "token",
+			Host:  "host",
+		},
+	}
+	cfg.Handle = func(_ context.Context, _ messenger.Hello, _ messenger.Kind, body []byte) ([]byte, error) {
+		return n.courier.Handle(body)
+	}
+	ready := make(chan struct{})
+	handle := cfg.Handle
+	cfg.Handle = func(ctx context.Context, from messenger.Hello, kind messenger.Kind, body []byte) ([]byte, error) {
+		<-ready
+		return handle(ctx, from, kind, body)
+	}
+	listener, err := messenger.Listen("127.0.0.1:0", cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.listener = listener
+	n.courier = New(Config{
+		Self:         listener.Address(),
+		Life:         life,
+		Beat:         5 * time.Millisecond,
+		Resend:       5 * time.Second,
+		SuspectAfter: 20 * time.Second,
+		Local:        cfg,
+		Deliver:      n.deliver,
+		Now:          time.Now,
+	})
+	close(ready)
+	return n
+}
+
+func (n *node) deliver(events []Event) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.refuse {
+		return false
+	}
+	for _, e := range events {
+		switch e.Kind {
+		case Up:
+			n.up++
+		case Down:
+			n.down++
+		case Delivered:
+			for _, m := range e.Messages {
+				n.got = append(n.got, string(m.Body))
+			}
+		}
+	}
+	return true
+}
+
+func (n *node) close() {
+	n.courier.Close()
+	_ = n.listener.Close()
+}
+
+func (n *node) received() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]string(nil), n.got...)
+}
+
+// Guards against messages that are lost between two processes, and goroutines that are left
+// behind.
+func TestTwoProcesses(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	g := NewWithT(t)
+	a, b := newNode(t, 1), newNode(t, 1)
+	defer a.close()
+	defer b.close()
+	a.courier.Connect(b.listener.Address())
+	message := func(i int) Message { return Message{Body: []byte(fmt.Sprint(i))} }
+	g.Eventually(func() bool { return a.courier.Post(b.listener.Address(), message(0)) }, 10*time.Second).Should(BeTrue())
+	for i := 1; i < 500; i++ {
+		g.Expect(a.courier.Post(b.listener.Address(), message(i))).To(BeTrue())
+	}
+	g.Eventually(b.received, 10*time.Second).Should(HaveLen(500))
+	for i, text := range b.received() {
+		g.Expect(text).To(Equal(fmt.Sprint(i)))
+	}
+	g.Expect(a.courier.Peers()).To(Equal([]string{b.listener.Address()}))
+}
+
+// Guards against a batch that is acknowledged although its receiver could not take it in.
+func TestOverloadedReceiver(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newNode(t, 1), newNode(t, 1)
+	defer a.close()
+	defer b.close()
+	a.courier.Connect(b.listener.Address())
+	g.Eventually(func() bool {
+		return a.courier.Post(b.listener.Address(), Message{Body: []byte("first")})
+	}, 10*time.Second).Should(BeTrue())
+	g.Eventually(b.received, 10*time.Second).Should(HaveLen(1))
+	b.mu.Lock()
+	b.refuse = true
+	b.mu.Unlock()
+	g.Expect(a.courier.Post(b.listener.Address(), Message{Body: []byte("second")})).To(BeTrue())
+	g.Consistently(b.received, 50*time.Millisecond).Should(HaveLen(1))
+	b.mu.Lock()
+	b.refuse = false
+	b.mu.Unlock()
+	g.Eventually(b.received, 20*time.Second).Should(Equal([]string{"first", "second"}))
+}
--- /dev/null
+++ b/courier/session_test.go
@@ -0,0 +1,188 @@
+package courier
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var start = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+func newSession(self, peer string, life uint64) *Session {
+	return &Session{
+		Self:         self,
+		Peer:         peer,
+		Life:         life,
+		SuspectAfter: 500 * time.Millisecond,
+		MaxQueue:     100,
+	}
+}
+
+// pair is two hosts whose batches and answers may get lost.
+type pair struct {
+	g     *WithT
+	now   time.Time
+	hosts [2]*Session
+	// inbox holds what was delivered since the last event Up.
+	inbox [2][]string
+	ups   [2]int
+	downs [2]int
+}
+
+func newPair(t *testing.T) *pair {
+	return &pair{
+		g:   NewWithT(t),
+		now: start,
+		hosts: [2]*Session{
+			newSession("a", "b", 1),
+			newSession("b", "a", 1),
+		},
+	}
+}
+
+func (p *pair) take(at int, events []Event) {
+	for _, e := range events {
+		switch e.Kind {
+		case Up:
+			p.ups[at]++
+			p.inbox[at] = nil
+		case Down:
+			p.downs[at]++
+		case Delivered:
+			p.g.Expect(p.ups[at]).To(Equal(p.downs[at]+1), "messages come within a session")
+			for _, m := range e.Messages {
+				p.inbox[at] = append(p.inbox[at], string(m.Body))
+			}
+		}
+	}
+}
+
+// exchange sends one batch from a host. The batch, or else its answer, may be lost.
+func (p *pair) exchange(from int, batchLost, answerLost bool) {
+	b := p.hosts[from].Next()
+	if batchLost {
+		return
+	}
+	ack, events := p.hosts[1-from].Receive(p.now, b)
+	p.take(1-from, events)
+	if !answerLost {
+		p.take(from, p.hosts[from].Acked(p.now, b, ack))
+	}
+}
+
+func (p *pair) pass(d time.Duration) {
+	p.now = p.now.Add(d)
+	for i, s := range p.hosts {
+		p.take(i, s.Check(p.now))
+	}
+}
+
+// settle lets both hosts exchange batches without losses until nothing waits.
+func (p *pair) settle() {
+	for range 10 {
+		p.exchange(0, false, false)
+		p.exchange(1, false, false)
+	}
+}
+
+func post(s *Session, text string) bool {
+	return s.Post(Message{Body: []byte(text)})
+}
+
+// Guards against messages that are lost, repeated or out of order while batches and answers
+// get lost, and against messages of a session that has ended which arrive in the next one.
+func TestMessagesArriveOnceInOrder(t *testing.T) {
+	for seed := range uint64(50) {
+		p := newPair(t)
+		random := rand.New(rand.NewPCG(seed, 0))
+		p.settle()
+		sent := [2][]string{}
+		sessions := [2]int{}
+		for i := range 400 {
+			p.pass(time.Duration(random.Int64N(int64(120 * time.Millisecond))))
+			for at, s := range p.hosts {
+				if p.ups[at] != sessions[at] {
+					sessions[at] = p.ups[at]
+					sent[at] = nil
+				}
+				text := fmt.Sprintf("%d-%d-%d", at, p.ups[at], i)
+				if random.IntN(3) == 0 && post(s, text) {
+					sent[at] = append(sent[at], text)
+				}
+			}
+			loss := random.IntN(3)
+			p.exchange(random.IntN(2), loss == 0, loss == 1)
+			for at := range p.hosts {
+				got, all := p.inbox[1-at], sent[at]
+				if len(got) > 0 && p.ups[0] == p.ups[1] && len(got) <= len(all) && p.hosts[at].Up() && p.hosts[1-at].Up() && sessions[at] == p.ups[at] {
+					p.g.Expect(all[:len(got)]).To(BeComparableTo(append([]string{}, got...)), "seed %d", seed)
+				}
+				for k := 1; k < len(got); k++ {
+					p.g.Expect(got[k]).NotTo(Equal(got[k-1]), "seed %d", seed)
+				}
+			}
+		}
+	}
+}
+
+// Guards against a host that goes on in a session which the other one has ended.
+func TestSilenceEndsBothSides(t *testing.T) {
+	p := newPair(t)
+	p.settle()
+	p.g.Expect(p.ups).To(Equal([2]int{1, 1}))
+	p.g.Expect(post(p.hosts[0], "lost")).To(BeTrue())
+	// Only the answers to a are lost: b hears from a all the time.
+	for range 6 {
+		p.pass(100 * time.Millisecond)
+		p.exchange(0, false, true)
+	}
+	p.g.Expect(p.hosts[0].Up()).To(BeFalse())
+	p.settle()
+	p.g.Expect(p.downs).To(Equal([2]int{1, 1}))
+	p.g.Expect(p.hosts[0].Up()).To(BeTrue())
+	p.g.Expect(p.hosts[1].Up()).To(BeTrue())
+	p.g.Expect(p.inbox[1]).To(BeEmpty(), "a message of the former session is not delivered")
+}
+
+// Guards against a process that is taken for the one before it at the same address.
+func TestRestartEndsSession(t *testing.T) {
+	p := newPair(t)
+	p.settle()
+	p.g.Expect(post(p.hosts[1], "for the former process")).To(BeTrue())
+	p.hosts[0] = newSession("a", "b", 2)
+	p.ups[0], p.downs[0] = 0, 0
+	p.settle()
+	p.g.Expect(p.downs[1]).To(Equal(1))
+	p.g.Expect(p.hosts[0].Up()).To(BeTrue())
+	p.g.Expect(p.hosts[1].Up()).To(BeTrue())
+	p.g.Expect(p.inbox[0]).To(BeEmpty())
+}
+
+// Guards against a host that disconnects unnoticed: the other one would send into a session
+// whose batches are never applied.
+func TestEndIsNoticed(t *testing.T) {
+	p := newPair(t)
+	p.settle()
+	p.take(0, p.hosts[0].End())
+	p.exchange(1, false, false)
+	p.g.Expect(p.downs).To(Equal([2]int{1, 1}))
+	p.settle()
+	p.g.Expect(post(p.hosts[1], "new")).To(BeTrue())
+	p.settle()
+	p.g.Expect(p.inbox[0]).To(Equal([]string{"new"}))
+}
+
+// Guards against memory that grows without bound while a peer takes nothing in.
+func TestFullQueueEndsSession(t *testing.T) {
+	p := newPair(t)
+	p.settle()
+	for range 100 {
+		p.g.Expect(post(p.hosts[0], "x")).To(BeTrue())
+	}
+	p.g.Expect(post(p.hosts[0], "too much")).To(BeFalse())
+	p.pass(time.Millisecond)
+	p.g.Expect(p.hosts[0].Up()).To(BeFalse())
+}
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -109,6 +109,9 @@
 	placing    map[string]placedUpstream
 	neighbours map[string]*neighbour
 	relays     map[string]relay
+	// dropped holds the jobs that were dropped in other domains, until their runs have
+	// surely ended.
+	dropped map[string]time.Time
 }
 
 // NewCore returns the Core of a host that knows only control hosts.
@@ -131,6 +134,7 @@
 		placing:    map[string]placedUpstream{},
 		neighbours: map[string]*neighbour{},
 		relays:     map[string]relay{},
+		dropped:    map[string]time.Time{},
 	}
 	c.hosts.Put(now, cfg.Self)
 	for _, seed := range seeds {
@@ -167,6 +171,7 @@
 	if c.placer != nil {
 		c.placer.Tick(now)
 		c.tellRoom(now)
+		c.forgetDropped(now)
 	}
 }
 
@@ -174,7 +179,7 @@
 // without a session is dropped; the end of the session is handled where it is noticed.
 func (c *Core) tell(to string, kind courier.Kind, v any) {
 	if to == c.cfg.Self.Address {
-		c.local = append(c.local, func(now time.Time) { c.receive(now, to, kind, v) })
+		c.local = append(c.local, func(now time.Time) { c.receive(now, to, v) })
 		return
 	}
 	body, err := messenger.Encode(v)
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -40,8 +40,8 @@
 	askedAt time.Time
 	// watchAt is when keepers are asked again about runs that were moved; zero for never.
 	watchAt time.Time
-	// passedTo is the domain that the job was passed on to, or empty.
-	passedTo string
+	// passedVia is the host that relays the job to another domain, or empty.
+	passedVia string
 	// returnAt is when a job whose way to another domain is lost is placed here again;
 	// by then it surely runs nowhere. Zero for never.
 	returnAt time.Time
@@ -49,7 +49,7 @@
 
 // here reports whether tasks of the job may run in this domain. A question for places that was
 // sent again may be answered after the job was passed on.
-func (j *job) here() bool { return j.passedTo == "" && j.returnAt.IsZero() }
+func (j *job) here() bool { return j.passedVia == "" && j.returnAt.IsZero() }
 
 // passedOn reports whether the job came from another domain.
 func (j *job) passedOn() bool {
@@ -187,7 +187,7 @@
 // receiveSuperseded ends a job that its caller has sent again to another host.
 func (c *Core) receiveSuperseded(now time.Time, from string, m superseded) {
 	j := c.jobs[m.Job]
-	if j == nil || from != c.placerAt {
+	if j == nil || from != c.placerAt && from != j.passedVia {
 		return
 	}
 	j.askedAt = time.Time{}
@@ -238,8 +238,8 @@
 	for to := range j.callers {
 		c.answer(id, to, j.result)
 	}
-	if j.passedTo != "" {
-		c.tell(c.placerAt, kindDrop, drop{Job: id})
+	if j.passedVia != "" {
+		c.tell(j.passedVia, kindDrop, drop{Job: id})
 	}
 	c.log.Info("job ended", "job", id, "queue", j.tracker.Job.Queue, "outcome", outcome, "reason", reason,
 		"took", now.Sub(j.tracker.Job.Arrived))
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -61,9 +61,7 @@
 // peerLost drops what a host has asked of this one.
 func (c *Core) peerLost(now time.Time, peer string) {
 	c.dropCallers(now, peer)
-	if peer == c.placerAt {
-		c.returnPassed(now)
-	}
+	c.relayLost(now, peer)
 	for _, k := range c.sortedKeeps() {
 		k.session.StopAll(now, peer)
 	}
@@ -135,11 +133,11 @@
 		c.log.Warn("message cannot be read", "peer", from, "kind", m.Kind, "error", err)
 		return
 	}
-	c.receive(now, from, m.Kind, v)
+	c.receive(now, from, v)
 }
 
 // receive takes in a message of a host of the domain, which may be this one.
-func (c *Core) receive(now time.Time, from string, kind courier.Kind, v any) {
+func (c *Core) receive(now time.Time, from string, v any) {
 	switch m := v.(type) {
 	case known:
 		c.learn(now, m)
@@ -353,7 +351,6 @@
 	} else if c.placer != nil {
 		c.endPlacing(now)
 	}
-	c.returnPassed(now)
 	c.tell(c.placerAt, kindJoin, join{})
 	for _, k := range c.sortedKeeps() {
 		c.reportRuns(k)
--- a/dispatcher/passing.go
+++ b/dispatcher/passing.go
@@ -23,7 +23,10 @@
 	// returnAfter is the time from the end of a session over which a job was passed on until
 	// it surely runs nowhere: the other side notices within suspectAfter and stops the runs,
 	// or they end with a lease that is not renewed.
-	returnAfter = SuspectAfter + 800*time.Millisecond
+	returnAfter = SuspectAfter + dropTime
+	// dropTime is the time from a message that drops a job in another domain until its runs
+	// have surely ended: they are stopped at once, or end with their lease.
+	dropTime = 800 * time.Millisecond
 )
 
 // relay is a job that this host has passed on for an entry of its domain.
@@ -152,7 +155,7 @@
 		return
 	}
 	j.askedAt = time.Time{}
-	j.passedTo = m.Domain
+	j.passedVia = from
 	t := &j.tracker.Job
 	c.tell(from, kindForward, forward{
 		Domain:   m.Domain,
@@ -213,10 +216,10 @@
 		return
 	}
 	j := c.jobs[m.Job]
-	if j == nil || j.passedTo == "" || from != c.placerAt {
+	if j == nil || j.passedVia == "" || j.passedVia != from {
 		return
 	}
-	j.passedTo = ""
+	j.passedVia = ""
 	if m.Outcome == tracker.Lost {
 		// The other side may not know yet that the way is lost.
 		j.tracker.MayHaveRun()
@@ -242,11 +245,37 @@
 	}
 }
 
-// returnPassed takes back the jobs that were passed on by way of a placer that is lost.
-func (c *Core) returnPassed(now time.Time) {
+// runsElsewhere reports whether a job that is asked for was passed on to another domain for
+// another entry. Its caller has then sent it again, and the former try is dropped; until its
+// runs have surely ended the job is not placed here.
+func (c *Core) runsElsewhere(now time.Time, entry, id string) bool {
+	if r, relayed := c.relays[id]; relayed && r.entry != entry {
+		delete(c.relays, id)
+		c.dropped[id] = now.Add(dropTime)
+		c.tell(r.to, kindDrop, drop{Job: id})
+		c.tell(r.entry, kindSuperseded, superseded{Job: id})
+	}
+	until, dropped := c.dropped[id]
+	return dropped && now.Before(until)
+}
+
+// forgetDropped forgets the jobs whose runs in other domains have surely ended.
+func (c *Core) forgetDropped(now time.Time) {
+	maps.DeleteFunc(c.dropped, func(_ string, until time.Time) bool { return !now.Before(until) })
+}
+
+// relayLost takes back the jobs that were passed on by way of a host that is lost, and drops
+// those that were passed on for it.
+func (c *Core) relayLost(now time.Time, host string) {
+	for _, id := range slices.Sorted(maps.Keys(c.relays)) {
+		if r := c.relays[id]; r.entry == host {
+			delete(c.relays, id)
+			c.tell(r.to, kindDrop, drop{Job: id})
+		}
+	}
 	for _, j := range c.sortedJobs() {
-		if j.passedTo != "" {
-			j.passedTo = ""
+		if j.passedVia == host {
+			j.passedVia = ""
 			j.tracker.MayHaveRun()
 			j.returnAt = now.Add(returnAfter)
 		}
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -167,6 +167,10 @@
 		// The sender asks again once it has learned of the change.
 		return
 	}
+	if c.runsElsewhere(now, from, a.Job) {
+		// The sender asks again after askAgain.
+		return
+	}
 	j := placer.Job{
 		ID:       a.Job,
 		Entry:    from,
--- a/emulator/callers.go
+++ b/emulator/callers.go
@@ -138,8 +138,9 @@
 	})
 	job := j.job
 	job.Arrived = w.time()
+	life := n.life
 	n.awake(func() {
-		if n.core != nil {
+		if n.core != nil && n.life == life {
 			n.core.Submit(w.time(), job, j.caller)
 			n.core.Flush(w.time())
 		}
--- a/emulator/faults.go
+++ b/emulator/faults.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"fmt"
 	"time"
 )
 
@@ -23,10 +22,7 @@
 }
 
 func (w *World) fault(kind int, lasts time.Duration, host, other *Node, s *Station) {
-	if w.cfg.Log != nil {
-		fmt.Fprintf(w.cfg.Log, "at=%.4f fault kind=%d lasts=%s host=%s other=%s upstream=%s\n", w.now.Seconds(), kind, lasts, host.Name,
-			other.Name, s.Name)
-	}
+	w.logger("world").Info("fault", "kind", kind, "lasts", lasts, "host", host.Name, "other", other.Name, "upstream", s.Name)
 	switch kind {
 	case 0:
 		host.Kill()
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -706,11 +706,11 @@
 func (s *Session) missing(now time.Time, t *task, sent time.Time) {
 	stopped := !t.stopAcked.IsZero() && sent.After(t.stopAcked.Add(s.cfg.StopTime))
 	switch {
-	case t.phase == confirmed && sent.After(t.since):
+	case t.phase == confirmed && !sent.Before(t.since):
 		s.end(now, t, Lost, "")
 	case t.phase == unsure && stopped:
 		s.end(now, t, Rejected, NoAnswer)
-	case t.phase == unsure && !t.stopWanted && sent.After(t.since):
+	case t.phase == unsure && !t.stopWanted && !sent.Before(t.since):
 		t.stopWanted = true
 		s.orderStop(now, t)
 	}
@@ -738,7 +738,7 @@
 		switch {
 		case t != nil:
 			t.adopt(w.Task)
-		case sent.After(w.at):
+		case !sent.Before(w.at):
 			s.lost(w.Task)
 		default:
 			return false
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -141,3 +141,216 @@
 	b.after(time.Second)
 	b.g.Expect(b.told()).To(BeEmpty())
 }
+
+func ended(number uint64, r sesamedrift.Run, how How) []End {
+	return []End{{
+		Number: number,
+		Run:    r,
+		How:    how,
+	}}
+}
+
+// started brings the session to where one run was accepted and is listed.
+func (b *bed) started() {
+	b.held(nil, nil)
+	b.s.Start(b.now, taskOf(0, 1))
+	b.after(time.Millisecond)
+	b.answer(Answer{
+		Order:  b.next(StartOrder),
+		Status: Accepted,
+	})
+	b.after(time.Millisecond)
+	b.held(listed(run(0, 1)), nil)
+	b.told()
+}
+
+// Guards against an end that is told twice, or never acknowledged.
+func TestEndIsToldOnceAndAcknowledged(t *testing.T) {
+	b := newBed(t)
+	b.started()
+	b.after(50 * time.Millisecond)
+	b.held(nil, ended(1, run(0, 1), Done))
+	events := b.told()
+	b.g.Expect(events).To(HaveLen(1))
+	b.g.Expect(events[0].How).To(Equal(Done))
+	b.g.Expect(events[0].Took).To(Equal(52 * time.Millisecond))
+	b.after(time.Second)
+	next := b.next(HoldOrder)
+	b.g.Expect(next.Seen).To(Equal(uint64(1)))
+	b.answer(Answer{
+		Order:  next,
+		Status: Accepted,
+		Ended:  ended(1, run(0, 1), Done),
+	})
+	b.g.Expect(b.told()).To(BeEmpty())
+}
+
+// Guards against a task that is placed elsewhere while its unanswered start may still be
+// carried out.
+func TestUnansweredStartIsStoppedFirst(t *testing.T) {
+	b := newBed(t)
+	b.held(nil, nil)
+	b.told()
+	b.s.Start(b.now, taskOf(0, 1))
+	b.after(100 * time.Millisecond)
+	b.unheard(b.next(StartOrder))
+	b.g.Expect(b.told()).To(BeEmpty())
+	b.after(time.Millisecond)
+	// One of the two looks was sent before the start was known to be unanswered.
+	b.held(nil, nil)
+	if len(b.orders) > 0 && b.orders[0].Kind == HoldOrder {
+		b.held(nil, nil)
+	}
+	stop := b.next(StopOrder)
+	b.g.Expect(stop.Run).To(Equal(run(0, 1)))
+	b.g.Expect(b.told()).To(BeEmpty())
+	b.answer(Answer{
+		Order:  stop,
+		Status: Accepted,
+	})
+	// A look that was sent before the stop had its time proves nothing.
+	b.held(nil, nil)
+	b.g.Expect(b.told()).To(BeEmpty())
+	b.after(testConfig.StopTime + 2*testConfig.Margin)
+	for b.now.Before(start.Add(time.Second)) && len(b.events) == 0 {
+		b.held(nil, nil)
+		b.after(20 * time.Millisecond)
+	}
+	b.g.Expect(b.told()).To(ConsistOf(And(HaveField("How", Rejected), HaveField("Reason", NoAnswer))))
+}
+
+// Guards against an unanswered start that is stopped although the run has begun.
+func TestUnansweredStartThatBegan(t *testing.T) {
+	b := newBed(t)
+	b.held(nil, nil)
+	b.told()
+	b.s.Start(b.now, taskOf(0, 1))
+	b.after(100 * time.Millisecond)
+	b.unheard(b.next(StartOrder))
+	b.after(time.Millisecond)
+	b.held(listed(run(0, 1)), nil)
+	b.after(time.Second)
+	b.g.Expect(b.orders).NotTo(ContainElement(HaveField("Kind", StopOrder)))
+	b.g.Expect(b.told()).To(BeEmpty())
+}
+
+// Guards against runs that count as ended while a slow clock lets them go on, and against a
+// lease that is renewed by looks at an upstream that does not answer.
+func TestSilentUpstreamLapses(t *testing.T) {
+	b := newBed(t)
+	b.started()
+	silent := b.now
+	for len(b.events) < 2 && b.now.Before(silent.Add(5*time.Second)) {
+		for _, o := range b.orders {
+			if o.Kind == HoldOrder && b.now.Sub(o.Sent) >= o.Timeout {
+				b.unheard(o)
+			}
+		}
+		b.orders = nil
+		b.after(10 * time.Millisecond)
+		if len(b.orders) > 0 {
+			b.g.Expect(b.orders[0].Lease == 0 || b.now.Sub(silent) < testConfig.Wait+testConfig.Answer+20*time.Millisecond).To(BeTrue())
+		}
+		if b.s.holding > 0 && len(b.orders) == 0 {
+			// The hold on its way is not answered either.
+			b.s.Answered(b.now, Answer{
+				Order:  Order{Kind: HoldOrder},
+				Status: NotHeard,
+			})
+		}
+	}
+	events := b.told()
+	b.g.Expect(events).To(HaveLen(2))
+	b.g.Expect(events[0].Kind).To(Equal(Silent))
+	b.g.Expect(events[1].How).To(Equal(Lapsed))
+	// Even a clock that is 2 % slow has reached the end of the last lease by now.
+	slow := 0.98 * float64(b.now.Sub(start).Milliseconds())
+	b.g.Expect(slow).To(BeNumerically(">=", float64(b.s.leaseUntil)))
+}
+
+// Guards against a keeper that takes a lease for run out which another keeper may have renewed.
+func TestLapseOnlyIfExclusive(t *testing.T) {
+	b := newBed(t)
+	b.started()
+	b.s.Answered(b.now, Answer{
+		Order:  b.next(HoldOrder),
+		Status: NotHeard,
+	})
+	b.now = b.now.Add(10 * time.Second)
+	b.s.Tick(b.now, false)
+	_, events := b.s.Drain()
+	b.g.Expect(events).NotTo(ContainElement(HaveField("How", Lapsed)))
+}
+
+// Guards against an answer about a run from a look that is older than the question: another
+// keeper may have started it since.
+func TestWatchIsAnsweredByLaterLook(t *testing.T) {
+	b := newBed(t)
+	b.held(nil, nil)
+	b.told()
+	b.after(time.Second)
+	before := b.next(HoldOrder)
+	b.after(time.Millisecond)
+	b.s.Watch(b.now, taskOf(0, 1))
+	b.answer(Answer{
+		Order:  before,
+		Status: Accepted,
+	})
+	b.g.Expect(b.told()).To(BeEmpty())
+	b.after(time.Millisecond)
+	b.held(nil, nil)
+	b.g.Expect(b.told()).To(ConsistOf(HaveField("How", Lost)))
+}
+
+// Guards against runs of a former keeper that nobody waits for, and against their end before
+// the entries had the time to ask for them.
+func TestForeignRuns(t *testing.T) {
+	b := newBed(t)
+	b.held(append(listed(run(0, 1)), listed(run(1, 1))...), nil)
+	b.told()
+	b.s.Watch(b.now, taskOf(0, 1))
+	b.after(testConfig.Adopt / 2)
+	b.g.Expect(b.orders).NotTo(ContainElement(HaveField("Kind", StopOrder)))
+	b.after(testConfig.Adopt)
+	b.g.Expect(b.next(StopOrder).Run).To(Equal(run(1, 1)))
+	b.g.Expect(b.orders).NotTo(ContainElement(HaveField("Kind", StopOrder)))
+}
+
+// Guards against waiting for runs of a life that is over.
+func TestOtherLifeEndsRuns(t *testing.T) {
+	b := newBed(t)
+	b.started()
+	b.s.Answered(b.now, Answer{
+		Order:  b.next(HoldOrder),
+		Status: OtherLife,
+	})
+	b.after(0)
+	b.g.Expect(b.told()).To(Equal([]Event{
+		{
+			Kind: Ended,
+			Task: taskOf(0, 1),
+			How:  Lost,
+			Took: b.now.Sub(start.Add(0)),
+		},
+		{Kind: Replaced},
+	}))
+}
+
+// Guards against starts on an upstream that leaves or is not reached.
+func TestStartIsRejectedHere(t *testing.T) {
+	b := newBed(t)
+	b.s.Start(b.now, taskOf(0, 1))
+	b.after(0)
+	b.g.Expect(b.told()).To(ConsistOf(HaveField("Reason", Unreachable)))
+	b.held(nil, nil)
+	b.told()
+	b.s.Update(finder.Upstream{
+		ID:    "u",
+		Life:  1,
+		State: finder.Leaving,
+	})
+	b.s.Start(b.now, taskOf(0, 1))
+	b.after(0)
+	b.g.Expect(b.told()).To(ConsistOf(HaveField("Reason", LeavingUpstream)))
+	b.g.Expect(b.orders).NotTo(ContainElement(HaveField("Kind", StartOrder)))
+}
--- a/placer/neighbour.go
+++ b/placer/neighbour.go
@@ -59,7 +59,7 @@
 // neighbourFor returns the domain with the most room for a job that has not begun, or "" if
 // none has enough.
 func (p *Placer) neighbourFor(now time.Time, w *waiting) string {
-	if w.PassedOn || w.Begun {
+	if w.PassedOn || w.Begun || p.runsHere(w) {
 		return ""
 	}
 	best, most := "", len(w.Tasks)+roomKept-1
@@ -75,6 +75,17 @@
 	return best
 }
 
+// runsHere reports whether a task of the job runs in this domain, as after its caller has sent
+// it again while the former try has not ended yet.
+func (p *Placer) runsHere(w *waiting) bool {
+	for _, t := range w.Tasks {
+		if p.inUse[t.Run.Task] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // passOn sends a job to another domain. It reports false if none has enough room.
 func (p *Placer) passOn(now time.Time, w *waiting) bool {
 	domain := p.neighbourFor(now, w)
--- a/replayer/jobs.go
+++ b/replayer/jobs.go
@@ -37,11 +37,11 @@
 // drawJobs returns all jobs in the order of their arrival. Each domain and queue has random
 // numbers of its own, so that a change of one does not change the jobs of the others.
 func (s *Script) drawJobs() []*job {
-	var all []*job
 	shares := 0.0
 	for i := range s.Queues {
 		shares += s.Queues[i].Share
 	}
+	all := make([]*job, 0, 1024)
 	for d := range s.Domains {
 		for q := range s.Queues {
 			r := rand.New(rand.NewPCG(s.Seed, uint64(1000*d+q)))
