keeper: a new keeper allows for the lease that its predecessor ordered

Cause: a new keeper whose second look was not answered took the lease for run out at once, since it had ordered none itself.

--- a/emulator/checks.go
+++ b/emulator/checks.go
@@ -53,6 +53,7 @@
 
 func (c *checks) started(now time.Time, u *Upstream, run sesamedrift.Run) {
 	c.runs++
+	c.w.logger(u.Report.ID).Info("run began", "run", run)
 	if at := c.running[run.Task]; at != nil {
 		c.fail("task %s began on %s (run %d) while it runs on %s", run.Task, u.Report.ID, run.Number, at.Report.ID)
 	}
@@ -67,6 +68,7 @@
 }
 
 func (c *checks) ended(_ time.Time, u *Upstream, run sesamedrift.Run, how keeper.How) {
+	c.w.logger(u.Report.ID).Info("run ended", "run", run, "how", how)
 	if c.running[run.Task] == u {
 		delete(c.running, run.Task)
 	}
--- a/emulator/faults.go
+++ b/emulator/faults.go
@@ -4,14 +4,12 @@
 	"time"
 )
 
-// faultsEvery is the mean time between two faults of a seed.
-const faultsEvery = 600 * time.Millisecond
-
-// PlanFaults plans random faults from the seed of the world, in series and overlapping,
-// until the given time. All of them are over some seconds later.
-func (w *World) PlanFaults(until time.Duration) {
+// PlanFaults plans random faults from the seed of the world, in series and overlapping, with
+// the given mean time between two of them, until the given time. All of them are over some
+// seconds later.
+func (w *World) PlanFaults(every, until time.Duration) {
 	for at := 2 * time.Second; at < until; {
-		at += time.Duration(w.random.ExpFloat64() * float64(faultsEvery))
+		at += time.Duration(w.random.ExpFloat64() * float64(every))
 		kind := w.random.IntN(12)
 		lasts := time.Duration((0.2 + 4*w.random.Float64()) * float64(time.Second))
 		host := w.Hosts[w.random.IntN(len(w.Hosts))]
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -44,6 +44,7 @@
 // Keeping holds the times of leases of the emulated hosts.
 var Keeping = keeper.Config{
 	Lease:    600 * time.Millisecond,
+	Longest:  time.Second,
 	Wait:     150 * time.Millisecond,
 	Answer:   120 * time.Millisecond,
 	Idle:     time.Second,
@@ -292,6 +293,7 @@
 		return slog.New(slog.DiscardHandler)
 	}
 	return slog.New(slog.NewTextHandler(w.cfg.Log, &slog.HandlerOptions{
+		Level: slog.LevelDebug,
 		ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
 			if a.Key == slog.TimeKey {
 				return slog.String("at", fmt.Sprintf("%.4f", w.now.Seconds()))
@@ -578,7 +580,7 @@
 			Capacity: sesamedrift.Resources{CPU: 16000, Memory: 32768},
 		},
 		Pace:         1 - Keeping.Drift*w.random.Float64(),
-		LongestLease: time.Second,
+		LongestLease: Keeping.Longest,
 		StopTime:     Keeping.StopTime,
 		Work:         w.work,
 		Started:      w.checks.started,
@@ -679,6 +681,7 @@
 		return
 	}
 	s := w.Upstreams[at]
+	w.logger(n.Name).Debug("order", "kind", o.Kind, "upstream", to.ID, "run", o.Run, "id", o.ID, "token", o.Token, "wait", o.Wait)
 	if s.late > 0 && w.random.Float64() < s.late {
 		w.after(time.Duration(2+10*w.random.Float64())*time.Second, func() {
 			if s.up != nil && s.up.Report.ID == to.ID {
@@ -718,6 +721,7 @@
 			return
 		}
 	}
+	w.logger(s.Name).Debug("answer", "host", n.Name, "id", o.ID, "status", a.Status, "reason", a.Reason, "running", len(a.Running), "ended", len(a.Ended))
 	if w.open(s.Name, n.Name) {
 		w.after(w.distance(n.Domain, s.Domain), func() { answer(a) })
 	}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -36,6 +36,8 @@
 	// Lease is how long what runs may run on without a renewal. It is shorter than the
 	// longest lease that upstreams grant.
 	Lease time.Duration
+	// Longest is the longest lease that upstreams grant; a former keeper may have ordered it.
+	Longest time.Duration
 	// Wait is how long an upstream may delay the answer to a renewal if nothing ends.
 	// Together with Answer it is shorter than Lease.
 	Wait time.Duration
@@ -268,7 +270,7 @@
 	clockKnown bool
 	askedAt    time.Time // when the order of that answer was sent
 	heardAt    time.Time // when that answer came
-	leaseUntil int64     // the latest lease that was ordered, on the upstream's clock
+	leaseUntil int64     // the latest lease that may have been ordered, on the upstream's clock
 
 	orders []Order
 	events []Event
@@ -684,6 +686,7 @@
 				foreign:   true,
 			}
 			s.tasks[r.Run] = t
+			s.leaseUntil = max(s.leaseUntil, a.Clock+s.cfg.Longest.Milliseconds())
 		}
 		if t.phase != confirmed {
 			t.phase = confirmed
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -14,6 +14,7 @@
 
 var testConfig = Config{
 	Lease:    600 * time.Millisecond,
+	Longest:  time.Second,
 	Wait:     150 * time.Millisecond,
 	Answer:   100 * time.Millisecond,
 	Idle:     time.Second,
@@ -282,6 +283,22 @@
 	b.g.Expect(events).NotTo(ContainElement(HaveField("How", Lapsed)))
 }
 
+// Guards against a new keeper that takes the lease for run out which its predecessor has
+// ordered.
+func TestLeaseOfFormerKeeper(t *testing.T) {
+	b := newBed(t)
+	b.held(listed(run(0, 1)), nil)
+	b.s.Watch(b.now, taskOf(0, 1))
+	b.s.Answered(b.now, Answer{
+		Order:  b.next(HoldOrder),
+		Status: NotHeard,
+	})
+	b.after(900 * time.Millisecond)
+	b.g.Expect(b.told()).NotTo(ContainElement(HaveField("Kind", Ended)))
+	b.after(200 * time.Millisecond)
+	b.g.Expect(b.told()).To(ContainElement(HaveField("How", Lapsed)))
+}
+
 // Guards against an answer about a run from a look that is older than the question: another
 // keeper may have started it since.
 func TestWatchIsAnsweredByLaterLook(t *testing.T) {
