--- a/controller/controller.go
+++ b/controller/controller.go
@@ -17,6 +17,8 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"sesamedrift.example/sesamedrift/finder"
 	"sesamedrift.example/sesamedrift/inquirer"
 	"sesamedrift.example/sesamedrift/messenger"
@@ -41,6 +43,10 @@
 	syncEvery = time.Second
 )
 
+// publishBuckets are the buckets of the time of a publication: from one synced write up to the
+// time after which operators ask another host.
+var publishBuckets = tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 1.6, 12)
+
 // Config describes a control host.
 type Config struct {
 	// Self is this host; its Life grows with each start, its Address names the replica.
@@ -55,7 +61,9 @@
 	// Bootstrap says that the whole system starts for the first time.
 	Bootstrap bool
 	Log       *slog.Logger
-	Now       func() time.Time
+	// Metrics takes the figures of the host.
+	Metrics *reporter.Metrics
+	Now     func() time.Time
 }
 
 // Host is a running control host.
@@ -196,8 +204,16 @@
 	}
 	began := h.cfg.Now()
 	held, err := h.publisher.Publish(ctx, began, who, d)
+	took := h.cfg.Now().Sub(began)
+	result := "stored"
+	if err != nil {
+		result = "unknown"
+	}
+	scope := h.cfg.Metrics.Scope.Tagged(map[string]string{"result": result})
+	scope.Counter("documents").Inc(1)
+	scope.Histogram("document_time", publishBuckets).RecordDuration(took)
 	reporter.Log(ctx, h.log, reporter.ConfigurationChanged, "who", who, "version", d.Version, "held", held,
-		"error", err, "took", h.cfg.Now().Sub(began))
+		"error", err, "took", took)
 	return err
 }
 
@@ -215,11 +231,12 @@
 	now := h.cfg.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.cfg.Metrics.Scope.Counter("upstream_reports").Inc(1)
 	if !h.upstreams.Put(now, u) {
 		return
 	}
-	h.log.Info("upstream changed", "upstream", u.ID, "state", u.State, "life", u.Life, "report", u.Report,
-		"address", u.Address)
+	reporter.Log(context.Background(), h.log, reporter.UpstreamAnnounced, "upstream", u.ID, "state", u.State, "life", u.Life,
+		"report", u.Report, "address", u.Address)
 	h.wake()
 }
 
--- a/controller/news.go
+++ b/controller/news.go
@@ -6,6 +6,7 @@
 
 	"sesamedrift.example/sesamedrift/finder"
 	"sesamedrift.example/sesamedrift/inquirer"
+	"sesamedrift.example/sesamedrift/reporter"
 )
 
 // askNews begins to ask another control host for news. The caller holds the lock.
@@ -47,7 +48,8 @@
 func (h *Host) answer(ctx context.Context, q inquirer.Question) inquirer.News {
 	h.mu.Lock()
 	if h.put(h.cfg.Now(), q.Self) {
-		h.log.Info("host changed", "host", q.Self.ID, "address", q.Self.Address, "state", q.Self.State, "life", q.Self.Life)
+		reporter.Log(ctx, h.log, reporter.HostChanged, "host", q.Self.ID, "address", q.Self.Address, "state", q.Self.State,
+			"life", q.Self.Life, "report", q.Self.Report, "places", q.Self.Places)
 		h.wake()
 	}
 	h.mu.Unlock()
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
@@ -10,6 +11,7 @@
 	"sesamedrift.example/sesamedrift/keeper"
 	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/placer"
+	"sesamedrift.example/sesamedrift/reporter"
 	"sesamedrift.example/sesamedrift/router"
 )
 
@@ -69,7 +71,8 @@
 	out Out
 	log *slog.Logger
 	// local holds messages of this host to itself.
-	local []func(now time.Time)
+	local   []func(now time.Time)
+	figures Figures
 
 	self      finder.Host
 	hosts     *finder.List[finder.Host]
@@ -120,6 +123,7 @@
 		cfg:        cfg,
 		out:        out,
 		log:        cfg.Log,
+		figures:    newFigures(),
 		self:       cfg.Self,
 		hosts:      finder.NewList[finder.Host](),
 		upstreams:  finder.NewList[finder.Upstream](),
@@ -143,6 +147,11 @@
 	return c
 }
 
+// event logs what was decided.
+func (c *Core) event(e reporter.Event, args ...any) {
+	reporter.Log(context.Background(), c.log, e, args...)
+}
+
 // Flush carries out what was decided since the last call.
 func (c *Core) Flush(now time.Time) {
 	for {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -22,6 +22,7 @@
 	"sesamedrift.example/sesamedrift/inquirer"
 	"sesamedrift.example/sesamedrift/keeper"
 	"sesamedrift.example/sesamedrift/messenger"
+	"sesamedrift.example/sesamedrift/reporter"
 	"sesamedrift.example/sesamedrift/router"
 	"sesamedrift.example/sesamedrift/tracker"
 )
@@ -58,6 +59,8 @@
 	// InForce is called with each newer document, in order.
 	InForce func(t *router.Table)
 	Log     *slog.Logger
+	// Metrics takes the figures of the host; nil drops them.
+	Metrics *reporter.Metrics
 	Now     func() time.Time
 }
 
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"sesamedrift.example/sesamedrift/keeper"
+	"sesamedrift.example/sesamedrift/reporter"
 	"sesamedrift.example/sesamedrift/tracker"
 )
 
@@ -180,6 +182,11 @@
 	if j == nil || j.tracker.Keeper(m.Run) != from {
 		return
 	}
+	c.figures.Runs[m.How]++
+	if m.How != keeper.Done {
+		c.event(reporter.RunEndedBadly, "job", m.Run.Task.Job, "run", m.Run, "upstream", m.Upstream, "how", m.How, "reason", m.Reason,
+			"keeper", from)
+	}
 	j.tracker.RunEnded(m.Run, m.How, m.Reason)
 	c.settle(now, j)
 }
@@ -190,6 +197,7 @@
 	if j == nil || from != c.placerAt && from != j.passedVia {
 		return
 	}
+	c.event(reporter.JobSuperseded, "job", m.Job, "by", from)
 	j.askedAt = time.Time{}
 	j.tracker.End(tracker.Abandoned, "the caller has sent the job again to another host")
 	c.settle(now, j)
@@ -241,8 +249,10 @@
 	if j.passedVia != "" {
 		c.tell(j.passedVia, kindDrop, drop{Job: id})
 	}
-	c.log.Info("job ended", "job", id, "queue", j.tracker.Job.Queue, "outcome", outcome, "reason", reason,
-		"took", now.Sub(j.tracker.Job.Arrived))
+	c.figures.Jobs[outcome]++
+	c.figures.Took = addTime(c.figures.Took, now.Sub(j.tracker.Job.Arrived))
+	c.event(reporter.JobEnded, "job", id, "queue", j.tracker.Job.Queue, "outcome", outcome, "reason", reason,
+		"took", now.Sub(j.tracker.Job.Arrived), "runs", j.tracker.Runs(), "callers", len(j.callers))
 }
 
 // expireJobs ends jobs whose callers wait no longer, and asks again about runs whose keeper
--- a/dispatcher/keeping.go
+++ b/dispatcher/keeping.go
@@ -9,6 +9,7 @@
 	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/finder"
 	"sesamedrift.example/sesamedrift/keeper"
+	"sesamedrift.example/sesamedrift/reporter"
 )
 
 // keep is an upstream that this host keeps.
@@ -61,12 +62,15 @@
 	token := max(uint64(now.UnixMilli()), c.lastTokens[u.ID]+1)
 	c.lastTokens[u.ID] = token
 	c.keeps[u.ID] = &keep{session: keeper.New(c.cfg.Keeping, now, u, token)}
-	c.log.Info("upstream taken", "upstream", u.ID, "address", u.Address, "token", token)
+	c.event(reporter.UpstreamTaken, "upstream", u.ID, "address", u.Address, "token", token)
 }
 
 // upstreamChanged takes in a newer report of an upstream.
 func (c *Core) upstreamChanged(now time.Time, u finder.Upstream) {
-	c.log.Info("upstream changed", "upstream", u.ID, "state", u.State, "life", u.Life, "service", u.Service)
+	if c.placer != nil || c.keeps[u.ID] != nil {
+		c.event(reporter.UpstreamAnnounced, "upstream", u.ID, "state", u.State, "life", u.Life, "report", u.Report,
+			"service", u.Service, "cpu", u.Capacity.CPU)
+	}
 	c.placeOn(now, u)
 	k := c.keeps[u.ID]
 	if k == nil {
@@ -187,19 +191,23 @@
 				Reason:   e.Reason,
 				Took:     e.Took,
 			})
-		case keeper.Ready, keeper.Silent:
-			c.log.Info("upstream contact", "upstream", id, "ready", e.Kind == keeper.Ready)
+		case keeper.Ready:
+			c.event(reporter.UpstreamReady, "upstream", id, "runs", len(k.session.Tasks()))
+			c.reportRuns(k)
+		case keeper.Silent:
+			c.event(reporter.UpstreamSilent, "upstream", id, "runs", len(k.session.Tasks()))
 			c.reportRuns(k)
 		case keeper.Overtaken:
-			c.log.Warn("upstream taken by another host", "upstream", id, "token", k.session.Token())
+			c.event(reporter.UpstreamOvertaken, "upstream", id, "token", k.session.Token(), "runs", len(k.session.Tasks()))
 			k.overtakenAt = now
 			c.reportRuns(k)
 			if c.isolated(now) {
 				c.cutOff = true
+				c.event(reporter.CutOff, "upstream", id)
 				c.loseRuns(now, id)
 			}
 		case keeper.Replaced:
-			c.log.Info("upstream has begun another life", "upstream", id)
+			c.event(reporter.UpstreamReplaced, "upstream", id)
 			k.overtakenAt = now
 			c.reportRuns(k)
 		}
--- a/dispatcher/loop.go
+++ b/dispatcher/loop.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"sesamedrift.example/sesamedrift/reporter"
 )
 
 // maxInbox bounds the steps that wait for the loop. Beyond it batches of other hosts and
@@ -64,6 +66,11 @@
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	var p pulse
+	var figures *publisher
+	if h.cfg.Metrics != nil {
+		figures = newPublisher(h.cfg.Metrics)
+	}
+	publishAt := h.cfg.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -73,6 +80,10 @@
 			now := h.cfg.Now()
 			h.core.SetAble(now, !p.slow(now))
 			h.core.Due(now)
+			if figures != nil && !now.Before(publishAt) {
+				publishAt = now.Add(reporter.PublishEvery)
+				figures.publish(h.core.Figures())
+			}
 		}
 		for _, s := range h.inbox.take() {
 			s(h.cfg.Now())
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"context"
 	"maps"
 	"slices"
 	"time"
@@ -31,7 +30,7 @@
 		}
 		c.up[e.Peer] = true
 		delete(c.lostAt, e.Peer)
-		c.log.Info("session begun", "peer", e.Peer)
+		c.event(reporter.SessionBegun, "peer", e.Peer)
 		c.tell(e.Peer, kindKnown, known{
 			Hosts:     c.hosts.All(),
 			Upstreams: c.upstreams.All(),
@@ -49,7 +48,7 @@
 			c.lostAt[e.Peer] = now
 		}
 		delete(c.up, e.Peer)
-		c.log.Info("session ended", "peer", e.Peer)
+		c.event(reporter.SessionEnded, "peer", e.Peer)
 		c.peerLost(now, e.Peer)
 	case courier.Delivered:
 		for _, m := range e.Messages {
@@ -123,14 +122,14 @@
 	case kindSuperseded:
 		decode[superseded](c, now, from, m)
 	default:
-		c.log.Warn("message of an unknown kind", "peer", from, "kind", m.Kind)
+		c.event(reporter.MessageRejected, "peer", from, "kind", m.Kind, "error", "the kind is not known")
 	}
 }
 
 func decode[M any](c *Core, now time.Time, from string, m courier.Message) {
 	var v M
 	if err := messenger.Decode(m.Body, &v); err != nil {
-		c.log.Warn("message cannot be read", "peer", from, "kind", m.Kind, "error", err)
+		c.event(reporter.MessageRejected, "peer", from, "kind", m.Kind, "error", err)
 		return
 	}
 	c.receive(now, from, v)
@@ -218,13 +217,13 @@
 	}
 	parsed, err := c.cfg.Parse(d.Content)
 	if err != nil {
-		reporter.Log(context.Background(), c.log, reporter.ConfigurationRejected, "version", d.Version, "error", err)
+		c.event(reporter.ConfigurationRejected, "version", d.Version, "error", err)
 		return
 	}
 	c.published = d
 	c.table = router.NewTable(parsed)
 	c.out.InForce(c.table)
-	reporter.Log(context.Background(), c.log, reporter.ConfigurationInForce, "version", d.Version, "queues", len(parsed.Queues))
+	c.event(reporter.ConfigurationInForce, "version", d.Version, "queues", len(parsed.Queues))
 }
 
 // Self returns the present report about this host.
@@ -345,7 +344,7 @@
 		return
 	}
 	c.placerAt = members[0]
-	c.log.Info("placer chosen", "placer", c.placerAt, "members", len(members))
+	c.event(reporter.PlacerChosen, "placer", c.placerAt, "members", members)
 	if c.placerAt == c.cfg.Self.Address {
 		c.beginPlacing(now)
 	} else if c.placer != nil {
@@ -383,7 +382,7 @@
 		return
 	}
 	c.unable = !able
-	c.log.Warn("host takes part", "able", able)
+	c.event(reporter.StandingChanged, "takes-part", c.takesPart())
 	c.tellStanding()
 	c.reorganize(now)
 }
--- a/dispatcher/passing.go
+++ b/dispatcher/passing.go
@@ -171,7 +171,6 @@
 		Age:      now.Sub(t.Arrived),
 		Left:     t.Deadline.Sub(now),
 	})
-	c.log.Info("job passed on", "job", t.ID, "queue", t.Queue, "domain", m.Domain)
 }
 
 // receiveForward relays a job of the own domain, or takes one of another domain.
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -7,6 +7,7 @@
 
 	"sesamedrift.example/sesamedrift/finder"
 	"sesamedrift.example/sesamedrift/placer"
+	"sesamedrift.example/sesamedrift/reporter"
 )
 
 // placedUpstream is what the placer knows of the keeper's side of an upstream.
@@ -254,30 +255,45 @@
 	}
 	for _, d := range c.placer.Drain() {
 		switch {
+		case d.Rest != nil:
+			c.figures.Rests++
+			c.event(reporter.UpstreamRests, "upstream", d.Rest.Upstream, "for", d.Rest.For, "cause", d.Rest.Cause,
+				"troubles", d.Rest.Troubles)
 		case d.Stop != nil:
-			c.log.Info("run moved", "run", d.Stop.Run.String(), "upstream", d.Stop.Upstream)
+			c.figures.Moved++
+			c.event(reporter.RunMoved, "job", d.Job, "run", d.Stop.Run, "upstream", d.Stop.Upstream)
 			c.tell(c.assigned.Keepers[d.Stop.Upstream], kindStop, stop{
 				Upstream: d.Stop.Upstream,
 				Run:      d.Stop.Run,
 			})
 		case d.PassTo != "":
+			c.figures.PassedOn++
+			c.event(reporter.JobPassedOn, "job", d.Job, "entry", d.Entry, "domain", d.PassTo)
 			c.tell(d.Entry, kindPassOn, passOn{
 				Job:    d.Job,
 				Domain: d.PassTo,
 			})
 		case d.Superseded:
+			c.figures.Superseded++
 			c.tell(d.Entry, kindSuperseded, superseded{Job: d.Job})
 		case len(d.Grants) > 0:
 			g := granted{Job: d.Job}
+			upstreams := make([]string, 0, len(d.Grants))
 			for _, one := range d.Grants {
 				g.Places = append(g.Places, grantedRun{
 					Run:      one.Run,
 					Upstream: one.Upstream,
 					Keeper:   c.assigned.Keepers[one.Upstream],
 				})
+				upstreams = append(upstreams, one.Upstream)
 			}
+			c.figures.Waited = addTime(c.figures.Waited, d.Waited)
+			c.event(reporter.JobPlaced, "job", d.Job, "entry", d.Entry, "waited", d.Waited, "upstreams", upstreams, "left", d.Left)
 			c.tell(d.Entry, kindGranted, g)
 		case d.Refused:
+			c.figures.Refused[string(d.Reason)]++
+			c.event(reporter.JobRefused, "job", d.Job, "entry", d.Entry, "reason", d.Reason, "late", d.Late, "waiting", d.Waiting,
+				"usage", d.Usage, "retry-after", d.RetryAfter)
 			c.tell(d.Entry, kindRefused, refused{
 				Job:        d.Job,
 				Reason:     string(d.Reason),
--- a/inquirer/inquirer.go
+++ b/inquirer/inquirer.go
@@ -13,6 +13,7 @@
 
 	"sesamedrift.example/sesamedrift/finder"
 	"sesamedrift.example/sesamedrift/messenger"
+	"sesamedrift.example/sesamedrift/reporter"
 )
 
 const (
@@ -94,7 +95,7 @@
 		if (err == nil) != contact && ctx.Err() == nil {
 			contact = err == nil
 			a.Contact(address, contact)
-			a.Log.Info("contact to control host", "address", address, "contact", contact, "error", err)
+			reporter.Log(ctx, a.Log, reporter.ControlContact, "address", address, "answers", contact, "error", err)
 		}
 		if err != nil {
 			select {
--- a/placer/estimate.go
+++ b/placer/estimate.go
@@ -115,10 +115,10 @@
 		w.failedOn[id] = true
 		// A job that fails on several upstreams fails by its own fault.
 		if len(w.failedOn) < hopelessAfter {
-			u.health.failed(now)
+			p.rest(now, u, "run failed")
 		}
 	case how == keeper.Rejected && reason != keeper.OldRun && reason != keeper.LeavingUpstream:
-		u.health.rejected(now, reason)
+		p.rejected(now, u, reason)
 	}
 	if w.open <= 0 {
 		p.compareSpeeds(w)
--- a/placer/health.go
+++ b/placer/health.go
@@ -77,14 +77,28 @@
 	h.resting = now.Add(min(firstRest<<min(h.troubles-1, 8), longestRest))
 }
 
-func (h *health) rejected(now time.Time, reason keeper.Reason) {
-	if reason == keeper.NoRoom {
-		if rest := now.Add(roomRest); rest.After(h.resting) {
-			h.resting = rest
-		}
+// rest lets an upstream rest because of a trouble.
+func (p *Placer) rest(now time.Time, u *upstream, cause string) {
+	u.health.failed(now)
+	p.decisions = append(p.decisions, Decision{
+		Rest: &Rest{
+			Upstream: u.ID,
+			For:      u.health.resting.Sub(now),
+			Cause:    cause,
+			Troubles: u.health.troubles,
+		},
+	})
+}
+
+// rejected takes in that an upstream has rejected a task.
+func (p *Placer) rejected(now time.Time, u *upstream, reason keeper.Reason) {
+	if reason != keeper.NoRoom {
+		p.rest(now, u, string(reason))
 		return
 	}
-	h.failed(now)
+	if rest := now.Add(roomRest); rest.After(u.health.resting) {
+		u.health.resting = rest
+	}
 }
 
 // takes reports whether the upstream may get a task.
@@ -192,7 +206,11 @@
 	}
 	if stalled || factor == relativeSlowFactor || p.slowBeside(u, run) {
 		if !now.Before(u.health.resting) {
-			u.health.failed(now)
+			cause := "slow"
+			if stalled {
+				cause = "stalled"
+			}
+			p.rest(now, u, cause)
 		}
 	} else {
 		// The job may simply be large.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -111,20 +111,39 @@
 	Entry string
 	// Grants are places for some of the tasks.
 	Grants []Grant
+	// Waited is how long the job has waited, and Left how many of its tasks still wait.
+	Waited time.Duration
+	Left   int
 	// PassTo is the domain that the job should be sent to, or empty.
 	PassTo string
 	// Refused says that the waiting tasks of the job get no place, for Reason.
 	Refused bool
 	Reason  Reason
+	// Late is by how much the job was predicted to begin too late, Waiting the number of jobs
+	// that waited, and Usage the part of the work placed lately that its queue has used.
+	Late    time.Duration
+	Waiting int
+	Usage   float64
 	// RetryAfter is when a caller may send a refused job again.
 	RetryAfter time.Duration
 	// Stop is a run to be stopped and placed again, on the upstream that it names.
 	Stop *Grant
+	// Rest is an upstream that gets no tasks for a while.
+	Rest *Rest
 	// Superseded says that the caller has sent the job again to another entry, which has it
 	// from now on.
 	Superseded bool
 }
 
+// Rest is an upstream that gets no tasks for a while.
+type Rest struct {
+	Upstream string
+	For      time.Duration
+	Cause    string
+	// Troubles is the number of troubles since the last success there.
+	Troubles int
+}
+
 // Reason says why a job is refused.
 type Reason string
 
@@ -309,7 +328,7 @@
 	p.supersede(w)
 	p.learnDemand(j)
 	if !p.possible(w) {
-		p.refuse(w, ReasonTooLarge, now)
+		p.refuse(now, w, ReasonTooLarge, 0)
 		return
 	}
 	p.jobs[w.key] = w
@@ -447,13 +466,17 @@
 	p.forgetWorks(now)
 }
 
-func (p *Placer) refuse(w *waiting, reason Reason, now time.Time) {
+func (p *Placer) refuse(now time.Time, w *waiting, reason Reason, late time.Duration) {
+	waiting := len(p.order)
 	p.Withdraw(w.Entry, w.ID)
 	p.decisions = append(p.decisions, Decision{
 		Job:        w.ID,
 		Entry:      w.Entry,
 		Refused:    true,
 		Reason:     reason,
+		Late:       late,
+		Waiting:    waiting,
+		Usage:      p.usageShare(w.Queue),
 		RetryAfter: p.retryAfter(now),
 	})
 }
@@ -518,6 +541,8 @@
 		Job:    w.ID,
 		Entry:  w.Entry,
 		Grants: grants,
+		Waited: now.Sub(w.Arrived),
+		Left:   len(left),
 	})
 }
 
--- a/placer/shed.go
+++ b/placer/shed.go
@@ -42,6 +42,18 @@
 	p.queueOf(name).usage += float64(t.Demand.CPU) / 1000 * expected.Seconds()
 }
 
+// usageShare returns the part of the work placed lately that a queue has used.
+func (p *Placer) usageShare(name string) float64 {
+	all := 0.0
+	for _, q := range p.queues {
+		all += q.usage
+	}
+	if all == 0 {
+		return 0
+	}
+	return p.queueOf(name).usage / all
+}
+
 // decay lets work that was placed earlier count less.
 func (p *Placer) decay(now time.Time) {
 	if !p.ticked.IsZero() {
@@ -66,7 +78,7 @@
 		return
 	}
 	for len(p.order) > 0 {
-		late, at := p.firstLate(now)
+		late, at, by := p.firstLate(now)
 		if late == nil {
 			return
 		}
@@ -81,7 +93,7 @@
 		if now.After(victim.Deadline.Add(-victim.estimate)) {
 			reason = ReasonDeadline
 		}
-		p.refuse(victim, reason, now)
+		p.refuse(now, victim, reason, by)
 	}
 }
 
@@ -89,14 +101,17 @@
 func (p *Placer) expire(now time.Time) {
 	for _, w := range slices.Clone(p.order) {
 		if now.Add(w.estimate).After(w.Deadline) {
-			p.refuse(w, ReasonDeadline, now)
+			p.refuse(now, w, ReasonDeadline, 0)
 		}
 	}
 }
 
+// never is by how much a job is late that cannot begin at all.
+const never = time.Hour
+
 // firstLate predicts when each waiting job begins and returns the first one that has not
-// begun and will begin too late, with its place in the order.
-func (p *Placer) firstLate(now time.Time) (*waiting, int) {
+// begun and will begin too late, with its place in the order and the time by which it is late.
+func (p *Placer) firstLate(now time.Time) (*waiting, int, time.Duration) {
 	free, releases := p.releases(now)
 	for i, w := range p.order {
 		need := int64(0)
@@ -110,8 +125,11 @@
 			begin = releases[0].at
 			releases = releases[1:]
 		}
-		if !w.Begun && (free < need || begin.After(w.latest)) {
-			return w, i
+		if !w.Begun && free < need {
+			return w, i, never
+		}
+		if !w.Begun && begin.After(w.latest) {
+			return w, i, begin.Sub(w.latest)
 		}
 		free -= need
 		end := release{
@@ -121,7 +139,7 @@
 		at, _ := slices.BinarySearchFunc(releases, end, compareReleases)
 		releases = slices.Insert(releases, at, end)
 	}
-	return nil, 0
+	return nil, 0, 0
 }
 
 func compareReleases(a, b release) int {
--- a/replayer/world.go
+++ b/replayer/world.go
@@ -359,6 +359,7 @@
 	for _, d := range s.placer.Drain() {
 		t := w.byID[d.Job]
 		switch {
+		case d.Rest != nil:
 		case d.Stop != nil:
 			w.after(millis(w.script.NearMS), func() { w.stop(s, *d.Stop) })
 		case d.PassTo != "":
--- a/reporter/events.go
+++ b/reporter/events.go
@@ -28,6 +28,30 @@
 		Level: slog.LevelInfo,
 		Text:  "The planned stop is finished.",
 	}
+	SettingsReloaded = Event{
+		ID:    1005,
+		Name:  "settings-reloaded",
+		Level: slog.LevelInfo,
+		Text:  "The settings file was read again on SIGHUP; the attributes hold what is new.",
+	}
+	SettingsRejected = Event{
+		ID:    1006,
+		Name:  "settings-rejected",
+		Level: slog.LevelError,
+		Text:  "The settings file cannot be used; the former settings stay in force.",
+	}
+	ListenerFailed = Event{
+		ID:    1007,
+		Name:  "listener-failed",
+		Level: slog.LevelError,
+		Text:  "An address is not served any more. Restart the host.",
+	}
+	LinesLeftOut = Event{
+		ID:    1008,
+		Name:  "lines-left-out",
+		Level: slog.LevelWarn,
+		Text:  "Log lines were left out since the last line of this kind: too many of one event in a second, or more than the output takes. The attributes hold the numbers.",
+	}
 )
 
 // Events of membership and leases, 2xxx.
@@ -62,6 +86,48 @@
 		Level: slog.LevelWarn,
 		Text:  "Claims of the former view may be lost; older keys without a claim are answered unknown.",
 	}
+	PlacerChosen = Event{
+		ID:    2006,
+		Name:  "placer-chosen",
+		Level: slog.LevelInfo,
+		Text:  "This host regards another host, or itself, as the one that places the tasks of its failure domain.",
+	}
+	SessionBegun = Event{
+		ID:    2007,
+		Name:  "session-begun",
+		Level: slog.LevelInfo,
+		Text:  "This host and another one of its failure domain exchange messages.",
+	}
+	SessionEnded = Event{
+		ID:    2008,
+		Name:  "session-ended",
+		Level: slog.LevelWarn,
+		Text:  "Another host of the failure domain is silent, has restarted or was disconnected; what was asked of it is void.",
+	}
+	StandingChanged = Event{
+		ID:    2009,
+		Name:  "standing-changed",
+		Level: slog.LevelWarn,
+		Text:  "This host takes part in placing and keeping, or does not since its machine is slow.",
+	}
+	HostChanged = Event{
+		ID:    2010,
+		Name:  "host-changed",
+		Level: slog.LevelInfo,
+		Text:  "A control host has learned something new about another host.",
+	}
+	ControlContact = Event{
+		ID:    2011,
+		Name:  "control-contact",
+		Level: slog.LevelInfo,
+		Text:  "A control host begins or ceases to answer this host.",
+	}
+	CutOff = Event{
+		ID:    2012,
+		Name:  "cut-off",
+		Level: slog.LevelWarn,
+		Text:  "Others have taken upstreams of this host, which reaches neither them nor a control host. Its jobs on these upstreams end as lost.",
+	}
 )
 
 // Events of the configuration, 3xxx.
@@ -84,6 +150,12 @@
 		Level: slog.LevelInfo,
 		Text:  "An operator's change was decided; the attributes name who, the version and the result.",
 	}
+	DocumentRejected = Event{
+		ID:    3004,
+		Name:  "document-rejected",
+		Level: slog.LevelWarn,
+		Text:  "An operator's document is not valid; the attributes name the reason. Nothing was stored.",
+	}
 )
 
 // Events of claims, 4xxx.
@@ -134,6 +206,54 @@
 		Level: slog.LevelInfo,
 		Text:  "Logged by an executor: a host takes its announcements again.",
 	}
+	UpstreamTaken = Event{
+		ID:    5007,
+		Name:  "upstream-taken",
+		Level: slog.LevelInfo,
+		Text:  "This host begins to keep an upstream with the given fencing token.",
+	}
+	UpstreamReady = Event{
+		ID:    5008,
+		Name:  "upstream-ready",
+		Level: slog.LevelInfo,
+		Text:  "The upstream answers its keeper; the attributes tell how many runs go on there.",
+	}
+	UpstreamSilent = Event{
+		ID:    5009,
+		Name:  "upstream-silent",
+		Level: slog.LevelWarn,
+		Text:  "The upstream does not answer its keeper; no task is placed there. Its runs count as ended once their lease has surely run out.",
+	}
+	UpstreamOvertaken = Event{
+		ID:    5010,
+		Name:  "upstream-overtaken",
+		Level: slog.LevelWarn,
+		Text:  "Another host keeps the upstream with a higher fencing token.",
+	}
+	UpstreamReplaced = Event{
+		ID:    5011,
+		Name:  "upstream-replaced",
+		Level: slog.LevelInfo,
+		Text:  "The upstream has begun another life; runs of the former one are over.",
+	}
+	ReportRejected = Event{
+		ID:    5012,
+		Name:  "report-rejected",
+		Level: slog.LevelWarn,
+		Text:  "A report of an upstream cannot be used; the attributes name the reason.",
+	}
+	OrderUnreadable = Event{
+		ID:    5013,
+		Name:  "order-unreadable",
+		Level: slog.LevelWarn,
+		Text:  "An order to an upstream or its answer cannot be read by the other side.",
+	}
+	UpstreamRests = Event{
+		ID:    5014,
+		Name:  "upstream-rests",
+		Level: slog.LevelInfo,
+		Text:  "The placer gives an upstream no tasks for a while, because of failures, stalls or rejections.",
+	}
 )
 
 // Events of peers, 6xxx.
@@ -144,6 +264,12 @@
 		Level: slog.LevelWarn,
 		Text:  "A connection to the peer address was closed: wrong hello or malformed frame.",
 	}
+	MessageRejected = Event{
+		ID:    6002,
+		Name:  "message-rejected",
+		Level: slog.LevelWarn,
+		Text:  "A message of another host cannot be read and was dropped. Check that all hosts run versions that understand each other.",
+	}
 )
 
 // Events of the disk, 7xxx.
@@ -174,19 +300,83 @@
 	}
 )
 
+// Events of jobs, 8xxx.
+var (
+	JobPlaced = Event{
+		ID:    8001,
+		Name:  "job-placed",
+		Level: slog.LevelInfo,
+		Text:  "The placer has given places to tasks of a job; the attributes name the upstreams and how long the job has waited.",
+	}
+	JobRefused = Event{
+		ID:    8002,
+		Name:  "job-refused",
+		Level: slog.LevelInfo,
+		Text:  "The placer refuses a job; the attributes hold the prediction that decided it.",
+	}
+	JobPassedOn = Event{
+		ID:    8003,
+		Name:  "job-passed-on",
+		Level: slog.LevelInfo,
+		Text:  "The placer sends a job to a failure domain with more room.",
+	}
+	JobSuperseded = Event{
+		ID:    8004,
+		Name:  "job-superseded",
+		Level: slog.LevelInfo,
+		Text:  "The caller has sent the job again to another host, which has it from now on.",
+	}
+	RunMoved = Event{
+		ID:    8005,
+		Name:  "run-moved",
+		Level: slog.LevelInfo,
+		Text:  "The placer stops a run that stands still or is slow, to place its task elsewhere.",
+	}
+	RunEndedBadly = Event{
+		ID:    8006,
+		Name:  "run-ended-badly",
+		Level: slog.LevelInfo,
+		Text:  "A run has ended without success; the attributes tell how, on which upstream, and after which time.",
+	}
+	JobEnded = Event{
+		ID:    8007,
+		Name:  "job-ended",
+		Level: slog.LevelInfo,
+		Text:  "A job was answered; the attributes hold the outcome, the time that it took and the number of runs.",
+	}
+	JobRejected = Event{
+		ID:    8008,
+		Name:  "job-rejected",
+		Level: slog.LevelWarn,
+		Text:  "A request is not a job that this host accepts; nothing was run.",
+	}
+)
+
 var catalogue = []Event{
 	HostStarted,
 	HostReady,
 	HostStopping,
 	HostStopped,
+	SettingsReloaded,
+	SettingsRejected,
+	ListenerFailed,
+	LinesLeftOut,
 	ViewInstalled,
 	ViewProposalFailed,
 	LeaseLost,
 	LeaseHeld,
 	HorizonRaised,
+	PlacerChosen,
+	SessionBegun,
+	SessionEnded,
+	StandingChanged,
+	HostChanged,
+	ControlContact,
+	CutOff,
 	ConfigurationInForce,
 	ConfigurationRejected,
 	ConfigurationChanged,
+	DocumentRejected,
 	OutcomeNotRecorded,
 	UpstreamAnnounced,
 	UpstreamExpired,
@@ -194,9 +384,26 @@
 	UpstreamLost,
 	AnnouncementRejected,
 	AnnouncementAccepted,
+	UpstreamTaken,
+	UpstreamReady,
+	UpstreamSilent,
+	UpstreamOvertaken,
+	UpstreamReplaced,
+	ReportRejected,
+	OrderUnreadable,
+	UpstreamRests,
 	PeerRejected,
+	MessageRejected,
 	JournalTornTail,
 	JournalDamaged,
 	JournalFailed,
 	ReplicaRepaired,
+	JobPlaced,
+	JobRefused,
+	JobPassedOn,
+	JobSuperseded,
+	RunMoved,
+	RunEndedBadly,
+	JobEnded,
+	JobRejected,
 }
--- /dev/null
+++ b/reporter/output.go
@@ -0,0 +1,193 @@
+package reporter
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"time"
+)
+
+const (
+	// outputRing is the number of lines that may wait to be written.
+	outputRing = 4096
+	// linesPerSecond bounds the lines of one event in a second. At today's load a host logs
+	// two lines for each of about twenty jobs a second.
+	linesPerSecond = 300
+	// writeEvery is the time between two writes, so that many lines take one of them.
+	writeEvery = 50 * time.Millisecond
+	// writeMost is the size in bytes from which lines are written before that.
+	writeMost = 32 << 10
+	// noteEvery is the least time between two notes about lines that were left out.
+	noteEvery = time.Second
+)
+
+// Output writes log lines without ever making a caller wait: lines wait in a bounded ring, and
+// are left out if it is full or if there are too many of one event. What was left out is
+// logged once a second. It is safe for concurrent use.
+type Output struct {
+	to       io.Writer
+	lines    chan []byte
+	closing  chan struct{}
+	finished chan struct{}
+	once     sync.Once
+
+	mu      sync.Mutex
+	second  int64
+	events  map[int64]int // lines in the present second
+	leftOut map[int64]int // by event; 0 stands for a full ring
+	noted   time.Time
+	notes   slog.Handler
+}
+
+// NewOutput returns an Output that writes to a file or stream until Close is called.
+func NewOutput(to io.Writer) *Output {
+	o := &Output{
+		to:       to,
+		lines:    make(chan []byte, outputRing),
+		closing:  make(chan struct{}),
+		finished: make(chan struct{}),
+		events:   map[int64]int{},
+		leftOut:  map[int64]int{},
+	}
+	o.notes = slog.NewJSONHandler(o, nil)
+	go o.run()
+	return o
+}
+
+// Logger returns a logger that writes JSON lines.
+func (o *Output) Logger() *slog.Logger {
+	return slog.New(&limitedHandler{
+		next:   slog.NewJSONHandler(o, nil),
+		output: o,
+	})
+}
+
+// Write takes one line. It never fails.
+func (o *Output) Write(line []byte) (int, error) {
+	select {
+	case o.lines <- append([]byte(nil), line...):
+	default:
+		o.mu.Lock()
+		o.leftOut[0]++
+		o.mu.Unlock()
+	}
+	return len(line), nil
+}
+
+// Close writes the lines that wait, and ends.
+func (o *Output) Close() {
+	o.once.Do(func() { close(o.closing) })
+	<-o.finished
+}
+
+// run writes lines in batches.
+func (o *Output) run() {
+	defer close(o.finished)
+	ticker := time.NewTicker(writeEvery)
+	defer ticker.Stop()
+	var batch []byte
+	flush := func() {
+		if len(batch) > 0 {
+			// There is nowhere to report that the output is closed.
+			_, _ = o.to.Write(batch)
+			batch = batch[:0]
+		}
+	}
+	for {
+		select {
+		case line := <-o.lines:
+			if batch = append(batch, line...); len(batch) >= writeMost {
+				flush()
+			}
+		case now := <-ticker.C:
+			o.note(now)
+			flush()
+		case <-o.closing:
+			for len(o.lines) > 0 {
+				batch = append(batch, <-o.lines...)
+			}
+			flush()
+			return
+		}
+	}
+}
+
+// allow counts a line of an event and reports whether it may be written.
+func (o *Output) allow(now time.Time, event int64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if second := now.Unix(); second != o.second {
+		o.second = second
+		clear(o.events)
+	}
+	if o.events[event] >= linesPerSecond {
+		o.leftOut[event]++
+		return false
+	}
+	o.events[event]++
+	return true
+}
+
+// note logs how many lines were left out.
+func (o *Output) note(now time.Time) {
+	o.mu.Lock()
+	if len(o.leftOut) == 0 || now.Sub(o.noted) < noteEvery {
+		o.mu.Unlock()
+		return
+	}
+	o.noted = now
+	leftOut := o.leftOut
+	o.leftOut = map[int64]int{}
+	o.mu.Unlock()
+	r := slog.NewRecord(now, LinesLeftOut.Level, LinesLeftOut.Name, 0)
+	r.AddAttrs(slog.Int("event", LinesLeftOut.ID))
+	for event, n := range leftOut {
+		r.AddAttrs(slog.Group("left-out", slog.Int64("of-event", event), slog.Int("lines", n)))
+	}
+	// The handler writes to this output, which never fails.
+	_ = o.notes.Handle(context.Background(), r)
+}
+
+// limitedHandler leaves out lines of events that come too often.
+type limitedHandler struct {
+	next   slog.Handler
+	output *Output
+}
+
+// Enabled is that of the next handler.
+func (h *limitedHandler) Enabled(ctx context.Context, level slog.Level) bool {
+	return h.next.Enabled(ctx, level)
+}
+
+// Handle passes a record on unless there are too many of its event.
+func (h *limitedHandler) Handle(ctx context.Context, r slog.Record) error {
+	event := int64(0)
+	r.Attrs(func(a slog.Attr) bool {
+		if a.Key == "event" {
+			event = a.Value.Int64()
+			return false
+		}
+		return true
+	})
+	if event != 0 && !h.output.allow(r.Time, event) {
+		return nil
+	}
+	return h.next.Handle(ctx, r)
+}
+
+// WithAttrs returns a handler with attributes.
+func (h *limitedHandler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return &limitedHandler{
+		next:   h.next.WithAttrs(attrs),
+		output: h.output,
+	}
+}
+
+// WithGroup returns a handler with a group.
+func (h *limitedHandler) WithGroup(name string) slog.Handler {
+	return &limitedHandler{
+		next:   h.next.WithGroup(name),
+		output: h.output,
+	}
+}
--- a/server/capacity_test.go
+++ b/server/capacity_test.go
@@ -162,7 +162,7 @@
 		metrics:   newMetrics(),
 		entries:   &registrar.Cache{},
 	}
-	b.Cleanup(h.metrics.close)
+	b.Cleanup(h.metrics.Close)
 	h.members = newMembership(cfg, h.self)
 	h.members.leaser.Install(now, leaser.View{Domain: "ikeja", Number: 1, Members: []leaser.Member{h.self}})
 	h.dispatcher = newDispatcher(cfg, h)
--- a/server/host.go
+++ b/server/host.go
@@ -301,6 +301,6 @@
 	if h.replica != nil {
 		h.replica.Close()
 	}
-	h.metrics.close()
+	h.metrics.Close()
 	h.runner.close()
 }
--- a/server/http.go
+++ b/server/http.go
@@ -44,7 +44,7 @@
 	v1.HandleFunc("/environments/{name}/history", h.getHistory).Methods(http.MethodGet)
 	v1.HandleFunc("/status", h.getStatus).Methods(http.MethodGet)
 	v1.HandleFunc("/ready", h.getReady).Methods(http.MethodGet)
-	r.Handle("/metrics", h.metrics.handler).Methods(http.MethodGet)
+	r.Handle("/metrics", h.metrics.Handler).Methods(http.MethodGet)
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		writeError(w, notFound("no such path: "+r.URL.Path))
 	})
--- a/server/slots.go
+++ b/server/slots.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"sesamedrift.example/sesamedrift/reporter"
 	"sesamedrift.example/sesamedrift/scheduler"
 )
 
@@ -271,7 +272,7 @@
 		}
 	}
 	h.slots.state.Store(state)
-	if now.Sub(d.published) >= reportEvery {
+	if now.Sub(d.published) >= reporter.PublishEvery {
 		d.published = now
 		h.metrics.update(d.stats, d.queue.Len(), d.running, len(d.upstreams))
 	}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -128,6 +128,8 @@
 	tasks []*task
 	// left is the number of tasks that are not done, by step.
 	left []int
+	// runs is the number of runs that were given a place.
+	runs int
 	// ran is set once a run has ended that may have begun.
 	ran     bool
 	ended   bool
@@ -242,6 +244,7 @@
 	}
 	k.phase = active
 	k.place = p
+	t.runs++
 	return true
 }
 
@@ -339,6 +342,9 @@
 	return t.outcome, t.reason, t.ended
 }
 
+// Runs returns the number of runs that were given a place.
+func (t *Tracker) Runs() int { return t.runs }
+
 // MayHaveRun notes that tasks of the job may have run where this tracker does not follow them.
 func (t *Tracker) MayHaveRun() { t.ran = true }
 
