--- /dev/null
+++ b/controller/controller_test.go
@@ -0,0 +1,206 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"sesamedrift.example/sesamedrift/finder"
+	"sesamedrift.example/sesamedrift/inquirer"
+	"sesamedrift.example/sesamedrift/publisher"
+	"sesamedrift.example/sesamedrift/reporter"
+)
+
+// waitLimit bounds waits; nothing takes so long unless it is broken.
+const waitLimit = 30 * time.Second
+
+// core is the control hosts of one system, on loopback.
+type core struct {
+	t         *testing.T
+	g         *WithT
+	addresses []string
+	folders   []string
+	hosts     []*Host
+	metrics   *reporter.Metrics
+	lives     uint64
+}
+
+func newCore(t *testing.T, n int) *core {
+	c := &core{
+		t:       t,
+		g:       NewWithT(t),
+		hosts:   make([]*Host, n),
+		metrics: reporter.NewMetrics(),
+	}
+	for range n {
+		l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		c.g.Expect(err).NotTo(HaveOccurred())
+		c.addresses = append(c.addresses, l.Addr().String())
+		c.folders = append(c.folders, t.TempDir())
+		c.g.Expect(l.Close()).To(Succeed())
+	}
+	return c
+}
+
+func (c *core) start(i int, bootstrap bool) {
+	c.lives++
+	h, err := New(Config{
+		Self: finder.Host{
+			ID:      fmt.Sprint("core-", i),
+			Domain:  fmt.Sprint("d", i),
+			Role:    finder.Control,
+			Address: c.addresses[i],
+			Life:    c.lives,
+			State:   finder.Serving,
+		},
+		Seeds:     c.addresses,
+		Token:     "token",
+		Folder:    c.folders[i],
+		Bootstrap: bootstrap,
+		Log:       slog.New(slog.DiscardHandler),
+		Metrics:   c.metrics,
+		Now:       time.Now,
+	})
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.hosts[i] = h
+}
+
+func (c *core) stop(i int) {
+	c.hosts[i].Close()
+	c.hosts[i] = nil
+}
+
+func (c *core) close() {
+	for i, h := range c.hosts {
+		if h != nil {
+			c.stop(i)
+		}
+	}
+	c.metrics.Close()
+}
+
+func (c *core) publish(i int, version uint64) error {
+	ctx, cancel := context.WithTimeout(c.t.Context(), 5*time.Second)
+	defer cancel()
+	return c.hosts[i].Publish(ctx, "ana", publisher.Published{
+		Version: version,
+		Content: []byte(fmt.Sprint("document ", version)),
+	})
+}
+
+// newest returns the version that a host reads, or 0 if it cannot be sure.
+func (c *core) newest(i int) uint64 {
+	ctx, cancel := context.WithTimeout(c.t.Context(), 2*time.Second)
+	defer cancel()
+	d, err := c.hosts[i].Newest(ctx)
+	if err != nil {
+		return 0
+	}
+	return d.Version
+}
+
+func (c *core) eventuallyNewest(i int, version uint64) {
+	c.t.Helper()
+	c.g.Eventually(func() uint64 { return c.newest(i) }).WithTimeout(waitLimit).Should(Equal(version))
+}
+
+// Guards against acknowledged documents that are lost with processes or with one disk, against
+// answers without a majority, and against goroutines that are left behind.
+func TestDocumentsSurvive(t *testing.T) {
+	ignore := goleak.IgnoreCurrent()
+	defer goleak.VerifyNone(t, ignore)
+	c := newCore(t, 3)
+	defer c.close()
+	for i := range 3 {
+		c.start(i, true)
+	}
+	c.g.Eventually(func() error { return c.publish(0, 5) }).WithTimeout(waitLimit).Should(Succeed())
+	c.g.Eventually(func() error { return c.publish(1, 4) }).WithTimeout(waitLimit).Should(Succeed(), "an older version is acknowledged")
+	for i := range 3 {
+		c.eventuallyNewest(i, 5)
+	}
+
+	// One replica is enough neither for a change nor for a read.
+	c.stop(1)
+	c.stop(2)
+	c.g.Expect(c.publish(0, 6)).NotTo(Succeed())
+	c.g.Expect(c.newest(0)).To(BeZero())
+
+	// The change without an answer may or may not be in force; what was acknowledged is.
+	c.stop(0)
+	c.start(0, false)
+	c.start(1, false)
+	c.g.Eventually(func() uint64 { return c.newest(0) }).WithTimeout(waitLimit).Should(BeNumerically(">=", 5))
+	c.g.Eventually(func() error { return c.publish(1, 7) }).WithTimeout(waitLimit).Should(Succeed())
+
+	// A lost disk is repaired from the others before its host votes; then another may be lost.
+	c.g.Expect(os.RemoveAll(c.folders[2])).To(Succeed())
+	c.start(2, false)
+	c.eventuallyNewest(2, 7)
+	c.stop(0)
+	c.g.Expect(os.RemoveAll(c.folders[0])).To(Succeed())
+	c.eventuallyNewest(2, 7)
+	c.g.Expect(c.publish(2, 8)).To(Succeed())
+	c.start(0, false)
+	c.eventuallyNewest(0, 8)
+}
+
+// Guards against news that do not reach hosts, and against answers that keep an idle host
+// waiting for longer than its question allows.
+func TestNews(t *testing.T) {
+	c := newCore(t, 1)
+	defer c.close()
+	c.start(0, true)
+	h := c.hosts[0]
+	self := finder.Host{
+		ID:      "entry",
+		Domain:  "d",
+		Role:    finder.Entry,
+		Address: "127.0.0.1:9",
+		Life:    1,
+		State:   finder.Serving,
+	}
+	ask := func(q inquirer.Question) inquirer.News {
+		q.Self = self
+		return h.answer(t.Context(), q)
+	}
+	first := ask(inquirer.Question{})
+	c.g.Expect(first.Hosts).To(ContainElements(self, HaveField("Role", finder.Control)))
+	next := inquirer.Question{
+		Life:      first.Life,
+		Hosts:     first.HostsSeq,
+		Upstreams: first.UpstreamsSeq,
+	}
+	answered := make(chan inquirer.News, 1)
+	go func() { answered <- ask(next) }()
+	u := finder.Upstream{
+		ID:      "u",
+		Address: "127.0.0.1:8",
+		Life:    1,
+		Report:  1,
+		State:   finder.Serving,
+	}
+	h.Report(u)
+	var n inquirer.News
+	c.g.Eventually(answered).WithTimeout(waitLimit).Should(Receive(&n))
+	c.g.Expect(n.Upstreams).To(Equal([]finder.Upstream{u}))
+	known, found := h.Upstream("u")
+	c.g.Expect(found).To(BeTrue())
+	c.g.Expect(known).To(Equal(u))
+
+	c.g.Eventually(func() error { return c.publish(0, 3) }).WithTimeout(waitLimit).Should(Succeed())
+	c.g.Expect(ask(next).Document.Version).To(Equal(uint64(3)))
+	next.Version = 3
+	next.Upstreams = n.UpstreamsSeq
+	c.g.Expect(ask(next)).To(HaveField("Document.Version", BeZero()))
+	// Numbers of another life of the control host mean nothing to it.
+	next.Life++
+	c.g.Expect(ask(next).Upstreams).To(HaveLen(1))
+}
