dispatcher: a placer that stops goes on with the jobs that were passed on to it; explain

Cause: other domains ended their sessions with a placer as soon as it said that it places no more, which cut the jobs that they had passed on to it; their entries then waited until the deadline, since the end of the session was not taken for the loss of the way.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -135,6 +135,7 @@
 			c.statusCommand(),
 			c.demoCommand(),
 			c.loadCommand(),
+			c.explainCommand(),
 			platform.Command(c.Out),
 		},
 	}
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -182,6 +182,7 @@
 		c.tellRoom(now)
 		c.forgetDropped(now)
 	}
+	c.leaveRetired()
 }
 
 // tell sends a message to a host of the domain, which may be this one. A message to a host
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -184,7 +184,7 @@
 	}
 	c.figures.Runs[m.How]++
 	if m.How != keeper.Done {
-		c.event(reporter.RunEndedBadly, "job", m.Run.Task.Job, "run", m.Run, "upstream", m.Upstream, "how", m.How, "reason", m.Reason,
+		c.event(reporter.RunEndedBadly, "job", m.Run.Task.Job, "run", m.Run.String(), "upstream", m.Upstream, "how", m.How, "reason", m.Reason,
 			"keeper", from)
 	}
 	j.tracker.RunEnded(m.Run, m.How, m.Reason)
@@ -251,7 +251,7 @@
 	}
 	c.figures.Jobs[outcome]++
 	c.figures.Took = addTime(c.figures.Took, now.Sub(j.tracker.Job.Arrived))
-	c.event(reporter.JobEnded, "job", id, "queue", j.tracker.Job.Queue, "outcome", outcome, "reason", reason,
+	c.event(reporter.JobEnded, "job", id, "request", j.tracker.Job.Request, "queue", j.tracker.Job.Queue, "outcome", outcome, "reason", reason,
 		"took", now.Sub(j.tracker.Job.Arrived), "runs", j.tracker.Runs(), "callers", len(j.callers))
 }
 
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -18,32 +18,17 @@
 	if e.Kind != courier.Delivered {
 		c.sessions[e.Peer] = e.Kind == courier.Up
 	}
-	if n := c.neighbours[e.Peer]; n != nil && e.Kind == courier.Down {
-		c.neighbourDown(now, e.Peer, n)
-		return
+	if e.Kind == courier.Down {
+		c.neighbourDown(now, e.Peer)
 	}
 	switch e.Kind {
 	case courier.Up:
-		if host, known := c.hosts.Get(e.Peer); known && host.Domain != c.cfg.Self.Domain {
-			// The placer of another domain, of which this host may not have heard as such yet.
+		c.peerUp(now, e.Peer)
+	case courier.Down:
+		if _, member := c.up[e.Peer]; !member {
+			// A host of another domain.
 			return
 		}
-		c.up[e.Peer] = true
-		delete(c.lostAt, e.Peer)
-		c.event(reporter.SessionBegun, "peer", e.Peer)
-		c.tell(e.Peer, kindKnown, known{
-			Hosts:     c.hosts.All(),
-			Upstreams: c.upstreams.All(),
-			Document:  c.published,
-		})
-		if !c.takesPart() {
-			c.tell(e.Peer, kindStanding, standing{})
-		}
-		c.reorganize(now)
-		if c.placer != nil {
-			c.tell(e.Peer, kindAssignment, c.assigned)
-		}
-	case courier.Down:
 		if c.up[e.Peer] {
 			c.lostAt[e.Peer] = now
 		}
@@ -57,6 +42,35 @@
 	}
 }
 
+// peerUp begins to work with a host of the domain. A session may begin before this host has
+// heard which host the peer is.
+func (c *Core) peerUp(now time.Time, peer string) {
+	host, known := c.hosts.Get(peer)
+	if _, member := c.up[peer]; member || !known || host.Domain != c.cfg.Self.Domain || !c.sessions[peer] {
+		return
+	}
+	c.up[peer] = true
+	delete(c.lostAt, peer)
+	c.event(reporter.SessionBegun, "peer", peer)
+	c.tell(peer, kindKnown, c.known())
+	if !c.takesPart() {
+		c.tell(peer, kindStanding, standing{})
+	}
+	c.reorganize(now)
+	if c.placer != nil {
+		c.tell(peer, kindAssignment, c.assigned)
+	}
+}
+
+// known returns all that this host knows, for one that may have just started.
+func (c *Core) known() known {
+	return known{
+		Hosts:     c.hosts.All(),
+		Upstreams: c.upstreams.All(),
+		Document:  c.published,
+	}
+}
+
 // peerLost drops what a host has asked of this one.
 func (c *Core) peerLost(now time.Time, peer string) {
 	c.dropCallers(now, peer)
@@ -268,6 +282,7 @@
 		return
 	case host.Role == finder.Entry && host.State != finder.Gone:
 		c.out.Connect(host.Address)
+		c.peerUp(now, host.Address)
 	case host.State == finder.Gone:
 		c.out.Disconnect(host.Address)
 		if c.asking[host.Address] {
--- a/dispatcher/passing.go
+++ b/dispatcher/passing.go
@@ -38,6 +38,9 @@
 // neighbour is the placer of another domain.
 type neighbour struct {
 	domain string
+	// retired says that the host does not place any more. The session goes on until the jobs
+	// that were passed on to it have ended.
+	retired bool
 	// told is what it was last told of the room here, toldAt when.
 	told   placer.Room
 	toldAt time.Time
@@ -61,15 +64,37 @@
 func (c *Core) placerChanged(host finder.Host) {
 	n := c.neighbours[host.Address]
 	switch {
-	case host.Places && host.State != finder.Gone && n == nil:
+	case host.Places && host.State != finder.Gone:
 		c.neighbours[host.Address] = &neighbour{domain: host.Domain}
 		if c.placer != nil {
 			c.out.Connect(host.Address)
 		}
-	case (!host.Places || host.State == finder.Gone) && n != nil:
-		c.out.Disconnect(host.Address)
-		delete(c.neighbours, host.Address)
+	case n != nil:
+		n.retired = true
+		if c.placer != nil {
+			c.placer.DropNeighbour(n.domain)
+		}
+	}
+}
+
+// leaveRetired ends the sessions with hosts that place no more and run no job of this domain.
+func (c *Core) leaveRetired() {
+	for _, address := range slices.Sorted(maps.Keys(c.neighbours)) {
+		if !c.neighbours[address].retired || c.relaysTo(address) {
+			continue
+		}
+		delete(c.neighbours, address)
+		c.out.Disconnect(address)
+	}
+}
+
+func (c *Core) relaysTo(address string) bool {
+	for _, r := range c.relays {
+		if r.to == address {
+			return true
+		}
 	}
+	return false
 }
 
 // connectNeighbours begins the sessions that a placer keeps.
@@ -83,7 +108,7 @@
 func (c *Core) neighbourOf(domain string) string {
 	for _, address := range slices.Sorted(maps.Keys(c.neighbours)) {
 		n := c.neighbours[address]
-		if n.domain == domain && c.sessions[address] {
+		if n.domain == domain && !n.retired && c.sessions[address] {
 			return address
 		}
 	}
@@ -99,7 +124,7 @@
 	for _, address := range slices.Sorted(maps.Keys(c.neighbours)) {
 		n := c.neighbours[address]
 		since := now.Sub(n.toldAt)
-		if !c.sessions[address] || since < roomEvery || r == n.told && since < roomAnyway {
+		if n.retired || !c.sessions[address] || since < roomEvery || r == n.told && since < roomAnyway {
 			continue
 		}
 		n.told, n.toldAt = r, now
@@ -119,9 +144,9 @@
 	}
 }
 
-// neighbourDown notes that the session with the placer of another domain has ended.
-func (c *Core) neighbourDown(now time.Time, address string, n *neighbour) {
-	if c.placer != nil {
+// neighbourDown notes that the session with a host of another domain has ended.
+func (c *Core) neighbourDown(now time.Time, address string) {
+	if n := c.neighbours[address]; n != nil && c.placer != nil {
 		c.placer.DropNeighbour(n.domain)
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.relays)) {
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -268,7 +268,7 @@
 				"troubles", d.Rest.Troubles)
 		case d.Stop != nil:
 			c.figures.Moved++
-			c.event(reporter.RunMoved, "job", d.Job, "run", d.Stop.Run, "upstream", d.Stop.Upstream)
+			c.event(reporter.RunMoved, "job", d.Job, "run", d.Stop.Run.String(), "upstream", d.Stop.Upstream)
 			c.tell(c.assigned.Keepers[d.Stop.Upstream], kindStop, stop{
 				Upstream: d.Stop.Upstream,
 				Run:      d.Stop.Run,
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -20,7 +20,9 @@
 
 // Job is what a caller has sent.
 type Job struct {
-	ID      string
+	ID string
+	// Request is the caller's name for its request, for the logs; it may be empty.
+	Request string
 	Queue   string
 	Service string
 	// Priority orders jobs; 0 comes first.
