dispatcher: keep sessions with hosts that place no more while jobs passed either way are open

Ruled out: lost relay frames; the trace shows the session closed first. Change: leaveRetired keeps a session while a shared job is open.

--- a/dispatcher/passing.go
+++ b/dispatcher/passing.go
@@ -77,10 +77,11 @@
 	}
 }
 
-// leaveRetired ends the sessions with hosts that place no more and run no job of this domain.
+// leaveRetired ends the sessions with hosts that place no more, once no job is left that was
+// passed on to them or by them.
 func (c *Core) leaveRetired() {
 	for _, address := range slices.Sorted(maps.Keys(c.neighbours)) {
-		if !c.neighbours[address].retired || c.relaysTo(address) {
+		if !c.neighbours[address].retired || c.sharesJobs(address) {
 			continue
 		}
 		delete(c.neighbours, address)
@@ -88,12 +89,18 @@
 	}
 }
 
-func (c *Core) relaysTo(address string) bool {
+// sharesJobs reports whether a job was passed on to a host or by it.
+func (c *Core) sharesJobs(address string) bool {
 	for _, r := range c.relays {
 		if r.to == address {
 			return true
 		}
 	}
+	for _, j := range c.jobs {
+		if j.relayFrom(address) != nil {
+			return true
+		}
+	}
 	return false
 }
 
