--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -193,7 +193,7 @@
 	case drop:
 		c.receiveDrop(now, from, m)
 	case progress:
-		c.receiveProgress(now, from, m)
+		c.receiveProgress(from, m)
 	case superseded:
 		c.receiveSuperseded(now, from, m)
 	default:
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -244,7 +244,7 @@
 	c.placer.Ended(now, f.Upstream, f.Run, f.How, f.Reason, f.Took)
 }
 
-func (c *Core) receiveProgress(now time.Time, from string, m progress) {
+func (c *Core) receiveProgress(from string, m progress) {
 	if c.placer == nil {
 		return
 	}
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -19,7 +19,6 @@
 type register struct {
 	mu      sync.Mutex
 	entry   registrar.Entry
-	ids     map[string]uint64
 	changes int
 	// lose makes the next change decided but unanswered.
 	lose bool
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -101,8 +101,9 @@
 }
 
 func BenchmarkFind(b *testing.B) {
-	var queues []Queue
-	for i := range 1400 {
+	const count = 1400
+	queues := make([]Queue, 0, count)
+	for i := range count {
 		queues = append(queues, queue(fmt.Sprint("q", i), fmt.Sprintf("h%d.example", i%3), fmt.Sprintf("/prefix%d/", i)))
 	}
 	table := NewTable(document(queues...))
