--- a/registrar/doc.go
+++ b/registrar/doc.go
@@ -25,8 +25,8 @@
 // started with Config.Empty. An empty replica does not vote; the caller calls Repair until
 // it succeeds. Repair copies the state of a majority that does not count the replica itself
 // (of all others if these are fewer), after which another replica may be lost. After a
-// failed Append or Snapshot the replica stops voting for good; the process must be
-// restarted. The caller calls Sync from time to time on replicas, and uses Versions, Entries
+// failed Append or Snapshot the replica stops voting for good; the caller makes a new one
+// from the recovered state with Config.Rewrite, or restarts the process. The caller calls Sync from time to time on replicas, and uses Versions, Entries
 // and Cache to carry entries to hosts without a disk. A change that was answered
 // Unavailable, or not at all, is sent again with the same identifier, expected version and
 // value. An identifier must not be used for another change.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -36,6 +36,8 @@
 	// Bootstrap says that the set has never run. It has an effect only on an empty replica;
 	// see the package comment.
 	Bootstrap bool
+	// Rewrite says that recovered state is stored again before the replica votes.
+	Rewrite bool
 	// Call sends a request to another replica. It must be safe for concurrent use, return
 	// when ctx is done and end by itself after a bounded time: a call to a replica that does
 	// not answer may outlive the method that made it. Requests may arrive more than once.
@@ -81,8 +83,8 @@
 	notifying bool
 }
 
-// New returns a replica with the recovered state. Errors are of type *InvalidError and
-// *DamageError.
+// New returns a replica with the recovered state. Errors are of type *InvalidError,
+// *DamageError and, with Config.Rewrite, *StorageError.
 func New(cfg Config) (*Registrar, error) {
 	if err := checkReplicas(cfg.Replicas); err != nil {
 		return nil, err
@@ -115,6 +117,11 @@
 		}
 	}
 	g.cfg.Snapshotted, g.cfg.Records = nil, nil
+	if cfg.Rewrite && g.replica.Ready {
+		if err := g.snapshot(g.replica.State); err != nil {
+			return nil, &StorageError{Err: err}
+		}
+	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	return g, nil
 }
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -1,6 +1,8 @@
 // Package replicator runs a replica of the registers in a data folder: it opens the
 // journal, recovers the registers from it, repairs them from the other replicas if the
-// folder was lost or damaged, and fetches what the replica has missed.
+// folder was lost or damaged, and fetches what the replica has missed. After a failed write
+// it opens the journal again, as after a crash, and stores the recovered state in a new file
+// before the replica votes.
 //
 // A Replica is safe for concurrent use.
 package replicator
@@ -50,12 +52,13 @@
 // Replica is an open replica.
 type Replica struct {
 	cfg       Config
-	registers *registrar.Registrar
-	journal   *journaler.Journal
-	failed    atomic.Bool // set once the failure of the journal is reported
+	registers atomic.Pointer[registrar.Registrar]
+	journal   *journaler.Journal // used by Open, Run and Close only
+	failed    atomic.Bool        // set once the present failure of the journal is reported
 }
 
-// Open opens the journal and the registers. The caller then calls Run.
+// Open opens the journal and the registers. The caller then calls Run, and Close after Run
+// has returned.
 func Open(cfg Config) (*Replica, error) {
 	if cfg.RepairEvery <= 0 {
 		cfg.RepairEvery = defaultRepairEvery
@@ -64,48 +67,60 @@
 		cfg.SyncEvery = defaultSyncEvery
 	}
 	r := &Replica{cfg: cfg}
+	if err := r.open(cfg.Bootstrap, false); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// open opens the journal and the registers. If rewrite is set, the recovered state is stored
+// again: after a failed write, what can be read from the file need not be on the disk.
+func (r *Replica) open(bootstrap, rewrite bool) error {
 	journal, recovery, damaged, err := r.openJournal()
 	if err != nil {
-		return nil, err
+		return err
 	}
-	r.journal = journal
 	if recovery.TornBytes > 0 {
-		reporter.Log(context.Background(), cfg.Log, reporter.JournalTornTail, "bytes", recovery.TornBytes)
+		reporter.Log(context.Background(), r.cfg.Log, reporter.JournalTornTail, "bytes", recovery.TornBytes)
 	}
-	registers := registrar.Config{
-		ID:          cfg.ID,
-		Replicas:    cfg.Replicas,
+	cfg := registrar.Config{
+		ID:          r.cfg.ID,
+		Replicas:    r.cfg.Replicas,
 		Append:      func(record []byte) error { return r.stored(journal.Append(record)) },
 		Snapshot:    func(state []byte) error { return r.stored(journal.Snapshot(state)) },
 		Snapshotted: recovery.Snapshot,
 		Records:     recovery.Records,
 		Empty:       recovery.Snapshot == nil,
-		Bootstrap:   cfg.Bootstrap && !damaged,
-		Call:        cfg.Call,
-		Learned:     cfg.Learned,
+		Bootstrap:   bootstrap && !damaged,
+		Rewrite:     rewrite,
+		Call:        r.cfg.Call,
+		Learned:     r.cfg.Learned,
 	}
-	r.registers, err = registrar.New(registers)
+	registers, err := registrar.New(cfg)
 	var unreadable *registrar.DamageError
 	if errors.As(err, &unreadable) {
-		reporter.Log(context.Background(), cfg.Log, reporter.JournalDamaged, "error", err)
-		registers.Empty = true
-		registers.Bootstrap = false
-		r.registers, err = registrar.New(registers)
+		reporter.Log(context.Background(), r.cfg.Log, reporter.JournalDamaged, "error", err)
+		cfg.Empty = true
+		cfg.Bootstrap = false
+		registers, err = registrar.New(cfg)
 	}
 	if err != nil {
-		return nil, fmt.Errorf("registers: %w", errors.Join(err, journal.Close()))
+		return fmt.Errorf("registers: %w", errors.Join(err, journal.Close()))
 	}
-	for _, e := range r.registers.Entries(nil) {
-		cfg.Learned(e)
+	r.journal = journal
+	r.registers.Store(registers)
+	for _, e := range registers.Entries(nil) {
+		r.cfg.Learned(e)
 	}
-	return r, nil
+	return nil
 }
 
-// Registers returns the registers of the replica.
-func (r *Replica) Registers() *registrar.Registrar { return r.registers }
+// Registers returns the registers of the replica. They are replaced when the journal has been
+// opened again, so the result is not to be kept.
+func (r *Replica) Registers() *registrar.Registrar { return r.registers.Load() }
 
 // Votes reports whether the replica takes part in decisions.
-func (r *Replica) Votes() bool { return r.registers.Ready() && r.registers.Failed() == nil }
+func (r *Replica) Votes() bool { return r.Registers().Ready() }
 
 // stored returns the error of a journal's method and reports the first one.
 func (r *Replica) stored(err error) error {
@@ -137,22 +152,56 @@
 	return journal, recovery, damaged != nil, nil
 }
 
-// Run repairs the replica if it is empty, and then fetches what it has missed, until ctx
-// is done or the replica can store nothing any more.
+// Run repairs the replica if it is empty, then fetches what it has missed, and opens the
+// journal again after a failed write, until ctx is done.
 func (r *Replica) Run(ctx context.Context) {
-	r.repair(ctx)
-	for sleep(ctx, r.cfg.SyncEvery) && r.registers.Failed() == nil {
-		round, cancel := context.WithTimeout(ctx, roundTimeout)
-		// A replica that cannot be reached is asked again in the next round.
-		_ = r.registers.Sync(round, r.cfg.Now())
-		cancel()
+	for ctx.Err() == nil {
+		r.repair(ctx)
+		for r.Registers().Failed() == nil && r.wait(ctx) {
+			round, cancel := context.WithTimeout(ctx, roundTimeout)
+			// A replica that cannot be reached is asked again in the next round.
+			_ = r.Registers().Sync(round, r.cfg.Now())
+			cancel()
+		}
+		if r.Registers().Failed() != nil {
+			r.reopen(ctx)
+		}
+	}
+}
+
+// wait waits for the next exchange with the others. It reports whether there is to be one.
+func (r *Replica) wait(ctx context.Context) bool {
+	for rest := r.cfg.SyncEvery; rest > 0 && r.Registers().Failed() == nil; rest -= r.cfg.RepairEvery {
+		if !sleep(ctx, min(rest, r.cfg.RepairEvery)) {
+			return false
+		}
+	}
+	return r.Registers().Failed() == nil
+}
+
+// reopen opens the journal again until that succeeds.
+func (r *Replica) reopen(ctx context.Context) {
+	r.Registers().Close()
+	// Its error is that of the write that failed.
+	_ = r.journal.Close()
+	for sleep(ctx, r.cfg.RepairEvery) {
+		// A set that has lost its disk while it bootstraps is repaired by the others.
+		err := r.open(false, true)
+		if err == nil {
+			r.failed.Store(false)
+			reporter.Log(ctx, r.cfg.Log, reporter.JournalReopened)
+			return
+		}
+		if !r.failed.Swap(true) {
+			reporter.Log(ctx, r.cfg.Log, reporter.JournalFailed, "error", err)
+		}
 	}
 }
 
 func (r *Replica) repair(ctx context.Context) {
-	for !r.registers.Ready() && r.registers.Failed() == nil {
+	for !r.Registers().Ready() && r.Registers().Failed() == nil {
 		round, cancel := context.WithTimeout(ctx, roundTimeout)
-		err := r.registers.Repair(round, r.cfg.Now())
+		err := r.Registers().Repair(round, r.cfg.Now())
 		cancel()
 		if err == nil {
 			reporter.Log(ctx, r.cfg.Log, reporter.ReplicaRepaired)
@@ -166,7 +215,7 @@
 
 // Close ends the calls to other replicas and closes the journal.
 func (r *Replica) Close() {
-	r.registers.Close()
+	r.Registers().Close()
 	_ = r.stored(r.journal.Close())
 }
 
--- a/reporter/events.go
+++ b/reporter/events.go
@@ -290,7 +290,7 @@
 		ID:    7003,
 		Name:  "journal-failed",
 		Level: slog.LevelError,
-		Text:  "A write or sync failed; the replica stops voting. Replace the disk and restart.",
+		Text:  "A write or sync failed; the replica does not vote until its journal can be opened and written again. If it stays so, replace the disk.",
 	}
 	ReplicaRepaired = Event{
 		ID:    7004,
@@ -298,6 +298,18 @@
 		Level: slog.LevelInfo,
 		Text:  "The replica has copied the state of a majority and votes again.",
 	}
+	JournalReopened = Event{
+		ID:    7005,
+		Name:  "journal-reopened",
+		Level: slog.LevelInfo,
+		Text:  "The journal was opened again after a failure and its state stored in a new file; the replica votes again.",
+	}
+	ReplicasChanged = Event{
+		ID:    7006,
+		Name:  "replicas-changed",
+		Level: slog.LevelInfo,
+		Text:  "This host has proposed to add or remove a replica; the attributes name the sets, the reason and the outcome.",
+	}
 )
 
 // Events of jobs, 8xxx.
@@ -398,6 +410,8 @@
 	JournalDamaged,
 	JournalFailed,
 	ReplicaRepaired,
+	JournalReopened,
+	ReplicasChanged,
 	JobPlaced,
 	JobRefused,
 	JobPassedOn,
--- a/server/host.go
+++ b/server/host.go
@@ -80,8 +80,7 @@
 	members    *membership
 	claims     *claimer.Claimer
 	table      *claimer.Table
-	replica    *replicator.Replica  // nil on a host without a disk
-	registers  *registrar.Registrar // those of replica
+	replica    *replicator.Replica // nil on a host without a disk
 	entries    *registrar.Cache
 	documents  documents
 	directory  directory
--- a/server/registers.go
+++ b/server/registers.go
@@ -89,7 +89,6 @@
 		return err
 	}
 	h.replica = replica
-	h.registers = replica.Registers()
 	return nil
 }
 
@@ -101,10 +100,10 @@
 }
 
 func (h *Host) serveRegister(in registerCall) (registerReply, error) {
-	if h.registers == nil {
+	if h.replica == nil {
 		return registerReply{}, errNoReplica
 	}
-	return registerReply{Reply: h.registers.Handle(h.now(), in.Request)}, nil
+	return registerReply{Reply: h.replica.Registers().Handle(h.now(), in.Request)}, nil
 }
 
 func (h *Host) serveRegisterChange(ctx context.Context, in registerChange) (registerResult, error) {
@@ -116,7 +115,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, registerChangeTimeout)
 	defer cancel()
-	result, err := h.registers.Change(ctx, h.now(), in.Change)
+	result, err := h.replica.Registers().Change(ctx, h.now(), in.Change)
 	if err != nil {
 		return registerResult{Message: err.Error()}, nil
 	}
@@ -137,11 +136,11 @@
 	defer cancel()
 	if in.History {
 		return registerEntry{
-			History: h.registers.History(in.Register, in.After, in.Limit),
+			History: h.replica.Registers().History(in.Register, in.After, in.Limit),
 			OK:      true,
 		}, nil
 	}
-	entry, err := h.registers.Read(ctx, h.now(), in.Register)
+	entry, err := h.replica.Registers().Read(ctx, h.now(), in.Register)
 	if err != nil {
 		return registerEntry{}, err
 	}
--- a/server/status.go
+++ b/server/status.go
@@ -103,14 +103,14 @@
 		Members:     []string{},
 		Horizon:     view.Horizon,
 		Lease:       lease,
-		Replica:     h.registers != nil,
+		Replica:     h.replica != nil,
 		Votes:       h.votes(),
 		Versions:    h.entries.Versions(),
 		Free:        h.slots.free(),
 		Upstreams:   []upstreamStatus{},
 	}
-	if h.registers != nil && h.registers.Failed() != nil {
-		s.JournalError = h.registers.Failed().Error()
+	if h.replica != nil && h.replica.Registers().Failed() != nil {
+		s.JournalError = h.replica.Registers().Failed().Error()
 	}
 	for _, m := range view.Members {
 		s.Members = append(s.Members, m.Host)
