controller: the set of replicas follows replaced and added hosts

Cause: a control host that came back at a new address with an empty disk was never made a replica, so each replacement left the set one vote shorter; added hosts never voted. Ruled out: making every host a replica, which makes each change wait for more disks than needed. Change: the leading host proposes the next set one change at a time (nextReplicas, pure, table test); hosts that stop leave; the number of replicas follows the losses that the provider may cause at once.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -58,6 +58,8 @@
 	Token string
 	// Folder is the data folder.
 	Folder string
+	// Replicas is the number of control hosts that store documents, if there are so many.
+	Replicas int
 	// Bootstrap says that the whole system starts for the first time.
 	Bootstrap bool
 	Log       *slog.Logger
@@ -78,7 +80,10 @@
 	cancel    context.CancelFunc
 	duties    sync.WaitGroup
 
+	began time.Time
+
 	mu        sync.Mutex
+	self      finder.Host
 	hosts     *finder.List[finder.Host]
 	upstreams *finder.List[finder.Upstream]
 	document  publisher.Published
@@ -86,28 +91,34 @@
 	changed chan struct{}
 	asking  map[string]bool
 	peers   map[string]*messenger.Peer
+	// heard holds the control hosts that have answered, silentSince those that have ceased to.
+	heard       map[string]bool
+	silentSince map[string]time.Time
 }
 
 // New starts a control host. Its internal address is open when it returns.
 func New(cfg Config) (*Host, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{
-		cfg:       cfg,
-		log:       cfg.Log,
-		ctx:       ctx,
-		cancel:    cancel,
-		hosts:     finder.NewList[finder.Host](),
-		upstreams: finder.NewList[finder.Upstream](),
-		changed:   make(chan struct{}),
-		asking:    map[string]bool{},
-		peers:     map[string]*messenger.Peer{},
+		cfg:         cfg,
+		log:         cfg.Log,
+		ctx:         ctx,
+		cancel:      cancel,
+		began:       cfg.Now(),
+		self:        cfg.Self,
+		hosts:       finder.NewList[finder.Host](),
+		upstreams:   finder.NewList[finder.Upstream](),
+		changed:     make(chan struct{}),
+		asking:      map[string]bool{},
+		peers:       map[string]*messenger.Peer{},
+		heard:       map[string]bool{},
+		silentSince: map[string]time.Time{},
 	}
 	h.asker = &inquirer.Asker{
-		Self:  func() finder.Host { return cfg.Self },
-		Token: cfg.Token,
-		Apply: h.apply,
-		// Control hosts decide nothing by whom they reach.
-		Contact: func(string, bool) {},
+		Self:    h.ownReport,
+		Token:   cfg.Token,
+		Apply:   h.apply,
+		Contact: h.contact,
 		Log:     cfg.Log,
 	}
 	h.hosts.Put(cfg.Now(), cfg.Self)
@@ -130,8 +141,12 @@
 	}
 	h.publisher = &publisher.Publisher{
 		Register: documentRegister,
-		Read:     h.replica.Registers().Read,
-		Change:   h.replica.Registers().Change,
+		Read: func(ctx context.Context, now time.Time, register string) (registrar.Entry, error) {
+			return h.replica.Registers().Read(ctx, now, register)
+		},
+		Change: func(ctx context.Context, now time.Time, c registrar.Change) (registrar.Result, error) {
+			return h.replica.Registers().Change(ctx, now, c)
+		},
 	}
 	h.listener, err = messenger.Listen(cfg.Self.Address, messenger.Config{
 		Local:        h.hello(),
@@ -144,6 +159,7 @@
 		return nil, err
 	}
 	h.duties.Go(func() { h.replica.Run(ctx) })
+	h.duties.Go(func() { h.keepMembers(ctx) })
 	h.mu.Lock()
 	for _, seed := range cfg.Seeds {
 		h.askNews(seed)
@@ -184,8 +200,8 @@
 	h.cancel()
 	// The error of a listener that is being closed tells nothing.
 	_ = h.listener.Close()
-	h.replica.Close()
 	h.duties.Wait()
+	h.replica.Close()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, p := range h.peers {
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -49,7 +49,9 @@
 	return c
 }
 
-func (c *core) start(i int, bootstrap bool) {
+func (c *core) start(i int, bootstrap bool) { c.startWith(i, bootstrap, c.addresses) }
+
+func (c *core) startWith(i int, bootstrap bool, seeds []string) {
 	c.lives++
 	h, err := New(Config{
 		Self: finder.Host{
@@ -60,10 +62,11 @@
 			Life:    c.lives,
 			State:   finder.Serving,
 		},
-		Seeds:     c.addresses,
+		Seeds:     seeds,
 		Token:     "token",
 		Folder:    c.folders[i],
 		Bootstrap: bootstrap,
+		Replicas:  3,
 		Log:       slog.New(slog.DiscardHandler),
 		Metrics:   c.metrics,
 		Now:       time.Now,
--- /dev/null
+++ b/controller/members_test.go
@@ -0,0 +1,100 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift/finder"
+)
+
+func TestNextReplicas(t *testing.T) {
+	host := func(address, domain string) peerState {
+		return peerState{Host: finder.Host{
+			Address: address,
+			Domain:  domain,
+			Role:    finder.Control,
+			State:   finder.Serving,
+			Stores:  true,
+		}}
+	}
+	silent := func(p peerState, d time.Duration) peerState {
+		p.Silent = d
+		return p
+	}
+	empty := func(p peerState) peerState {
+		p.Host.Stores = false
+		return p
+	}
+	leaving := func(p peerState) peerState {
+		p.Host.State = finder.Leaving
+		return p
+	}
+	a, b, c, d, e, f := host("a", "1"), host("b", "2"), host("c", "3"), host("d", "1"), host("e", "2"), host("f", "3")
+	for _, test := range []struct {
+		guards  string // the failure that the case guards against
+		self    string
+		members string
+		hosts   []peerState
+		wanted  int
+		want    string // "" if nothing is to change
+	}{
+		{"changes without a cause", "a", "abc", []peerState{a, b, c, d}, 3, ""},
+		{"a set that shrinks because a host is down for a while", "a", "abc", []peerState{a, b, silent(c, time.Minute)}, 3, ""},
+		{"replicas that move when a host pauses", "a", "abc", []peerState{a, b, silent(c, time.Second), d}, 3, ""},
+		{"a lost replica that is never replaced", "a", "abc", []peerState{a, b, silent(c, 3*time.Second), d}, 3, "abcd"},
+		{"a replaced replica that stays in the set", "a", "abcd", []peerState{a, b, silent(c, 3*time.Second), d}, 3, "abd"},
+		{"a replica that comes back while it is replaced", "a", "abcd", []peerState{a, b, c, d}, 3, "abc"},
+		{"a host that stops and is replaced late", "a", "abc", []peerState{a, b, leaving(c), d}, 3, "abcd"},
+		{"a standby without state that joins", "a", "abc", []peerState{a, b, silent(c, 3*time.Second), empty(d)}, 3, ""},
+		{"a standby that is silent and joins", "a", "abc", []peerState{a, b, silent(c, 3*time.Second), silent(d, time.Millisecond)}, 3, ""},
+		{"two hosts that outbid each other", "b", "abc", []peerState{a, b, silent(c, 3*time.Second), d}, 3, ""},
+		{"a lost host that was to make the changes", "b", "abc", []peerState{silent(a, 3*time.Second), b, c, d}, 3, "abcd"},
+		{"a host without state that was to make the changes", "b", "abc", []peerState{empty(a), b, silent(c, 3*time.Second), d}, 3, "abcd"},
+		{"an empty replica that is taken for lost", "b", "abc", []peerState{empty(a), b, c, d}, 3, ""},
+		{"a set that stays small", "a", "abc", []peerState{a, b, c, d, e, f}, 5, "abcd"},
+		{"a domain that gets too many replicas", "a", "abcd", []peerState{a, b, c, d, e, host("dd", "1")}, 5, "abcde"},
+		{"too many replicas of one domain that stay", "a", "abcdef", []peerState{a, b, c, d, e, f}, 5, "abcde"},
+		{"a host that is no replica and changes the set", "d", "abc", []peerState{silent(a, 3*time.Second), silent(b, 3*time.Second), silent(c, 3*time.Second), d}, 3, ""},
+	} {
+		g := NewWithT(t)
+		members := make([]string, 0, len(test.members))
+		for _, m := range test.members {
+			members = append(members, string(m))
+		}
+		next, _ := nextReplicas(test.self, members, test.hosts, test.wanted)
+		got := ""
+		for _, m := range next {
+			got += m
+		}
+		g.Expect(got).To(Equal(test.want), test.guards)
+	}
+}
+
+// Guards against a control host that is gone for good and leaves the others unable to bear
+// the loss of another one, although a new host has come.
+func TestReplacedHost(t *testing.T) {
+	c := newCore(t, 5)
+	defer c.close()
+	seeds := c.addresses[:3]
+	for i := range 3 {
+		c.startWith(i, true, seeds)
+	}
+	c.g.Eventually(func() error { return c.publish(0, 1) }).WithTimeout(waitLimit).Should(Succeed())
+	members := func(i int) func() []string {
+		return func() []string {
+			m, _ := c.hosts[i].replica.Registers().Members()
+			return m
+		}
+	}
+	c.stop(0)
+	c.startWith(3, false, seeds)
+	c.g.Eventually(members(1)).WithTimeout(waitLimit).Should(ConsistOf(c.addresses[1], c.addresses[2], c.addresses[3]))
+	c.stop(1)
+	c.startWith(4, false, seeds)
+	c.g.Eventually(members(2)).WithTimeout(waitLimit).Should(ConsistOf(c.addresses[2], c.addresses[3], c.addresses[4]))
+	c.g.Expect(c.publish(4, 2)).To(Succeed())
+	c.eventuallyNewest(3, 2)
+	c.eventuallyNewest(2, 2)
+}
--- a/finder/finder.go
+++ b/finder/finder.go
@@ -59,6 +59,8 @@
 	State  State  `msgpack:"state"`
 	// Places says that the host places the tasks of its domain.
 	Places bool `msgpack:"places"`
+	// Stores says that the host is a replica, or could become one at once.
+	Stores bool `msgpack:"stores"`
 }
 
 // Upstream is what an upstream says about itself.
--- a/inquirer/inquirer.go
+++ b/inquirer/inquirer.go
@@ -26,8 +26,10 @@
 	// packets of connections with it, so that waiting longer does not help.
 	dialTimeout = 100 * time.Millisecond
 	// pause is the time between two questions to a control host that does not answer. It
-	// bounds how long a host waits after both have started.
-	pause = 50 * time.Millisecond
+	// bounds how long a host waits after both have started, and doubles up to maxPause, since
+	// the host may be gone for good.
+	pause    = 50 * time.Millisecond
+	maxPause = 400 * time.Millisecond
 )
 
 // Question asks for what is newer than the numbers in it.
@@ -90,6 +92,7 @@
 	defer func() { _ = peer.Close() }()
 	q := Question{Self: self}
 	contact := false
+	rest := pause
 	for ctx.Err() == nil {
 		n, err := ask(ctx, peer, q)
 		if (err == nil) != contact && ctx.Err() == nil {
@@ -100,10 +103,12 @@
 		if err != nil {
 			select {
 			case <-ctx.Done():
-			case <-time.After(pause):
+			case <-time.After(rest):
 			}
+			rest = min(2*rest, maxPause)
 			continue
 		}
+		rest = pause
 		q.Self = a.Self()
 		q.Version = a.Apply(ctx, n)
 		q.Life = n.Life
