placer: jobs that wait go to another domain once it has room

Cause: a job was passed on only as it came or in place of a refusal. Ruled out: keeping less or more room for the other domain's own jobs (roomKept 1 and 4 instead of 2 gain nothing on the scripts). Change: after 20 ms such a job goes to the domain with the most room. Test: TestSpread.

--- a/placer/neighbour.go
+++ b/placer/neighbour.go
@@ -10,6 +10,10 @@
 	roomValid = 300 * time.Millisecond
 	// roomKept is the number of places of another domain that are left to its own jobs.
 	roomKept = 2
+	// passAfter is how long a job that no other domain had room for when it came waits before
+	// it goes to one that has room again. Of 0, 20 and 60 ms, 20 ms gave the highest worth in
+	// the mean of six load scripts.
+	passAfter = 20 * time.Millisecond
 )
 
 // Room is what a domain tells others of its free capacity.
@@ -102,6 +106,15 @@
 	return true
 }
 
+// spread passes on jobs that wait though another domain has room for them at once.
+func (p *Placer) spread(now time.Time) {
+	for _, w := range slices.Clone(p.order) {
+		if now.Sub(w.Arrived) >= passAfter {
+			p.passOn(now, w)
+		}
+	}
+}
+
 func (p *Placer) neighbourNames() []string {
 	names := make([]string, 0, len(p.neighbours))
 	for name := range p.neighbours {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -282,6 +282,20 @@
 	b.g.Expect(b.passed).NotTo(HaveKey("from"), "a job is passed on once")
 }
 
+// Guards against jobs that go on waiting once another domain has room again, when it had none
+// as they came.
+func TestSpread(t *testing.T) {
+	b := newBench(t, 10000)
+	b.p.SetNeighbour(b.now, "other", Room{Waiting: 1})
+	b.ask(b.job("here", "q", 1, 10000, 50*time.Millisecond))
+	b.ask(b.job("waits", "q", 1, 10000, 50*time.Millisecond))
+	b.g.Expect(b.passed).To(BeEmpty())
+	b.p.SetNeighbour(b.now, "other", Room{Places: 1 + roomKept})
+	b.after(passAfter)
+	b.g.Expect(b.passed).To(Equal(map[string]string{"waits": "other"}))
+	b.g.Expect(b.refused).To(BeEmpty())
+}
+
 // Guards against places that are lost for good because an entry host is gone, or a keeper knows
 // nothing of them.
 func TestPlacesComeBack(t *testing.T) {
--- a/placer/shed.go
+++ b/placer/shed.go
@@ -77,6 +77,7 @@
 	if now.Before(p.cfg.Quiet) {
 		return
 	}
+	p.spread(now)
 	for len(p.order) > 0 {
 		late, at, by := p.firstLate(now)
 		if late == nil {
