--- a/placer/shed.go
+++ b/placer/shed.go
@@ -70,13 +70,14 @@
 
 // relieve rejects or passes on jobs until all that wait can begin in time.
 func (p *Placer) relieve(now time.Time) {
-	if p.cfg.Policy == FirstCome {
+	if p.cfg.Policy == FirstCome || p.cfg.Without == RuleShed {
 		p.expire(now)
 		return
 	}
 	if now.Before(p.cfg.Quiet) {
 		return
 	}
+	p.spread(now)
 	for len(p.order) > 0 {
 		late, at, by := p.firstLate(now)
 		if late == nil {
