--- a/emulator/callers.go
+++ b/emulator/callers.go
@@ -54,6 +54,11 @@
 		Memory: 64,
 	}
 	wait := 2*time.Second + time.Duration(w.random.Int64N(int64(2*time.Second)))
+	estimate := 100 * time.Millisecond
+	if w.long(id) {
+		wait += 2 * longWork
+		estimate = longWork
+	}
 	return &callerJob{
 		demand: demand,
 		job: tracker.Job{
@@ -66,7 +71,7 @@
 			Steps: []tracker.Step{{
 				Tasks:    tasks,
 				Demand:   demand,
-				Estimate: 100 * time.Millisecond,
+				Estimate: estimate,
 			}},
 			Deadline: Epoch.Add(wait),
 		},
@@ -80,12 +85,22 @@
 	return sesamedrift.Resources{}
 }
 
+// draw returns a number from 0 to 1 that depends on the job alone.
+func draw(job string) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(job))
+	return float64(h.Sum64()%10000)/10000 + 1e-4
+}
+
+// long reports whether a job is one of those that take long.
+func (w *World) long(job string) bool { return draw("long "+job) < w.cfg.LongShare }
+
 // work returns how long a run takes; it depends on the job alone, and a little on the run.
 func (w *World) work(run sesamedrift.Run, _ string) (time.Duration, bool) {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(run.Task.Job))
-	u := float64(h.Sum64()%10000)/10000 + 1e-4
-	took := 60 * math.Exp(2*u)
+	if w.long(run.Task.Job) {
+		return longWork, false
+	}
+	took := 60 * math.Exp(2*draw(run.Task.Job))
 	return time.Duration((took + float64(run.Task.Index)) * float64(time.Millisecond)), false
 }
 
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -10,6 +10,9 @@
 	. "github.com/onsi/gomega"
 )
 
+// longSeeds is the first seed of worlds with long jobs.
+const longSeeds = 1_000_000
+
 // faultyWorld returns a world whose size, load and faults depend on the seed.
 func faultyWorld(seed uint64) *World {
 	cfg := Config{
@@ -30,6 +33,10 @@
 		cfg.Hosts = 2
 		cfg.JobsPerSecond = 20
 	}
+	if seed >= longSeeds {
+		cfg.LongShare = 0.05
+		cfg.JobsPerSecond /= 2
+	}
 	w := New(cfg)
 	w.PlanFaults(every, 16*time.Second)
 	return w
@@ -54,7 +61,7 @@
 }
 
 // seedsVariable names the environment variable with the number of seeds that TestFaults plays,
-// firstVariable that with the first one. CI plays the seeds from 0.
+// firstVariable that with the first one. CI plays the seeds from 0 and from longSeeds.
 const (
 	seedsVariable = "EMULATOR_SEEDS"
 	firstVariable = "EMULATOR_FIRST"
@@ -71,8 +78,15 @@
 // Guards against promises that are broken under faults of hosts, ways and upstreams that come in
 // series and overlap.
 func TestFaults(t *testing.T) {
-	first := number(firstVariable, 0)
-	for seed := first; seed < first+number(seedsVariable, defaultSeeds); seed++ {
+	count := number(seedsVariable, defaultSeeds)
+	seeds := []uint64{}
+	for i := range count {
+		seeds = append(seeds, number(firstVariable, 0)+i)
+		if os.Getenv(firstVariable) == "" {
+			seeds = append(seeds, longSeeds+i)
+		}
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
--- a/emulator/scenario_test.go
+++ b/emulator/scenario_test.go
@@ -141,3 +141,34 @@
 	g.Expect(w.Counts.Unanswered).To(BeZero())
 	g.Expect(w.Counts.Complete).To(BeNumerically(">=", w.Counts.Sent*97/100))
 }
+
+// Guards against a second run of a task that was passed on to another domain, when the host
+// that it was passed on to is killed again and again: each time its runs are adopted by
+// another keeper, they go on for a while until it is clear that nobody asks for them.
+func TestRelayDiesAgain(t *testing.T) {
+	g := NewWithT(t)
+	w := New(Config{
+		Seed:          1,
+		Domains:       2,
+		Hosts:         3,
+		Upstreams:     8,
+		JobsPerSecond: 6,
+		Lasts:         20 * time.Second,
+		LongShare:     0.05,
+	})
+	for at := 3 * time.Second; at < 18*time.Second; at += 5 * time.Second {
+		for again := range 3 {
+			w.At(at+time.Duration(again)*700*time.Millisecond, func() {
+				for _, n := range w.Hosts {
+					if n.Domain == "domain-1" && n.Up() && n.core.Figures().Places == 1 {
+						n.Kill()
+						w.after(15*time.Millisecond, n.Start)
+					}
+				}
+			})
+		}
+	}
+	w.Run(30 * time.Second)
+	g.Expect(w.Broken()).To(BeEmpty())
+	t.Logf("%+v", w.Counts)
+}
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -37,6 +37,9 @@
 	// resubmitAfter is how long a caller waits before it sends a job again whose connection
 	// broke.
 	resubmitAfter = 1300 * time.Millisecond
+	// longWork is how long the tasks of long jobs take: longer than all waits for the end of
+	// runs that nobody asks for any more.
+	longWork = 5 * time.Second
 	// maxQueue bounds the messages that wait in a session.
 	maxQueue = 1 << 16
 )
@@ -53,7 +56,7 @@
 	StopTime: 50 * time.Millisecond,
 	Drift:    0.02,
 	Margin:   10 * time.Millisecond,
-	Adopt:    time.Second,
+	Adopt:    300 * time.Millisecond,
 }
 
 // Config describes a world.
@@ -63,6 +66,8 @@
 	Domains, Hosts, Upstreams int
 	// JobsPerSecond is the number of jobs of each domain.
 	JobsPerSecond float64
+	// LongShare is the share of the jobs whose tasks take longWork.
+	LongShare float64
 	// Lasts is how long jobs arrive.
 	Lasts time.Duration
 	// Log takes the logs of the hosts; they are dropped if it is nil.
