keeper: order the stop of a run of a former keeper again if it was lost

Ruled out: the upstream, which lists the run all the time. Change: the first case holds only until the stop is wanted. Test: TestForeignRunsAreStoppedAgain.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -490,7 +490,7 @@
 	}
 	for _, t := range s.sorted() {
 		switch {
-		case t.foreign && now.Sub(t.since) >= s.cfg.Adopt:
+		case t.foreign && !t.stopWanted && now.Sub(t.since) >= s.cfg.Adopt:
 			s.Stop(now, t.Run)
 		case t.stopWanted && t.stopAcked.IsZero() && t.stopSent.IsZero() && s.ready:
 			s.orderStop(now, t)
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -333,6 +333,22 @@
 	b.g.Expect(b.orders).NotTo(ContainElement(HaveField("Kind", StopOrder)))
 }
 
+// Guards against a run of a former keeper that goes on because the order to stop it was lost.
+func TestForeignRunsAreStoppedAgain(t *testing.T) {
+	b := newBed(t)
+	b.held(listed(run(0, 1)), nil)
+	b.told()
+	b.after(2 * testConfig.Adopt)
+	for range 3 {
+		b.s.Answered(b.now, Answer{
+			Order:  b.next(StopOrder),
+			Status: NotHeard,
+		})
+		b.after(10 * time.Millisecond)
+	}
+	b.g.Expect(b.next(StopOrder).Run).To(Equal(run(0, 1)))
+}
+
 // Guards against waiting for runs of a life that is over.
 func TestOtherLifeEndsRuns(t *testing.T) {
 	b := newBed(t)
