--- a/dispatcher/passing.go
+++ b/dispatcher/passing.go
@@ -21,9 +21,10 @@
 	roomEvery  = 20 * time.Millisecond
 	roomAnyway = 100 * time.Millisecond
 	// returnAfter is the time from the end of a session over which a job was passed on until
-	// it surely runs nowhere: the other side notices within suspectAfter and stops the runs,
-	// or they end with a lease that is not renewed.
-	returnAfter = SuspectAfter + dropTime
+	// it surely runs nowhere: the other side notices within SuspectAfter and stops the runs,
+	// or they end with a lease that is not renewed. If the host has died, other keepers adopt
+	// the runs, after SuspectAfter, and stop them; another change of keepers may come between.
+	returnAfter = 2*SuspectAfter + dropTime + 200*time.Millisecond
 	// dropTime is the time from a message that drops a job in another domain until its runs
 	// have surely ended: they are stopped at once, or end with their lease.
 	dropTime = 800 * time.Millisecond
