dispatcher: losses of several hosts at once are seen before any is acted on

Cause: a host that is cut off from all others notices their losses one after the other. Ruled out: the lease, which is counted from the right order. Change: without contact to any control host a loss is acted on after 120 ms.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -33,6 +33,9 @@
 	// lostFor is how long a host that was lost counts as cut off; after that it counts as
 	// gone. Machines are back within that time.
 	lostFor = 10 * time.Second
+	// lostTogether is the time within which a host that is cut off from several others at
+	// once notices that: each is looked after once in a beat of 100 ms.
+	lostTogether = 120 * time.Millisecond
 )
 
 // CoreConfig describes what an entry host decides with.
@@ -86,7 +89,9 @@
 	up map[string]bool
 	// lostAt is when the session with a host that took part was lost.
 	lostAt map[string]time.Time
-	asking map[string]bool
+	// reorganizeAt is when the loss of hosts is acted on; zero if it has been.
+	reorganizeAt time.Time
+	asking       map[string]bool
 	// contacts holds the control hosts that answer.
 	contacts map[string]bool
 	stopping bool
@@ -173,6 +178,10 @@
 	if !c.isSettled {
 		c.choosePlacer(now)
 	}
+	if !c.reorganizeAt.IsZero() && !now.Before(c.reorganizeAt) {
+		c.reorganizeAt = time.Time{}
+		c.reorganize(now)
+	}
 	c.cutOff = c.cutOff && c.isolated(now)
 	c.expireJobs(now)
 	c.tickKeeps(now)
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -85,6 +85,12 @@
 		// What was sent to the peer, or came from it, may be lost.
 		j.watchAt = now.Add(watchAgain)
 	}
+	if len(c.contacts) == 0 {
+		// Others may be lost at the same moment, which tells that this host is cut off. It
+		// would take their upstreams before it has seen that.
+		c.reorganizeAt = now.Add(lostTogether)
+		return
+	}
 	c.reorganize(now)
 }
 
