--- a/replayer/compare.go
+++ b/replayer/compare.go
@@ -39,8 +39,13 @@
 
 // Ablations returns the product's way of deciding, whole and with each rule left out once.
 func Ablations() []Options {
-	all := []Options{{Way: PerDomain, Policy: placer.Objective}}
-	for _, r := range placer.Rules() {
+	rules := placer.Rules()
+	all := make([]Options, 0, 1+len(rules))
+	all = append(all, Options{
+		Way:    PerDomain,
+		Policy: placer.Objective,
+	})
+	for _, r := range rules {
 		all = append(all, Options{
 			Way:     PerDomain,
 			Policy:  placer.Objective,
