--- a/reporter/events.go
+++ b/reporter/events.go
@@ -46,18 +46,18 @@
 		Level: slog.LevelError,
 		Text:  "An address is not served any more. Restart the host.",
 	}
-	ConnectionClosed = Event{
-		ID:    1009,
-		Name:  "connection-closed",
-		Level: slog.LevelWarn,
-		Text:  "An address has as many connections as it may; the one that was quiet for longest was closed.",
-	}
 	LinesLeftOut = Event{
 		ID:    1008,
 		Name:  "lines-left-out",
 		Level: slog.LevelWarn,
 		Text:  "Log lines were left out since the last line of this kind: too many of one event in a second, or more than the output takes. The attributes hold the numbers.",
 	}
+	ConnectionClosed = Event{
+		ID:    1009,
+		Name:  "connection-closed",
+		Level: slog.LevelWarn,
+		Text:  "An address has as many connections as it may; the one that was quiet for longest was closed.",
+	}
 )
 
 // Events of membership and leases, 2xxx.
@@ -378,8 +378,8 @@
 	SettingsReloaded,
 	SettingsRejected,
 	ListenerFailed,
-	ConnectionClosed,
 	LinesLeftOut,
+	ConnectionClosed,
 	ViewInstalled,
 	ViewProposalFailed,
 	LeaseLost,
