sequencer: one simulated time for emulator and replayer; dispatcher: one copy of its times

The emulator and the replayer each had the same queue of events, and the emulator its own copies of the times of sessions and leases, which had to be changed together with those of package platform. The times are the product's and stand in dispatcher now.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -28,15 +28,15 @@
 )
 
 const (
-	// beat is the time between two batches of a session without messages.
-	beat = 100 * time.Millisecond
-	// resend is the time after which a batch without an answer is sent again. It is above
+	// Beat is the time between two batches of a session without messages.
+	Beat = 100 * time.Millisecond
+	// Resend is the time after which a batch without an answer is sent again. It is above
 	// the pauses of a busy host with a fraction of a core.
-	resend = 200 * time.Millisecond
+	Resend = 200 * time.Millisecond
 	// SuspectAfter ends a session. It allows for one batch that is lost and sent again.
 	SuspectAfter = 500 * time.Millisecond
-	// tick is the time between two looks at what is due.
-	tick = 20 * time.Millisecond
+	// Tick is the time between two looks at what is due.
+	Tick = 20 * time.Millisecond
 	// leavePoll is the time between two looks whether a planned stop is finished.
 	leavePoll = 20 * time.Millisecond
 )
@@ -104,14 +104,14 @@
 			Incarnation: cfg.Self.Life,
 		},
 		Handle:       h.handle,
-		DialTimeout:  resend,
+		DialTimeout:  Resend,
 		WriteTimeout: time.Second,
 	}
 	h.courier = courier.New(courier.Config{
 		Self:         cfg.Self.Address,
 		Life:         cfg.Self.Life,
-		Beat:         beat,
-		Resend:       resend,
+		Beat:         Beat,
+		Resend:       Resend,
 		SuspectAfter: SuspectAfter,
 		Local:        local,
 		Deliver:      h.deliver,
--- a/dispatcher/keeping.go
+++ b/dispatcher/keeping.go
@@ -12,6 +12,50 @@
 	"sesamedrift.example/sesamedrift/reporter"
 )
 
+// Times of leases on upstreams.
+const (
+	// leaseShare is the part of the longest lease that is asked for. A shorter lease frees
+	// the tasks of an upstream that is cut off sooner; it must outlast a renewal that is lost.
+	leaseShare = 0.6
+	// holdWait is how long an answer to a renewal may wait for the end of a run.
+	holdWait = 150 * time.Millisecond
+	// orderTimeout is how long an answer is waited for: a round trip takes about 1 ms, and a
+	// busy host may pause for some tens of milliseconds.
+	orderTimeout = 120 * time.Millisecond
+	// idleLook is the time between two looks at an upstream on which nothing runs.
+	idleLook = time.Second
+	// firstRetry and lastRetry bound the time between two looks at a silent upstream.
+	firstRetry = 50 * time.Millisecond
+	lastRetry  = 500 * time.Millisecond
+	// clockDrift is by how much clocks of upstreams may be slow.
+	clockDrift = 0.02
+	// timerMargin covers timers that fire late.
+	timerMargin = 10 * time.Millisecond
+	// adoptWithin is how long runs of a former keeper go on unasked for: entry hosts ask at
+	// once, and a batch of messages is sent again after 200 ms. A caller whose host has died
+	// sends its job again after 1.3 s, to any host; the loss is noticed after 500 ms, and one
+	// more change of keepers may come between.
+	adoptWithin = 300 * time.Millisecond
+)
+
+// Keeping returns the times of leases on upstreams that grant leases of at most longest and
+// take the time stop to end a run.
+func Keeping(longest, stop time.Duration) keeper.Config {
+	return keeper.Config{
+		Lease:    time.Duration(leaseShare * float64(longest)),
+		Longest:  longest,
+		Wait:     holdWait,
+		Answer:   orderTimeout,
+		Idle:     idleLook,
+		Retry:    firstRetry,
+		MaxRetry: lastRetry,
+		StopTime: stop,
+		Drift:    clockDrift,
+		Margin:   timerMargin,
+		Adopt:    adoptWithin,
+	}
+}
+
 // keep is an upstream that this host keeps.
 type keep struct {
 	session *keeper.Session
--- a/dispatcher/loop.go
+++ b/dispatcher/loop.go
@@ -63,7 +63,7 @@
 
 // loop runs the steps and looks at what is due.
 func (h *Host) loop(ctx context.Context) {
-	ticker := time.NewTicker(tick)
+	ticker := time.NewTicker(Tick)
 	defer ticker.Stop()
 	var p pulse
 	var figures *publisher
--- a/emulator/callers.go
+++ b/emulator/callers.go
@@ -112,13 +112,13 @@
 	w.jobs[j.job.ID] = j
 	w.Counts.Sent++
 	w.try(j)
-	w.after(wait+answerSlack, func() {
+	w.After(wait+answerSlack, func() {
 		if j.done {
 			return
 		}
 		j.done = true
 		w.Counts.Unanswered++
-		if j.at != nil && j.at.Up() && j.at.frozen < w.now-time.Second {
+		if j.at != nil && j.at.Up() && j.at.frozen < w.Now()-time.Second {
 			w.checks.fail("job %s got no answer by its deadline from %s", j.job.ID, j.at.Name)
 		}
 	})
@@ -140,7 +140,7 @@
 		near = far
 	}
 	if len(near) == 0 {
-		w.after(resubmitAfter, func() { w.again(j) })
+		w.After(resubmitAfter, func() { w.again(j) })
 		return
 	}
 	n := near[w.random.IntN(len(near))]
@@ -149,7 +149,7 @@
 	try := j.tries
 	j.caller = dispatcher.NewCaller(func(r dispatcher.Result) {
 		// The Core must not be called from here.
-		w.after(0, func() { w.answered(j, try, r) })
+		w.After(0, func() { w.answered(j, try, r) })
 	})
 	job := j.job
 	job.Arrived = w.time()
@@ -175,7 +175,7 @@
 		if j.at == n && !j.done {
 			j.at = nil
 			j.otherwise = true
-			w.after(resubmitAfter, func() { w.again(j) })
+			w.After(resubmitAfter, func() { w.again(j) })
 		}
 	}
 }
@@ -200,6 +200,6 @@
 	case tracker.Lost, tracker.Expired, tracker.Abandoned:
 		w.Counts.Lost++
 		j.otherwise = true
-		w.after(resubmitAfter, func() { w.again(j) })
+		w.After(resubmitAfter, func() { w.again(j) })
 	}
 }
--- a/emulator/checks.go
+++ b/emulator/checks.go
@@ -47,7 +47,7 @@
 
 func (c *checks) fail(format string, args ...any) {
 	if len(c.broken) < maxBroken {
-		c.broken = append(c.broken, fmt.Sprintf("%.4f s: ", c.w.now.Seconds())+fmt.Sprintf(format, args...))
+		c.broken = append(c.broken, fmt.Sprintf("%.4f s: ", c.w.Now().Seconds())+fmt.Sprintf(format, args...))
 	}
 }
 
--- a/emulator/faults.go
+++ b/emulator/faults.go
@@ -24,7 +24,7 @@
 	switch kind {
 	case 0:
 		host.Kill()
-		w.after(lasts/4, host.Start)
+		w.After(lasts/4, host.Start)
 	case 1:
 		host.Freeze(lasts / 2)
 	case 2:
@@ -33,7 +33,7 @@
 		w.isolate(host, lasts)
 	case 4:
 		s.Crash()
-		w.after(lasts/2, s.Start)
+		w.After(lasts/2, s.Start)
 	case 5:
 		for _, n := range w.Hosts {
 			w.cutFor(lasts, [2]string{n.Name, s.Name}, [2]string{s.Name, n.Name})
@@ -44,19 +44,19 @@
 		}
 	case 7:
 		s.SetLate(0.2)
-		w.after(lasts, func() { s.SetLate(0) })
+		w.After(lasts, func() { s.SetLate(0) })
 	case 8:
 		conditions := []Condition{Failing, Hanging, Slow, Unhealthy}
 		s.SetCondition(conditions[w.random.IntN(len(conditions))])
-		w.after(lasts, func() { s.SetCondition(Sound) })
+		w.After(lasts, func() { s.SetCondition(Sound) })
 	case 9:
 		s.Drain(lasts)
-		w.after(lasts+time.Second, s.Start)
+		w.After(lasts+time.Second, s.Start)
 	case 10:
 		w.restart(host)
 	case 11:
 		w.ControlDown = true
-		w.after(lasts, func() { w.ControlDown = false })
+		w.After(lasts, func() { w.ControlDown = false })
 	}
 }
 
@@ -64,7 +64,7 @@
 func (w *World) cutFor(lasts time.Duration, ways ...[2]string) {
 	for _, way := range ways {
 		w.Cut(way[0], way[1])
-		w.after(lasts, func() { w.Heal(way[0], way[1]) })
+		w.After(lasts, func() { w.Heal(way[0], way[1]) })
 	}
 }
 
@@ -83,10 +83,10 @@
 func (w *World) restart(host *Node) {
 	host.Leave()
 	life := host.life
-	w.after(5*time.Second, func() {
+	w.After(5*time.Second, func() {
 		if host.life == life {
 			host.Kill()
-			w.after(100*time.Millisecond, host.Start)
+			w.After(100*time.Millisecond, host.Start)
 		}
 	})
 }
--- a/emulator/scenario_test.go
+++ b/emulator/scenario_test.go
@@ -91,7 +91,7 @@
 	w.At(5*time.Second, func() {
 		for _, n := range w.Hosts {
 			n.Kill()
-			w.after(500*time.Millisecond, n.Start)
+			w.After(500*time.Millisecond, n.Start)
 		}
 	})
 	w.Run(7 * time.Second)
@@ -110,7 +110,7 @@
 	w.At(3*time.Second, func() { w.ControlDown = true })
 	w.At(4*time.Second, func() {
 		w.Hosts[1].Kill()
-		w.after(500*time.Millisecond, w.Hosts[1].Start)
+		w.After(500*time.Millisecond, w.Hosts[1].Start)
 	})
 	w.Run(7 * time.Second)
 	g.Expect(w.Hosts[1].core.NotReady()).To(BeEmpty())
@@ -133,7 +133,7 @@
 				}
 			}
 		}
-		w.after(6*time.Second, func() { w.ControlDown = false })
+		w.After(6*time.Second, func() { w.ControlDown = false })
 	})
 	w.Run(26 * time.Second)
 	g.Expect(w.Broken()).To(BeEmpty())
@@ -162,7 +162,7 @@
 				for _, n := range w.Hosts {
 					if n.Domain == "domain-1" && n.Up() && n.core.Figures().Places == 1 {
 						n.Kill()
-						w.after(15*time.Millisecond, n.Start)
+						w.After(15*time.Millisecond, n.Start)
 					}
 				}
 			})
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -10,7 +10,6 @@
 package emulator
 
 import (
-	"container/heap"
 	"fmt"
 	"io"
 	"log/slog"
@@ -25,13 +24,11 @@
 	"sesamedrift.example/sesamedrift/inquirer"
 	"sesamedrift.example/sesamedrift/keeper"
 	"sesamedrift.example/sesamedrift/router"
+	"sesamedrift.example/sesamedrift/sequencer"
 )
 
 // Times of the emulated world.
 const (
-	tick   = 20 * time.Millisecond
-	beat   = 100 * time.Millisecond
-	resend = 200 * time.Millisecond
 	// newsEvery is how often a host hears of changes from control hosts.
 	newsEvery = 50 * time.Millisecond
 	// resubmitAfter is how long a caller waits before it sends a job again whose connection
@@ -45,19 +42,7 @@
 )
 
 // Keeping holds the times of leases of the emulated hosts.
-var Keeping = keeper.Config{
-	Lease:    600 * time.Millisecond,
-	Longest:  time.Second,
-	Wait:     150 * time.Millisecond,
-	Answer:   120 * time.Millisecond,
-	Idle:     time.Second,
-	Retry:    50 * time.Millisecond,
-	MaxRetry: 500 * time.Millisecond,
-	StopTime: 50 * time.Millisecond,
-	Drift:    0.02,
-	Margin:   10 * time.Millisecond,
-	Adopt:    300 * time.Millisecond,
-}
+var Keeping = dispatcher.Keeping(time.Second, 50*time.Millisecond)
 
 // Config describes a world.
 type Config struct {
@@ -77,49 +62,12 @@
 // Epoch is the time at which each world begins.
 var Epoch = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
 
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-
-func (e events) Less(i, j int) bool {
-	if e[i].at != e[j].at {
-		return e[i].at < e[j].at
-	}
-	return e[i].seq < e[j].seq
-}
-
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push adds an event; it is called by package heap.
-func (e *events) Push(x any) {
-	v, ok := x.(event)
-	if !ok {
-		panic("emulator: only events are pushed")
-	}
-	*e = append(*e, v)
-}
-
-// Pop removes the last event; it is called by package heap.
-func (e *events) Pop() any {
-	old := *e
-	v := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return v
-}
-
 // World is an emulated system.
 type World struct {
+	// Sequencer is the time of the world.
+	sequencer.Sequencer
 	cfg    Config
 	random *rand.Rand
-	now    time.Duration
-	queue  events
-	seq    int
 
 	Hosts     []*Node
 	Upstreams []*Station
@@ -218,7 +166,7 @@
 				Address: fmt.Sprintf("10.%d.0.%d:1", d, i),
 			}
 			w.Hosts = append(w.Hosts, n)
-			w.after(time.Duration(w.random.Int64N(int64(300*time.Millisecond))), n.Start)
+			w.After(time.Duration(w.random.Int64N(int64(300*time.Millisecond))), n.Start)
 		}
 		for i := range cfg.Upstreams {
 			s := &Station{
@@ -231,46 +179,12 @@
 		}
 	}
 	w.sendJobs()
-	w.every(newsEvery, w.spreadNews)
-	w.every(tick, w.checks.look)
+	w.Every(newsEvery, w.spreadNews)
+	w.Every(dispatcher.Tick, w.checks.look)
 	return w
 }
 
-func (w *World) time() time.Time { return Epoch.Add(w.now) }
-
-func (w *World) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.queue, event{
-		at:  w.now + d,
-		seq: w.seq,
-		do:  do,
-	})
-}
-
-// At does something at a time after the beginning of the world.
-func (w *World) At(at time.Duration, do func()) { w.after(max(0, at-w.now), do) }
-
-func (w *World) every(d time.Duration, do func()) {
-	var again func()
-	again = func() {
-		do()
-		w.after(d, again)
-	}
-	w.after(d, again)
-}
-
-// Run lets time pass until the given time after the beginning.
-func (w *World) Run(until time.Duration) {
-	for len(w.queue) > 0 && w.queue[0].at <= until {
-		e, ok := heap.Pop(&w.queue).(event)
-		if !ok {
-			panic("emulator: only events are queued")
-		}
-		w.now = e.at
-		e.do()
-	}
-	w.now = until
-}
+func (w *World) time() time.Time { return Epoch.Add(w.Now()) }
 
 // Broken returns the promises that were broken, in the order of time.
 func (w *World) Broken() []string { return w.checks.broken }
@@ -301,7 +215,7 @@
 		Level: slog.LevelDebug,
 		ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
 			if a.Key == slog.TimeKey {
-				return slog.String("at", fmt.Sprintf("%.4f", w.now.Seconds()))
+				return slog.String("at", fmt.Sprintf("%.4f", w.Now().Seconds()))
 			}
 			return a
 		},
@@ -358,14 +272,14 @@
 	due = alive(func() {
 		n.core.Due(w.time())
 		n.core.Flush(w.time())
-		w.after(tick, due)
+		w.After(dispatcher.Tick, due)
 	})
 	due()
 }
 
 // awake does something now, or when the host thaws.
 func (n *Node) awake(do func()) {
-	if n.frozen > n.w.now {
+	if n.frozen > n.w.Now() {
 		n.w.At(n.frozen, func() {
 			if n.core != nil {
 				n.awake(do)
@@ -389,7 +303,7 @@
 }
 
 // Freeze makes the process stand still for a time.
-func (n *Node) Freeze(d time.Duration) { n.frozen = n.w.now + d }
+func (n *Node) Freeze(d time.Duration) { n.frozen = n.w.Now() + d }
 
 // Leave begins a planned stop.
 func (n *Node) Leave() {
@@ -440,9 +354,9 @@
 			n.deliver(c.session.Check(n.w.time()))
 			n.send(address, c)
 		})
-		n.w.after(beat, again)
+		n.w.After(dispatcher.Beat, again)
 	}
-	n.w.after(0, again)
+	n.w.After(0, again)
 	return c
 }
 
@@ -454,7 +368,7 @@
 	c.idle = true
 	events := c.session.End()
 	// The Core has asked for this and must not be called from here.
-	n.w.after(0, func() {
+	n.w.After(0, func() {
 		if n.core != nil {
 			n.deliver(events)
 		}
@@ -466,7 +380,7 @@
 	if c == nil || !c.session.Post(m) {
 		return false
 	}
-	n.w.after(0, func() { n.send(to, c) })
+	n.w.After(0, func() { n.send(to, c) })
 	return true
 }
 
@@ -489,7 +403,7 @@
 	b := c.session.Next()
 	to := w.hostAt(address)
 	answered := false
-	w.after(resend, func() {
+	w.After(dispatcher.Resend, func() {
 		if !answered {
 			answered = true
 			c.busy = false
@@ -498,7 +412,7 @@
 	if to == nil || !w.open(n.Name, to.Name) {
 		return
 	}
-	w.after(w.distance(n.Domain, to.Domain), func() {
+	w.After(w.distance(n.Domain, to.Domain), func() {
 		if to.core == nil {
 			return
 		}
@@ -509,7 +423,7 @@
 			if !w.open(to.Name, n.Name) {
 				return
 			}
-			w.after(w.distance(n.Domain, to.Domain), func() {
+			w.After(w.distance(n.Domain, to.Domain), func() {
 				if n.core == nil || c.closed {
 					return
 				}
@@ -534,7 +448,7 @@
 // spreadNews tells each host that reaches a control host what has changed.
 func (w *World) spreadNews() {
 	for _, n := range w.Hosts {
-		if n.core == nil || n.frozen > w.now {
+		if n.core == nil || n.frozen > w.Now() {
 			continue
 		}
 		reached := !w.ControlDown && w.open(n.Name, "control")
@@ -614,7 +528,7 @@
 	u.Report.Report = s.report
 	u.Report.State = finder.Leaving
 	w.upstreams.Put(w.time(), u.Report)
-	w.after(linger, func() {
+	w.After(linger, func() {
 		if s.up != u {
 			return
 		}
@@ -650,7 +564,7 @@
 	if !any {
 		return
 	}
-	s.w.after(max(0, at.Sub(s.w.time())), func() {
+	s.w.After(max(0, at.Sub(s.w.time())), func() {
 		if s.up == u && s.next == number {
 			u.Advance(s.w.time())
 			s.plan()
@@ -663,7 +577,7 @@
 	waiting := s.waiting
 	s.waiting = nil
 	for _, h := range waiting {
-		s.w.after(0, h.answer)
+		s.w.After(0, h.answer)
 	}
 }
 
@@ -680,7 +594,7 @@
 			done(a)
 		}
 	}
-	w.after(o.Timeout, func() { answer(unheard) })
+	w.After(o.Timeout, func() { answer(unheard) })
 	at := slices.IndexFunc(w.Upstreams, func(s *Station) bool { return s.Name == to.Address })
 	if at < 0 || !w.open(n.Name, w.Upstreams[at].Name) {
 		return
@@ -688,7 +602,7 @@
 	s := w.Upstreams[at]
 	w.logger(n.Name).Debug("order", "kind", o.Kind, "upstream", to.ID, "run", o.Run, "id", o.ID, "token", o.Token, "wait", o.Wait)
 	if s.late > 0 && w.random.Float64() < s.late {
-		w.after(time.Duration(2+10*w.random.Float64())*time.Second, func() {
+		w.After(time.Duration(2+10*w.random.Float64())*time.Second, func() {
 			if s.up != nil && s.up.Report.ID == to.ID {
 				s.up.Order(w.time(), o, w.demand(o.Run.Task.Job))
 				s.plan()
@@ -696,7 +610,7 @@
 		})
 		return
 	}
-	w.after(w.distance(n.Domain, s.Domain), func() { s.serve(n, to, o, w.now+o.Wait, answer) })
+	w.After(w.distance(n.Domain, s.Domain), func() { s.serve(n, to, o, w.Now()+o.Wait, answer) })
 }
 
 // serve answers an order, or a hold when something ends or its wait is over.
@@ -713,7 +627,7 @@
 	if s.up.Report.ID == to.ID {
 		a = s.up.Order(w.time(), o, w.demand(o.Run.Task.Job))
 		s.plan()
-		if o.Kind == keeper.HoldOrder && a.Status == keeper.Accepted && len(a.Ended) == 0 && w.now < until {
+		if o.Kind == keeper.HoldOrder && a.Status == keeper.Accepted && len(a.Ended) == 0 && w.Now() < until {
 			h := &waitingHold{}
 			h.answer = func() {
 				if !h.done {
@@ -722,12 +636,12 @@
 				}
 			}
 			s.waiting = append(s.waiting, h)
-			w.after(until-w.now, h.answer)
+			w.After(until-w.Now(), h.answer)
 			return
 		}
 	}
 	w.logger(s.Name).Debug("answer", "host", n.Name, "id", o.ID, "status", a.Status, "reason", a.Reason, "running", len(a.Running), "ended", len(a.Ended))
 	if w.open(s.Name, n.Name) {
-		w.after(w.distance(n.Domain, s.Domain), func() { answer(a) })
+		w.After(w.distance(n.Domain, s.Domain), func() { answer(a) })
 	}
 }
--- a/replayer/world.go
+++ b/replayer/world.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -12,6 +11,7 @@
 	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/keeper"
 	"sesamedrift.example/sesamedrift/placer"
+	"sesamedrift.example/sesamedrift/sequencer"
 )
 
 // Way is how deciding is distributed.
@@ -58,48 +58,12 @@
 
 var epoch = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
 
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if e[i].at != e[j].at {
-		return e[i].at < e[j].at
-	}
-	return e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push adds an event; it is called by package heap.
-func (e *events) Push(x any) {
-	v, ok := x.(event)
-	if !ok {
-		panic("replayer: only events are pushed")
-	}
-	*e = append(*e, v)
-}
-
-// Pop removes the last event; it is called by package heap.
-func (e *events) Pop() any {
-	old := *e
-	v := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return v
-}
-
 // world is one play.
 type world struct {
+	sequencer.Sequencer
 	script  *Script
 	options Options
 	random  *rand.Rand
-	now     time.Duration
-	queue   events
-	seq     int
 	placers []*site
 	jobs    []*tracked
 	byID    map[string]*tracked
@@ -188,60 +152,33 @@
 		}
 		w.jobs = append(w.jobs, t)
 		w.byID[j.id] = t
-		w.at(j.at, func() { w.arrive(t) })
+		w.At(j.at, func() { w.arrive(t) })
 	}
 	for _, t := range s.Troubles {
-		w.at(seconds(t.At), func() { w.trouble(t) })
+		w.At(seconds(t.At), func() { w.trouble(t) })
 	}
-	w.every(tick, func() {
+	w.Every(tick, func() {
 		for _, p := range w.placers {
 			p.placer.Tick(w.time())
 			w.decide(p)
 		}
 	})
-	w.every(look, w.reportProgress)
+	w.Every(look, w.reportProgress)
 	if len(w.placers) > 1 && o.Way != Alone {
-		w.every(roomEvery, w.tellRoom)
+		w.Every(roomEvery, w.tellRoom)
 	}
 	// Jobs that arrived last have the time to end.
 	end := seconds(s.Seconds + 10)
-	for len(w.queue) > 0 {
-		e, ok := heap.Pop(&w.queue).(event)
-		if !ok || e.at > end {
-			break
-		}
-		w.now = e.at
-		e.do()
-	}
+	w.Run(end)
 	for _, t := range w.jobs {
 		if !t.ended {
-			w.result.count(t.job, unserved, w.now-t.at)
+			w.result.count(t.job, unserved, w.Now()-t.at)
 		}
 	}
 	return w.result
 }
 
-func (w *world) time() time.Time { return epoch.Add(w.now) }
-
-func (w *world) at(at time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.queue, event{
-		at:  at,
-		seq: w.seq,
-		do:  do,
-	})
-}
-
-func (w *world) after(d time.Duration, do func()) { w.at(w.now+d, do) }
-
-func (w *world) every(d time.Duration, do func()) {
-	var again func()
-	again = func() {
-		do()
-		w.after(d, again)
-	}
-	w.after(d, again)
-}
+func (w *world) time() time.Time { return epoch.Add(w.Now()) }
 
 // build makes the placers and their upstreams.
 func (w *world) build() {
@@ -323,7 +260,7 @@
 		t.waiting[i] = true
 	}
 	w.ask(t)
-	w.at(t.at+t.wait, func() {
+	w.At(t.at+t.wait, func() {
 		if !t.ended {
 			w.finish(t, unserved)
 		}
@@ -333,7 +270,7 @@
 // ask sends the waiting tasks of a job to its placer.
 func (w *world) ask(t *tracked) {
 	s := t.site
-	w.after(w.distance(t, s), func() {
+	w.After(w.distance(t, s), func() {
 		if t.ended || t.site != s {
 			return
 		}
@@ -382,18 +319,18 @@
 		switch {
 		case d.Rest != nil:
 		case d.Stop != nil:
-			w.after(millis(w.script.NearMS), func() { w.stop(s, *d.Stop) })
+			w.After(millis(w.script.NearMS), func() { w.stop(s, *d.Stop) })
 		case d.PassTo != "":
 			w.pass(t, s, d.PassTo)
 		case d.Refused:
-			w.after(w.distance(t, s), func() {
+			w.After(w.distance(t, s), func() {
 				if !t.ended && t.site == s {
 					w.finish(t, refusedJob)
 				}
 			})
 		default:
 			// The way to the entry, to the keeper and to the upstream.
-			w.after(w.distance(t, s)+w.distance(t, s)+millis(w.script.NearMS), func() { w.start(s, t, d.Grants) })
+			w.After(w.distance(t, s)+w.distance(t, s)+millis(w.script.NearMS), func() { w.start(s, t, d.Grants) })
 		}
 	}
 }
@@ -403,7 +340,7 @@
 		if s.name != to {
 			continue
 		}
-		w.after(w.distance(t, from), func() {
+		w.After(w.distance(t, from), func() {
 			if !t.ended && t.site == from {
 				w.result.Passed++
 				t.passed = true
@@ -427,19 +364,19 @@
 		t.began = true
 		r := &running{
 			job:   t,
-			began: w.now,
+			began: w.Now(),
 			work:  t.works[i],
-			since: w.now,
+			since: w.Now(),
 			cpu:   t.cpu,
 		}
 		switch {
 		case u.trouble == Dark:
 			// The order is withdrawn after a while, if the upstream is known to be silent.
-			w.after(orderWait, func() { w.told(s, u, g.Run, r, keeper.Rejected, keeper.NoAnswer) })
+			w.After(orderWait, func() { w.told(s, u, g.Run, r, keeper.Rejected, keeper.NoAnswer) })
 			continue
 		case u.free < t.cpu:
 			w.result.Rejected++
-			w.after(millis(w.script.NearMS), func() { w.told(s, u, g.Run, r, keeper.Rejected, keeper.NoRoom) })
+			w.After(millis(w.script.NearMS), func() { w.told(s, u, g.Run, r, keeper.Rejected, keeper.NoRoom) })
 			continue
 		}
 		w.result.Starts++
@@ -465,7 +402,7 @@
 func (w *world) schedule(s *site, u *upstream, run sesamedrift.Run, r *running) {
 	if u.trouble == Failing || r.job.hopless || w.random.Float64() < r.job.queue.Fails && r.done == 0 {
 		// A run that fails does so on the way.
-		w.after(r.work/4, func() { w.end(s, u, run, r, keeper.Failed) })
+		w.After(r.work/4, func() { w.end(s, u, run, r, keeper.Failed) })
 		return
 	}
 	pace := u.pace()
@@ -474,7 +411,7 @@
 	}
 	left := time.Duration(float64(r.work) * (1 - r.done) / pace)
 	since := r.since
-	w.after(left, func() {
+	w.After(left, func() {
 		if r.since == since {
 			w.end(s, u, run, r, keeper.Done)
 		}
@@ -490,21 +427,21 @@
 	delete(u.runs, run)
 	u.free += r.cpu
 	if how != keeper.Done {
-		w.result.Wasted += float64(r.cpu) / 1000 * (w.now - r.began).Seconds()
+		w.result.Wasted += float64(r.cpu) / 1000 * (w.Now() - r.began).Seconds()
 	}
 	if u.trouble == Dark {
 		return
 	}
 	// The answer to the keeper, and its message.
-	w.after(2*millis(w.script.NearMS), func() { w.told(s, u, run, r, how, "") })
+	w.After(2*millis(w.script.NearMS), func() { w.told(s, u, run, r, how, "") })
 }
 
 // told tells the placer and the entry of the end of a run.
 func (w *world) told(s *site, u *upstream, run sesamedrift.Run, r *running, how keeper.How, reason keeper.Reason) {
-	s.placer.Ended(w.time(), u.id, run, how, reason, w.now-r.began)
+	s.placer.Ended(w.time(), u.id, run, how, reason, w.Now()-r.began)
 	w.decide(s)
 	t := r.job
-	w.after(w.distance(t, s), func() { w.runEnded(t, u, run, how) })
+	w.After(w.distance(t, s), func() { w.runEnded(t, u, run, how) })
 }
 
 func (w *world) runEnded(t *tracked, u *upstream, run sesamedrift.Run, how keeper.How) {
@@ -540,19 +477,19 @@
 		return
 	}
 	w.result.Moved++
-	w.after(stopTime, func() { w.end(s, u, g.Run, r, keeper.Stopped) })
+	w.After(stopTime, func() { w.end(s, u, g.Run, r, keeper.Stopped) })
 }
 
 // finish ends a job and stops what is left of it.
 func (w *world) finish(t *tracked, how ending) {
 	t.ended = true
-	w.result.count(t.job, how, w.now-t.at)
+	w.result.count(t.job, how, w.Now()-t.at)
 	s := t.site
 	s.placer.Withdraw("entry", t.id)
 	for _, u := range s.sorted() {
 		for _, run := range u.sorted() {
 			if r := u.runs[run]; r.job == t {
-				w.after(millis(w.script.NearMS)+stopTime, func() { w.end(s, u, run, r, keeper.Stopped) })
+				w.After(millis(w.script.NearMS)+stopTime, func() { w.end(s, u, run, r, keeper.Stopped) })
 			}
 		}
 	}
@@ -567,8 +504,8 @@
 			}
 			for _, run := range u.sorted() {
 				r := u.runs[run]
-				done := r.done + float64(w.now-r.since)*u.pace()/float64(r.work)
-				s.placer.Progress(u.id, run, int(100*min(done, 1)), w.now-r.began)
+				done := r.done + float64(w.Now()-r.since)*u.pace()/float64(r.work)
+				s.placer.Progress(u.id, run, int(100*min(done, 1)), w.Now()-r.began)
 			}
 		}
 		w.decide(s)
@@ -581,7 +518,7 @@
 		room := from.placer.Room(w.time())
 		for _, to := range w.placers {
 			if to != from {
-				w.after(millis(w.script.FarMS), func() {
+				w.After(millis(w.script.FarMS), func() {
 					to.placer.SetNeighbour(w.time(), from.name, room)
 					w.decide(to)
 				})
@@ -609,23 +546,23 @@
 
 func (w *world) befall(s *site, u *upstream, t Trouble) {
 	w.change(s, u, t.Kind, t.Factor)
-	w.after(seconds(t.For), func() { w.change(s, u, "", 0) })
+	w.After(seconds(t.For), func() { w.change(s, u, "", 0) })
 }
 
 // change changes the condition of an upstream; runs go on at the new pace.
 func (w *world) change(s *site, u *upstream, kind TroubleKind, factor float64) {
 	for _, r := range u.runs {
-		r.done += float64(w.now-r.since) * u.pace() / float64(r.work)
-		r.since = w.now
+		r.done += float64(w.Now()-r.since) * u.pace() / float64(r.work)
+		r.since = w.Now()
 	}
 	was := u.trouble
 	u.trouble, u.factor = kind, factor
 	switch {
 	case kind == Dark:
-		w.after(orderWait, func() { s.placer.SetUsable(w.time(), u.id, false) })
+		w.After(orderWait, func() { s.placer.SetUsable(w.time(), u.id, false) })
 		for _, run := range u.sorted() {
 			r := u.runs[run]
-			w.after(lease, func() {
+			w.After(lease, func() {
 				if u.runs[run] == r {
 					delete(u.runs, run)
 					u.free += r.cpu
