--- a/controller/controller.go
+++ b/controller/controller.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"log/slog"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -177,14 +178,7 @@
 	}
 }
 
-func (h *Host) isSeed() bool {
-	for _, seed := range h.cfg.Seeds {
-		if seed == h.cfg.Self.Address {
-			return true
-		}
-	}
-	return false
-}
+func (h *Host) isSeed() bool { return slices.Contains(h.cfg.Seeds, h.cfg.Self.Address) }
 
 // initialReplicas returns the replicas of the first start, or for a host that is none of
 // these the replicas that it asks for their state.
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -113,8 +113,9 @@
 	lastTokens map[string]uint64
 	reportedAt time.Time
 
-	placer     *placer.Placer // nil unless this host places
-	placing    map[string]placedUpstream
+	placer *placer.Placer // nil unless this host places
+	// readyAt names, for each upstream that is ready, the host that has told the placer so.
+	readyAt    map[string]string
 	neighbours map[string]*neighbour
 	relays     map[string]relay
 	// dropped holds the jobs that were dropped in other domains, until their runs have
@@ -140,7 +141,7 @@
 		jobs:       map[string]*job{},
 		keeps:      map[string]*keep{},
 		lastTokens: map[string]uint64{},
-		placing:    map[string]placedUpstream{},
+		readyAt:    map[string]string{},
 		neighbours: map[string]*neighbour{},
 		relays:     map[string]relay{},
 		dropped:    map[string]time.Time{},
--- a/dispatcher/loop.go
+++ b/dispatcher/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -27,9 +28,15 @@
 }
 
 // put adds a step. It never blocks and reports false if too many wait.
-func (i *inbox) put(s step) bool {
+func (i *inbox) put(s step) bool { return i.add(s, maxInbox) }
+
+// force adds a step regardless of how many wait. It is for answers to what this host has
+// asked itself, whose number is bounded.
+func (i *inbox) force(s step) { i.add(s, math.MaxInt) }
+
+func (i *inbox) add(s step, most int) bool {
 	i.mu.Lock()
-	full := len(i.steps) >= maxInbox
+	full := len(i.steps) >= most
 	if !full {
 		i.steps = append(i.steps, s)
 	}
@@ -41,18 +48,6 @@
 	return !full
 }
 
-// force adds a step regardless of how many wait. It is for answers to what this host has
-// asked itself, whose number is bounded.
-func (i *inbox) force(s step) {
-	i.mu.Lock()
-	i.steps = append(i.steps, s)
-	i.mu.Unlock()
-	select {
-	case i.wake <- struct{}{}:
-	default:
-	}
-}
-
 func (i *inbox) take() []step {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -323,15 +324,7 @@
 			all = append(all, host)
 		}
 	}
-	slices.SortStableFunc(all, func(a, b finder.Host) int {
-		if a.Life != b.Life {
-			if a.Life < b.Life {
-				return -1
-			}
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(all, func(a, b finder.Host) int { return cmp.Compare(a.Life, b.Life) })
 	addresses := make([]string, 0, len(all))
 	for _, host := range all {
 		addresses = append(addresses, host.Address)
--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -76,6 +76,7 @@
 	Tasks    []askedTask `msgpack:"tasks"`
 }
 
+// askedTask is a placer.Task on the wire.
 type askedTask struct {
 	Run         sesamedrift.Run       `msgpack:"run"`
 	Demand      sesamedrift.Resources `msgpack:"demand"`
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -14,18 +14,12 @@
 // to it at once, or take them over first.
 const quietTime = 300 * time.Millisecond
 
-// placedUpstream is what the placer knows of the keeper's side of an upstream.
-type placedUpstream struct {
-	// keeper is the host that has reported the upstream as ready, or empty.
-	keeper string
-}
-
 // beginPlacing makes this host the placer of its domain.
 func (c *Core) beginPlacing(now time.Time) {
 	c.placer = placer.New(placer.Config{Quiet: now.Add(quietTime)})
 	c.setPlaces(now, true)
 	c.connectNeighbours()
-	c.placing = map[string]placedUpstream{}
+	c.readyAt = map[string]string{}
 	for _, u := range c.upstreams.All() {
 		c.placeOn(now, u)
 	}
@@ -39,7 +33,7 @@
 	}
 	if u.State == finder.Gone {
 		c.placer.DropUpstream(u.ID)
-		delete(c.placing, u.ID)
+		delete(c.readyAt, u.ID)
 		return
 	}
 	c.placer.SetUpstream(placer.Upstream{
@@ -63,8 +57,8 @@
 // that it is ready, and it does not leave.
 func (c *Core) updateUsable(now time.Time, id string) {
 	u, known := c.upstreams.Get(id)
-	p := c.placing[id]
-	usable := known && u.State == finder.Serving && p.keeper != "" && p.keeper == c.assigned.Keepers[id]
+	at := c.readyAt[id]
+	usable := known && u.State == finder.Serving && at != "" && at == c.assigned.Keepers[id]
 	c.placer.SetUsable(now, id, usable)
 }
 
@@ -191,15 +185,7 @@
 		PassedOn: a.PassedOn,
 	}
 	for _, t := range a.Tasks {
-		j.Tasks = append(j.Tasks, placer.Task{
-			Run:         t.Run,
-			Demand:      t.Demand,
-			Estimate:    t.Estimate,
-			Requires:    t.Requires,
-			Rack:        t.Rack,
-			PerUpstream: t.PerUpstream,
-			Avoid:       t.Avoid,
-		})
+		j.Tasks = append(j.Tasks, placer.Task(t))
 	}
 	c.placer.Ask(now, j)
 }
@@ -224,13 +210,11 @@
 	if c.assigned.Keepers[r.Upstream] != from {
 		return
 	}
-	p := c.placing[r.Upstream]
-	p.keeper = ""
+	delete(c.readyAt, r.Upstream)
 	if r.Ready {
-		p.keeper = from
+		c.readyAt[r.Upstream] = from
 		c.placer.Report(now, r.Upstream, r.Running)
 	}
-	c.placing[r.Upstream] = p
 	c.updateUsable(now, r.Upstream)
 }
 
--- a/placer/fit.go
+++ b/placer/fit.go
@@ -17,7 +17,7 @@
 	}
 	var best *upstream
 	better := p.tighter
-	if p.cfg.Policy == FirstCome || p.cfg.Without == RulePack {
+	if !p.applies(RulePack) {
 		better = roomier
 	} else if p.freeShare(w.Service) > plenty {
 		better = faster
--- a/placer/health.go
+++ b/placer/health.go
@@ -165,7 +165,7 @@
 // watchRuns finds runs that stand still or go on too slowly, lets their upstreams rest and
 // moves the runs where that pays.
 func (p *Placer) watchRuns(now time.Time) {
-	if p.cfg.Policy == FirstCome || p.cfg.Without == RuleMove {
+	if !p.applies(RuleMove) {
 		return
 	}
 	for _, u := range p.sorted {
--- a/placer/neighbour.go
+++ b/placer/neighbour.go
@@ -63,7 +63,7 @@
 // neighbourFor returns the domain with the most room for a job that has not begun, or "" if
 // none has enough.
 func (p *Placer) neighbourFor(now time.Time, w *waiting) string {
-	if w.PassedOn || w.Begun || p.cfg.Without == RulePass || p.runsHere(w) {
+	if w.PassedOn || w.Begun || !p.applies(RulePass) || p.runsHere(w) {
 		return ""
 	}
 	best, most := "", len(w.Tasks)+roomKept-1
--- a/placer/order.go
+++ b/placer/order.go
@@ -45,7 +45,7 @@
 // compare orders jobs that have begun before others, and otherwise by the time at which they
 // must begin. The baseline orders by arrival.
 func (p *Placer) compare(a, b *waiting) int {
-	if p.cfg.Policy == FirstCome || p.cfg.Without == RuleSlack {
+	if !p.applies(RuleSlack) {
 		return cmp.Or(a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Entry, b.Entry))
 	}
 	if a.Begun != b.Begun {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -249,6 +249,9 @@
 	}
 }
 
+// applies reports whether a rule that decides on waiting and placing is in force.
+func (p *Placer) applies(r Rule) bool { return p.cfg.Policy == Objective && p.cfg.Without != r }
+
 // Drain returns the decisions since the last call.
 func (p *Placer) Drain() []Decision {
 	d := p.decisions
@@ -365,7 +368,7 @@
 	p.jobs[w.key] = w
 	p.insert(w)
 	p.place(now)
-	if p.jobs[w.key] == nil || p.cfg.Policy == Objective && p.passOn(now, w) {
+	if p.jobs[w.key] == nil || p.passOn(now, w) {
 		return
 	}
 	p.relieve(now)
--- a/placer/shed.go
+++ b/placer/shed.go
@@ -70,7 +70,7 @@
 
 // relieve rejects or passes on jobs until all that wait can begin in time.
 func (p *Placer) relieve(now time.Time) {
-	if p.cfg.Policy == FirstCome || p.cfg.Without == RuleShed {
+	if !p.applies(RuleShed) {
 		p.expire(now)
 		return
 	}
