registrar: tell the others of a decision before the replica closes

Cause: Close cancelled the messages that spread a decision.

Ruled out: lost votes, since both remaining replicas had accepted the new set.

Change: Close waits for the messages under way, each bounded by the time for a call. TestCloseTellsDecisions fails without it.

--- /dev/null
+++ b/registrar/close_test.go
@@ -0,0 +1,38 @@
+package registrar_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift/registrar"
+)
+
+// Guards against a replica that stops for good right after it decided a change of the set, and
+// leaves the others with a set of which they can never reach a majority.
+func TestCloseTellsDecisions(t *testing.T) {
+	g := NewWithT(t)
+	c := startCluster(t, "a", "b", "c")
+	release := make(chan struct{})
+	c.setLoss(func(_, _ string, r registrar.Request, reply bool) bool {
+		if r.Kind == registrar.KindLearn && !reply {
+			<-release
+		}
+		return false
+	})
+	c.mustChange(t, "a", "limits", 0, 1)
+	g.Expect(c.node("b").Local("limits").Version).To(BeZero())
+	node := c.node("a")
+	closed := make(chan struct{})
+	go func() {
+		node.Close()
+		close(closed)
+	}()
+	g.Consistently(closed, 50*time.Millisecond).ShouldNot(BeClosed())
+	close(release)
+	<-closed
+	for _, name := range []string{"b", "c"} {
+		g.Expect(c.node(name).Local("limits").Version).To(BeEquivalentTo(1), name)
+	}
+}
--- a/registrar/cluster_test.go
+++ b/registrar/cluster_test.go
@@ -144,7 +144,7 @@
 
 func (c *cluster) call(ctx context.Context, from, to string, r registrar.Request) (registrar.Reply, error) {
 	node := c.node(to)
-	if ctx.Err() != nil || node == nil || c.lost(from, to, r, false) {
+	if node == nil || c.lost(from, to, r, false) || ctx.Err() != nil {
 		return registrar.Reply{}, errLost
 	}
 	reply := node.Handle(start, c.encode(r))
--- a/registrar/propose.go
+++ b/registrar/propose.go
@@ -130,7 +130,7 @@
 		SetVersion: set,
 		Decided:    d,
 	}, false)
-	started := g.spawn(func() {
+	started := g.spawn(&g.spreads, func() {
 		defer cancel()
 		for range replies {
 		}
@@ -153,7 +153,7 @@
 			continue
 		}
 		sent.Add(1)
-		started := g.spawn(func() {
+		started := g.spawn(&g.calls, func() {
 			defer sent.Done()
 			if reply, err := g.call(ctx, name, q); err == nil {
 				replies <- reply
@@ -167,20 +167,20 @@
 		sent.Wait()
 		close(replies)
 	}
-	if !g.spawn(finish) {
+	if !g.spawn(&g.calls, finish) {
 		finish()
 	}
 	return replies
 }
 
-// spawn starts a goroutine that Close waits for. It returns false after Close.
-func (g *Registrar) spawn(f func()) bool {
+// spawn starts a goroutine of a group that Close waits for. It returns false after Close.
+func (g *Registrar) spawn(group *sync.WaitGroup, f func()) bool {
 	g.callsMu.Lock()
 	defer g.callsMu.Unlock()
 	if g.closed {
 		return false
 	}
-	g.calls.Go(f)
+	group.Go(f)
 	return true
 }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -58,6 +58,8 @@
 	callsMu sync.Mutex
 	closed  bool
 	calls   sync.WaitGroup
+	// spreads are the calls that tell the other replicas of decisions.
+	spreads sync.WaitGroup
 
 	// steps is held from the decision of a step until its record is stored and applied.
 	steps   sync.Mutex
@@ -157,12 +159,15 @@
 	return nil
 }
 
-// Close ends the calls to other replicas that are under way, waits for them and starts no
-// new ones. Changes then get the answer Unavailable.
+// Close tells the other replicas of the decisions that were made here, for at most learnTimeout:
+// if this replica is away for good, nobody else may know that its last change of the replica set
+// was decided. It then ends the other calls that are under way, waits for them and starts no new
+// ones. Changes get the answer Unavailable.
 func (g *Registrar) Close() {
 	g.callsMu.Lock()
 	g.closed = true
 	g.callsMu.Unlock()
+	g.spreads.Wait()
 	g.cancel()
 	g.calls.Wait()
 }
