Tasks with resource needs and upstreams with capacity in the product's own interface

Kinds have needs (processor, memory, accelerators), announcements of upstreams a capacity; both are optional. A host starts no task that has no room, keeps an upstream for the task at the head of the order that finds none, and takes the needs of a former owner's tasks into account. What no announced upstream could run is answered at once as not run. The stand-in executor enforces its capacity.

--- a/commander/executor.go
+++ b/commander/executor.go
@@ -8,6 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/executor"
 	"sesamedrift.example/sesamedrift/validator"
 )
@@ -21,7 +22,7 @@
 			"On a signal the executor announces that it leaves and finishes its running tasks.\n\n" +
 			"Example:\n" +
 			"   sesamedrift executor --id worker-1 --service proofing --host http://127.0.0.1:8080",
-		Flags: []cli.Flag{
+		Flags: append(capacityFlags(),
 			hostsFlag,
 			jsonFlag,
 			&cli.StringFlag{
@@ -80,7 +81,7 @@
 				Name:  "leave-after",
 				Usage: "leave after `DURATION`",
 			},
-		},
+		),
 		Action: c.runExecutor,
 	}
 }
@@ -105,7 +106,12 @@
 		Incarnation: uint64(c.now().UnixNano()),
 		Slots:       cmd.Int("slots"),
 		Connections: cmd.Int("connections"),
-		TTL:         cmd.Duration("ttl"),
+		Capacity: sesamedrift.Resources{
+			CPU:          cmd.Int64("cpu"),
+			Memory:       cmd.Int64("memory"),
+			Accelerators: cmd.Int64("accelerators"),
+		},
+		TTL: cmd.Duration("ttl"),
 		Faults: executor.Faults{
 			Slowdown: cmd.Float("slowdown"),
 			FailAll:  cmd.Bool("fail-all"),
@@ -146,3 +152,21 @@
 	}
 	return time.After(d)
 }
+
+// capacityFlags are the flags for what the tasks of an executor may need together.
+func capacityFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.Int64Flag{
+			Name:  "cpu",
+			Usage: "thousandths of a core that running tasks may need together; without --cpu, --memory and --accelerators there is no bound",
+		},
+		&cli.Int64Flag{
+			Name:  "memory",
+			Usage: "megabytes of memory that running tasks may need together",
+		},
+		&cli.Int64Flag{
+			Name:  "accelerators",
+			Usage: "accelerators that running tasks may need together",
+		},
+	}
+}
--- a/executor/announce.go
+++ b/executor/announce.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/client"
 	"sesamedrift.example/sesamedrift/reporter"
 )
@@ -29,15 +30,16 @@
 
 // Announcement is the body of POST /v1/upstreams.
 type Announcement struct {
-	Upstream    string `json:"upstream"`
-	Address     string `json:"address"`
-	Service     string `json:"service"`
-	Environment string `json:"environment,omitempty"`
-	Incarnation uint64 `json:"incarnation"`
-	Slots       int    `json:"slots"`
-	Connections int    `json:"connections"`
-	State       string `json:"state"`
-	TTL         string `json:"ttl"`
+	Upstream    string                `json:"upstream"`
+	Address     string                `json:"address"`
+	Service     string                `json:"service"`
+	Environment string                `json:"environment,omitempty"`
+	Incarnation uint64                `json:"incarnation"`
+	Slots       int                   `json:"slots"`
+	Connections int                   `json:"connections"`
+	Capacity    sesamedrift.Resources `json:"capacity,omitzero"`
+	State       string                `json:"state"`
+	TTL         string                `json:"ttl"`
 }
 
 // announcer sends the announcements of an executor and logs what becomes of them.
@@ -124,6 +126,7 @@
 		Incarnation: e.cfg.Incarnation,
 		Slots:       e.cfg.Slots,
 		Connections: e.cfg.Connections,
+		Capacity:    e.cfg.Capacity,
 		State:       e.state,
 		TTL:         e.cfg.TTL.String(),
 	}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -61,6 +61,8 @@
 	Incarnation uint64
 	Slots       int
 	Connections int
+	// Capacity bounds what the running tasks need together; the zero value stands for no bound.
+	Capacity sesamedrift.Resources
 	// TTL is the time for which an announcement holds.
 	TTL    time.Duration
 	Faults Faults
@@ -95,6 +97,8 @@
 	Task    string    `json:"task"`
 	Attempt int       `json:"attempt"`
 	Ends    time.Time `json:"ends"`
+	// Needs is what the task takes of the capacity.
+	Needs sesamedrift.Resources `json:"needs,omitzero"`
 }
 
 type execution struct {
@@ -121,7 +125,7 @@
 	faults  Faults
 	state   string
 	running map[string]*execution
-	full    int           // tasks that were refused because every slot was taken
+	full    int           // tasks that were refused for want of a slot or of capacity
 	stopped []stopNotice  // stops of tasks that did not run, oldest first
 	idle    chan struct{} // closed and replaced whenever running becomes empty
 	release chan struct{} // closed and replaced by POST /release
@@ -175,6 +179,13 @@
 			}
 		}
 	}
+	if c.Capacity.CPU < 0 || c.Capacity.Memory < 0 || c.Capacity.Accelerators < 0 {
+		return &sesamedrift.InvalidError{
+			Field: "capacity",
+			Value: fmt.Sprintf("%+v", c.Capacity),
+			Want:  "amounts of 0 or more",
+		}
+	}
 	if c.TTL <= 0 {
 		return &sesamedrift.InvalidError{
 			Field: "ttl",
@@ -195,7 +206,8 @@
 	e.faults = f
 }
 
-// Full returns how many tasks were refused because every slot was taken.
+// Full returns how many tasks were refused because every slot was taken or too little of the
+// capacity was left.
 func (e *Executor) Full() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/executor/run.go
+++ b/executor/run.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"sesamedrift.example/sesamedrift"
 )
 
 // Headers of the upstream protocol.
@@ -15,10 +17,12 @@
 	taskHeader    = "Task-Id"
 	attemptHeader = "Attempt"
 	leaseHeader   = "Task-Lease"
+	needsHeader   = "Task-Needs"
 )
 
 var (
 	errNoSlot = errors.New("every slot is taken")
+	errNoRoom = errors.New("the running tasks leave less of the capacity than the task needs")
 	errEarly  = errors.New("the task was stopped before it came")
 )
 
@@ -34,6 +38,11 @@
 		writeError(w, http.StatusBadRequest, "bad-request", "the header Task-Lease must be a duration above zero")
 		return
 	}
+	var needs sesamedrift.Resources
+	if text := r.Header.Get(needsHeader); text != "" && json.Unmarshal([]byte(text), &needs) != nil {
+		writeError(w, http.StatusBadRequest, "bad-request", "the header Task-Needs must be a JSON object of amounts")
+		return
+	}
 	payload, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPayload))
 	if err != nil {
 		writeError(w, http.StatusBadRequest, "bad-request", err.Error())
@@ -41,7 +50,7 @@
 	}
 	w.Header().Set(taskHeader, id)
 	w.Header().Set(attemptHeader, strconv.Itoa(attempt))
-	x, err := e.begin(r.Context(), id, attempt, lease)
+	x, err := e.begin(r.Context(), id, attempt, lease, needs)
 	if err != nil {
 		writeError(w, http.StatusServiceUnavailable, "not-started", err.Error())
 		return
@@ -62,7 +71,7 @@
 }
 
 // begin takes a slot for the task.
-func (e *Executor) begin(ctx context.Context, id string, attempt int, lease time.Duration) (*started, error) {
+func (e *Executor) begin(ctx context.Context, id string, attempt int, lease time.Duration, needs sesamedrift.Resources) (*started, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if _, ok := e.running[id]; ok {
@@ -75,6 +84,10 @@
 		e.full++
 		return nil, errNoSlot
 	}
+	if e.cfg.Capacity != (sesamedrift.Resources{}) && !e.used().Plus(needs).Fits(e.cfg.Capacity) {
+		e.full++
+		return nil, errNoRoom
+	}
 	ctx, stop := context.WithTimeoutCause(ctx, lease, errLease)
 	ctx, cancel := context.WithCancelCause(ctx)
 	e.running[id] = &execution{
@@ -82,6 +95,7 @@
 			Task:    id,
 			Attempt: attempt,
 			Ends:    time.Now().Add(lease),
+			Needs:   needs,
 		},
 		ended: make(chan struct{}),
 		cancel: func(cause error) {
@@ -99,6 +113,15 @@
 	}, nil
 }
 
+// used returns what the running tasks need together. The caller holds the lock.
+func (e *Executor) used() sesamedrift.Resources {
+	var sum sesamedrift.Resources
+	for _, x := range e.running {
+		sum = sum.Plus(x.Needs)
+	}
+	return sum
+}
+
 func (e *Executor) end(id string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -43,7 +43,9 @@
 	// Upstreams is the number of upstreams of each failure domain.
 	Upstreams int
 	Slots     int
-	Service   string
+	// Capacity is that of each upstream; the zero value stands for no bound.
+	Capacity sesamedrift.Resources
+	Service  string
 	// Document is the environment document to apply, as JSON.
 	Document []byte
 	// Folder holds the data folders.
@@ -252,6 +254,7 @@
 		Incarnation: incarnation,
 		Slots:       d.cfg.Slots,
 		Connections: 64,
+		Capacity:    d.cfg.Capacity,
 		TTL:         d.cfg.TTL,
 		Faults:      f,
 	}
--- a/leaser/directory.go
+++ b/leaser/directory.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"sesamedrift.example/sesamedrift"
 )
 
 const (
@@ -38,10 +40,13 @@
 	Address  string `msgpack:"address"`
 	Service  string `msgpack:"service"`
 	// Incarnation grows with each start of the upstream.
-	Incarnation uint64        `msgpack:"incarnation"`
-	Slots       int           `msgpack:"slots"`
-	Connections int           `msgpack:"connections"`
-	State       UpstreamState `msgpack:"state"`
+	Incarnation uint64 `msgpack:"incarnation"`
+	Slots       int    `msgpack:"slots"`
+	Connections int    `msgpack:"connections"`
+	// Capacity bounds what the tasks that run at the same time need together. The zero value
+	// stands for no bound.
+	Capacity sesamedrift.Resources `msgpack:"capacity"`
+	State    UpstreamState         `msgpack:"state"`
 	// TTL is how long the announcement holds after At.
 	TTL time.Duration `msgpack:"ttl"`
 	// At is when a host received the announcement from the upstream itself, by the clock
--- a/resources.go
+++ b/resources.go
@@ -8,11 +8,11 @@
 // Resources are amounts of what a task needs or an upstream has.
 type Resources struct {
 	// CPU is in thousandths of a core.
-	CPU int64 `msgpack:"cpu"`
+	CPU int64 `msgpack:"cpu" json:"cpu,omitempty"`
 	// Memory is in megabytes.
-	Memory int64 `msgpack:"memory"`
+	Memory int64 `msgpack:"memory" json:"memory,omitempty"`
 	// Accelerators is a number of devices.
-	Accelerators int64 `msgpack:"accelerators"`
+	Accelerators int64 `msgpack:"accelerators" json:"accelerators,omitempty"`
 }
 
 // Plus returns the sum.
@@ -38,6 +38,20 @@
 	return r.CPU <= room.CPU && r.Memory <= room.Memory && r.Accelerators <= room.Accelerators
 }
 
+// Holds returns how many tasks with these needs have room, at most the given number.
+func (r Resources) Holds(needs Resources, most int) int {
+	for _, d := range [...]struct{ room, need int64 }{
+		{r.CPU, needs.CPU},
+		{r.Memory, needs.Memory},
+		{r.Accelerators, needs.Accelerators},
+	} {
+		if d.need > 0 {
+			most = int(min(int64(most), max(0, d.room)/d.need))
+		}
+	}
+	return most
+}
+
 // TaskID names one task of a job.
 type TaskID struct {
 	Job string `msgpack:"job"`
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -39,6 +39,15 @@
 	if short == nil && long == nil {
 		return nil, nil
 	}
+	e, u := q.prefer(now, s, short, long)
+	if u == nil || s.takes(u, e, short, long) {
+		return e, u
+	}
+	return s.withRoom(now, e, short, long)
+}
+
+// prefer chooses by order, shares and free slots alone.
+func (q *Queue) prefer(now time.Time, s *service, short, long *entry) (*entry, *upstream) {
 	first := short
 	if short == nil || s.slots == 0 && long != nil && s.credit >= long.cost {
 		first = long
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -2,8 +2,12 @@
 //
 // A Queue holds the queued and the running tasks of one host. It guarantees that a task
 // that was added leaves exactly once, by Done, Cancel, Expire, Take or Drop; that no
-// upstream gets more tasks than it has slots and connections; and that long work gets
-// its share of the slots, but no more than its share while short work is queued.
+// upstream gets more tasks than it has slots, connections and capacity for; and that long work
+// gets its share of the slots, but no more than its share while short work is queued.
+//
+// The tasks of a service may need different amounts of the capacity of an upstream. A task at the
+// head of the order that finds a slot but no room has an upstream kept for it, so that smaller
+// tasks do not take the room again and again; see room.go.
 //
 // The caller passes the current time to each call, calls Next until it reports false
 // whenever a task, a slot or an upstream has been added, and calls Done for each task
@@ -24,6 +28,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"sesamedrift.example/sesamedrift"
 )
 
 // Policy names a rule by which tasks are ordered and upstreams are chosen.
@@ -72,6 +78,9 @@
 	MaxTasks int
 	// LongShare replaces Config.LongShare if it is between 0 and 1.
 	LongShare float64
+	// LeastNeeds has the smallest amount of each resource that a task of the service may need.
+	// An upstream with capacity counts for no more slots than it could run of such tasks.
+	LeastNeeds sesamedrift.Resources
 }
 
 // Queue holds the queued and running tasks of one host.
@@ -148,7 +157,13 @@
 func (q *Queue) Configure(now time.Time, service string, c ServiceConfig) {
 	q.advance(now)
 	s := q.service(service)
+	for _, u := range q.upstreams {
+		if u.service == s {
+			s.uncount(u)
+		}
+	}
 	s.maxTasks = c.MaxTasks
+	s.leastNeeds = c.LeastNeeds
 	s.longShare = q.cfg.LongShare
 	if c.LongShare > 0 && c.LongShare < 1 {
 		s.longShare = c.LongShare
@@ -160,6 +175,11 @@
 	for _, u := range s.freest.items {
 		s.takesLong.push(u)
 	}
+	for _, u := range q.upstreams {
+		if u.service == s {
+			s.count(u)
+		}
+	}
 }
 
 // Stats describes the present load of a service.
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"sesamedrift.example/sesamedrift"
+)
 
 // begunShare is the inverse of the share of the slots that the queued tasks of a begun job
 // may take before the order of the teams.
@@ -9,11 +13,13 @@
 // service holds the upstreams and the queues of one service. The sums and heaps cover
 // the serving upstreams; probing upstreams are kept apart.
 type service struct {
-	longShare float64
-	maxTasks  int // zero if only the bound of the Queue counts
-	fifo      bool
-	short     *classQueue
-	long      *classQueue // the same as short for the baselines
+	longShare  float64
+	leastNeeds sesamedrift.Resources
+	held       hold
+	maxTasks   int // zero if only the bound of the Queue counts
+	fifo       bool
+	short      *classQueue
+	long       *classQueue // the same as short for the baselines
 
 	slots       int
 	free        int
@@ -116,6 +122,9 @@
 func (s *service) count(u *upstream) {
 	limit := u.limit()
 	u.free = max(0, limit-len(u.running))
+	if u.bounded() {
+		u.free = u.room().Holds(s.leastNeeds, u.free)
+	}
 	u.score = 0
 	if limit > 0 {
 		u.score = u.Weight * float64(u.free) / float64(limit)
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/estimator"
 )
 
@@ -49,6 +50,8 @@
 	// Unproven says that the run time of the kind is not known: Add makes all queued and
 	// running tasks of the kind but one long until Learned.
 	Unproven bool
+	// Needs is what the task takes of the capacity of its upstream, beside a slot.
+	Needs sesamedrift.Resources
 	// Begun says that another task of the job has started or has been taken.
 	Begun bool
 	// Queued is when the task was first queued; Add sets it if it is zero.
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"sesamedrift.example/sesamedrift"
 )
 
 // State says whether an upstream takes new tasks.
@@ -26,6 +28,9 @@
 	ID, Service string
 	// Slots and Connections both limit the number of tasks that run at the same time.
 	Slots, Connections int
+	// Capacity bounds the sum of the needs of the running tasks. The zero value stands for no
+	// bound; otherwise a resource that is not named cannot be had.
+	Capacity sesamedrift.Resources
 	// Weight is the share of work in relation to other upstreams with the same share of
 	// free slots; 1 if it is not above zero.
 	Weight float64
@@ -35,11 +40,12 @@
 type upstream struct {
 	Upstream
 	service *service
-	running []*entry // own and occupied tasks
-	long    int      // running tasks of class Long
-	free    int      // free slots in the present state
-	score   float64  // share of free slots, weighted
-	picked  uint64   // number of the start that used it last
+	running []*entry              // own and occupied tasks
+	used    sesamedrift.Resources // the sum of their needs
+	long    int                   // running tasks of class Long
+	free    int                   // free slots in the present state
+	score   float64               // share of free slots, weighted
+	picked  uint64                // number of the start that used it last
 	idle    time.Time
 
 	freestPosition, longPosition, probePosition, freePosition int
@@ -48,6 +54,9 @@
 // limit returns the number of tasks that may run at the same time in the present state.
 func (u *upstream) limit() int {
 	n := max(0, min(u.Slots, u.Connections))
+	if u.bounded() {
+		n = u.Capacity.Holds(u.service.leastNeeds, n)
+	}
 	switch u.State {
 	case Leaving, Ejected:
 		return 0
@@ -70,6 +79,7 @@
 func (u *upstream) start(e *entry) {
 	e.upstreamPosition = len(u.running)
 	u.running = append(u.running, e)
+	u.used = u.used.Plus(e.task.Needs)
 	if e.task.Class == Long {
 		u.long++
 	}
@@ -82,6 +92,7 @@
 	moved.upstreamPosition = e.upstreamPosition
 	u.running[last] = nil
 	u.running = u.running[:last]
+	u.used = u.used.Minus(e.task.Needs)
 	if e.task.Class == Long {
 		u.long--
 	}
@@ -150,10 +161,10 @@
 	return lost
 }
 
-// Occupy counts a slot as taken by a task that an earlier owner of the upstream started,
-// until Done or the given time. It reports whether the slot was counted: not if the
+// Occupy counts a slot, and what the task needs, as taken by a task that an earlier owner of the
+// upstream started, until Done or the given time. It reports whether the slot was counted: not if the
 // upstream or the time is not known, or if the task is already queued or running.
-func (q *Queue) Occupy(now time.Time, upstream, taskID string, until time.Time) bool {
+func (q *Queue) Occupy(now time.Time, upstream, taskID string, needs sesamedrift.Resources, until time.Time) bool {
 	q.advance(now)
 	u, ok := q.upstreams[upstream]
 	if _, known := q.tasks[taskID]; !ok || known || !until.After(now) {
@@ -164,6 +175,7 @@
 			ID:      taskID,
 			Service: u.Service,
 			Class:   Short,
+			Needs:   needs,
 		},
 		started:  now,
 		ends:     until,
--- a/server/admission.go
+++ b/server/admission.go
@@ -44,6 +44,9 @@
 	if d.health.KindFails(j.service, j.kind.Name) && !d.health.Trial(now, j.service, j.kind.Name) {
 		return refuse(limiter.Verdict{}, "every upstream fails this kind at present")
 	}
+	if d.tooLarge(j) {
+		return refuse(limiter.Verdict{}, "no upstream of the failure domain has the capacity that a task needs")
+	}
 	load := limiter.Load{
 		Wait:    wait + d.margin(now, j, wait),
 		Typical: e.P50,
@@ -62,6 +65,16 @@
 	}
 }
 
+// tooLarge reports whether no announced upstream could run a task of the job even if it were idle.
+func (d *dispatcher) tooLarge(j *job) bool {
+	for capacity := range d.announced[j.service] {
+		if capacity == (sesamedrift.Resources{}) || j.kind.Needs.Fits(capacity) {
+			return false
+		}
+	}
+	return len(d.announced[j.service]) > 0
+}
+
 // wait estimates the time until the last task of a new job starts. Queues are balanced, so
 // that the wait here stands for that of the failure domain; the wait at the peer with the
 // shortest queue would be counted on by every host at the same time. A host without slots
@@ -74,7 +87,7 @@
 	if wait >= scheduler.MaxWait {
 		wait = d.peers.wait(now, j.service)
 	}
-	if wait >= scheduler.MaxWait && d.announced[j.service] {
+	if wait >= scheduler.MaxWait && len(d.announced[j.service]) > 0 {
 		// The owner of the announced upstreams has not reported its slots yet.
 		return 0
 	}
--- a/server/delay_test.go
+++ b/server/delay_test.go
@@ -21,6 +21,12 @@
 	cfg.Upstreams = 1
 	cfg.Adjust = func(s *validator.Settings) { s.ClockMargin = validator.Duration(clockMargin) }
 	d = deploy(t, cfg)
+	owner, other = d.owner()
+	return d, owner, other
+}
+
+// owner returns the owner of the only upstream and another host.
+func (d *deployment) owner() (owner, other string) {
 	for _, host := range d.HostNames() {
 		if d.ownedBy(host) == 1 {
 			owner = host
@@ -28,7 +34,7 @@
 			other = host
 		}
 	}
-	return d, owner, other
+	return owner, other
 }
 
 // hold keeps what a host sends to the others.
--- a/server/directory.go
+++ b/server/directory.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/detector"
 	"sesamedrift.example/sesamedrift/leaser"
 	"sesamedrift.example/sesamedrift/messenger"
@@ -30,6 +31,8 @@
 	maxTTL = time.Minute
 	// maxSlots bounds what one upstream may announce.
 	maxSlots = 4096
+	// maxCapacity bounds each amount of a capacity, so that sums cannot overflow.
+	maxCapacity = 1_000_000_000
 )
 
 // directory guards the list of upstreams, and notes how far each peer's list is known.
@@ -71,15 +74,16 @@
 
 // upstreamBody is the body of POST /v1/upstreams.
 type upstreamBody struct {
-	Upstream    string `json:"upstream"`
-	Address     string `json:"address"`
-	Service     string `json:"service"`
-	Environment string `json:"environment"`
-	Incarnation uint64 `json:"incarnation"`
-	Slots       int    `json:"slots"`
-	Connections int    `json:"connections"`
-	State       string `json:"state"`
-	TTL         string `json:"ttl"`
+	Upstream    string                `json:"upstream"`
+	Address     string                `json:"address"`
+	Service     string                `json:"service"`
+	Environment string                `json:"environment"`
+	Incarnation uint64                `json:"incarnation"`
+	Slots       int                   `json:"slots"`
+	Connections int                   `json:"connections"`
+	Capacity    sesamedrift.Resources `json:"capacity"`
+	State       string                `json:"state"`
+	TTL         string                `json:"ttl"`
 }
 
 // announcement checks the body and lists every problem.
@@ -110,6 +114,15 @@
 	if b.Connections < 1 || b.Connections > maxSlots {
 		add("connections", strconv.Itoa(b.Connections), "want 1 to "+strconv.Itoa(maxSlots))
 	}
+	for path, n := range map[string]int64{
+		"capacity.cpu":          b.Capacity.CPU,
+		"capacity.memory":       b.Capacity.Memory,
+		"capacity.accelerators": b.Capacity.Accelerators,
+	} {
+		if n < 0 || n > maxCapacity {
+			add(path, strconv.FormatInt(n, 10), "want 0 to "+strconv.Itoa(maxCapacity))
+		}
+	}
 	state := leaser.UpstreamState(b.State)
 	if state != leaser.Serving && state != leaser.Leaving {
 		add("state", b.State, "want serving or leaving")
@@ -128,6 +141,7 @@
 		Incarnation: b.Incarnation,
 		Slots:       b.Slots,
 		Connections: b.Connections,
+		Capacity:    b.Capacity,
 		State:       state,
 		TTL:         ttl,
 	}, nil
@@ -290,7 +304,10 @@
 	for _, a := range all {
 		announced[a.Upstream] = true
 		if a.State == leaser.Serving {
-			d.announced[a.Service] = true
+			if d.announced[a.Service] == nil {
+				d.announced[a.Service] = map[sesamedrift.Resources]bool{}
+			}
+			d.announced[a.Service][a.Capacity] = true
 		}
 		owns := h.members.owns(now, a.Upstream)
 		u, known := d.upstreams[a.Upstream]
@@ -302,7 +319,7 @@
 			d.drop(now, a.Upstream)
 			h.takeOver(now, a)
 		case owns && known:
-			if u.State != a.State || u.Slots != a.Slots || u.Connections != a.Connections {
+			if u.State != a.State || u.Slots != a.Slots || u.Connections != a.Connections || u.Capacity != a.Capacity {
 				u.Announcement = a
 				d.refresh(now, a.Upstream)
 			}
@@ -364,7 +381,7 @@
 }
 
 // add makes an upstream usable, with the slots of running tasks taken.
-func (d *dispatcher) add(now time.Time, a leaser.Announcement, running map[string]time.Time) {
+func (d *dispatcher) add(now time.Time, a leaser.Announcement, running map[string]runningTask) {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	u := &owned{
 		Announcement: a,
@@ -378,11 +395,11 @@
 	d.refresh(now, a.Upstream)
 	for id, f := range d.inFlight {
 		if f.upstream == a.Upstream {
-			d.queue.Occupy(now, a.Upstream, id, f.ends)
+			d.queue.Occupy(now, a.Upstream, id, f.needs, f.ends)
 		}
 	}
-	for id, ends := range running {
-		if d.queue.Occupy(now, a.Upstream, id, ends) {
+	for id, r := range running {
+		if d.queue.Occupy(now, a.Upstream, id, r.Needs, r.Ends) {
 			u.occupied[id] = true
 		}
 	}
@@ -396,7 +413,7 @@
 }
 
 // vacate frees the slots of tasks of a former owner that have ended.
-func (d *dispatcher) vacate(now time.Time, upstream string, running map[string]time.Time) {
+func (d *dispatcher) vacate(now time.Time, upstream string, running map[string]runningTask) {
 	u := d.upstreams[upstream]
 	if u == nil {
 		return
@@ -431,6 +448,7 @@
 		Service:     u.Service,
 		Slots:       u.Slots,
 		Connections: u.Connections,
+		Capacity:    u.Capacity,
 		Weight:      d.health.Weight(upstream),
 		State:       u.shown,
 	})
--- a/server/dispatcher.go
+++ b/server/dispatcher.go
@@ -71,13 +71,14 @@
 	known      map[string]bool            // services of the documents in force
 	services   map[string]bool            // services with upstreams here
 	slotless   map[string]time.Time       // since when a service has no slots here
-	announced  map[string]bool            // services with upstreams in the failure domain
-	received   map[string]uint64          // number of the last task that arrived, by peer
-	forwards   uint64                     // number of the last task that was forwarded
-	seq        uint64                     // number of the last published state
-	published  time.Time                  // when the metrics were last updated
-	peers      *peerSlots
-	stats      Counters
+	// announced holds the capacities of the serving upstreams of the failure domain, by service.
+	announced map[string]map[sesamedrift.Resources]bool
+	received  map[string]uint64 // number of the last task that arrived, by peer
+	forwards  uint64            // number of the last task that was forwarded
+	seq       uint64            // number of the last published state
+	published time.Time         // when the metrics were last updated
+	peers     *peerSlots
+	stats     Counters
 }
 
 // owned is an upstream that this host may start work on.
@@ -94,6 +95,7 @@
 // flight is an attempt that this host has sent to an upstream.
 type flight struct {
 	upstream string
+	needs    sesamedrift.Resources
 	ends     time.Time // the latest end
 }
 
@@ -207,6 +209,7 @@
 func (d *dispatcher) fly(now time.Time, a scheduler.Assignment, lease time.Duration) {
 	d.inFlight[a.Task.ID] = flight{
 		upstream: a.Upstream,
+		needs:    a.Task.Needs,
 		ends:     now.Add(claimTimeout + lease + leaseGrace),
 	}
 }
@@ -229,6 +232,7 @@
 		Lease:   leaseFor(now, j.deadline, full),
 		// The detector takes a task that used its full lease for a failure.
 		FullLease: full,
+		Needs:     t.Needs,
 	}
 }
 
@@ -417,6 +421,7 @@
 		Slow:      e.P95,
 		LongAfter: e.LongAfter,
 		Unproven:  e.Samples == 0,
+		Needs:     j.kind.Needs,
 		Begun:     j.sent > 0,
 		Queued:    now,
 	}
--- a/server/remote.go
+++ b/server/remote.go
@@ -265,6 +265,7 @@
 		Estimate:  in.Estimate,
 		Slow:      in.Slow,
 		LongAfter: in.LongAfter,
+		Needs:     in.Run.Needs,
 		Begun:     in.Begun,
 		Queued:    now,
 	}
@@ -281,6 +282,10 @@
 		v.answers <- notStarted(errNoSlots)
 		return
 	}
+	if !d.queue.CouldRun(t.Service, t.Needs) {
+		v.answers <- notStarted(errTooSmall)
+		return
+	}
 	if err := d.queue.Add(now, []scheduler.Task{t}); err != nil {
 		v.answers <- notStarted(err)
 		return
@@ -291,6 +296,7 @@
 var (
 	errTaskHere = errors.New("the peer runs the task already")
 	errNoSlots  = errors.New("the peer owns no upstream of the service")
+	errTooSmall = errors.New("no upstream of the peer has the capacity for the task")
 	errExpired  = errors.New("the deadline cannot be met at the peer")
 	errWithdrew = errors.New("the task was withdrawn")
 
--- /dev/null
+++ b/server/resources_test.go
@@ -0,0 +1,116 @@
+package server_test
+
+import (
+	"bytes"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/launcher"
+)
+
+// crowd counts the tasks that run on each upstream.
+type crowd struct {
+	mu   sync.Mutex
+	now  map[string]int
+	most int
+}
+
+func (c *crowd) change(upstream string, by int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now[upstream] += by
+	c.most = max(c.most, c.now[upstream])
+}
+
+func (c *crowd) peak() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.most
+}
+
+// withNeeds starts one domain with upstreams of 8 cores, in which a booking needs 3 cores and a
+// heavy check 9.
+func withNeeds(t *testing.T, upstreams int) (*deployment, *crowd) {
+	t.Helper()
+	document, err := os.ReadFile("../examples/ajara.json")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	for kind, needs := range map[string]string{"booking": "3000", "heavy-check": "9000"} {
+		name := []byte(`"name": "` + kind + `",`)
+		document = bytes.Replace(document, name, append(name, `"needs": {"cpu": `+needs+`},`...), 1)
+	}
+	c := &crowd{now: map[string]int{}}
+	d := deploy(t, launcher.Config{
+		Domains:   []string{"ikeja"},
+		Hosts:     []int{3},
+		Upstreams: upstreams,
+		Capacity:  sesamedrift.Resources{CPU: 8000},
+		Document:  document,
+		OnEnd:     func(upstream, _ string) { c.change(upstream, -1) },
+		OnStart:   func(upstream, _ string, _ int) { c.change(upstream, 1) },
+	})
+	return d, c
+}
+
+// full returns how many tasks the upstreams refused.
+func (d *deployment) full(upstreams ...string) int {
+	n := 0
+	for _, u := range upstreams {
+		n += d.Upstream(u).Full()
+	}
+	return n
+}
+
+// Guards against tasks that are sent to an upstream whose capacity others use up, although it has
+// free slots, and against a capacity that is left unused.
+func TestNeedsBoundWhatRuns(t *testing.T) {
+	d, c := withNeeds(t, 2)
+	first := d.goSubmit("ikeja-1", work("booking", "50ms", 12))
+	second := d.goSubmit("ikeja-2", work("booking", "50ms", 12))
+	for _, o := range []sesamedrift.Outcome{<-first, <-second} {
+		d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), o.Reason)
+	}
+	d.g.Expect(c.peak()).To(Equal(2))
+	d.g.Expect(d.full("ikeja-worker-1", "ikeja-worker-2")).To(BeZero())
+}
+
+// Guards against a submission that waits until its deadline for an upstream that can never run
+// it, and against the head of a queue that holds up what could run.
+func TestWhatNoUpstreamCanRunIsRefusedAtOnce(t *testing.T) {
+	d, _ := withNeeds(t, 1)
+	s := work("heavy-check", "10ms", 1)
+	s.Deadline = time.Now().Add(testTimeout)
+	for _, host := range d.HostNames() {
+		s.Key = key("ikeja")
+		o := d.submit(host, s)
+		d.g.Expect(o.Status).To(Equal(sesamedrift.Refused))
+		d.g.Expect(o.Reason).To(ContainSubstring("capacity"))
+	}
+	d.g.Expect(d.starts.total()).To(BeZero())
+	o := d.submit("ikeja-1", work("booking", "10ms", 4))
+	d.g.Expect(o.Status).To(Equal(sesamedrift.Complete), o.Reason)
+}
+
+// Guards against a new owner of an upstream that does not know what the tasks of the former owner
+// need, and sends more than there is room for.
+func TestNewOwnerKnowsWhatRunningTasksNeed(t *testing.T) {
+	d, c := withNeeds(t, 1)
+	owner, other := d.owner()
+	long := work("booking", "3s", 2)
+	long.Deadline = time.Now().Add(testTimeout)
+	d.goSubmit(owner, long)
+	d.g.Eventually(d.starts.total, testTimeout).Should(Equal(2))
+	d.g.Expect(d.KillHost(owner)).To(Succeed())
+	more := work("booking", "10ms", 4)
+	more.Deadline = time.Now().Add(testTimeout)
+	d.g.Eventually(func() sesamedrift.Status {
+		more.Key = key("ikeja")
+		return d.submit(other, more).Status
+	}, testTimeout).Should(Equal(sesamedrift.Complete))
+	d.g.Expect(c.peak()).To(Equal(2))
+	d.g.Expect(d.full("ikeja-worker-1")).To(BeZero())
+}
--- a/server/runner.go
+++ b/server/runner.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/leaser"
 )
 
@@ -25,6 +26,7 @@
 	taskLeaseHeader = "Task-Lease"
 	serviceHeader   = "Service"
 	kindHeader      = "Kind"
+	needsHeader     = "Task-Needs"
 )
 
 const (
@@ -67,6 +69,14 @@
 	Lease   time.Duration `msgpack:"lease"`
 	// FullLease is the lease that the kind allows; Lease is shorter near the deadline.
 	FullLease time.Duration `msgpack:"full-lease"`
+	// Needs is what the task takes of the capacity of its upstream.
+	Needs sesamedrift.Resources `msgpack:"needs"`
+}
+
+// runningTask is a task that an upstream lists as running.
+type runningTask struct {
+	Ends  time.Time
+	Needs sesamedrift.Resources
 }
 
 // taskAnswer is the result of one attempt.
@@ -143,6 +153,13 @@
 	req.Header.Set(taskLeaseHeader, t.Lease.String())
 	req.Header.Set(serviceHeader, t.Service)
 	req.Header.Set(kindHeader, t.Kind)
+	if t.Needs != (sesamedrift.Resources{}) {
+		needs, err := json.Marshal(t.Needs)
+		if err != nil {
+			return taskAnswer{Result: runNotStarted, Reason: err.Error()}
+		}
+		req.Header.Set(needsHeader, string(needs))
+	}
 	// Without GetBody the transport never sends the request a second time by itself.
 	req.GetBody = nil
 	r.sent.Add(1)
@@ -219,7 +236,7 @@
 
 // running returns the tasks that run on the upstream, with the time at which each ends
 // at the latest.
-func (r *runner) running(ctx context.Context, u leaser.Announcement) (map[string]time.Time, error) {
+func (r *runner) running(ctx context.Context, u leaser.Announcement) (map[string]runningTask, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+u.Address+"/tasks", nil)
 	if err != nil {
 		return nil, err
@@ -233,15 +250,19 @@
 		return nil, errors.New("list of running tasks: status " + resp.Status)
 	}
 	var tasks []struct {
-		Task string    `json:"task"`
-		Ends time.Time `json:"ends"`
+		Task  string                `json:"task"`
+		Ends  time.Time             `json:"ends"`
+		Needs sesamedrift.Resources `json:"needs"`
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(&tasks); err != nil {
 		return nil, fmt.Errorf("list of running tasks: %w", err)
 	}
-	ends := make(map[string]time.Time, len(tasks))
+	running := make(map[string]runningTask, len(tasks))
 	for _, t := range tasks {
-		ends[t.Task] = t.Ends
+		running[t.Task] = runningTask{
+			Ends:  t.Ends,
+			Needs: t.Needs,
+		}
 	}
-	return ends, nil
+	return running, nil
 }
--- a/server/setup.go
+++ b/server/setup.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/detector"
 	"sesamedrift.example/sesamedrift/estimator"
 	"sesamedrift.example/sesamedrift/leaser"
@@ -62,7 +63,7 @@
 		received:    map[string]uint64{},
 		forwards:    uint64(cfg.Now().UnixNano()),
 		known:       map[string]bool{},
-		announced:   map[string]bool{},
+		announced:   map[string]map[sesamedrift.Resources]bool{},
 		services:    map[string]bool{},
 		slotless:    map[string]time.Time{},
 		earlyStops:  map[string]time.Time{},
@@ -101,8 +102,9 @@
 	for _, s := range e.Services {
 		d.known[serviceName(e.Name, s.Name)] = true
 		d.queue.Configure(now, serviceName(e.Name, s.Name), scheduler.ServiceConfig{
-			MaxTasks:  s.MaxQueue,
-			LongShare: s.LongShare,
+			MaxTasks:   s.MaxQueue,
+			LongShare:  s.LongShare,
+			LeastNeeds: s.LeastNeeds(),
 		})
 	}
 	if e.Name != validator.Production {
--- a/validator/environment.go
+++ b/validator/environment.go
@@ -1,6 +1,10 @@
 package validator
 
-import "slices"
+import (
+	"slices"
+
+	"sesamedrift.example/sesamedrift"
+)
 
 // Names of the two environments.
 const (
@@ -53,6 +57,8 @@
 	Expected Duration `json:"expected"`
 	// MaxRunTime is the lease of a task on an upstream; at least Expected.
 	MaxRunTime Duration `json:"max-run-time"`
+	// Needs is what one task takes of the capacity of its upstream; no amount is below 0.
+	Needs sesamedrift.Resources `json:"needs"`
 }
 
 // Team is a customer with a quota.
@@ -116,6 +122,20 @@
 	return namesOf(teams, func(t Team) string { return t.Name })
 }
 
+// LeastNeeds returns the smallest amount of each resource that a kind of the service needs.
+func (s Service) LeastNeeds() sesamedrift.Resources {
+	if len(s.Kinds) == 0 {
+		return sesamedrift.Resources{}
+	}
+	least := s.Kinds[0].Needs
+	for _, k := range s.Kinds[1:] {
+		least.CPU = min(least.CPU, k.Needs.CPU)
+		least.Memory = min(least.Memory, k.Needs.Memory)
+		least.Accelerators = min(least.Accelerators, k.Needs.Accelerators)
+	}
+	return least
+}
+
 // KindNames returns the names of all kinds in document order.
 func (s Service) KindNames() []string {
 	return namesOf(s.Kinds, func(k Kind) string { return k.Name })
