--- a/placer/fit.go
+++ b/placer/fit.go
@@ -15,22 +15,46 @@
 	if p.inUse[t.Run.Task] > 0 {
 		return nil
 	}
-	var best *upstream
-	better := p.tighter
-	if !p.applies(RulePack) {
-		better = roomier
-	} else if p.freeShare(w.Service) > plenty {
-		better = faster
-	}
+	var full, fast, roomy *upstream
+	var free, all int64
 	for _, u := range p.sorted {
+		if !u.usable || u.Service != w.Service {
+			continue
+		}
+		free += u.free.CPU
+		all += u.Capacity.CPU
 		if !p.takes(now, u, w, t) {
 			continue
 		}
-		if best == nil || better(u, best) {
-			best = u
+		if full == nil || tighter(u, full) {
+			full = u
+		}
+		if fast == nil || faster(u, fast) {
+			fast = u
+		}
+		if roomy == nil || roomier(u, roomy) {
+			roomy = u
 		}
 	}
-	return best
+	switch {
+	case !p.applies(RulePack):
+		return roomy
+	case all > 0 && float64(free)/float64(all) > plenty:
+		return fast
+	default:
+		return full
+	}
+}
+
+// mostFree returns the most processor room of a usable upstream.
+func (p *Placer) mostFree() int64 {
+	most := int64(-1)
+	for _, u := range p.sorted {
+		if u.usable {
+			most = max(most, u.free.CPU)
+		}
+	}
+	return most
 }
 
 // takes reports whether a task may run on an upstream now.
@@ -58,22 +82,8 @@
 	return n
 }
 
-func (p *Placer) freeShare(service string) float64 {
-	var free, all int64
-	for _, u := range p.sorted {
-		if u.usable && u.Service == service {
-			free += u.free.CPU
-			all += u.Capacity.CPU
-		}
-	}
-	if all == 0 {
-		return 0
-	}
-	return float64(free) / float64(all)
-}
-
 // tighter prefers the upstream with less room, and among equals the faster one.
-func (p *Placer) tighter(a, b *upstream) bool {
+func tighter(a, b *upstream) bool {
 	if a.free.CPU != b.free.CPU {
 		return a.free.CPU < b.free.CPU
 	}
--- a/placer/health.go
+++ b/placer/health.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -169,7 +168,14 @@
 		return
 	}
 	for _, u := range p.sorted {
-		for _, run := range slices.SortedFunc(maps.Keys(u.runs), compareRuns) {
+		var old []sesamedrift.Run
+		for run, r := range u.runs {
+			if r.progress.ran >= slowLeast {
+				old = append(old, run)
+			}
+		}
+		slices.SortFunc(old, compareRuns)
+		for _, run := range old {
 			if r := u.runs[run]; !r.moving && r.expected > 0 {
 				p.watchRun(now, u, run, r)
 			}
@@ -182,9 +188,6 @@
 }
 
 func (p *Placer) watchRun(now time.Time, u *upstream, run sesamedrift.Run, r *placed) {
-	if r.progress.ran < slowLeast {
-		return
-	}
 	w := p.workOf(now, r.key)
 	if w.moved[run.Task] {
 		// It was slow elsewhere as well, so that the task is to blame and not the upstreams.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -362,7 +362,8 @@
 	p.supersede(w)
 	p.learnDemand(j)
 	if !p.possible(w) {
-		p.refuse(now, w, ReasonTooLarge, 0)
+		_, releases := p.releases(now)
+		p.refuse(now, w, ReasonTooLarge, 0, releases)
 		return
 	}
 	p.jobs[w.key] = w
@@ -500,7 +501,7 @@
 	p.forgetWorks(now)
 }
 
-func (p *Placer) refuse(now time.Time, w *waiting, reason Reason, late time.Duration) {
+func (p *Placer) refuse(now time.Time, w *waiting, reason Reason, late time.Duration, releases []release) {
 	waiting := len(p.order)
 	p.Withdraw(w.Entry, w.ID)
 	p.decisions = append(p.decisions, Decision{
@@ -511,7 +512,7 @@
 		Late:       late,
 		Waiting:    waiting,
 		Usage:      p.usageShare(w.Queue),
-		RetryAfter: p.retryAfter(now),
+		RetryAfter: retryAfter(now, releases),
 	})
 }
 
@@ -520,12 +521,31 @@
 
 // place gives places to waiting tasks in the order of their jobs.
 func (p *Placer) place(now time.Time) {
+	if len(p.order) == 0 {
+		return
+	}
+	// Under load hundreds of jobs wait, and few find room after an event.
+	most := p.mostFree()
 	for _, w := range slices.Clone(p.order) {
+		if !w.needsAtMost(most) {
+			continue
+		}
 		p.placeJob(now, w)
 		if len(w.Tasks) == 0 {
 			p.Withdraw(w.Entry, w.ID)
 		}
+		most = p.mostFree()
+	}
+}
+
+// needsAtMost reports whether a task of the job needs no more than some processor room.
+func (w *waiting) needsAtMost(cpu int64) bool {
+	for _, t := range w.Tasks {
+		if t.Demand.CPU <= cpu {
+			return true
+		}
 	}
+	return false
 }
 
 // placeJob gives places to the waiting tasks of a job that find one. A job that has not begun
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -365,3 +365,62 @@
 		})
 	}
 }
+
+// BenchmarkOverload measures a job among 117 upstreams, from its question to the end of its
+// runs, below and above what they can do.
+func BenchmarkOverload(b *testing.B) {
+	for _, load := range []float64{0.6, 1, 1.5, 3} {
+		b.Run(fmt.Sprint(load), func(b *testing.B) {
+			p := New(Config{})
+			for i := range 117 {
+				id := fmt.Sprint("u", i)
+				p.SetUpstream(Upstream{
+					ID:       id,
+					Service:  "s",
+					Capacity: cpu(16000),
+				})
+				p.SetUsable(start, id, true)
+			}
+			// Two tasks fit on an upstream at the same time.
+			const tasks, length = 4, 200 * time.Millisecond
+			between := time.Duration(float64(length) * tasks / (2 * 117) / load)
+			bed := &bench{now: start}
+			type end struct {
+				at time.Time
+				Grant
+			}
+			var ends []end
+			refused := 0
+			drain := func() {
+				for _, d := range p.Drain() {
+					if d.Refused {
+						refused++
+					}
+					for _, g := range d.Grants {
+						ends = append(ends, end{
+							at:    bed.now.Add(length),
+							Grant: g,
+						})
+					}
+				}
+			}
+			tick := start
+			for i := 0; b.Loop(); i++ {
+				bed.now = bed.now.Add(between)
+				for len(ends) > 0 && !ends[0].at.After(bed.now) {
+					p.Ended(bed.now, ends[0].Upstream, ends[0].Run, keeper.Done, "", length)
+					ends = ends[1:]
+					drain()
+				}
+				if bed.now.Sub(tick) >= 10*time.Millisecond {
+					tick = bed.now
+					p.Tick(bed.now)
+					drain()
+				}
+				p.Ask(bed.now, bed.job(fmt.Sprint("j", i), "q", tasks, 7000, length))
+				drain()
+			}
+			b.ReportMetric(float64(refused)/float64(b.N), "refused/op")
+		})
+	}
+}
--- a/placer/shed.go
+++ b/placer/shed.go
@@ -78,8 +78,13 @@
 		return
 	}
 	p.spread(now)
+	if len(p.order) == 0 {
+		return
+	}
+	// Jobs that are given up have no runs, so that they change nothing about the releases.
+	free, releases := p.releases(now)
 	for len(p.order) > 0 {
-		late, at, by := p.firstLate(now)
+		late, at, by := p.firstLate(now, free, slices.Clone(releases))
 		if late == nil {
 			return
 		}
@@ -94,7 +99,7 @@
 		if now.After(victim.Deadline.Add(-victim.estimate)) {
 			reason = ReasonDeadline
 		}
-		p.refuse(now, victim, reason, by)
+		p.refuse(now, victim, reason, by, releases)
 	}
 }
 
@@ -102,7 +107,8 @@
 func (p *Placer) expire(now time.Time) {
 	for _, w := range slices.Clone(p.order) {
 		if now.Add(w.estimate).After(w.Deadline) {
-			p.refuse(now, w, ReasonDeadline, 0)
+			_, releases := p.releases(now)
+			p.refuse(now, w, ReasonDeadline, 0, releases)
 		}
 	}
 }
@@ -112,8 +118,8 @@
 
 // firstLate predicts when each waiting job begins and returns the first one that has not
 // begun and will begin too late, with its place in the order and the time by which it is late.
-func (p *Placer) firstLate(now time.Time) (*waiting, int, time.Duration) {
-	free, releases := p.releases(now)
+// It changes the releases.
+func (p *Placer) firstLate(now time.Time, free int64, releases []release) (*waiting, int, time.Duration) {
 	for i, w := range p.order {
 		need := int64(0)
 		for _, t := range w.Tasks {
@@ -149,6 +155,11 @@
 // releases returns the processor room that is free now on usable upstreams, and when more
 // becomes free.
 func (p *Placer) releases(now time.Time) (free int64, all []release) {
+	runs := 0
+	for _, u := range p.sorted {
+		runs += len(u.runs)
+	}
+	all = make([]release, 0, runs)
 	for _, u := range p.sorted {
 		if !u.usable || !u.health.takes(now) {
 			continue
@@ -187,8 +198,7 @@
 
 // retryAfter returns when a refused caller may return: when the room that is taken now will
 // have become free.
-func (p *Placer) retryAfter(now time.Time) time.Duration {
-	_, releases := p.releases(now)
+func retryAfter(now time.Time, releases []release) time.Duration {
 	wait := leastRetry
 	if n := len(releases); n > 0 {
 		wait = releases[n/2].at.Sub(now)
