placer, dispatcher: two more causes of two runs of a task after a lost relay

Cause: a new placer passed a second try on to another domain in its quiet time, before it had heard of the runs of the first one. A placer whose entry host was lost placed the second try at once, though the runs that it had ordered to be dropped in the other domain had not ended.

Change: nothing is passed on in the quiet time; a dropped job of a lost entry host waits as long as any other dropped job.

--- a/dispatcher/passing.go
+++ b/dispatcher/passing.go
@@ -302,6 +302,7 @@
 	for _, id := range slices.Sorted(maps.Keys(c.relays)) {
 		if r := c.relays[id]; r.entry == host {
 			delete(c.relays, id)
+			c.dropped[id] = now.Add(dropTime)
 			c.tell(r.to, kindDrop, drop{Job: id})
 		}
 	}
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -99,9 +99,11 @@
 }
 
 // Guards against two runs of one task that were found under these seeds: runs of a former keeper
-// that go on for too long, and a host that is cut off and takes upstreams of the others.
+// that go on for too long, a host that is cut off and takes upstreams of the others, a new placer
+// that passes a second try on before it knows of the runs of the first, and a second try that is
+// placed before another domain has ended the runs of a relayed first one.
 func TestFoundSeeds(t *testing.T) {
-	for _, seed := range []uint64{1000012, 1000041, 1000048, 1000354} {
+	for _, seed := range []uint64{1000012, 1000041, 1000048, 1000354, 1000334, 1001289, 1001315, 1001538} {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			t.Parallel()
 			w := faultyWorld(seed)
--- a/placer/neighbour.go
+++ b/placer/neighbour.go
@@ -61,9 +61,9 @@
 }
 
 // neighbourFor returns the domain with the most room for a job that has not begun, or "" if
-// none has enough.
+// none has enough. A new placer does not know yet which jobs run here, so that it passes none on.
 func (p *Placer) neighbourFor(now time.Time, w *waiting) string {
-	if w.PassedOn || w.Begun || !p.applies(RulePass) || p.runsHere(w) {
+	if w.PassedOn || w.Begun || now.Before(p.cfg.Quiet) || !p.applies(RulePass) || p.runsHere(w) {
 		return ""
 	}
 	best, most := "", len(w.Tasks)+roomKept-1
