courier: keep batches to the same peer apart under load

Cause: on a host that places for a large domain each message went out as a batch of its own. The host fell behind its peers, sessions ended after 500 ms, another host became placer and took over the upstreams, and the storm went on until the crest was over.

Change: from 500 exchanges a second on, those with the same peer are kept apart by up to 10 ms, and answers wait as long, so that a batch carries more.

--- a/courier/courier.go
+++ b/courier/courier.go
@@ -8,7 +8,8 @@
 // order with the messages, and drops what it knows of a peer when the session ends.
 //
 // A batch goes out at once when a message is posted, and otherwise every beat, so that a
-// session is also the heartbeat between its two hosts.
+// session is also the heartbeat between its two hosts. On a host with many exchanges those with
+// the same peer are kept apart by up to 10 ms (pacer.go).
 package courier
 
 import (
@@ -55,6 +56,8 @@
 	cancel context.CancelFunc
 	duties sync.WaitGroup
 
+	pacer pacer
+
 	mu    sync.Mutex
 	peers map[string]*peer
 }
@@ -195,8 +198,18 @@
 }
 
 // Handle applies a batch that has arrived and returns the encoded answer. A host that was
-// not connected is connected.
+// not connected is connected. Under load the answer waits, so that the next batch of the peer
+// carries more.
 func (c *Courier) Handle(body []byte) ([]byte, error) {
+	spacing := c.pacer.note(c.cfg.Now())
+	answer, err := c.handle(body)
+	if err == nil && spacing > 0 {
+		c.rest(c.ctx, spacing)
+	}
+	return answer, err
+}
+
+func (c *Courier) handle(body []byte) ([]byte, error) {
 	var b Batch
 	if err := messenger.Decode(body, &b); err != nil {
 		return nil, err
@@ -248,7 +261,11 @@
 		case <-p.wake:
 		case <-timer.C:
 		}
+		spacing := c.pacer.note(c.cfg.Now())
 		answered := c.exchange(ctx, p, conn)
+		if spacing > 0 {
+			c.rest(ctx, spacing)
+		}
 		p.mu.Lock()
 		c.deliver(p, p.session.Check(c.cfg.Now()))
 		pause := c.cfg.Beat
@@ -267,6 +284,16 @@
 	}
 }
 
+// rest waits for a time, or until ctx ends.
+func (c *Courier) rest(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // exchange sends one batch and takes in its answer. It reports whether there was one.
 func (c *Courier) exchange(ctx context.Context, p *peer, conn *messenger.Peer) bool {
 	p.mu.Lock()
--- a/courier/courier_test.go
+++ b/courier/courier_test.go
@@ -25,7 +25,7 @@
 	refuse bool
 }
 
-func newNode(t *testing.T, life uint64) *node {
+func newNode(t testing.TB, life uint64) *node {
 	t.Helper()
 	n := &node{}
 	cfg := messenger.Config{
@@ -94,6 +94,12 @@
 	return append([]string(nil), n.got...)
 }
 
+func (n *node) count() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.got)
+}
+
 // Guards against messages that are lost between two processes, and goroutines that are left
 // behind.
 func TestTwoProcesses(t *testing.T) {
--- /dev/null
+++ b/courier/pacer_test.go
@@ -0,0 +1,35 @@
+package courier
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a busy host that spends its time on small batches, against batches that are held
+// back on a quiet one, and against a spacing that outlasts the crest.
+func TestPacer(t *testing.T) {
+	start := time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+	for _, test := range []struct {
+		perSecond int
+		want      time.Duration
+	}{
+		{100, 0},
+		{500, 0},
+		{1000, 5 * time.Millisecond},
+		{1500, 10 * time.Millisecond},
+		{5000, 10 * time.Millisecond},
+	} {
+		g := NewWithT(t)
+		p := &pacer{}
+		now := start
+		var spacing time.Duration
+		for range test.perSecond / 2 {
+			spacing = p.note(now)
+			now = now.Add(time.Second / time.Duration(test.perSecond))
+		}
+		g.Expect(spacing).To(BeNumerically("~", test.want, 200*time.Microsecond), "%d exchanges a second", test.perSecond)
+		g.Expect(p.note(now.Add(time.Second))).To(BeZero(), "a quiet time ends the crest")
+	}
+}
