placer: pass over upstreams that rest when looking for room

The check for the most free room counted upstreams that fail and rest, which are empty: every waiting task was tried on every upstream at each event.

Change: only upstreams that take tasks count. A task like one of its job that has found no room is not tried. Neighbours are compared without sorting, and releases are compared as times from now.

--- a/placer/fit.go
+++ b/placer/fit.go
@@ -46,17 +46,23 @@
 	}
 }
 
-// mostFree returns the most processor room of a usable upstream.
-func (p *Placer) mostFree() int64 {
+// mostFree returns the most processor room of an upstream that takes tasks now.
+func (p *Placer) mostFree(now time.Time) int64 {
 	most := int64(-1)
 	for _, u := range p.sorted {
-		if u.usable {
-			most = max(most, u.free.CPU)
+		if u.usable && u.free.CPU > most && (p.cfg.Policy == FirstCome || u.health.takes(now)) {
+			most = u.free.CPU
 		}
 	}
 	return most
 }
 
+// alike reports whether a task finds no room if another one of the same job has found none.
+func (t *Task) alike(o *Task) bool {
+	return t.Demand == o.Demand && t.Requires == o.Requires && t.Avoid == o.Avoid && t.PerUpstream == o.PerUpstream &&
+		t.Run.Task.Step == o.Run.Task.Step
+}
+
 // takes reports whether a task may run on an upstream now.
 func (p *Placer) takes(now time.Time, u *upstream, w *waiting, t Task) bool {
 	if !u.usable || u.Service != w.Service || u.ID == t.Avoid || !t.Demand.Fits(u.free) {
--- a/placer/neighbour.go
+++ b/placer/neighbour.go
@@ -63,19 +63,22 @@
 // neighbourFor returns the domain with the most room for a job that has not begun, or "" if
 // none has enough. A new placer does not know yet which jobs run here, so that it passes none on.
 func (p *Placer) neighbourFor(now time.Time, w *waiting) string {
-	if w.PassedOn || w.Begun || now.Before(p.cfg.Quiet) || !p.applies(RulePass) || p.runsHere(w) {
+	if w.PassedOn || w.Begun || now.Before(p.cfg.Quiet) || !p.applies(RulePass) {
 		return ""
 	}
-	best, most := "", len(w.Tasks)+roomKept-1
-	for _, domain := range p.neighbourNames() {
-		n := p.neighbours[domain]
+	best, most := "", len(w.Tasks)+roomKept
+	for domain, n := range p.neighbours {
 		if now.Sub(n.at) > roomValid || n.room.Waiting > 0 {
 			continue
 		}
-		if left := n.room.Places - n.passed; left > most {
+		left := n.room.Places - n.passed
+		if left > most || left == most && (best == "" || domain < best) {
 			best, most = domain, left
 		}
 	}
+	if best == "" || p.runsHere(w) {
+		return ""
+	}
 	return best
 }
 
@@ -114,12 +117,3 @@
 		}
 	}
 }
-
-func (p *Placer) neighbourNames() []string {
-	names := make([]string, 0, len(p.neighbours))
-	for name := range p.neighbours {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -363,7 +363,7 @@
 	p.learnDemand(j)
 	if !p.possible(w) {
 		_, releases := p.releases(now)
-		p.refuse(now, w, ReasonTooLarge, 0, releases)
+		p.refuse(w, ReasonTooLarge, 0, releases)
 		return
 	}
 	p.jobs[w.key] = w
@@ -501,7 +501,7 @@
 	p.forgetWorks(now)
 }
 
-func (p *Placer) refuse(now time.Time, w *waiting, reason Reason, late time.Duration, releases []release) {
+func (p *Placer) refuse(w *waiting, reason Reason, late time.Duration, releases []release) {
 	waiting := len(p.order)
 	p.Withdraw(w.Entry, w.ID)
 	p.decisions = append(p.decisions, Decision{
@@ -512,7 +512,7 @@
 		Late:       late,
 		Waiting:    waiting,
 		Usage:      p.usageShare(w.Queue),
-		RetryAfter: retryAfter(now, releases),
+		RetryAfter: retryAfter(releases),
 	})
 }
 
@@ -525,7 +525,7 @@
 		return
 	}
 	// Under load hundreds of jobs wait, and few find room after an event.
-	most := p.mostFree()
+	most := p.mostFree(now)
 	for _, w := range slices.Clone(p.order) {
 		if !w.needsAtMost(most) {
 			continue
@@ -534,7 +534,7 @@
 		if len(w.Tasks) == 0 {
 			p.Withdraw(w.Entry, w.ID)
 		}
-		most = p.mostFree()
+		most = p.mostFree(now)
 	}
 }
 
@@ -554,11 +554,18 @@
 func (p *Placer) placeJob(now time.Time, w *waiting) {
 	var found []*upstream
 	var left []Task
-	for _, t := range w.Tasks {
-		u := p.fit(now, w, t)
+	var noRoom *Task
+	for i, t := range w.Tasks {
+		var u *upstream
+		if noRoom == nil || !t.alike(noRoom) {
+			u = p.fit(now, w, t)
+		}
 		found = append(found, u)
 		if u == nil {
 			left = append(left, t)
+			if p.inUse[t.Run.Task] == 0 {
+				noRoom = &w.Tasks[i]
+			}
 			continue
 		}
 		p.reserve(now, w, t, u)
--- a/placer/shed.go
+++ b/placer/shed.go
@@ -62,10 +62,10 @@
 	p.ticked = now
 }
 
-// release is room that becomes free at a time.
+// release is room that becomes free after a time from now.
 type release struct {
-	at  time.Time
-	cpu int64
+	after time.Duration
+	cpu   int64
 }
 
 // relieve rejects or passes on jobs until all that wait can begin in time.
@@ -99,7 +99,7 @@
 		if now.After(victim.Deadline.Add(-victim.estimate)) {
 			reason = ReasonDeadline
 		}
-		p.refuse(now, victim, reason, by, releases)
+		p.refuse(victim, reason, by, releases)
 	}
 }
 
@@ -108,7 +108,7 @@
 	for _, w := range slices.Clone(p.order) {
 		if now.Add(w.estimate).After(w.Deadline) {
 			_, releases := p.releases(now)
-			p.refuse(now, w, ReasonDeadline, 0, releases)
+			p.refuse(w, ReasonDeadline, 0, releases)
 		}
 	}
 }
@@ -125,22 +125,22 @@
 		for _, t := range w.Tasks {
 			need += t.Demand.CPU
 		}
-		begin := now
+		begin := time.Duration(0)
 		for free < need && len(releases) > 0 {
 			free += releases[0].cpu
-			begin = releases[0].at
+			begin = releases[0].after
 			releases = releases[1:]
 		}
 		if !w.Begun && free < need {
 			return w, i, never
 		}
-		if !w.Begun && begin.After(w.latest) {
-			return w, i, begin.Sub(w.latest)
+		if left := w.latest.Sub(now); !w.Begun && begin > left {
+			return w, i, begin - left
 		}
 		free -= need
 		end := release{
-			at:  begin.Add(w.estimate),
-			cpu: need,
+			after: begin + w.estimate,
+			cpu:   need,
 		}
 		at, _ := slices.BinarySearchFunc(releases, end, compareReleases)
 		releases = slices.Insert(releases, at, end)
@@ -149,7 +149,7 @@
 }
 
 func compareReleases(a, b release) int {
-	return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.cpu, b.cpu))
+	return cmp.Or(cmp.Compare(a.after, b.after), cmp.Compare(a.cpu, b.cpu))
 }
 
 // releases returns the processor room that is free now on usable upstreams, and when more
@@ -166,13 +166,13 @@
 		}
 		free += u.free.CPU
 		for _, r := range u.runs {
-			end := r.at.Add(r.expected)
-			if end.Before(now) {
-				end = now.Add(time.Duration(overdue * float64(r.expected)))
+			after := r.expected - now.Sub(r.at)
+			if after < 0 {
+				after = time.Duration(overdue * float64(r.expected))
 			}
 			all = append(all, release{
-				at:  end,
-				cpu: r.demand.CPU,
+				after: after,
+				cpu:   r.demand.CPU,
 			})
 		}
 	}
@@ -198,10 +198,10 @@
 
 // retryAfter returns when a refused caller may return: when the room that is taken now will
 // have become free.
-func retryAfter(now time.Time, releases []release) time.Duration {
+func retryAfter(releases []release) time.Duration {
 	wait := leastRetry
 	if n := len(releases); n > 0 {
-		wait = releases[n/2].at.Sub(now)
+		wait = releases[n/2].after
 	}
 	return min(max(wait, leastRetry), mostRetry)
 }
