--- a/placer/fit.go
+++ b/placer/fit.go
@@ -15,6 +15,7 @@
 	if p.inUse[t.Run.Task] > 0 {
 		return nil
 	}
+	p.searches++
 	var full, fast, roomy *upstream
 	var free, all int64
 	for _, u := range p.sorted {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -201,6 +201,8 @@
 	works      map[jobKey]*work
 	times      *estimator.Estimator
 	neighbours map[string]*neighbour
+	// searches is how often room for a task was looked for on all upstreams.
+	searches int
 	// inUse counts the runs of each task; a task with a run is not placed again.
 	inUse map[sesamedrift.TaskID]int
 	// usual is the mean processor demand of the tasks that were asked for lately.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -336,6 +336,27 @@
 	}
 }
 
+// Guards against a placer that looks for room on every upstream for every waiting task at each
+// event, and falls behind in a crest with upstreams that fail and rest: they are empty.
+func TestEventsTryOnlyWhatMayFit(t *testing.T) {
+	b := newBench(t, 10000, 10000, 10000)
+	b.p.upstreams["u0"].health.resting = b.now.Add(time.Hour)
+	b.ask(b.job("first", "q", 2, 8000, 100*time.Millisecond))
+	for i := range 50 {
+		j := b.job(fmt.Sprint("j", i), "q", 2, 8000, 100*time.Millisecond)
+		j.Slack = 1000
+		j.Deadline = b.now.Add(time.Hour)
+		b.ask(j)
+	}
+	b.g.Expect(b.p.Waiting()).To(Equal(50))
+	before := b.p.searches
+	b.after(10 * time.Millisecond)
+	b.g.Expect(b.p.searches).To(Equal(before), "nothing has become free")
+	b.end("first", 0, keeper.Done, 100*time.Millisecond)
+	// The room that has become free takes one task; a second one of its job is tried and finds none.
+	b.g.Expect(b.p.searches - before).To(BeNumerically("<=", 2))
+}
+
 // BenchmarkAsk measures a decision about a job of 8 tasks among many upstreams, half of which
 // are busy.
 func BenchmarkAsk(b *testing.B) {
