messenger: one bounded call and one sleep for all hosts

The call within a time that renews a silent connection stood in courier, controller and inquirer, the wait that ends with its context in courier, replicator and server. Behaviour is as before; only an answer that cannot be decoded no longer renews a connection that has just run out of time.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -308,14 +308,8 @@
 	if err != nil {
 		return reply, fmt.Errorf("message to replica %s: %w", replica, err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	p := h.peer(replica)
-	answer, err := p.Call(ctx, messenger.KindRegister, body)
+	answer, err := h.peer(replica).CallWithin(ctx, callTimeout, messenger.KindRegister, body)
 	if err != nil {
-		if ctx.Err() != nil {
-			p.Renew()
-		}
 		return reply, err
 	}
 	return reply, messenger.Decode(answer, &reply)
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -204,7 +204,7 @@
 	spacing := c.pacer.note(c.cfg.Now())
 	answer, err := c.handle(body)
 	if err == nil && spacing > 0 {
-		c.rest(c.ctx, spacing)
+		messenger.Sleep(c.ctx, spacing)
 	}
 	return answer, err
 }
@@ -264,7 +264,7 @@
 		spacing := c.pacer.note(c.cfg.Now())
 		answered := c.exchange(ctx, p, conn)
 		if spacing > 0 {
-			c.rest(ctx, spacing)
+			messenger.Sleep(ctx, spacing)
 		}
 		p.mu.Lock()
 		c.deliver(p, p.session.Check(c.cfg.Now()))
@@ -284,16 +284,6 @@
 	}
 }
 
-// rest waits for a time, or until ctx ends.
-func (c *Courier) rest(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // exchange sends one batch and takes in its answer. It reports whether there was one.
 func (c *Courier) exchange(ctx context.Context, p *peer, conn *messenger.Peer) bool {
 	p.mu.Lock()
@@ -303,17 +293,9 @@
 	if err != nil {
 		panic("courier: a batch cannot be encoded: " + err.Error())
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.Resend)
-	defer cancel()
-	reply, err := conn.Call(ctx, messenger.KindCourier, body)
+	reply, err := conn.CallWithin(ctx, c.cfg.Resend, messenger.KindCourier, body)
 	var ack Ack
-	if err == nil {
-		err = messenger.Decode(reply, &ack)
-	}
-	if err != nil {
-		if ctx.Err() != nil {
-			conn.Renew()
-		}
+	if err != nil || messenger.Decode(reply, &ack) != nil {
 		return false
 	}
 	p.mu.Lock()
--- a/inquirer/inquirer.go
+++ b/inquirer/inquirer.go
@@ -123,14 +123,9 @@
 	if err != nil {
 		panic("inquirer: a question cannot be encoded: " + err.Error())
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	var n News
-	answer, err := peer.Call(ctx, messenger.KindNews, body)
+	answer, err := peer.CallWithin(ctx, timeout, messenger.KindNews, body)
 	if err != nil {
-		if ctx.Err() != nil {
-			peer.Renew()
-		}
 		return n, err
 	}
 	return n, messenger.Decode(answer, &n)
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -329,6 +329,18 @@
 	}
 }
 
+// CallWithin is Call with a bound on the time. If no answer comes in that time, the next message
+// goes over a new connection.
+func (p *Peer) CallWithin(ctx context.Context, d time.Duration, kind Kind, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	reply, err := p.Call(ctx, kind, body)
+	if err != nil && ctx.Err() != nil {
+		p.Renew()
+	}
+	return reply, err
+}
+
 // Renew ends the present connection, so that the next message goes over a new one. It is
 // for callers that got no answer in time: a connection may stay silent for good while new
 // ones work.
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"sesamedrift.example/sesamedrift/journaler"
+	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/registrar"
 	"sesamedrift.example/sesamedrift/reporter"
 )
@@ -172,7 +173,7 @@
 // wait waits for the next exchange with the others. It reports whether there is to be one.
 func (r *Replica) wait(ctx context.Context) bool {
 	for rest := r.cfg.SyncEvery; rest > 0 && r.Registers().Failed() == nil; rest -= r.cfg.RepairEvery {
-		if !sleep(ctx, min(rest, r.cfg.RepairEvery)) {
+		if !messenger.Sleep(ctx, min(rest, r.cfg.RepairEvery)) {
 			return false
 		}
 	}
@@ -184,7 +185,7 @@
 	r.Registers().Close()
 	// Its error is that of the write that failed.
 	_ = r.journal.Close()
-	for sleep(ctx, r.cfg.RepairEvery) {
+	for messenger.Sleep(ctx, r.cfg.RepairEvery) {
 		// A set that has lost its disk while it bootstraps is repaired by the others.
 		err := r.open(false, true)
 		if err == nil {
@@ -207,7 +208,7 @@
 			reporter.Log(ctx, r.cfg.Log, reporter.ReplicaRepaired)
 			return
 		}
-		if !sleep(ctx, r.cfg.RepairEvery) {
+		if !messenger.Sleep(ctx, r.cfg.RepairEvery) {
 			return
 		}
 	}
@@ -218,15 +219,3 @@
 	r.Registers().Close()
 	_ = r.stored(r.journal.Close())
 }
-
-// sleep waits and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/server/claiming.go
+++ b/server/claiming.go
@@ -8,6 +8,7 @@
 
 	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/claimer"
+	"sesamedrift.example/sesamedrift/messenger"
 )
 
 const (
@@ -111,7 +112,7 @@
 		if h.members.holds(h.now()) && !errors.Is(err, errNoOutcome) {
 			useful = h.now()
 		}
-		if h.now().After(j.deadline) || h.now().Sub(useful) > h.patience() || !sleep(j.ctx, h.joinPause(lost != nil)) {
+		if h.now().After(j.deadline) || h.now().Sub(useful) > h.patience() || !messenger.Sleep(j.ctx, h.joinPause(lost != nil)) {
 			break
 		}
 		ctx, cancel := context.WithTimeout(j.ctx, claimTimeout)
--- a/server/configuration.go
+++ b/server/configuration.go
@@ -234,7 +234,7 @@
 				})
 			}
 		}
-		if !sleep(ctx, exchangeEvery) {
+		if !messenger.Sleep(ctx, exchangeEvery) {
 			return
 		}
 	}
--- a/server/directory.go
+++ b/server/directory.go
@@ -276,7 +276,7 @@
 // expireUntil drops upstreams that are no longer announced and old claims, until ctx is
 // done.
 func (h *Host) expireUntil(ctx context.Context) {
-	for sleep(ctx, expireEvery) {
+	for messenger.Sleep(ctx, expireEvery) {
 		now := h.now()
 		h.directory.mu.Lock()
 		expired := h.directory.list.Expire(now)
@@ -359,7 +359,7 @@
 // recheck asks the upstreams on which tasks of a former owner run, and frees the slots of
 // those that have ended.
 func (h *Host) recheckUntil(ctx context.Context) {
-	for sleep(ctx, recheckEvery) {
+	for messenger.Sleep(ctx, recheckEvery) {
 		var occupied []leaser.Announcement
 		if h.dispatcher.call(func(time.Time) { occupied = h.dispatcher.occupiedUpstreams() }) != nil {
 			return
--- a/server/membership.go
+++ b/server/membership.go
@@ -337,7 +337,7 @@
 		if !member || next.Number > 0 && (len(next.Members) == 0 || h.recordView(ctx, next)) {
 			return
 		}
-		if !sleep(ctx, leaveRetry) {
+		if !messenger.Sleep(ctx, leaveRetry) {
 			return
 		}
 	}
--- a/server/registers.go
+++ b/server/registers.go
@@ -266,15 +266,3 @@
 	}
 	return last.out, fmt.Errorf("%w: %w", errNoMajority, last.err)
 }
-
-// sleep waits and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
