--- a/executor/run.go
+++ b/executor/run.go
@@ -84,7 +84,7 @@
 		e.full++
 		return nil, errNoSlot
 	}
-	if e.cfg.Capacity != (sesamedrift.Resources{}) && !e.used().Plus(needs).Fits(e.cfg.Capacity) {
+	if !e.cfg.Capacity.Allows(e.used().Plus(needs)) {
 		e.full++
 		return nil, errNoRoom
 	}
--- a/placer/fit.go
+++ b/placer/fit.go
@@ -51,13 +51,18 @@
 func (p *Placer) mostFree(now time.Time) int64 {
 	most := int64(-1)
 	for _, u := range p.sorted {
-		if u.usable && u.free.CPU > most && (p.cfg.Policy == FirstCome || u.health.takes(now)) {
+		if u.free.CPU > most && p.open(now, u) {
 			most = u.free.CPU
 		}
 	}
 	return most
 }
 
+// open reports whether an upstream gets tasks now if it has room.
+func (p *Placer) open(now time.Time, u *upstream) bool {
+	return u.usable && (p.cfg.Policy == FirstCome || u.health.takes(now))
+}
+
 // alike reports whether a task finds no room if another one of the same job has found none.
 func (t *Task) alike(o *Task) bool {
 	return t.Demand == o.Demand && t.Requires == o.Requires && t.Avoid == o.Avoid && t.PerUpstream == o.PerUpstream &&
@@ -66,7 +71,7 @@
 
 // takes reports whether a task may run on an upstream now.
 func (p *Placer) takes(now time.Time, u *upstream, w *waiting, t Task) bool {
-	if !u.usable || u.Service != w.Service || u.ID == t.Avoid || !t.Demand.Fits(u.free) {
+	if u.Service != w.Service || u.ID == t.Avoid || !t.Demand.Fits(u.free) {
 		return false
 	}
 	if t.Requires != "" && t.Requires != u.Kind && t.Requires != u.Rack {
@@ -75,7 +80,7 @@
 	if t.PerUpstream > 0 && u.tasksOf(t.Run.Task) >= t.PerUpstream {
 		return false
 	}
-	return p.cfg.Policy == FirstCome || u.health.takes(now)
+	return p.open(now, u)
 }
 
 // tasksOf returns the number of runs of the step of a task.
--- a/resources.go
+++ b/resources.go
@@ -38,6 +38,10 @@
 	return r.CPU <= room.CPU && r.Memory <= room.Memory && r.Accelerators <= room.Accelerators
 }
 
+// Allows reports whether tasks with these needs may run together. The zero capacity stands for no
+// bound.
+func (r Resources) Allows(needs Resources) bool { return r == Resources{} || needs.Fits(r) }
+
 // Holds returns how many tasks with these needs have room, at most the given number.
 func (r Resources) Holds(needs Resources, most int) int {
 	for _, d := range [...]struct{ room, need int64 }{
--- a/scheduler/room.go
+++ b/scheduler/room.go
@@ -28,7 +28,7 @@
 	if s.held.upstream == u && s.held.entry != e && s.held.valid(short, long) {
 		return false
 	}
-	return !u.bounded() || e.task.Needs.Fits(u.room())
+	return u.Capacity.Allows(u.used.Plus(e.task.Needs))
 }
 
 // withRoom returns a start for a task whose preferred upstream has no room for it: on another
@@ -114,7 +114,7 @@
 		if u.Service != service {
 			continue
 		}
-		if !u.bounded() || needs.Fits(u.Capacity) {
+		if u.Capacity.Allows(needs) {
 			return true
 		}
 		known = true
