dispatcher, controller: announce documents, fetch each version once

Cause: with the grown fleets nearly nobody is served after a document of 256 KB. Each entry host polls every control host, and each of these answered with the whole document; every session between two hosts of a domain began with the document and the lists of all domains again. Six copies of 256 KB take a link of 25 Mbit/s half a second, longer than sessions last; the sessions that end then begin with another copy each, so that the domain does not recover.

Ruled out: a longer suspicion time, which hides the first loss and leaves the copies.

Change: control hosts announce the version. Sessions begin with the sender's own report and the version; lists are sent only to a host that has reached no control host yet. Entry hosts receive reports of their own domain's upstreams, and of hosts of other domains only the placers. Changes within 20 ms share a reply.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -91,7 +91,11 @@
 	self      discoverer.Host
 	hosts     *discoverer.List[discoverer.Host]
 	upstreams *discoverer.List[discoverer.Upstream]
-	document  publisher.Document
+	// placers holds the addresses of the entry hosts that are or were the placer of their domain.
+	placers  map[string]bool
+	document publisher.Document
+	// documents serves the document to other hosts.
+	documents poller.DocumentSource
 	// updated is closed and replaced when a list or the document changes.
 	updated chan struct{}
 	// polling holds the addresses of the control hosts that this one polls.
@@ -116,6 +120,7 @@
 		self:              cfg.Self,
 		hosts:             discoverer.NewList[discoverer.Host](),
 		upstreams:         discoverer.NewList[discoverer.Upstream](),
+		placers:           map[string]bool{},
 		updated:           make(chan struct{}),
 		polling:           map[string]bool{},
 		peers:             map[string]*messenger.Peer{},
@@ -285,10 +290,15 @@
 		return
 	}
 	h.document = d
+	h.documents.Set(poller.Document{
+		Version: d.Version,
+		Content: d.Content,
+	})
 	h.notifyPollers()
 }
 
-// handle serves the requests of other hosts: polls and messages of the quorum protocol.
+// handle serves the requests of other hosts: polls, fetches of the document and messages of the quorum
+// protocol.
 func (h *Host) handle(ctx context.Context, _ messenger.Hello, kind messenger.Kind, body []byte) ([]byte, error) {
 	switch kind {
 	case messenger.KindUpdates:
@@ -297,6 +307,8 @@
 			return nil, err
 		}
 		return messenger.Encode(h.handlePoll(ctx, req))
+	case messenger.KindDocument:
+		return h.documents.Handle(body)
 	case messenger.KindRegisterStep:
 		var r registrar.Request
 		if err := messenger.Decode(body, &r); err != nil {
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -12,6 +13,7 @@
 	"go.uber.org/goleak"
 
 	"sesamedrift.example/sesamedrift/discoverer"
+	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/poller"
 	"sesamedrift.example/sesamedrift/publisher"
 	"sesamedrift.example/sesamedrift/reporter"
@@ -188,6 +190,7 @@
 	go func() { answered <- poll(next) }()
 	u := discoverer.Upstream{
 		ID:          "u",
+		Domain:      "d",
 		Address:     "127.0.0.1:8",
 		Incarnation: 1,
 		ReportSeq:   1,
@@ -206,7 +209,80 @@
 	next.Version = 3
 	next.UpstreamsSeq = updates.UpstreamsSeq
 	c.g.Expect(poll(next)).To(HaveField("Document.Version", BeZero()))
+	next.Version = 0
+	next.AnnounceOnly = true
+	c.g.Expect(poll(next)).To(And(HaveField("DocumentVersion", uint64(3)), HaveField("Document.Version", BeZero())))
+	next.Version = 3
 	// Sequence numbers of another incarnation of the control host are ignored.
 	next.Incarnation++
 	c.g.Expect(poll(next).Upstreams).To(HaveLen(1))
 }
+
+// Guards against updates that wake every host of a large system: entry hosts receive reports of the
+// upstreams of their own domain, and of the placers among the entry hosts of other domains.
+func TestUpdatesOfOtherDomains(t *testing.T) {
+	c := newCluster(t, 1)
+	defer c.close()
+	c.start(0, true)
+	h := c.hosts[0]
+	report := func(id, domain string, isPlacer bool) discoverer.Host {
+		return discoverer.Host{
+			ID:          id,
+			Domain:      domain,
+			Role:        discoverer.Entry,
+			Address:     id,
+			Incarnation: 1,
+			State:       discoverer.Serving,
+			IsPlacer:    isPlacer,
+		}
+	}
+	h.ReportUpstream(discoverer.Upstream{
+		ID:     "near",
+		Domain: "d",
+	})
+	h.ReportUpstream(discoverer.Upstream{
+		ID:     "far",
+		Domain: "e",
+	})
+	for _, host := range []discoverer.Host{report("e-1", "e", false), report("e-2", "e", true)} {
+		h.handlePoll(t.Context(), poller.Request{Self: host})
+	}
+	former := report("e-2", "e", false)
+	former.ReportSeq = 1
+	h.handlePoll(t.Context(), poller.Request{Self: former})
+	updates := h.handlePoll(t.Context(), poller.Request{Self: report("d-1", "d", false)})
+	c.g.Expect(updates.Upstreams).To(ConsistOf(HaveField("ID", "near")))
+	c.g.Expect(updates.Hosts).To(ConsistOf(HaveField("ID", "d-1"), HaveField("ID", "core-0"), former), "a host that was a placer is reported as none")
+	control := report("core-9", "e", false)
+	control.Role = discoverer.Control
+	c.g.Expect(h.handlePoll(t.Context(), poller.Request{Self: control}).Upstreams).To(HaveLen(2))
+}
+
+// Guards against a document that a host cannot fetch from a control host, and against a version that
+// the control host does not have.
+func TestFetchDocument(t *testing.T) {
+	c := newCluster(t, 1)
+	defer c.close()
+	c.start(0, true)
+	c.g.Eventually(func() error { return c.publish(0, 3) }).WithTimeout(waitLimit).Should(Succeed())
+	peer := messenger.NewPeer(c.addresses[0], messenger.Config{
+		Local: messenger.Hello{
+			Token: "token",
+			Host:  "entry",
+		},
+	})
+	defer func() { _ = peer.Close() }()
+	fetch := func(version uint64) (poller.Document, error) {
+		return poller.FetchDocument(t.Context(), peer, waitLimit, version)
+	}
+	c.g.Eventually(func() error {
+		_, err := fetch(3)
+		return err
+	}).WithTimeout(waitLimit).Should(Succeed())
+	d, err := fetch(2)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(string(d.Content)).To(Equal("document 3"))
+	_, err = fetch(4)
+	var refusal *messenger.RemoteError
+	c.g.Expect(errors.As(err, &refusal)).To(BeTrue())
+}
--- a/controller/updates.go
+++ b/controller/updates.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"sesamedrift.example/sesamedrift/discoverer"
+	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/poller"
 	"sesamedrift.example/sesamedrift/reporter"
 )
@@ -21,7 +23,7 @@
 
 // applyUpdates merges the lists that another control host has sent. It ignores the document, which
 // this host receives from its replica.
-func (h *Host) applyUpdates(_ context.Context, updates poller.Updates) uint64 {
+func (h *Host) applyUpdates(_ context.Context, _ string, updates poller.Updates) {
 	now := h.cfg.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -35,7 +37,6 @@
 	if changed {
 		h.notifyPollers()
 	}
-	return updates.Document.Version
 }
 
 // putHost records the report of a host and returns whether it changes the list. Control hosts that
@@ -44,9 +45,17 @@
 	if host.Role == discoverer.Control && host.State != discoverer.Gone {
 		h.startPolling(host.Address)
 	}
+	if host.IsPlacer {
+		h.placers[host.Address] = true
+	}
 	return h.hosts.Put(now, host)
 }
 
+// gatherTime is how long an open poll is kept after a change, so that changes which follow each other
+// closely share a reply. While many upstreams start, or an operator changes the document several
+// times a second, each change would otherwise cost one message to every host.
+const gatherTime = 20 * time.Millisecond
+
 // handlePoll records the report of the polling host and returns the updates since the numbers in req.
 // If there are none, it waits for them for at most poller.MaxWait.
 func (h *Host) handlePoll(ctx context.Context, req poller.Request) poller.Updates {
@@ -64,11 +73,14 @@
 	defer timer.Stop()
 	for {
 		updates, changed := h.updatesSince(req)
-		if len(updates.Hosts) > 0 || len(updates.Upstreams) > 0 || updates.Document.Version > 0 {
+		if !updates.Empty() {
 			return updates
 		}
+		// Changes that do not concern the polling host are not looked at again.
+		req.HostsSeq, req.UpstreamsSeq = updates.HostsSeq, updates.UpstreamsSeq
 		select {
 		case <-changed:
+			messenger.Sleep(ctx, gatherTime)
 		case <-timer.C:
 			return updates
 		case <-ctx.Done():
@@ -89,7 +101,15 @@
 		Hosts:        h.hosts.Since(req.HostsSeq),
 		Upstreams:    h.upstreams.Since(req.UpstreamsSeq),
 	}
-	if h.document.Version > req.Version {
+	if req.Self.Role == discoverer.Entry {
+		updates.Hosts = slices.DeleteFunc(updates.Hosts, func(host discoverer.Host) bool { return !h.concerns(host, req.Self.Domain) })
+		updates.Upstreams = slices.DeleteFunc(updates.Upstreams, func(u discoverer.Upstream) bool { return u.Domain != req.Self.Domain })
+	}
+	switch {
+	case h.document.Version <= req.Version:
+	case req.AnnounceOnly:
+		updates.DocumentVersion = h.document.Version
+	default:
 		updates.Document = poller.Document{
 			Version: h.document.Version,
 			Content: h.document.Content,
@@ -97,3 +117,10 @@
 	}
 	return updates, h.updated
 }
+
+// concerns reports whether the entry hosts of a failure domain need the reports of a host: they work
+// with the hosts of their domain, with control hosts, and with the placers of other domains. The
+// caller holds h.mu.
+func (h *Host) concerns(host discoverer.Host, domain string) bool {
+	return host.Domain == domain || host.Role == discoverer.Control || h.placers[host.Address]
+}
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -63,8 +63,11 @@
 	// Order sends an order to an upstream. done is called once, with the response or, after the
 	// timeout of the order, with the status NoResponse.
 	Order func(u discoverer.Upstream, o leaseholder.Order, done func(now time.Time, resp leaseholder.Response))
+	// FetchDocument asks a host for a document of the given version or a newer one. done is called
+	// once, with the document or an error.
+	FetchDocument func(address string, version uint64, done func(now time.Time, d FetchedDocument))
 	// DocumentApplied is called with each newer document, in order.
-	DocumentApplied func(t *router.Table)
+	DocumentApplied func(d FetchedDocument)
 }
 
 // Core makes all decisions of an entry host and does no I/O. Its calls carry the current time, and
@@ -83,6 +86,9 @@
 	upstreams *discoverer.List[discoverer.Upstream]
 	table     *router.Table
 	published poller.Document
+	documents documentFetcher
+	// snapshotRequestedAt is when this host last asked a peer for its lists; zero before.
+	snapshotRequestedAt time.Time
 	// sessions holds the hosts with which there is a session.
 	sessions map[string]bool
 	// peers holds the hosts of the domain with which there is a session, and whether they are
@@ -136,6 +142,7 @@
 		self:              cfg.Self,
 		hosts:             discoverer.NewList[discoverer.Host](),
 		upstreams:         discoverer.NewList[discoverer.Upstream](),
+		documents:         newDocumentFetcher(),
 		sessions:          map[string]bool{},
 		peers:             map[string]bool{},
 		peerLostAt:        map[string]time.Time{},
@@ -186,6 +193,7 @@
 		c.reorganize(now)
 	}
 	c.upstreamsLost = c.upstreamsLost && c.isolated(now)
+	c.fetchDocument(now)
 	c.tickJobs(now)
 	c.tickHeld(now)
 	c.reportProgress(now)
--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"context"
 	"log/slog"
 	"testing"
 	"time"
@@ -22,6 +23,8 @@
 const (
 	selfAddress  = "10.0.0.1:1"
 	otherAddress = "10.0.0.2:1"
+	// controlAddress is that of a control host in another domain.
+	controlAddress = "10.1.0.9:1"
 )
 
 // sentMessage is a message that the Core has posted to another host.
@@ -36,7 +39,26 @@
 	core    *Core
 	now     time.Time
 	sent    []sentMessage
-	applied []*router.Table
+	applied []uint64 // versions of the documents
+	fetches []documentFetch
+}
+
+// documentFetch is a fetch that the Core has started.
+type documentFetch struct {
+	from    string
+	version uint64
+	done    func(now time.Time, d FetchedDocument)
+}
+
+// parseTestDocument accepts any content but "broken".
+func parseTestDocument(content []byte) (*router.Document, error) {
+	if string(content) == "broken" {
+		return nil, &router.InvalidError{
+			Version: 9,
+			Reason:  "it is broken",
+		}
+	}
+	return &router.Document{Version: 1}, nil
 }
 
 func newHarness(t *testing.T) *harness {
@@ -45,17 +67,9 @@
 		now: startTime,
 	}
 	h.core = NewCore(CoreConfig{
-		Self: entryHost(selfAddress, 2),
-		Parse: func(content []byte) (*router.Document, error) {
-			if string(content) == "broken" {
-				return nil, &router.InvalidError{
-					Version: 9,
-					Reason:  "it is broken",
-				}
-			}
-			return &router.Document{Version: 1}, nil
-		},
-		Log: slog.New(slog.DiscardHandler),
+		Self:  entryHost(selfAddress, 2),
+		Parse: parseTestDocument,
+		Log:   slog.New(slog.DiscardHandler),
 	}, Effects{
 		Post: func(to string, m courier.Message) bool {
 			h.sent = append(h.sent, sentMessage{
@@ -64,13 +78,20 @@
 			})
 			return true
 		},
-		Connect:         func(string) {},
-		Disconnect:      func(string) {},
-		StartPolling:    func(string) {},
-		StopPolling:     func(string) {},
-		SelfChanged:     func(discoverer.Host) {},
-		Order:           func(discoverer.Upstream, leaseholder.Order, func(time.Time, leaseholder.Response)) {},
-		DocumentApplied: func(t *router.Table) { h.applied = append(h.applied, t) },
+		Connect:      func(string) {},
+		Disconnect:   func(string) {},
+		StartPolling: func(string) {},
+		StopPolling:  func(string) {},
+		SelfChanged:  func(discoverer.Host) {},
+		Order:        func(discoverer.Upstream, leaseholder.Order, func(time.Time, leaseholder.Response)) {},
+		FetchDocument: func(address string, version uint64, done func(now time.Time, d FetchedDocument)) {
+			h.fetches = append(h.fetches, documentFetch{
+				from:    address,
+				version: version,
+				done:    done,
+			})
+		},
+		DocumentApplied: func(d FetchedDocument) { h.applied = append(h.applied, d.Version) },
 	}, startTime, nil)
 	return h
 }
@@ -86,16 +107,39 @@
 	}
 }
 
-// applyUpdates applies updates with the other host and a document of the given version. It returns
-// the version of the active document.
+// applyUpdates applies updates with the other host and the content of a document of the given
+// version, as control hosts of earlier releases send them. It returns the version of the active
+// document.
 func (h *harness) applyUpdates(version uint64, content string) uint64 {
-	return h.core.HandleUpdates(h.now, poller.Updates{
+	h.core.HandleUpdates(h.now, controlAddress, poller.Updates{
 		Hosts: []discoverer.Host{entryHost(otherAddress, 1)},
 		Document: poller.Document{
 			Version: version,
 			Content: []byte(content),
 		},
 	})
+	return h.core.Stats().DocumentVersion
+}
+
+// announce applies an announcement of a document by a control host.
+func (h *harness) announce(control string, version uint64) {
+	h.core.HandleUpdates(h.now, control, poller.Updates{DocumentVersion: version})
+}
+
+// answerFetch passes the result of the oldest fetch to the Core and returns where it was sent.
+func (h *harness) answerFetch(d FetchedDocument) string {
+	f := h.fetches[0]
+	h.fetches = h.fetches[1:]
+	f.done(h.now, d)
+	return f.from
+}
+
+// document returns a valid document that was fetched.
+func document(version uint64) FetchedDocument {
+	return ParseDocument(poller.Document{
+		Version: version,
+		Content: []byte("document"),
+	}, parseTestDocument)
 }
 
 // deliver passes a message of the other host to the Core and clears the list of sent messages.
@@ -173,9 +217,83 @@
 	h.g.Expect(h.applyUpdates(5, "document")).To(Equal(uint64(5)))
 	h.g.Expect(h.applyUpdates(3, "document")).To(Equal(uint64(5)))
 	h.g.Expect(h.applyUpdates(9, "broken")).To(Equal(uint64(5)))
-	h.g.Expect(h.applied).To(HaveLen(1))
 	h.g.Expect(h.applyUpdates(10, "document")).To(Equal(uint64(10)))
-	h.g.Expect(h.applied).To(HaveLen(2))
+	h.g.Expect(h.applied).To(Equal([]uint64{5, 10}))
+}
+
+// Guards against a document that is fetched from each host which announces it: large documents then
+// fill the link of an entry host for longer than its sessions last.
+func TestDocumentIsFetchedOnce(t *testing.T) {
+	h := newHarness(t)
+	controls := []string{"10.1.0.1:1", "10.1.0.2:1", "10.1.0.3:1", "10.1.0.4:1", "10.1.0.5:1"}
+	for _, control := range controls {
+		h.announce(control, 5)
+	}
+	h.g.Expect(h.fetches).To(HaveLen(1))
+	// While a fetch is in flight, newer versions wait, and only the newest is fetched then.
+	h.announce(controls[1], 6)
+	h.announce(controls[2], 7)
+	h.g.Expect(h.fetches).To(HaveLen(1))
+	h.answerFetch(document(5))
+	h.g.Expect(h.fetches).To(HaveLen(1))
+	h.g.Expect(h.fetches[0].version).To(Equal(uint64(7)))
+	h.g.Expect(h.answerFetch(document(7))).To(Equal(controls[2]))
+	h.announce(controls[3], 7)
+	h.core.Tick(h.now)
+	h.g.Expect(h.fetches).To(BeEmpty())
+	h.g.Expect(h.applied).To(Equal([]uint64{5, 7}))
+}
+
+// Guards against a document that is not fetched because one source does not answer, no longer has it
+// or has one that is not valid.
+func TestDocumentIsFetchedFromNextSource(t *testing.T) {
+	h := newHarness(t)
+	near := entryHost("10.0.0.7:1", 1)
+	near.Role = discoverer.Control
+	h.core.HandleUpdates(h.now, controlAddress, poller.Updates{Hosts: []discoverer.Host{near}})
+	h.announce(near.Address, 5)
+	h.announce(controlAddress, 5)
+	h.g.Expect(h.answerFetch(FetchedDocument{Err: context.DeadlineExceeded})).To(Equal(near.Address), "the control host of the domain comes first")
+	h.core.Tick(h.now)
+	h.g.Expect(h.answerFetch(FetchedDocument{Err: &messenger.RemoteError{}})).To(Equal(controlAddress))
+	h.core.Tick(h.now)
+	h.g.Expect(h.fetches).To(BeEmpty(), "a source that has failed is left alone for a while")
+	h.now = h.now.Add(documentRetryInterval)
+	h.core.Tick(h.now)
+	invalid := ParseDocument(poller.Document{
+		Version: 5,
+		Content: []byte("broken"),
+	}, parseTestDocument)
+	h.g.Expect(h.answerFetch(invalid)).To(Equal(near.Address))
+	h.core.Tick(h.now)
+	h.g.Expect(h.fetches).To(BeEmpty(), "an invalid document is not fetched again")
+	h.announce(controlAddress, 6)
+	h.answerFetch(document(6))
+	h.g.Expect(h.applied).To(Equal([]uint64{6}))
+}
+
+// Guards against a session start that costs more the more hosts and upstreams there are: the lists
+// and the document are sent only to a host that has none.
+func TestSessionStartSendsNoLists(t *testing.T) {
+	h := newHarness(t)
+	h.makeOtherPlacer()
+	h.g.Expect(h.sent).NotTo(ContainElement(sentMessage{otherAddress, kindSnapshot}))
+	h.g.Expect(h.sent).NotTo(ContainElement(sentMessage{otherAddress, kindSnapshotRequest}), "a control host has sent the lists")
+	h.g.Expect(h.sent).To(ContainElement(sentMessage{otherAddress, kindAnnouncement}))
+	h.deliver(kindSnapshotRequest, snapshotRequest{})
+	h.g.Expect(h.sent).To(Equal([]sentMessage{{otherAddress, kindSnapshot}}))
+
+	started := newHarness(t)
+	started.core.HandleSessionEvent(started.now, courier.Event{
+		Kind: courier.Up,
+		Peer: otherAddress,
+	})
+	started.g.Expect(started.sent).To(Equal([]sentMessage{{otherAddress, kindSnapshotRequest}}))
+	started.deliver(kindAnnouncement, announcement{
+		Self:            entryHost(otherAddress, 1),
+		DocumentVersion: 4,
+	})
+	started.g.Expect(started.answerFetch(document(4))).To(Equal(otherAddress))
 }
 
 // Guards against a crash by malformed or unknown messages from a faulty host.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -72,6 +72,7 @@
 	courier    *courier.Courier
 	listener   *messenger.Listener
 	poller     *poller.Poller
+	documents  poller.DocumentSource // serves the active document to other hosts
 	inbox      *inbox
 	ctx        context.Context // ends with Close
 	cancel     context.CancelFunc
@@ -98,17 +99,7 @@
 		self:    cfg.Self,
 		polling: map[string]context.CancelFunc{},
 	}
-	messengerConfig := messenger.Config{
-		Local: messenger.Hello{
-			Token:       cfg.Token,
-			Host:        cfg.Self.ID,
-			Domain:      cfg.Self.Domain,
-			Incarnation: cfg.Self.Incarnation,
-		},
-		Handle:       h.handle,
-		DialTimeout:  ResendAfter,
-		WriteTimeout: time.Second,
-	}
+	messengerConfig := h.messengerConfig()
 	h.courier = courier.New(courier.Config{
 		Self:           cfg.Self.Address,
 		Incarnation:    cfg.Self.Incarnation,
@@ -140,14 +131,18 @@
 		Parse:       cfg.Parse,
 		Log:         cfg.Log,
 	}, Effects{
-		Post:            h.courier.Post,
-		Connect:         h.courier.Connect,
-		Disconnect:      h.courier.Disconnect,
-		StartPolling:    h.startPolling,
-		StopPolling:     h.stopPolling,
-		SelfChanged:     h.setSelfReport,
-		Order:           h.order,
-		DocumentApplied: cfg.DocumentApplied,
+		Post:          h.courier.Post,
+		Connect:       h.courier.Connect,
+		Disconnect:    h.courier.Disconnect,
+		StartPolling:  h.startPolling,
+		StopPolling:   h.stopPolling,
+		SelfChanged:   h.setSelfReport,
+		Order:         h.order,
+		FetchDocument: h.fetchDocument,
+		DocumentApplied: func(d FetchedDocument) {
+			h.documents.Set(d.Document)
+			cfg.DocumentApplied(d.Table)
+		},
 	}, cfg.Now(), cfg.Seeds)
 	h.wg.Go(func() { h.loop(ctx) })
 	return h, nil
@@ -163,14 +158,33 @@
 	h.orderCalls.Wait()
 }
 
+// messengerConfig returns the configuration of the connections with other hosts.
+func (h *Host) messengerConfig() messenger.Config {
+	return messenger.Config{
+		Local: messenger.Hello{
+			Token:       h.cfg.Token,
+			Host:        h.cfg.Self.ID,
+			Domain:      h.cfg.Self.Domain,
+			Incarnation: h.cfg.Self.Incarnation,
+		},
+		Handle:       h.handle,
+		DialTimeout:  ResendAfter,
+		WriteTimeout: time.Second,
+	}
+}
+
 // handle serves requests of the internal protocol.
 func (h *Host) handle(_ context.Context, _ messenger.Hello, kind messenger.Kind, body []byte) ([]byte, error) {
-	if kind == messenger.KindSessionBatch {
+	switch kind {
+	case messenger.KindSessionBatch:
 		return h.courier.Handle(body)
-	}
-	return nil, &messenger.RemoteError{
-		Code:    "not-served",
-		Message: "an entry host does not serve messages of kind " + kind.String(),
+	case messenger.KindDocument:
+		return h.documents.Handle(body)
+	default:
+		return nil, &messenger.RemoteError{
+			Code:    "not-served",
+			Message: "an entry host does not serve messages of kind " + kind.String(),
+		}
 	}
 }
 
@@ -213,19 +227,36 @@
 	}
 }
 
-// applyUpdates passes updates from a control host to the Core and returns the version of its
-// newest document, or 0 if ctx ends first.
-func (h *Host) applyUpdates(ctx context.Context, updates poller.Updates) uint64 {
-	version := make(chan uint64, 1)
-	h.inbox.putUnbounded(func(now time.Time) { version <- h.core.HandleUpdates(now, updates) })
+// applyUpdates passes updates from a control host to the Core and waits until they are applied or ctx
+// ends.
+func (h *Host) applyUpdates(ctx context.Context, address string, updates poller.Updates) {
+	applied := make(chan struct{})
+	h.inbox.putUnbounded(func(now time.Time) {
+		h.core.HandleUpdates(now, address, updates)
+		close(applied)
+	})
 	select {
-	case v := <-version:
-		return v
+	case <-applied:
 	case <-ctx.Done():
-		return 0
 	}
 }
 
+// fetchDocument fetches and parses a document in a goroutine; done runs in the loop. A large document
+// takes tens of milliseconds to parse, during which the loop goes on.
+func (h *Host) fetchDocument(address string, version uint64, done func(now time.Time, d FetchedDocument)) {
+	h.wg.Go(func() {
+		peer := messenger.NewPeer(address, h.messengerConfig())
+		defer func() { _ = peer.Close() }()
+		var fetched FetchedDocument
+		if d, err := poller.FetchDocument(h.ctx, peer, documentTimeout, version); err != nil {
+			fetched.Err = err
+		} else {
+			fetched = ParseDocument(d, h.cfg.Parse)
+		}
+		h.inbox.putUnbounded(func(now time.Time) { done(now, fetched) })
+	})
+}
+
 // order sends an order to an upstream in a goroutine; done runs in the loop.
 func (h *Host) order(u discoverer.Upstream, o leaseholder.Order, done func(now time.Time, resp leaseholder.Response)) {
 	h.orderCalls.Go(func() {
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -11,7 +11,6 @@
 	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/poller"
 	"sesamedrift.example/sesamedrift/reporter"
-	"sesamedrift.example/sesamedrift/router"
 )
 
 // HandleSessionEvent handles the start or end of a session with another host, or the messages that
@@ -25,6 +24,7 @@
 	}
 	switch e.Kind {
 	case courier.Up:
+		c.requestSnapshot(now, e.Peer)
 		c.peerUp(now, e.Peer)
 	case courier.Down:
 		if _, member := c.peers[e.Peer]; !member {
@@ -54,7 +54,10 @@
 	c.peers[peer] = true
 	delete(c.peerLostAt, peer)
 	c.logEvent(reporter.SessionBegun, "peer", peer)
-	c.send(peer, kindSnapshot, c.snapshot())
+	c.send(peer, kindAnnouncement, announcement{
+		Self:            c.self,
+		DocumentVersion: c.published.Version,
+	})
 	if !c.eligible() {
 		c.send(peer, kindEligibility, eligibility{})
 	}
@@ -64,13 +67,33 @@
 	}
 }
 
-// snapshot returns all hosts, upstreams and the document, for a peer that may have just started.
+// snapshotRetryInterval is the time after which a host without lists asks the next peer for them.
+const snapshotRetryInterval = 200 * time.Millisecond
+
+// requestSnapshot asks a host for its lists if this host has not received any yet. The hosts of the
+// domain keep connecting to this one while it cannot reach a control host.
+func (c *Core) requestSnapshot(now time.Time, from string) {
+	if !c.firstUpdateAt.IsZero() || now.Sub(c.snapshotRequestedAt) < snapshotRetryInterval {
+		return
+	}
+	c.snapshotRequestedAt = now
+	c.send(from, kindSnapshotRequest, snapshotRequest{})
+}
+
+// snapshot returns the hosts and upstreams that concern this domain.
 func (c *Core) snapshot() snapshot {
-	return snapshot{
-		Hosts:     c.hosts.All(),
-		Upstreams: c.upstreams.All(),
-		Document:  c.published,
+	var s snapshot
+	for _, host := range c.hosts.All() {
+		if host.Domain == c.cfg.Self.Domain || host.Role == discoverer.Control || host.IsPlacer {
+			s.Hosts = append(s.Hosts, host)
+		}
+	}
+	for _, u := range c.upstreams.All() {
+		if u.Domain == c.cfg.Self.Domain {
+			s.Upstreams = append(s.Upstreams, u)
+		}
 	}
+	return s
 }
 
 // peerLost handles the loss of a peer: it ends the peer's runs, jobs and requests on this host, and
@@ -144,6 +167,10 @@
 		decode[progress](c, now, from, m)
 	case kindSuperseded:
 		decode[superseded](c, now, from, m)
+	case kindAnnouncement:
+		decode[announcement](c, now, from, m)
+	case kindSnapshotRequest:
+		decode[snapshotRequest](c, now, from, m)
 	default:
 		c.logEvent(reporter.MessageRejected, "peer", from, "kind", m.Kind, "error", "the kind is not known")
 	}
@@ -206,12 +233,24 @@
 		c.receiveProgress(from, m)
 	case superseded:
 		c.receiveSuperseded(now, from, m)
+	case announcement:
+		c.receiveAnnouncement(now, from, m)
+	case snapshotRequest:
+		c.send(from, kindSnapshot, c.snapshot())
 	default:
 		panic("dispatcher: no handler for the message type")
 	}
 }
 
-// applySnapshot merges the hosts, the upstreams and the document of a peer or a control host.
+func (c *Core) receiveAnnouncement(now time.Time, from string, m announcement) {
+	if m.Self.Address == from && c.hosts.Put(now, m.Self) {
+		c.hostChanged(now, m.Self)
+	}
+	c.announceDocument(now, from, m.DocumentVersion)
+}
+
+// applySnapshot merges the hosts, the upstreams and the document, if there is one, of a peer or a
+// control host.
 func (c *Core) applySnapshot(now time.Time, s snapshot) {
 	for _, host := range s.Hosts {
 		if c.hosts.Put(now, host) {
@@ -231,24 +270,9 @@
 	if changed && c.placer != nil {
 		c.assign(now)
 	}
-	c.applyDocument(s.Document)
-}
-
-// applyDocument applies a newer document. An invalid one is logged, and the current one stays
-// active.
-func (c *Core) applyDocument(d poller.Document) {
-	if d.Version <= c.published.Version {
-		return
-	}
-	parsed, err := c.cfg.Parse(d.Content)
-	if err != nil {
-		c.logEvent(reporter.ConfigurationRejected, "version", d.Version, "error", err)
-		return
+	if s.Document.Version > c.published.Version {
+		c.applyDocument(ParseDocument(s.Document, c.cfg.Parse))
 	}
-	c.published = d
-	c.table = router.NewTable(parsed)
-	c.effects.DocumentApplied(c.table)
-	c.logEvent(reporter.ConfigurationInForce, "version", d.Version, "queues", len(parsed.Queues))
 }
 
 // Self returns the current report about this host.
@@ -270,14 +294,14 @@
 	}
 }
 
-// HandleUpdates applies updates from a control host. It returns the version of the active document.
-func (c *Core) HandleUpdates(now time.Time, updates poller.Updates) uint64 {
+// HandleUpdates applies updates from the control host with the address.
+func (c *Core) HandleUpdates(now time.Time, from string, updates poller.Updates) {
 	c.applySnapshot(now, snapshot{
 		Hosts:     updates.Hosts,
 		Upstreams: updates.Upstreams,
 		Document:  updates.Document,
 	})
-	return c.published.Version
+	c.announceDocument(now, from, updates.DocumentVersion)
 }
 
 // hostChanged starts polling a control host, or maintaining a session with an entry host of the
--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -37,15 +37,29 @@
 	kindCancelForward    courier.Kind = 20
 	kindProgress         courier.Kind = 21
 	kindSuperseded       courier.Kind = 22
+	kindAnnouncement     courier.Kind = 23
+	kindSnapshotRequest  courier.Kind = 24
 )
 
-// snapshot carries all hosts, upstreams and the document to a peer that may have just started.
+// snapshot carries the hosts and upstreams that concern the domain to a host that has just started.
 type snapshot struct {
 	Hosts     []discoverer.Host     `msgpack:"hosts"`
 	Upstreams []discoverer.Upstream `msgpack:"upstreams"`
-	Document  poller.Document       `msgpack:"document"`
+	// Document is set by hosts of earlier releases only, which send a snapshot at the start of each
+	// session.
+	Document poller.Document `msgpack:"document"`
 }
 
+// announcement carries the report of the sender about itself, and the version of its document, to a
+// peer at the start of a session. The peer may not be able to reach a control host.
+type announcement struct {
+	Self            discoverer.Host `msgpack:"self"`
+	DocumentVersion uint64          `msgpack:"document-version"`
+}
+
+// snapshotRequest asks a peer for a snapshot, because the sender has not reached a control host yet.
+type snapshotRequest struct{}
+
 // join notifies a host that the sender regards it as the placer; the reply is the assignment.
 type join struct{}
 
--- a/emulator/faults.go
+++ b/emulator/faults.go
@@ -70,7 +70,7 @@
 // isolate cuts a host off from all other hosts and from control hosts for the duration. Its links to
 // upstreams and callers stay up.
 func (w *Simulation) isolate(host *Host, duration time.Duration) {
-	w.cutLinksFor(duration, [2]string{host.Name, "control"})
+	w.cutLinksFor(duration, [2]string{host.Name, controlName})
 	for _, n := range w.Hosts {
 		if n != host {
 			w.cutLinksFor(duration, [2]string{host.Name, n.Name}, [2]string{n.Name, host.Name})
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -11,6 +11,7 @@
 package emulator
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -40,6 +41,8 @@
 	longRunTime = 5 * time.Second
 	// maxQueue is the maximum number of messages queued in a session.
 	maxQueue = 1 << 16
+	// controlName stands for all control hosts in links.
+	controlName = "control"
 )
 
 // LeaseConfig is the lease configuration of all emulated hosts, for upstreams that grant leases of
@@ -199,7 +202,7 @@
 func (w *Simulation) Violations() []string { return w.invariants.violations }
 
 // CutLink makes all messages from one host or upstream server to another get lost until HealLink.
-// The name "control" stands for all control hosts.
+// The name controlName stands for all control hosts.
 func (w *Simulation) CutLink(from, to string) { w.cutLinks[[2]string{from, to}] = true }
 
 // HealLink makes a link that CutLink has cut deliver messages again.
@@ -276,7 +279,15 @@
 				})()
 			})
 		},
-		DocumentApplied: func(*router.Table) {},
+		FetchDocument: func(address string, version uint64, done func(now time.Time, d dispatcher.FetchedDocument)) {
+			w.fetchDocument(n, address, version, func(d dispatcher.FetchedDocument) {
+				ifRunning(func() {
+					done(w.wallTime(), d)
+					n.core.Flush(w.wallTime())
+				})()
+			})
+		},
+		DocumentApplied: func(dispatcher.FetchedDocument) {},
 	}, w.wallTime(), nil)
 	var tick func()
 	tick = ifRunning(func() {
@@ -464,23 +475,43 @@
 		if n.core == nil || n.frozenUntil > w.Now() {
 			continue
 		}
-		reachable := !w.ControlDown && w.linkUp(n.Name, "control")
-		n.core.SetControlReachable("control", reachable)
+		reachable := !w.ControlDown && w.linkUp(n.Name, controlName)
+		n.core.SetControlReachable(controlName, reachable)
 		if !reachable {
 			continue
 		}
 		w.hosts.Put(w.wallTime(), n.core.Self())
 		updates := poller.Updates{
-			Hosts:     w.hosts.Since(n.seenSeqs[0]),
-			Upstreams: w.upstreams.Since(n.seenSeqs[1]),
-			Document:  w.document,
+			Hosts:           w.hosts.Since(n.seenSeqs[0]),
+			Upstreams:       w.upstreams.Since(n.seenSeqs[1]),
+			DocumentVersion: w.document.Version,
 		}
 		n.seenSeqs[0], n.seenSeqs[1] = w.hosts.Seq(), w.upstreams.Seq()
-		n.core.HandleUpdates(w.wallTime(), updates)
+		n.core.HandleUpdates(w.wallTime(), controlName, updates)
 		n.core.Flush(w.wallTime())
 	}
 }
 
+// documentTimeout is how long a host waits for a document that it fetches.
+const documentTimeout = 700 * time.Millisecond
+
+// fetchDocument sends the document of the control hosts, or that of another host, to a host.
+func (w *Simulation) fetchDocument(n *Host, from string, version uint64, done func(d dispatcher.FetchedDocument)) {
+	source := w.hostByAddress(from)
+	name, domain := controlName, n.Domain
+	if source != nil {
+		name, domain = source.Name, source.Domain
+	}
+	reachable := w.linkUp(n.Name, name) && w.linkUp(name, n.Name)
+	if source == nil && w.ControlDown || source != nil && source.core == nil || !reachable || version > w.document.Version {
+		w.After(documentTimeout, func() { done(dispatcher.FetchedDocument{Err: context.DeadlineExceeded}) })
+		return
+	}
+	w.After(2*w.latency(n.Domain, domain), func() {
+		done(dispatcher.ParseDocument(w.document, func([]byte) (*router.Document, error) { return w.parsedDocument, nil }))
+	})
+}
+
 // allUpToDate reports whether all running hosts have received the newest reports of upstreams.
 func (w *Simulation) allUpToDate() bool {
 	for _, n := range w.Hosts {
--- a/messenger/kinds.go
+++ b/messenger/kinds.go
@@ -45,6 +45,8 @@
 	// KindUpdates polls a control host for changes of its lists of hosts and upstreams and of
 	// the environment document.
 	KindUpdates Kind = 19
+	// KindDocument asks a host for its newest environment document.
+	KindDocument Kind = 20
 )
 
 var kindNames = map[Kind]string{
@@ -65,6 +67,7 @@
 	KindCallerDisconnected: "release",
 	KindSessionBatch:       "courier",
 	KindUpdates:            "news",
+	KindDocument:           "document",
 }
 
 // String returns the name of the kind in kebab case, or "kind-" and the number of a kind that
--- a/poller/poller.go
+++ b/poller/poller.go
@@ -1,9 +1,10 @@
 // Package poller is the long-polling client of control hosts: it fetches changes of the lists of
-// hosts and upstreams, and newer versions of the operator's document.
+// hosts and upstreams, and learns which version of the operator's document is the newest.
 //
 // A Poller keeps one request open at each control host that it polls. The control host answers as
 // soon as it has updates, and after MaxWait otherwise, so that a change arrives within the latency
-// of one message and an idle system sends few messages.
+// of one message and an idle system sends few messages. Control hosts announce a document by its
+// version only, since a host polls all of them; FetchDocument fetches the content from one host.
 package poller
 
 import (
@@ -41,8 +42,12 @@
 	Incarnation  uint64 `msgpack:"life"`
 	HostsSeq     uint64 `msgpack:"hosts"`
 	UpstreamsSeq uint64 `msgpack:"upstreams"`
-	// Version is that of the newest document that the polling host has.
+	// Version is that of the newest document that the control host has announced to the polling
+	// host.
 	Version uint64 `msgpack:"version"`
+	// AnnounceOnly is set by hosts that fetch documents themselves. Hosts of earlier releases leave
+	// it out and expect the content in the reply.
+	AnnounceOnly bool `msgpack:"announce-only,omitempty"`
 }
 
 // Updates is the reply to a Request.
@@ -54,15 +59,16 @@
 	UpstreamsSeq uint64                `msgpack:"upstreams-seq"`
 	Hosts        []discoverer.Host     `msgpack:"hosts"`
 	Upstreams    []discoverer.Upstream `msgpack:"upstreams"`
-	// Document is set if it is newer than Version of the request.
+	// DocumentVersion is the version of the newest document if that is newer than Version of the
+	// request, otherwise 0.
+	DocumentVersion uint64 `msgpack:"document-version,omitempty"`
+	// Document is set instead if the request does not set AnnounceOnly.
 	Document Document `msgpack:"document"`
 }
 
-// Document is a version of the operator's document as it was published.
-type Document struct {
-	// Version is 0 if there is no document.
-	Version uint64 `msgpack:"version"`
-	Content []byte `msgpack:"content"`
+// Empty reports whether there is no update.
+func (u *Updates) Empty() bool {
+	return len(u.Hosts) == 0 && len(u.Upstreams) == 0 && u.DocumentVersion == 0 && u.Document.Version == 0
 }
 
 // Poller polls control hosts on behalf of one host. Its fields must be set before Poll is called.
@@ -71,9 +77,9 @@
 	Self func() discoverer.Host
 	// Token is the secret that all hosts share.
 	Token string
-	// Apply applies updates and returns the version of the newest document that the host has. It is
-	// called concurrently if several control hosts are polled.
-	Apply func(ctx context.Context, updates Updates) (version uint64)
+	// Apply applies the updates of the control host with the address. It is called concurrently if
+	// several control hosts are polled.
+	Apply func(ctx context.Context, address string, updates Updates)
 	// ReachabilityChanged is called when a control host begins or ceases to answer polls. Control
 	// hosts count as unreachable before the first answer.
 	ReachabilityChanged func(address string, reachable bool)
@@ -94,7 +100,10 @@
 		WriteTimeout: time.Second,
 	})
 	defer func() { _ = peer.Close() }()
-	req := Request{Self: self}
+	req := Request{
+		Self:         self,
+		AnnounceOnly: true,
+	}
 	reachable := false
 	backoff := minBackoff
 	for ctx.Err() == nil {
@@ -113,8 +122,13 @@
 			continue
 		}
 		backoff = minBackoff
+		p.Apply(ctx, address, updates)
 		req.Self = p.Self()
-		req.Version = p.Apply(ctx, updates)
+		if updates.Incarnation != req.Incarnation {
+			// Another incarnation announces its document anew.
+			req.Version = 0
+		}
+		req.Version = max(req.Version, updates.DocumentVersion, updates.Document.Version)
 		req.Incarnation = updates.Incarnation
 		req.HostsSeq = updates.HostsSeq
 		req.UpstreamsSeq = updates.UpstreamsSeq
--- a/reporter/events.go
+++ b/reporter/events.go
@@ -162,6 +162,12 @@
 		Level:       slog.LevelWarn,
 		Description: "An operator's document is not valid and was not stored; the attributes hold the reason.",
 	}
+	DocumentFetchFailed = Event{
+		ID:          3005,
+		Name:        "document-fetch-failed",
+		Level:       slog.LevelWarn,
+		Description: "A newer document could not be fetched from the host named in the attributes; the next host that has it is asked.",
+	}
 )
 
 // Events 4xxx: claims of request keys.
@@ -397,6 +403,7 @@
 	ConfigurationRejected,
 	ConfigurationChanged,
 	DocumentRejected,
+	DocumentFetchFailed,
 	OutcomeNotRecorded,
 	UpstreamAnnounced,
 	UpstreamExpired,
