courier, dispatcher: heartbeats from one side, and three monitors a domain

Cause: both hosts of each pair of a domain sent a heartbeat every 100 ms.

Ruled out: longer heartbeats for all pairs, since callers send a job again 1.3 s after their host is lost, and by then its runs must have been found and stopped.

Change: an exchange that either side begins keeps both sides up; of two hosts the one with the lower address sends the heartbeats. The three oldest members of a domain watch all hosts closely and are watched closely; other pairs exchange a heartbeat each second, and the placer tells the domain which hosts are lost. A host that loses a monitor watches all others closely, and if it reaches no control host it acts on the loss only once the others would have been lost too. A batch that arrives after the suspicion time, because the process was suspended, ends the session and is not applied.

--- a/courier/courier.go
+++ b/courier/courier.go
@@ -3,14 +3,14 @@
 //
 // Messages are sent in batches. At most one batch per peer is in flight, and it is resent until
 // it is acknowledged. A session ends on both sides when either process restarts, or when one side
-// has received nothing, or no acknowledgement, for Config.SuspectAfter; messages of a session that
+// has received nothing, or no acknowledgement, for Watch.SuspectAfter; messages of a session that
 // has ended are never delivered later. Config.Deliver receives an event at the beginning and at
 // the end of each session, in order with the messages. When a session ends, the user of the
 // package must discard the state that it holds for the peer.
 //
 // A posted message is sent at once unless a batch is in flight. Without messages, an empty batch
-// is sent every Config.HeartbeatEvery, so that the session also serves as the failure detector
-// between its two hosts. On a host with a high rate of exchanges, consecutive exchanges with the
+// is sent when there was no exchange for Watch.HeartbeatEvery, so that the session also serves as the
+// failure detector between its two hosts. On a host with a high rate of exchanges, consecutive exchanges with the
 // same peer are spaced by up to 10 ms (see pacer.go).
 package courier
 
@@ -28,9 +28,9 @@
 	// maxQueue bounds the messages that are queued for one peer. A peer that leaves so many
 	// unacknowledged counts as lost, and its session ends.
 	maxQueue = 1 << 16
-	// maxBackoffHeartbeats bounds the backoff between two attempts to reach an unresponsive peer,
-	// in heartbeat intervals.
-	maxBackoffHeartbeats = 4
+	// maxFailures bounds the failed attempts to reach a peer that count for the backoff, which is half
+	// of Config.ResendAfter for each.
+	maxFailures = 4
 )
 
 // Config describes the courier of one host.
@@ -38,12 +38,11 @@
 	// Self is the address of this host. Incarnation grows with each start of its process.
 	Self        string
 	Incarnation uint64
-	// HeartbeatEvery is the time between two empty batches. ResendAfter is the time after which
-	// an unacknowledged batch is sent again over a new connection.
-	HeartbeatEvery, ResendAfter time.Duration
-	// SuspectAfter is the time after which a session ends if nothing is received from the peer, or
-	// if the peer acknowledges no batch.
-	SuspectAfter time.Duration
+	// Watch is how closely peers are observed unless SetWatch says otherwise.
+	Watch Watch
+	// ResendAfter is the time after which an unacknowledged batch is sent again over a new
+	// connection.
+	ResendAfter time.Duration
 	// Connection configures the connections to all peers.
 	Connection messenger.Config
 	// Deliver receives the events of all sessions. It must not block. If it returns false, the
@@ -122,15 +121,28 @@
 	return &peer{
 		wake: make(chan struct{}, 1),
 		session: Session{
-			Self:         c.cfg.Self,
-			Peer:         address,
-			Incarnation:  c.cfg.Incarnation,
-			SuspectAfter: c.cfg.SuspectAfter,
-			MaxQueue:     maxQueue,
+			Self:        c.cfg.Self,
+			Peer:        address,
+			Incarnation: c.cfg.Incarnation,
+			MaxQueue:    maxQueue,
+			watch:       c.cfg.Watch,
 		},
 	}
 }
 
+// SetWatch changes how closely a host is observed. It has no effect on a host that was never
+// connected.
+func (c *Courier) SetWatch(address string, w Watch) {
+	p := c.peer(address)
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	p.session.SetWatch(c.cfg.Now(), w)
+	p.mu.Unlock()
+	p.wakeSender()
+}
+
 // stop ends the goroutine that sends to the peer. The caller holds Courier.mu.
 func (p *peer) stop() {
 	if p.cancel != nil {
@@ -157,12 +169,15 @@
 	c.deliver(p, p.session.End())
 }
 
-// EndSession ends the session with a host. The courier keeps trying to begin the next one.
-func (c *Courier) EndSession(address string) {
+// EndSession ends the session with a host unless its process is newer than the given incarnation. The
+// courier keeps trying to begin the next one.
+func (c *Courier) EndSession(address string, incarnation uint64) {
 	if p := c.peer(address); p != nil {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		c.deliver(p, p.session.End())
+		if p.session.PeerIncarnation() <= incarnation {
+			c.deliver(p, p.session.End())
+		}
 	}
 }
 
@@ -274,34 +289,43 @@
 		case <-p.wake:
 		case <-timer.C:
 		}
+		if wait := c.untilHeartbeat(p); wait > 0 {
+			timer.Reset(wait)
+			continue
+		}
 		spacing := c.pacer.recordExchange(c.cfg.Now())
 		answered := c.exchange(ctx, p, conn)
 		if spacing > 0 {
 			messenger.Sleep(ctx, spacing)
 		}
-		p.mu.Lock()
-		c.deliver(p, p.session.CheckTimeout(c.cfg.Now()))
-		wait := c.cfg.HeartbeatEvery
-		switch {
-		case answered && (!p.session.Up() || p.session.HasQueued()):
-			// Either messages are queued, or the acknowledgement carried the incarnation and
-			// epoch that the next batch needs to begin a session.
-			wait = 0
-		case answered:
+		// If the peer does not answer, its last acknowledgement or the begin of its session may be
+		// lost, so that the next attempt must not wait for a heartbeat.
+		wait := c.cfg.ResendAfter / 2 * time.Duration(failures)
+		if answered {
 			failures = 0
-		default:
-			failures = min(failures+1, maxBackoffHeartbeats)
-			wait *= time.Duration(failures)
+			wait = c.untilHeartbeat(p)
+		} else {
+			failures = min(failures+1, maxFailures)
 		}
-		p.mu.Unlock()
 		timer.Reset(wait)
 	}
 }
 
+// untilHeartbeat ends the session if it has timed out, and returns the time until the next batch is to
+// be sent. An answered exchange without a session is followed by the next one at once: its
+// acknowledgement carried the incarnation and epoch that the next batch needs to begin a session.
+func (c *Courier) untilHeartbeat(p *peer) time.Duration {
+	now := c.cfg.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.deliver(p, p.session.CheckTimeout(now))
+	return p.session.UntilHeartbeat(now)
+}
+
 // exchange sends one batch and applies its acknowledgement. It reports whether there was one.
 func (c *Courier) exchange(ctx context.Context, p *peer, conn *messenger.Peer) bool {
 	p.mu.Lock()
-	batch := p.session.NextBatch()
+	batch := p.session.NextBatch(c.cfg.Now())
 	p.mu.Unlock()
 	body, err := messenger.Encode(batch)
 	if err != nil {
--- a/courier/courier_test.go
+++ b/courier/courier_test.go
@@ -49,14 +49,16 @@
 	}
 	n.listener = listener
 	n.courier = New(Config{
-		Self:           listener.Address(),
-		Incarnation:    incarnation,
-		HeartbeatEvery: 5 * time.Millisecond,
-		ResendAfter:    5 * time.Second,
-		SuspectAfter:   20 * time.Second,
-		Connection:     cfg,
-		Deliver:        n.deliver,
-		Now:            time.Now,
+		Self:        listener.Address(),
+		Incarnation: incarnation,
+		Watch: Watch{
+			HeartbeatEvery: 5 * time.Millisecond,
+			SuspectAfter:   20 * time.Second,
+		},
+		ResendAfter: 5 * time.Second,
+		Connection:  cfg,
+		Deliver:     n.deliver,
+		Now:         time.Now,
 	})
 	close(ready)
 	return n
--- a/courier/session.go
+++ b/courier/session.go
@@ -55,9 +55,19 @@
 // peer are in order: Up, any number of Delivered, Down, Up and so on.
 type Event struct {
 	Kind EventKind
-	// Peer is the address of the other host.
-	Peer     string
-	Messages []Message
+	// Peer is the address of the other host, Incarnation that of its process in this session.
+	Peer        string
+	Incarnation uint64
+	Messages    []Message
+}
+
+// Watch says how closely a host observes a peer.
+type Watch struct {
+	// HeartbeatEvery is the time without an exchange after which an empty batch is sent.
+	HeartbeatEvery time.Duration
+	// SuspectAfter is the time after which the session ends if nothing is received from the peer, or
+	// if the peer does not acknowledge a batch.
+	SuspectAfter time.Duration
 }
 
 // maxBatchBytes bounds the sum of the message bodies in a batch. A larger message is sent in a
@@ -68,19 +78,25 @@
 // and is not safe for concurrent use.
 //
 // Both sides number their sessions by epochs and adopt the higher number. A side that has received
-// nothing for the suspicion time, or whose batches were not acknowledged for that time, ends the
-// session and moves to the next epoch, which ends the session on the other side.
+// nothing for the suspicion time, or whose batch was not acknowledged for that time, ends the
+// session and moves to the next epoch, which ends the session on the other side. A batch that is
+// received after the suspicion time, for example because the process was suspended, ends the session
+// instead of being applied: the sender has given it up by then.
+//
+// An exchange that either side has begun shows both that the other one is reachable. So each side
+// sends a heartbeat only if there was no exchange for Watch.HeartbeatEvery, and the two may have
+// different watches.
 type Session struct {
 	// Self is the address of this host, Peer that of the other one.
 	Self, Peer string
 	// Incarnation is that of this process.
 	Incarnation uint64
-	// SuspectAfter is the time after which the session ends if nothing is received from the peer,
-	// or if the peer acknowledges no batch.
-	SuspectAfter time.Duration
 	// MaxQueue bounds the queued messages. The session ends when the queue is full.
 	MaxQueue int
 
+	watch        Watch
+	watchedSince time.Time // when watch was set
+
 	peerIncarnation uint64
 	epoch           uint64
 	up              bool
@@ -90,8 +106,18 @@
 	sentSeq    uint64 // number of the last sent batch with messages
 	appliedSeq uint64 // number of the last applied batch of the peer
 
-	lastReceived time.Time // when anything was last received from the peer
-	lastAcked    time.Time // when the peer last acknowledged a batch
+	lastReceived time.Time // when a batch or an acknowledgement was last received from the peer
+	unackedSince time.Time // when the oldest unacknowledged batch was sent; zero if there is none
+}
+
+// SetWatch changes the watch. The suspicion time begins anew, so that a session that was watched less
+// closely before does not end at once.
+func (s *Session) SetWatch(now time.Time, w Watch) {
+	if w == s.watch {
+		return
+	}
+	s.watch = w
+	s.watchedSince = now
 }
 
 // Up reports whether a session is open.
@@ -114,7 +140,10 @@
 
 // NextBatch returns the batch to send: the unacknowledged one if there is one, otherwise one with
 // the queued messages, or an empty one if none are queued.
-func (s *Session) NextBatch() Batch {
+func (s *Session) NextBatch(now time.Time) Batch {
+	if s.unackedSince.IsZero() {
+		s.unackedSince = now
+	}
 	b := Batch{
 		From:                s.Self,
 		Incarnation:         s.Incarnation,
@@ -149,7 +178,7 @@
 		return nil
 	}
 	s.lastReceived = now
-	s.lastAcked = now
+	s.unackedSince = time.Time{}
 	if a.Incarnation != s.peerIncarnation || a.Epoch != s.epoch {
 		return s.reset(a.Incarnation, max(a.Epoch, s.epoch))
 	}
@@ -166,9 +195,9 @@
 	if b.Incarnation < s.peerIncarnation {
 		return s.ack(), nil
 	}
-	var events []Event
+	events := s.CheckTimeout(now)
 	if b.Incarnation > s.peerIncarnation || b.Epoch > s.epoch {
-		events = s.reset(b.Incarnation, max(b.Epoch, s.epoch))
+		events = append(events, s.reset(b.Incarnation, max(b.Epoch, s.epoch))...)
 	}
 	s.lastReceived = now
 	if b.ReceiverIncarnation != s.Incarnation || b.Epoch < s.epoch {
@@ -179,11 +208,9 @@
 	if len(b.Messages) > 0 && b.Seq == s.appliedSeq+1 {
 		s.appliedSeq = b.Seq
 		events = append(events, s.open(now)...)
-		events = append(events, Event{
-			Kind:     Delivered,
-			Peer:     s.Peer,
-			Messages: b.Messages,
-		})
+		delivered := s.event(Delivered)
+		delivered.Messages = b.Messages
+		events = append(events, delivered)
 	}
 	return s.ack(), events
 }
@@ -196,18 +223,36 @@
 	}
 }
 
-// CheckTimeout ends the session if the peer has sent nothing or acknowledged nothing for
-// SuspectAfter, or if the queue is full. It returns the Down event if so.
+// CheckTimeout ends the session if the peer has sent nothing or left a batch unacknowledged for the
+// suspicion time, or if the queue is full. It returns the Down event if so.
 func (s *Session) CheckTimeout(now time.Time) []Event {
-	if !s.up {
-		return nil
-	}
-	if now.Sub(s.lastReceived) < s.SuspectAfter && now.Sub(s.lastAcked) < s.SuspectAfter && len(s.queue) < s.MaxQueue {
+	if !s.up || !s.timedOut(now) && len(s.queue) < s.MaxQueue {
 		return nil
 	}
 	return s.End()
 }
 
+func (s *Session) timedOut(now time.Time) bool {
+	if now.Sub(s.watchedSince) < s.watch.SuspectAfter {
+		return false
+	}
+	return now.Sub(s.lastReceived) >= s.watch.SuspectAfter || !s.unackedSince.IsZero() && now.Sub(s.unackedSince) >= s.watch.SuspectAfter
+}
+
+// UntilHeartbeat returns the time until a heartbeat is due, or 0 if a batch is to be sent now. Of two
+// hosts with equal watches, the one with the lower address sends the heartbeats, and the other one
+// only if these fail to arrive.
+func (s *Session) UntilHeartbeat(now time.Time) time.Duration {
+	if !s.up || len(s.queue) > 0 {
+		return 0
+	}
+	wait := s.watch.HeartbeatEvery
+	if s.Self > s.Peer {
+		wait += wait / 2
+	}
+	return max(0, wait-now.Sub(s.lastReceived))
+}
+
 // End ends the session at once, for example because the peer is known to have stopped. It moves to
 // the next epoch even if no session is open, and returns the Down event if one was.
 func (s *Session) End() []Event {
@@ -222,29 +267,32 @@
 	}
 	s.up = true
 	s.lastReceived = now
-	s.lastAcked = now
-	return []Event{{
-		Kind: Up,
-		Peer: s.Peer,
-	}}
+	s.unackedSince = time.Time{}
+	return []Event{s.event(Up)}
 }
 
 // reset discards the messages and sequence numbers of the session and sets the incarnation of the
 // peer and the epoch of the next session. It returns the Down event if a session was open.
 func (s *Session) reset(incarnation, epoch uint64) []Event {
-	wasUp := s.up
+	var events []Event
+	if s.up {
+		events = append(events, s.event(Down))
+	}
 	s.up = false
 	s.peerIncarnation = incarnation
 	s.epoch = epoch
+	s.unackedSince = time.Time{}
 	s.queue = nil
 	s.inFlight = 0
 	s.sentSeq = 0
 	s.appliedSeq = 0
-	if !wasUp {
-		return nil
+	return events
+}
+
+func (s *Session) event(k EventKind) Event {
+	return Event{
+		Kind:        k,
+		Peer:        s.Peer,
+		Incarnation: s.peerIncarnation,
 	}
-	return []Event{{
-		Kind: Down,
-		Peer: s.Peer,
-	}}
 }
--- a/courier/session_test.go
+++ b/courier/session_test.go
@@ -13,14 +13,19 @@
 
 func newSession(self, peer string, incarnation uint64) *Session {
 	return &Session{
-		Self:         self,
-		Peer:         peer,
-		Incarnation:  incarnation,
-		SuspectAfter: 500 * time.Millisecond,
-		MaxQueue:     100,
+		Self:        self,
+		Peer:        peer,
+		Incarnation: incarnation,
+		MaxQueue:    100,
+		watch:       testWatch,
 	}
 }
 
+var testWatch = Watch{
+	HeartbeatEvery: 100 * time.Millisecond,
+	SuspectAfter:   500 * time.Millisecond,
+}
+
 // pair is the sessions of two hosts whose batches and acknowledgements may be lost.
 type pair struct {
 	g     *WithT
@@ -62,7 +67,7 @@
 
 // exchange sends one batch from a host. The batch or its acknowledgement may be lost.
 func (p *pair) exchange(from int, batchLost, answerLost bool) {
-	b := p.hosts[from].NextBatch()
+	b := p.hosts[from].NextBatch(p.now)
 	if batchLost {
 		return
 	}
@@ -176,6 +181,77 @@
 	p.g.Expect(p.received[0]).To(Equal([]string{"new"}))
 }
 
+// Guards against two hosts that both send heartbeats, and against a session that ends although the
+// heartbeats of one side are exchanged.
+func TestOneSideSendsHeartbeats(t *testing.T) {
+	p := newPair(t)
+	p.settle()
+	sent := [2]int{}
+	for range 300 {
+		p.advance(10 * time.Millisecond)
+		for i, s := range p.hosts {
+			if s.UntilHeartbeat(p.now) == 0 {
+				sent[i]++
+				p.exchange(i, false, false)
+			}
+		}
+	}
+	p.g.Expect(sent).To(Equal([2]int{30, 0}))
+	p.g.Expect(p.downs).To(Equal([2]int{0, 0}))
+	// The other side takes over while the batches of the first one are lost.
+	sent = [2]int{}
+	for range 40 {
+		p.advance(10 * time.Millisecond)
+		for i, s := range p.hosts {
+			if s.UntilHeartbeat(p.now) == 0 {
+				sent[i]++
+				p.exchange(i, i == 0, false)
+			}
+		}
+	}
+	p.g.Expect(sent[1]).To(BeNumerically(">=", 2))
+	p.g.Expect(p.downs).To(Equal([2]int{0, 0}))
+}
+
+// Guards against a host that is watched closely from now on and counts as lost at once, since nothing
+// was exchanged with it for longer than its new suspicion time.
+func TestWatchMoreClosely(t *testing.T) {
+	p := newPair(t)
+	for _, s := range p.hosts {
+		s.SetWatch(p.now, Watch{
+			HeartbeatEvery: time.Second,
+			SuspectAfter:   2500 * time.Millisecond,
+		})
+	}
+	p.settle()
+	p.advance(900 * time.Millisecond)
+	p.g.Expect(p.hosts[0].UntilHeartbeat(p.now)).To(Equal(100 * time.Millisecond))
+	p.hosts[0].SetWatch(p.now, testWatch)
+	p.advance(0)
+	p.g.Expect(p.downs).To(Equal([2]int{0, 0}))
+	p.g.Expect(p.hosts[0].UntilHeartbeat(p.now)).To(BeZero())
+	p.advance(testWatch.SuspectAfter)
+	p.g.Expect(p.downs).To(Equal([2]int{1, 0}))
+}
+
+// Guards against a batch that is applied although its sender has given it up: the receiving process
+// was suspended while the batch waited for it.
+func TestBatchAfterSuspension(t *testing.T) {
+	p := newPair(t)
+	p.settle()
+	p.g.Expect(post(p.hosts[0], "start a run")).To(BeTrue())
+	b := p.hosts[0].NextBatch(p.now)
+	// Host 1 is suspended; host 0 ends the session meanwhile.
+	p.now = p.now.Add(testWatch.SuspectAfter)
+	p.record(0, p.hosts[0].CheckTimeout(p.now))
+	_, events := p.hosts[1].Receive(p.now, b)
+	p.record(1, events)
+	p.g.Expect(p.downs).To(Equal([2]int{1, 1}))
+	p.g.Expect(p.received[1]).To(BeEmpty())
+	p.settle()
+	p.g.Expect(p.received[1]).To(BeEmpty())
+}
+
 // Guards against unbounded memory use while a peer acknowledges nothing.
 func TestFullQueueEndsSession(t *testing.T) {
 	p := newPair(t)
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -34,9 +34,9 @@
 	// isolationWindow is how long a lost host counts as possibly partitioned; after that it counts
 	// as down. Machines are reachable again within that time.
 	isolationWindow = 10 * time.Second
-	// lossGatherDelay is the time within which an isolated host detects the loss of all its peers:
-	// each session is checked once per heartbeat interval of 100 ms.
-	lossGatherDelay = 120 * time.Millisecond
+	// lossGatherDelay is the time within which an isolated host detects the loss of all peers that it
+	// watches closely: the last exchanges with them are at most so far apart.
+	lossGatherDelay = 160 * time.Millisecond
 )
 
 // CoreConfig is the configuration of a Core.
@@ -56,6 +56,10 @@
 	Post func(to string, m courier.Message) bool
 	// Connect starts maintaining a session with a host, Disconnect ends it.
 	Connect, Disconnect func(address string)
+	// Watch sets how closely a connected host is observed.
+	Watch func(address string, w courier.Watch)
+	// EndSession ends the session with a process of a host that is lost; the next one may begin.
+	EndSession func(address string, incarnation uint64)
 	// StartPolling starts polling a control host for updates, StopPolling ends it.
 	StartPolling, StopPolling func(address string)
 	// SelfChanged is called when the report about this host has changed.
@@ -94,8 +98,13 @@
 	// peers holds the hosts of the domain with which there is a session, and whether they are
 	// eligible.
 	peers map[string]bool
-	// peerLostAt is when the session with an eligible host was lost.
-	peerLostAt map[string]time.Time
+	// peerLosses holds the hosts of the domain with which a session has ended.
+	peerLosses map[string]peerLoss
+	// monitors holds the hosts that all others watch closely, closelyWatched the peers that this
+	// host watches closely. Until watchAllUntil, if it is set, it watches all of them.
+	monitors       []string
+	closelyWatched map[string]bool
+	watchAllUntil  time.Time
 	// reorganizeAt is when placer and leaseholders are chosen again after the loss of hosts; zero
 	// if no loss is pending.
 	reorganizeAt time.Time
@@ -145,7 +154,8 @@
 		documents:         newDocumentFetcher(),
 		sessions:          map[string]bool{},
 		peers:             map[string]bool{},
-		peerLostAt:        map[string]time.Time{},
+		peerLosses:        map[string]peerLoss{},
+		closelyWatched:    map[string]bool{},
 		polling:           map[string]bool{},
 		reachableControls: map[string]bool{},
 		jobs:              map[string]*job{},
@@ -192,6 +202,7 @@
 		c.reorganizeAt = time.Time{}
 		c.reorganize(now)
 	}
+	c.tickWatches(now)
 	c.upstreamsLost = c.upstreamsLost && c.isolated(now)
 	c.fetchDocument(now)
 	c.tickJobs(now)
--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"testing"
 	"time"
@@ -41,6 +42,9 @@
 	sent    []sentMessage
 	applied []uint64 // versions of the documents
 	fetches []documentFetch
+	// watches holds the last watch of each host, ended the incarnations of sessions that were ended.
+	watches map[string]courier.Watch
+	ended   map[string]uint64
 }
 
 // documentFetch is a fetch that the Core has started.
@@ -63,8 +67,10 @@
 
 func newHarness(t *testing.T) *harness {
 	h := &harness{
-		g:   NewWithT(t),
-		now: startTime,
+		g:       NewWithT(t),
+		now:     startTime,
+		watches: map[string]courier.Watch{},
+		ended:   map[string]uint64{},
 	}
 	h.core = NewCore(CoreConfig{
 		Self:  entryHost(selfAddress, 2),
@@ -80,6 +86,8 @@
 		},
 		Connect:      func(string) {},
 		Disconnect:   func(string) {},
+		Watch:        func(address string, w courier.Watch) { h.watches[address] = w },
+		EndSession:   func(address string, incarnation uint64) { h.ended[address] = incarnation },
 		StartPolling: func(string) {},
 		StopPolling:  func(string) {},
 		SelfChanged:  func(discoverer.Host) {},
@@ -143,13 +151,16 @@
 }
 
 // deliver passes a message of the other host to the Core and clears the list of sent messages.
-func (h *harness) deliver(kind courier.Kind, v any) {
+func (h *harness) deliver(kind courier.Kind, v any) { h.deliverFrom(otherAddress, kind, v) }
+
+// deliverFrom passes a message of a host to the Core and clears the list of sent messages.
+func (h *harness) deliverFrom(from string, kind courier.Kind, v any) {
 	body, err := messenger.Encode(v)
 	h.g.Expect(err).NotTo(HaveOccurred())
 	h.sent = nil
 	h.core.HandleSessionEvent(h.now, courier.Event{
 		Kind: courier.Delivered,
-		Peer: otherAddress,
+		Peer: from,
 		Messages: []courier.Message{{
 			Kind: kind,
 			Body: body,
@@ -221,6 +232,114 @@
 	h.g.Expect(h.applied).To(Equal([]uint64{5, 10}))
 }
 
+// addPeer adds a host of the domain with which there is a session.
+func (h *harness) addPeer(address string, incarnation uint64) {
+	h.core.HandleUpdates(h.now, controlAddress, poller.Updates{Hosts: []discoverer.Host{entryHost(address, incarnation)}})
+	h.core.HandleSessionEvent(h.now, courier.Event{
+		Kind:        courier.Up,
+		Peer:        address,
+		Incarnation: incarnation,
+	})
+	h.core.Flush(h.now)
+}
+
+// losePeer ends the session with a host.
+func (h *harness) losePeer(address string, incarnation uint64) {
+	h.core.HandleSessionEvent(h.now, courier.Event{
+		Kind:        courier.Down,
+		Peer:        address,
+		Incarnation: incarnation,
+	})
+	h.core.Flush(h.now)
+}
+
+// Guards against heartbeats between all pairs of hosts, whose number per host grows with the domain:
+// a host that is no monitor watches the monitors closely and all others distantly, and learns of the
+// loss of these from the placer.
+func TestWatchesOfLargeDomain(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetControlReachable(controlAddress, true)
+	address := func(i int) string { return fmt.Sprintf("10.0.0.%d:1", 10+i) }
+	for i := range 12 {
+		h.addPeer(address(i), uint64(10+i))
+	}
+	// Host 0 is the oldest, this host the youngest.
+	h.core.self.Incarnation = 50
+	h.core.hosts.Put(h.now, h.core.self)
+	h.core.reorganize(h.now)
+	closely := 0
+	for i := range 12 {
+		if w, set := h.watches[address(i)]; !set || w == CloseWatch {
+			closely++
+		}
+	}
+	h.g.Expect(closely).To(Equal(monitorCount))
+	h.now = h.now.Add(maxDiscoveryTime)
+	h.core.Tick(h.now)
+	h.g.Expect(h.core.placerAddress).To(Equal(address(0)))
+	notice := lostHosts{
+		Hosts: []lostHost{{
+			Address:     address(9),
+			Incarnation: 19,
+		}},
+	}
+	h.deliverFrom(address(1), kindLostHosts, notice)
+	h.g.Expect(h.ended).To(BeEmpty(), "only the placer reports losses")
+	h.deliverFrom(address(0), kindLostHosts, notice)
+	h.g.Expect(h.ended).To(Equal(map[string]uint64{address(9): 19}))
+
+	// After the loss of a monitor all others are watched closely until they would have been lost.
+	h.losePeer(address(0), 10)
+	h.g.Expect(h.core.placerAddress).To(Equal(address(1)))
+	for i := 1; i < 12; i++ {
+		h.g.Expect(h.watches[address(i)]).To(Equal(CloseWatch))
+	}
+	h.now = h.now.Add(CloseWatch.SuspectAfter + lossGatherDelay)
+	h.core.Tick(h.now)
+	h.g.Expect(h.watches[address(9)]).To(Equal(DistantWatch))
+}
+
+// Guards against a host that is cut off and acquires the upstreams of the monitors, whose loss it
+// detects before that of the other hosts.
+func TestIsolatedHostOfLargeDomain(t *testing.T) {
+	h := newHarness(t)
+	for i := range 8 {
+		h.addPeer(fmt.Sprintf("10.0.0.%d:1", 10+i), uint64(10+i))
+	}
+	h.core.self.Incarnation = 50
+	h.core.hosts.Put(h.now, h.core.self)
+	h.core.reorganize(h.now)
+	h.now = h.now.Add(maxDiscoveryTime)
+	h.core.Tick(h.now)
+	for i := range monitorCount {
+		h.losePeer(fmt.Sprintf("10.0.0.%d:1", 10+i), uint64(10+i))
+	}
+	h.now = h.now.Add(lossGatherDelay)
+	h.core.Tick(h.now)
+	h.g.Expect(h.core.placerAddress).To(Equal("10.0.0.10:1"), "it waits until the others are lost too")
+	for i := monitorCount; i < 8; i++ {
+		h.losePeer(fmt.Sprintf("10.0.0.%d:1", 10+i), uint64(10+i))
+	}
+	h.now = h.now.Add(CloseWatch.SuspectAfter)
+	h.core.Tick(h.now)
+	h.g.Expect(h.core.isolated(h.now)).To(BeTrue())
+}
+
+// Guards against a loss that only the placer has detected: it tells all other hosts.
+func TestPlacerReportsLosses(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetControlReachable(controlAddress, true)
+	for i := range 3 {
+		h.addPeer(fmt.Sprintf("10.0.0.%d:1", 10+i), uint64(10+i))
+	}
+	h.now = h.now.Add(maxDiscoveryTime)
+	h.core.Tick(h.now)
+	h.g.Expect(h.core.placerAddress).To(Equal(selfAddress))
+	h.sent = nil
+	h.losePeer("10.0.0.11:1", 11)
+	h.g.Expect(h.sent).To(ContainElements(sentMessage{"10.0.0.10:1", kindLostHosts}, sentMessage{"10.0.0.12:1", kindLostHosts}))
+}
+
 // Guards against a document that is fetched from each host which announces it: large documents then
 // fill the link of an entry host for longer than its sessions last.
 func TestDocumentIsFetchedOnce(t *testing.T) {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -28,13 +28,11 @@
 )
 
 const (
-	// HeartbeatEvery is the time between two batches of a session without messages.
-	HeartbeatEvery = 100 * time.Millisecond
 	// ResendAfter is the time after which an unacknowledged batch is sent again. It is longer than
 	// the scheduling delays of a busy host with a fraction of a core.
 	ResendAfter = 200 * time.Millisecond
-	// SuspectAfter is the time without contact after which a session ends. It allows for one batch
-	// that is lost and sent again.
+	// SuspectAfter is the time without contact after which the session with a closely watched host
+	// ends. It allows for one batch that is lost and sent again.
 	SuspectAfter = 500 * time.Millisecond
 	// TickEvery is the time between two calls of Core.Tick.
 	TickEvery = 20 * time.Millisecond
@@ -101,14 +99,13 @@
 	}
 	messengerConfig := h.messengerConfig()
 	h.courier = courier.New(courier.Config{
-		Self:           cfg.Self.Address,
-		Incarnation:    cfg.Self.Incarnation,
-		HeartbeatEvery: HeartbeatEvery,
-		ResendAfter:    ResendAfter,
-		SuspectAfter:   SuspectAfter,
-		Connection:     messengerConfig,
-		Deliver:        h.deliver,
-		Now:            cfg.Now,
+		Self:        cfg.Self.Address,
+		Incarnation: cfg.Self.Incarnation,
+		Watch:       CloseWatch,
+		ResendAfter: ResendAfter,
+		Connection:  messengerConfig,
+		Deliver:     h.deliver,
+		Now:         cfg.Now,
 	})
 	h.poller = &poller.Poller{
 		Self:  h.selfReport,
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -31,12 +31,8 @@
 			// A host of another domain.
 			return
 		}
-		if c.peers[e.Peer] {
-			c.peerLostAt[e.Peer] = now
-		}
-		delete(c.peers, e.Peer)
 		c.logEvent(reporter.SessionEnded, "peer", e.Peer)
-		c.peerLost(now, e.Peer)
+		c.peerLost(now, e)
 	case courier.Delivered:
 		for _, m := range e.Messages {
 			c.receiveEncoded(now, e.Peer, m)
@@ -52,7 +48,7 @@
 		return
 	}
 	c.peers[peer] = true
-	delete(c.peerLostAt, peer)
+	delete(c.peerLosses, peer)
 	c.logEvent(reporter.SessionBegun, "peer", peer)
 	c.send(peer, kindAnnouncement, announcement{
 		Self:            c.self,
@@ -98,7 +94,8 @@
 
 // peerLost handles the loss of a peer: it ends the peer's runs, jobs and requests on this host, and
 // reorganizes the domain.
-func (c *Core) peerLost(now time.Time, peer string) {
+func (c *Core) peerLost(now time.Time, e courier.Event) {
+	peer := e.Peer
 	c.dropCallers(now, peer)
 	c.relayHostLost(now, peer)
 	for _, h := range c.sortedHeld() {
@@ -111,10 +108,8 @@
 		// Messages to the peer, or from it, may be lost.
 		j.watchAt = now.Add(watchRetryInterval)
 	}
-	if len(c.reachableControls) == 0 {
-		// If other peers are lost at the same time, this host is isolated. Without the delay it
-		// would acquire their upstreams before it detects that.
-		c.reorganizeAt = now.Add(lossGatherDelay)
+	if actAt := c.recordLoss(now, e); actAt.After(now) {
+		c.reorganizeAt = actAt
 		return
 	}
 	c.reorganize(now)
@@ -171,6 +166,8 @@
 		decode[announcement](c, now, from, m)
 	case kindSnapshotRequest:
 		decode[snapshotRequest](c, now, from, m)
+	case kindLostHosts:
+		decode[lostHosts](c, now, from, m)
 	default:
 		c.logEvent(reporter.MessageRejected, "peer", from, "kind", m.Kind, "error", "the kind is not known")
 	}
@@ -235,6 +232,8 @@
 		c.receiveSuperseded(now, from, m)
 	case announcement:
 		c.receiveAnnouncement(now, from, m)
+	case lostHosts:
+		c.receiveLostHosts(from, m)
 	case snapshotRequest:
 		c.send(from, kindSnapshot, c.snapshot())
 	default:
@@ -412,7 +411,9 @@
 
 // reorganize chooses the placer again and, if that is this host, assigns the upstreams again.
 func (c *Core) reorganize(now time.Time) {
+	c.updateWatches(now)
 	c.choosePlacer(now)
+	c.reportLosses(now)
 	if c.placer != nil {
 		c.assign(now)
 	}
@@ -447,22 +448,3 @@
 		delete(c.reachableControls, address)
 	}
 }
-
-// isolated reports whether this host is probably partitioned from its domain, rather than the other
-// hosts being down: it has lost half of the domain's hosts or more within isolationWindow, and
-// reaches no control host. The other hosts then acquire its upstreams, and it acquires none of
-// theirs.
-func (c *Core) isolated(now time.Time) bool {
-	if len(c.reachableControls) > 0 {
-		return false
-	}
-	lost := 0
-	for peer, at := range c.peerLostAt {
-		if now.Sub(at) > isolationWindow {
-			delete(c.peerLostAt, peer)
-			continue
-		}
-		lost++
-	}
-	return lost > 0 && len(c.peers)+1 <= lost
-}
--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -39,6 +39,7 @@
 	kindSuperseded       courier.Kind = 22
 	kindAnnouncement     courier.Kind = 23
 	kindSnapshotRequest  courier.Kind = 24
+	kindLostHosts        courier.Kind = 25
 )
 
 // snapshot carries the hosts and upstreams that concern the domain to a host that has just started.
@@ -244,3 +245,14 @@
 type eligibility struct {
 	Eligible bool `msgpack:"takes-part"`
 }
+
+// lostHosts tells the hosts of a domain which ones the placer has lost. They end their sessions with
+// processes up to the given incarnations.
+type lostHosts struct {
+	Hosts []lostHost `msgpack:"hosts"`
+}
+
+type lostHost struct {
+	Address     string `msgpack:"address"`
+	Incarnation uint64 `msgpack:"life"`
+}
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -265,9 +265,13 @@
 		Parse:       func([]byte) (*router.Document, error) { return w.parsedDocument, nil },
 		Log:         w.logger(n.Name),
 	}, dispatcher.Effects{
-		Post:         n.post,
-		Connect:      n.connect,
-		Disconnect:   n.disconnect,
+		Post:       n.post,
+		Connect:    n.connect,
+		Disconnect: n.disconnect,
+		Watch: func(address string, w courier.Watch) {
+			n.senderTo(address).session.SetWatch(n.w.wallTime(), w)
+		},
+		EndSession:   n.endSession,
 		StartPolling: func(string) {},
 		StopPolling:  func(string) {},
 		SelfChanged:  func(discoverer.Host) {},
@@ -357,13 +361,13 @@
 	}
 	c := &sessionSender{
 		session: &courier.Session{
-			Self:         n.Address,
-			Peer:         address,
-			Incarnation:  n.incarnation,
-			SuspectAfter: dispatcher.SuspectAfter,
-			MaxQueue:     maxQueue,
+			Self:        n.Address,
+			Peer:        address,
+			Incarnation: n.incarnation,
+			MaxQueue:    maxQueue,
 		},
 	}
+	c.session.SetWatch(n.w.wallTime(), dispatcher.CloseWatch)
 	n.senders[address] = c
 	var heartbeat func()
 	heartbeat = func() {
@@ -375,9 +379,11 @@
 				return
 			}
 			n.deliver(c.session.CheckTimeout(n.w.wallTime()))
-			n.send(address, c)
+			if c.session.UntilHeartbeat(n.w.wallTime()) == 0 {
+				n.send(address, c)
+			}
 		})
-		n.w.After(dispatcher.HeartbeatEvery, heartbeat)
+		n.w.After(max(dispatcher.CloseWatch.HeartbeatEvery/2, c.session.UntilHeartbeat(n.w.wallTime())), heartbeat)
 	}
 	n.w.After(0, heartbeat)
 	return c
@@ -398,6 +404,20 @@
 	})
 }
 
+func (n *Host) endSession(address string, incarnation uint64) {
+	c := n.senders[address]
+	if c == nil || c.session.PeerIncarnation() > incarnation {
+		return
+	}
+	events := c.session.End()
+	// The Core calls endSession and must not be called back from here.
+	n.w.After(0, func() {
+		if n.core != nil && !c.closed {
+			n.deliver(events)
+		}
+	})
+}
+
 func (n *Host) post(to string, m courier.Message) bool {
 	c := n.senders[to]
 	if c == nil || !c.session.Post(m) {
@@ -423,7 +443,7 @@
 		return
 	}
 	c.inFlight = true
-	b := c.session.NextBatch()
+	b := c.session.NextBatch(w.wallTime())
 	to := w.hostByAddress(address)
 	answered := false
 	w.After(dispatcher.ResendAfter, func() {
