--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -131,6 +131,8 @@
 		Post:          h.courier.Post,
 		Connect:       h.courier.Connect,
 		Disconnect:    h.courier.Disconnect,
+		Watch:         h.courier.SetWatch,
+		EndSession:    h.courier.EndSession,
 		StartPolling:  h.startPolling,
 		StopPolling:   h.stopPolling,
 		SelfChanged:   h.setSelfReport,
