--- a/discoverer/discoverer.go
+++ b/discoverer/discoverer.go
@@ -61,8 +61,11 @@
 	Incarnation uint64 `msgpack:"life"`
 	ReportSeq   uint64 `msgpack:"report"`
 	State       State  `msgpack:"state"`
-	// IsPlacer reports whether the host is the placer of its domain.
+	// IsPlacer reports whether the host is a placer of its domain.
 	IsPlacer bool `msgpack:"places"`
+	// Shards reports whether the host can work in a domain with several shards. Hosts of earlier
+	// releases cannot.
+	Shards bool `msgpack:"shards,omitempty"`
 	// ReplicaReady reports whether the host is a replica, or can become one at once.
 	ReplicaReady bool `msgpack:"stores"`
 }
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -45,6 +45,9 @@
 	Self discoverer.Host
 	// LeaseConfig holds the time settings of leases on upstreams.
 	LeaseConfig leaseholder.Config
+	// UpstreamsPerShard is the wanted size of a shard; upstreamsPerShard if it is zero. All hosts of a
+	// domain must have the same.
+	UpstreamsPerShard int
 	// Parse decodes and validates a published document.
 	Parse func(content []byte) (*router.Document, error)
 	Log   *slog.Logger
@@ -105,14 +108,14 @@
 	monitors       []string
 	closelyWatched map[string]bool
 	watchAllUntil  time.Time
-	// reorganizeAt is when placer and leaseholders are chosen again after the loss of hosts; zero
+	// reorganizeAt is when leader and leaseholders are chosen again after the loss of hosts; zero
 	// if no loss is pending.
 	reorganizeAt time.Time
 	polling      map[string]bool
 	// reachableControls holds the control hosts that respond.
 	reachableControls map[string]bool
 	draining          bool
-	// unhealthy is set while this host is too slow to be the placer or to hold upstreams.
+	// unhealthy is set while this host is too slow to be leader or placer or to hold upstreams.
 	unhealthy bool
 	// firstUpdateAt is when this host received the first update about others; zero before.
 	firstUpdateAt     time.Time
@@ -121,8 +124,8 @@
 	// upstreamsLost is set if other hosts have acquired upstreams of this host while it was
 	// isolated.
 	upstreamsLost bool
-	// placerAddress is the address of the placer of the domain.
-	placerAddress string
+	// leaderAddress is the address of the leader of the domain, which decides on assigned.
+	leaderAddress string
 	assigned      assignment
 
 	jobs map[string]*job
@@ -131,11 +134,20 @@
 	lastTokens     map[string]uint64
 	progressSentAt time.Time
 
-	placer *placer.Placer // nil unless this host is the placer
+	placer *placer.Placer // nil unless this host is a placer
+	shard  int            // index of the shard of this placer
 	// readyReporter is, for each ready upstream, the host that reported it ready to the placer.
 	readyReporter map[string]string
 	remotePlacers map[string]*remotePlacer
 	relays        map[string]relay
+	// redirects holds the jobs of this shard that other placers place. homesNotified holds, for jobs that
+	// this placer places for another shard, the placer of that shard that was told so.
+	redirects     map[string]redirection
+	homesNotified map[string]string
+	// redirectsPrunedAt is when redirects was last searched for jobs to forget.
+	redirectsPrunedAt time.Time
+	// capacitySent holds the free capacity that was last sent to each other placer.
+	capacitySent map[string]sentCapacity
 	// cancelledForwards holds the forwarded jobs that were cancelled, with the time at which their
 	// runs have certainly ended.
 	cancelledForwards map[string]time.Time
@@ -143,6 +155,10 @@
 
 // NewCore returns the Core of an entry host that starts polling the control hosts in seeds.
 func NewCore(cfg CoreConfig, effects Effects, now time.Time, seeds []string) *Core {
+	if cfg.UpstreamsPerShard <= 0 {
+		cfg.UpstreamsPerShard = upstreamsPerShard
+	}
+	cfg.Self.Shards = true
 	c := &Core{
 		cfg:               cfg,
 		effects:           effects,
@@ -164,6 +180,9 @@
 		readyReporter:     map[string]string{},
 		remotePlacers:     map[string]*remotePlacer{},
 		relays:            map[string]relay{},
+		redirects:         map[string]redirection{},
+		homesNotified:     map[string]string{},
+		capacitySent:      map[string]sentCapacity{},
 		cancelledForwards: map[string]time.Time{},
 	}
 	c.hosts.Put(now, cfg.Self)
@@ -185,7 +204,7 @@
 		for _, step := range local {
 			step(now)
 		}
-		c.sendDecisions()
+		c.sendDecisions(now)
 		c.sendOrders(now)
 		if len(c.localMessages) == 0 {
 			return
@@ -196,7 +215,7 @@
 // Tick handles everything that has become due: timeouts, retries, renewals and periodic reports.
 func (c *Core) Tick(now time.Time) {
 	if !c.discoveryComplete {
-		c.choosePlacer(now)
+		c.chooseLeader(now)
 	}
 	if !c.reorganizeAt.IsZero() && !now.Before(c.reorganizeAt) {
 		c.reorganizeAt = time.Time{}
@@ -212,6 +231,7 @@
 		c.placer.Tick(now)
 		c.sendFreeCapacity(now)
 		c.pruneCancelledForwards(now)
+		c.pruneRedirects(now)
 	}
 	c.disconnectRetired()
 }
@@ -276,8 +296,8 @@
 	}
 }
 
-// BeginDrain starts a planned stop: the other hosts of the domain take over the role of placer and
-// the upstreams of this host. Jobs that callers still submit are served.
+// BeginDrain starts a planned stop: the other hosts of the domain take over the roles and the upstreams
+// of this host. Jobs that callers still submit are served.
 func (c *Core) BeginDrain(now time.Time) {
 	c.draining = true
 	c.sendEligibility()
--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -170,7 +170,7 @@
 }
 
 // makeOtherPlacer completes discovery with the other host, which has the lower incarnation and so
-// becomes the placer.
+// becomes the leader and the only placer.
 func (h *harness) makeOtherPlacer() {
 	h.applyUpdates(1, "document")
 	h.core.HandleSessionEvent(h.now, courier.Event{
@@ -180,7 +180,10 @@
 	h.now = h.now.Add(maxDiscoveryTime)
 	h.core.Tick(h.now)
 	h.core.Flush(h.now)
-	h.g.Expect(h.core.placerAddress).To(Equal(otherAddress))
+	h.g.Expect(h.core.leaderAddress).To(Equal(otherAddress))
+	sent := h.sent
+	h.deliver(kindAssignment, assignment{Placers: []string{otherAddress}})
+	h.sent = append(sent, h.sent...)
 }
 
 // Guards against a job that runs in two domains: a placement for a request that was sent twice may
@@ -255,7 +258,7 @@
 
 // Guards against heartbeats between all pairs of hosts, whose number per host grows with the domain:
 // a host that is no monitor watches the monitors closely and all others distantly, and learns of the
-// loss of these from the placer.
+// loss of these from the leader.
 func TestWatchesOfLargeDomain(t *testing.T) {
 	h := newHarness(t)
 	h.core.SetControlReachable(controlAddress, true)
@@ -276,7 +279,7 @@
 	h.g.Expect(closely).To(Equal(monitorCount))
 	h.now = h.now.Add(maxDiscoveryTime)
 	h.core.Tick(h.now)
-	h.g.Expect(h.core.placerAddress).To(Equal(address(0)))
+	h.g.Expect(h.core.leaderAddress).To(Equal(address(0)))
 	notice := lostHosts{
 		Hosts: []lostHost{{
 			Address:     address(9),
@@ -284,13 +287,13 @@
 		}},
 	}
 	h.deliverFrom(address(1), kindLostHosts, notice)
-	h.g.Expect(h.ended).To(BeEmpty(), "only the placer reports losses")
+	h.g.Expect(h.ended).To(BeEmpty(), "only the leader reports losses")
 	h.deliverFrom(address(0), kindLostHosts, notice)
 	h.g.Expect(h.ended).To(Equal(map[string]uint64{address(9): 19}))
 
 	// After the loss of a monitor all others are watched closely until they would have been lost.
 	h.losePeer(address(0), 10)
-	h.g.Expect(h.core.placerAddress).To(Equal(address(1)))
+	h.g.Expect(h.core.leaderAddress).To(Equal(address(1)))
 	for i := 1; i < 12; i++ {
 		h.g.Expect(h.watches[address(i)]).To(Equal(CloseWatch))
 	}
@@ -316,7 +319,7 @@
 	}
 	h.now = h.now.Add(lossGatherDelay)
 	h.core.Tick(h.now)
-	h.g.Expect(h.core.placerAddress).To(Equal("10.0.0.10:1"), "it waits until the others are lost too")
+	h.g.Expect(h.core.leaderAddress).To(Equal("10.0.0.10:1"), "it waits until the others are lost too")
 	for i := monitorCount; i < 8; i++ {
 		h.losePeer(fmt.Sprintf("10.0.0.%d:1", 10+i), uint64(10+i))
 	}
@@ -325,8 +328,8 @@
 	h.g.Expect(h.core.isolated(h.now)).To(BeTrue())
 }
 
-// Guards against a loss that only the placer has detected: it tells all other hosts.
-func TestPlacerReportsLosses(t *testing.T) {
+// Guards against a loss that only the leader has detected: it tells all other hosts.
+func TestLeaderReportsLosses(t *testing.T) {
 	h := newHarness(t)
 	h.core.SetControlReachable(controlAddress, true)
 	for i := range 3 {
@@ -334,7 +337,7 @@
 	}
 	h.now = h.now.Add(maxDiscoveryTime)
 	h.core.Tick(h.now)
-	h.g.Expect(h.core.placerAddress).To(Equal(selfAddress))
+	h.g.Expect(h.core.leaderAddress).To(Equal(selfAddress))
 	h.sent = nil
 	h.losePeer("10.0.0.11:1", 11)
 	h.g.Expect(h.sent).To(ContainElements(sentMessage{"10.0.0.10:1", kindLostHosts}, sentMessage{"10.0.0.12:1", kindLostHosts}))
@@ -439,7 +442,7 @@
 // up.
 func TestBalance(t *testing.T) {
 	g := NewWithT(t)
-	upstreams := []string{"a", "b", "c", "d", "e", "f", "g"}
+	upstreams := map[string]int{"a": 0, "b": 0, "c": 0, "d": 0, "e": 0, "f": 0, "g": 0}
 	first := balance(upstreams, nil, []string{"x", "y"})
 	g.Expect(countByHolder(first)).To(Equal(map[string]int{"x": 4, "y": 3}))
 	g.Expect(balance(upstreams, first, []string{"x", "y"})).To(Equal(first))
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -38,8 +38,14 @@
 	tracker *tracker.Tracker
 	callers map[*Caller]bool
 	result  Result
-	// requestedAt is when the last placement request was sent; zero if no task waits at the placer.
-	requestedAt time.Time
+	// requestedAt is when the last placement request was sent, requestedFrom the placer that it was
+	// sent to. requestedAt is zero if no task waits at a placer.
+	requestedAt   time.Time
+	requestedFrom string
+	// shard is the index of the shard to which the placer redirectedBy has redirected the job, or on a
+	// placer that of its own shard for a job from another domain; otherwise homeShard.
+	shard        int
+	redirectedBy string
 	// watchAt is when watch requests for the active runs are sent again; zero for never.
 	watchAt time.Time
 	// forwardedVia is the host that relays the job to another domain, or empty.
@@ -49,6 +55,9 @@
 	requeueAt time.Time
 }
 
+// homeShard stands for the home shard of a job.
+const homeShard = -1
+
 // isLocal reports whether tasks of the job may run in this domain. A placement for a request that
 // was sent twice may arrive after the job was forwarded.
 func (j *job) isLocal() bool { return j.forwardedVia == "" && j.requeueAt.IsZero() }
@@ -83,6 +92,11 @@
 	j := &job{
 		tracker: tracker.New(submitted),
 		callers: map[*Caller]bool{caller: true},
+		shard:   homeShard,
+	}
+	if caller.relay != "" && c.placer != nil {
+		// The other domain has chosen this host for the free capacity of its shard.
+		j.shard = c.shard
 	}
 	c.jobs[submitted.ID] = j
 	c.requestPlacement(now, j)
@@ -119,7 +133,9 @@
 		Age:       now.Sub(t.Job.Arrived),
 		Remaining: t.Job.Deadline.Sub(now),
 		Started:   t.Started(),
-		Forwarded: j.isForwarded(),
+		Forwarded: j.isForwarded() || j.shard != homeShard,
+
+		RedirectedBy: j.redirectedBy,
 	}
 	for _, p := range pending {
 		request.LaterEstimate = max(request.LaterEstimate, t.RemainingTime(p.Step))
@@ -134,8 +150,39 @@
 			Avoid:          p.Avoid,
 		})
 	}
+	shard := j.shard
+	if shard == homeShard {
+		shard = c.assigned.homeShard(t.Job.ID)
+	}
 	j.requestedAt = now
-	c.send(c.placerAddress, kindPlacementRequest, request)
+	j.requestedFrom = c.assigned.placerAt(shard)
+	c.send(j.requestedFrom, kindPlacementRequest, request)
+}
+
+// followPlacers requests the placement of waiting tasks again if their placer has changed.
+func (c *Core) followPlacers(now time.Time, previous *assignment) {
+	for _, j := range c.sortedJobs() {
+		if len(c.assigned.Placers) != len(previous.Placers) {
+			j.shard = homeShard
+			j.redirectedBy = ""
+		}
+		if !j.requestedAt.IsZero() && c.assigned.shardOf(j.requestedFrom) < 0 || len(c.assigned.Placers) != len(previous.Placers) {
+			c.requestPlacement(now, j)
+		}
+	}
+}
+
+// receiveRedirect sends the placement request to the placer of another shard.
+func (c *Core) receiveRedirect(now time.Time, from string, m redirect) {
+	j := c.jobs[m.Job]
+	if j == nil || from != j.requestedFrom || !j.isLocal() {
+		return
+	}
+	if shard := c.assigned.shardOf(m.To); shard >= 0 {
+		j.shard = shard
+		j.redirectedBy = from
+		c.requestPlacement(now, j)
+	}
 }
 
 func (c *Core) receivePlacement(from string, m placement) {
@@ -167,7 +214,7 @@
 
 func (c *Core) receiveRefused(now time.Time, from string, r refused) {
 	j := c.jobs[r.Job]
-	if j == nil || from != c.placerAddress || !j.isLocal() {
+	if j == nil || from != j.requestedFrom || !j.isLocal() || len(j.tracker.PendingTasks()) == 0 {
 		return
 	}
 	j.requestedAt = time.Time{}
@@ -195,7 +242,7 @@
 // receiveSuperseded ends a job that its caller has resent to another host.
 func (c *Core) receiveSuperseded(now time.Time, from string, m superseded) {
 	j := c.jobs[m.Job]
-	if j == nil || from != c.placerAddress && from != j.forwardedVia {
+	if j == nil || c.assigned.shardOf(from) < 0 && from != j.forwardedVia {
 		return
 	}
 	c.logEvent(reporter.JobSuperseded, "job", m.Job, "by", from)
@@ -235,7 +282,7 @@
 	id := j.tracker.Job.ID
 	delete(c.jobs, id)
 	if !j.requestedAt.IsZero() {
-		c.send(c.placerAddress, kindCancelPlacement, cancelPlacement{Job: id})
+		c.send(j.requestedFrom, kindCancelPlacement, cancelPlacement{Job: id})
 	}
 	for _, a := range j.tracker.ActiveRuns() {
 		c.send(a.Location.Leaseholder, kindStopRun, stopRun{
--- a/dispatcher/forwarding.go
+++ b/dispatcher/forwarding.go
@@ -7,10 +7,15 @@
 
 	"sesamedrift.example/sesamedrift/discoverer"
 	"sesamedrift.example/sesamedrift/placer"
+	"sesamedrift.example/sesamedrift/reporter"
 	"sesamedrift.example/sesamedrift/tracker"
 )
 
-// Jobs for which there is no free capacity are forwarded to another failure domain. The entry host
+// Jobs for which there is no free capacity are redirected to the placer of another shard or forwarded
+// to another failure domain. The entry host sends the placement request of a redirected job to the other
+// placer from then on.
+//
+// A job that is forwarded goes to a placer there. The entry host
 // sends the whole job to the placer of its own domain, which relays it to the placer of the other
 // domain. That host tracks the job like one of its own callers. Only placers have sessions with
 // other domains, so that the number of these sessions does not grow with the number of hosts.
@@ -29,6 +34,11 @@
 	// cancelForwardTime is the time from the message that cancels a forwarded job until its runs
 	// have certainly ended: they are stopped at once, or end when their lease expires.
 	cancelForwardTime = 800 * time.Millisecond
+	// redirectRetention is how long a placer remembers that it has redirected a job. It is longer than
+	// callers wait for a job, after which its runs are stopped.
+	redirectRetention = 20 * time.Second
+	// redirectPruneInterval is the time between two searches for redirected jobs to forget.
+	redirectPruneInterval = time.Second
 )
 
 // relay is a job that this host has forwarded for an entry host of its domain.
@@ -37,15 +47,24 @@
 	to    string // address of the remote placer
 }
 
-// remotePlacer is the placer of another domain.
+// remotePlacer is a placer of another domain.
 type remotePlacer struct {
 	domain string
-	// retired is set when the host is not the placer any more. The session continues until the
+	// retired is set when the host is not a placer any more. The session continues until the
 	// jobs that were forwarded over it have ended.
 	retired bool
-	// sentCapacity is the free capacity of this domain that was last sent, sentAt the time of that.
-	sentCapacity placer.FreeCapacity
-	sentAt       time.Time
+}
+
+// sentCapacity is the free capacity that was last sent to a placer.
+type sentCapacity struct {
+	capacity placer.FreeCapacity
+	at       time.Time
+}
+
+// redirection is a job whose entry host was sent to the placer of another shard.
+type redirection struct {
+	shard int
+	until time.Time
 }
 
 // sendResult sends a result to a caller.
@@ -63,21 +82,21 @@
 }
 
 // remotePlacerChanged handles a changed report about an entry host of another domain, which may
-// have become the placer there or ceased to be.
+// have become a placer there or ceased to be one.
 func (c *Core) remotePlacerChanged(host discoverer.Host) {
 	p := c.remotePlacers[host.Address]
 	switch {
 	case host.IsPlacer && host.State != discoverer.Gone:
 		c.remotePlacers[host.Address] = &remotePlacer{domain: host.Domain}
-		if c.placer != nil {
-			c.effects.Connect(host.Address)
-		}
 	case p != nil:
 		p.retired = true
 		if c.placer != nil {
-			c.placer.RemoveDomain(p.domain)
+			c.placer.RemoveOther(host.Address)
 		}
 	}
+	if c.placer != nil {
+		c.connectOtherPlacers()
+	}
 }
 
 // disconnectRetired ends the sessions with retired remote placers once no job remains that was
@@ -107,38 +126,73 @@
 	return false
 }
 
-// connectRemotePlacers starts the sessions that only a placer has.
-func (c *Core) connectRemotePlacers() {
+// connectOtherPlacers starts the sessions with one placer of each other domain. The placers of two
+// domains pair up by the order of their addresses, so that the number of sessions does not grow with
+// the number of shards.
+func (c *Core) connectOtherPlacers() {
+	byDomain := map[string][]string{}
 	for _, address := range slices.Sorted(maps.Keys(c.remotePlacers)) {
-		c.effects.Connect(address)
+		if p := c.remotePlacers[address]; !p.retired {
+			byDomain[p.domain] = append(byDomain[p.domain], address)
+		}
+	}
+	own := slices.Index(slices.Sorted(slices.Values(c.assigned.Placers)), c.cfg.Self.Address)
+	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
+		addresses := byDomain[domain]
+		c.effects.Connect(addresses[max(0, own)%len(addresses)])
 	}
 }
 
-// remotePlacerOf returns the address of the placer of a domain, or "" if there is no session with
-// it.
-func (c *Core) remotePlacerOf(domain string) string {
+// remotePlacerOf returns the address of a placer of a domain with which there is a session, preferably
+// the given one, or "" if there is none.
+func (c *Core) remotePlacerOf(domain, preferred string) string {
+	found := ""
 	for _, address := range slices.Sorted(maps.Keys(c.remotePlacers)) {
 		p := c.remotePlacers[address]
-		if p.domain == domain && !p.retired && c.sessions[address] {
+		if p.domain != domain || p.retired || !c.sessions[address] {
+			continue
+		}
+		if address == preferred {
 			return address
 		}
+		if found == "" {
+			found = address
+		}
 	}
-	return ""
+	return found
 }
 
-// sendFreeCapacity sends the free capacity of this domain to the remote placers.
+// sendFreeCapacity sends the free capacity of this shard to the other placers of the domain and to the
+// remote ones with which there is a session.
 func (c *Core) sendFreeCapacity(now time.Time) {
-	if c.placer == nil || len(c.remotePlacers) == 0 {
+	if c.placer == nil {
 		return
 	}
-	free := c.placer.FreeCapacity(now)
+	var to []string
+	for _, address := range c.assigned.Placers {
+		if _, up := c.peers[address]; up {
+			to = append(to, address)
+		}
+	}
 	for _, address := range slices.Sorted(maps.Keys(c.remotePlacers)) {
-		p := c.remotePlacers[address]
-		elapsed := now.Sub(p.sentAt)
-		if p.retired || !c.sessions[address] || elapsed < capacityMinInterval || free == p.sentCapacity && elapsed < capacityMaxInterval {
+		if c.sessions[address] && !c.remotePlacers[address].retired {
+			to = append(to, address)
+		}
+	}
+	if len(to) == 0 {
+		return
+	}
+	free := c.placer.FreeCapacity(now)
+	for _, address := range to {
+		last := c.capacitySent[address]
+		elapsed := now.Sub(last.at)
+		if elapsed < capacityMinInterval || free == last.capacity && elapsed < capacityMaxInterval {
 			continue
 		}
-		p.sentCapacity, p.sentAt = free, now
+		c.capacitySent[address] = sentCapacity{
+			capacity: free,
+			at:       now,
+		}
 		c.send(address, kindFreeCapacity, freeCapacity{
 			Domain:       c.cfg.Self.Domain,
 			FreeCapacity: free,
@@ -146,21 +200,49 @@
 	}
 }
 
+// sendForwardDecision asks the entry host of a job to send it to another placer.
+func (c *Core) sendForwardDecision(now time.Time, d placer.Decision) {
+	if shard := c.assigned.shardOf(d.ForwardTo); shard >= 0 {
+		c.stats.Redirected++
+		c.redirects[d.Job] = redirection{
+			shard: shard,
+			until: now.Add(redirectRetention),
+		}
+		c.send(d.Entry, kindRedirect, redirect{
+			Job: d.Job,
+			To:  d.ForwardTo,
+		})
+		return
+	}
+	p := c.remotePlacers[d.ForwardTo]
+	if p == nil {
+		return
+	}
+	c.stats.Forwarded++
+	c.logEvent(reporter.JobPassedOn, "job", d.Job, "entry", d.Entry, "domain", p.domain)
+	c.send(d.Entry, kindForwardRequest, forwardRequest{
+		Job:    d.Job,
+		Domain: p.domain,
+		To:     d.ForwardTo,
+	})
+}
+
 func (c *Core) receiveFreeCapacity(now time.Time, from string, m freeCapacity) {
 	if c.placer == nil {
 		return
 	}
-	if c.remotePlacers[from] != nil {
-		c.placer.SetDomainCapacity(now, m.Domain, m.FreeCapacity)
+	if c.assigned.shardOf(from) >= 0 || c.remotePlacers[from] != nil {
+		c.placer.SetOtherCapacity(now, from, m.Domain == c.cfg.Self.Domain, m.FreeCapacity)
 	}
 }
 
 // remoteSessionDown handles the end of a session with a host of another domain: jobs forwarded over
 // it are reported as lost to their entry hosts, and jobs from it end.
 func (c *Core) remoteSessionDown(now time.Time, address string) {
-	if p := c.remotePlacers[address]; p != nil && c.placer != nil {
-		c.placer.RemoveDomain(p.domain)
+	if c.placer != nil {
+		c.placer.RemoveOther(address)
 	}
+	delete(c.capacitySent, address)
 	for _, id := range slices.Sorted(maps.Keys(c.relays)) {
 		r := c.relays[id]
 		if r.to == address {
@@ -188,7 +270,7 @@
 // receiveForwardRequest sends a job to the placer, which relays it.
 func (c *Core) receiveForwardRequest(now time.Time, from string, m forwardRequest) {
 	j := c.jobs[m.Job]
-	if j == nil || from != c.placerAddress || j.tracker.Started() {
+	if j == nil || from != j.requestedFrom || j.tracker.Started() {
 		return
 	}
 	j.requestedAt = time.Time{}
@@ -196,6 +278,7 @@
 	t := &j.tracker.Job
 	c.send(from, kindForwardedJob, forwardedJob{
 		Domain:    m.Domain,
+		To:        m.To,
 		ID:        t.ID,
 		Queue:     t.Queue,
 		Service:   t.Service,
@@ -213,7 +296,7 @@
 // receiveForwardedJob relays a job of the own domain, or submits one of another domain.
 func (c *Core) receiveForwardedJob(now time.Time, from string, m forwardedJob) {
 	if m.Domain != c.cfg.Self.Domain {
-		to := c.remotePlacerOf(m.Domain)
+		to := c.remotePlacerOf(m.Domain, m.To)
 		if to == "" {
 			c.send(from, kindForwardResult, forwardResult{
 				Job:     m.ID,
@@ -319,3 +402,76 @@
 		}
 	}
 }
+
+// redirectAgain redirects a job that the caller has sent again to the placer that the first try was
+// redirected to. It reports false if the job was not redirected.
+func (c *Core) redirectAgain(entry, id string) bool {
+	r, redirected := c.redirects[id]
+	to := c.assigned.placerAt(r.shard)
+	if !redirected || to == "" || to == c.cfg.Self.Address {
+		return false
+	}
+	c.send(entry, kindRedirect, redirect{
+		Job: id,
+		To:  to,
+	})
+	return true
+}
+
+// notifyHomes tells the placers of the home shards of jobs that this placer places them, unless they
+// know that already. A placer that has taken over from one that redirected a job must know of its runs
+// before it places the job for a caller who sends it again.
+func (c *Core) notifyHomes(jobs []string) {
+	byHome := map[string]*redirectedJobs{}
+	for _, id := range jobs {
+		home := c.assigned.placerAt(c.assigned.homeShard(id))
+		if home == c.cfg.Self.Address || c.homesNotified[id] == home {
+			continue
+		}
+		c.homesNotified[id] = home
+		if byHome[home] == nil {
+			byHome[home] = &redirectedJobs{}
+		}
+		byHome[home].Jobs = append(byHome[home].Jobs, id)
+	}
+	for _, home := range slices.Sorted(maps.Keys(byHome)) {
+		slices.Sort(byHome[home].Jobs)
+		c.send(home, kindRedirectedJobs, *byHome[home])
+	}
+}
+
+// receiveRedirectedJobs records which placer places jobs of this shard, and redirects those that wait
+// here.
+func (c *Core) receiveRedirectedJobs(now time.Time, from string, m redirectedJobs) {
+	shard := c.assigned.shardOf(from)
+	if c.placer == nil || shard < 0 {
+		return
+	}
+	for _, id := range m.Jobs {
+		if c.assigned.homeShard(id) != c.shard {
+			continue
+		}
+		c.redirects[id] = redirection{
+			shard: shard,
+			until: now.Add(redirectRetention),
+		}
+		for _, entry := range c.placer.WaitingEntries(id) {
+			c.placer.Withdraw(entry, id)
+			c.redirectAgain(entry, id)
+		}
+	}
+}
+
+// pruneRedirects forgets redirected jobs whose callers have gone.
+func (c *Core) pruneRedirects(now time.Time) {
+	if now.Sub(c.redirectsPrunedAt) < redirectPruneInterval {
+		return
+	}
+	c.redirectsPrunedAt = now
+	maps.DeleteFunc(c.redirects, func(_ string, r redirection) bool { return now.After(r.until) })
+	known := map[string]bool{}
+	for _, id := range c.placer.Jobs() {
+		known[id] = true
+	}
+	maps.DeleteFunc(c.homesNotified, func(id, _ string) bool { return !known[id] })
+}
--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -162,11 +162,9 @@
 	}
 }
 
-// holdsExclusively reports whether this host would have been notified if the placer had assigned
-// its upstreams to another leaseholder: it is the placer or has a session with it.
-func (c *Core) holdsExclusively() bool {
-	return c.placerAddress == c.cfg.Self.Address || c.peers[c.placerAddress]
-}
+// holdsExclusively reports whether this host would have been notified if the leader had assigned
+// its upstreams to another leaseholder: it is the leader or has a session with it.
+func (c *Core) holdsExclusively() bool { return c.leads() || c.peers[c.leaderAddress] }
 
 // progressInterval is the time between two progress reports. They contain the runs that have been
 // active for at least minProgressRunTime; most runs end before that.
@@ -175,30 +173,36 @@
 	minProgressRunTime = 80 * time.Millisecond
 )
 
-// reportProgress sends the progress of the longer runs to the placer.
+// reportProgress sends the progress of the longer runs to the placers of their upstreams.
 func (c *Core) reportProgress(now time.Time) {
-	if now.Sub(c.progressSentAt) < progressInterval || c.placerAddress == "" {
+	if now.Sub(c.progressSentAt) < progressInterval {
 		return
 	}
 	c.progressSentAt = now
-	var m progress
+	byPlacer := map[string]*progress{}
 	for _, h := range c.sortedHeld() {
 		if !h.session.Ready() {
 			continue
 		}
+		id := h.session.Upstream().ID
 		for _, t := range h.session.Tasks() {
-			if t.RunTime >= minProgressRunTime {
-				m.Runs = append(m.Runs, runProgress{
-					Upstream: h.session.Upstream().ID,
-					Run:      t.Task.Run,
-					Percent:  t.Percent,
-					RunTime:  t.RunTime,
-				})
+			if t.RunTime < minProgressRunTime {
+				continue
+			}
+			to := c.assigned.placerOf(id)
+			if byPlacer[to] == nil {
+				byPlacer[to] = &progress{}
 			}
+			byPlacer[to].Runs = append(byPlacer[to].Runs, runProgress{
+				Upstream: id,
+				Run:      t.Task.Run,
+				Percent:  t.Percent,
+				RunTime:  t.RunTime,
+			})
 		}
 	}
-	if len(m.Runs) > 0 {
-		c.send(c.placerAddress, kindProgress, m)
+	for _, to := range slices.Sorted(maps.Keys(byPlacer)) {
+		c.send(to, kindProgress, *byPlacer[to])
 	}
 }
 
@@ -231,7 +235,7 @@
 				Result:   e.Result,
 				Reason:   e.Reason,
 			})
-			c.send(c.placerAddress, kindFreed, freed{
+			c.send(c.assigned.placerOf(id), kindFreed, freed{
 				Upstream: id,
 				Run:      e.Task.Run,
 				Result:   e.Result,
@@ -261,7 +265,7 @@
 	}
 }
 
-// reportUpstreamStatus sends the state of an upstream and its active runs to the placer.
+// reportUpstreamStatus sends the state of an upstream and its active runs to its placer.
 func (c *Core) reportUpstreamStatus(h *heldUpstream) {
 	r := upstreamStatus{
 		Upstream: h.session.Upstream().ID,
@@ -272,7 +276,7 @@
 		t.Content = ""
 		r.Running = append(r.Running, t)
 	}
-	c.send(c.placerAddress, kindUpstreamStatus, r)
+	c.send(c.assigned.placerOf(r.Upstream), kindUpstreamStatus, r)
 }
 
 func (c *Core) receiveStartRuns(now time.Time, from string, m startRuns) {
@@ -291,7 +295,7 @@
 				Result:   leaseholder.Rejected,
 				Reason:   leaseholder.Unreachable,
 			})
-			c.send(c.placerAddress, kindReleasedPlace, releasedPlace{
+			c.send(c.assigned.placerOf(r.Upstream), kindReleasedPlace, releasedPlace{
 				Upstream: r.Upstream,
 				Run:      r.Run,
 			})
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -58,7 +58,7 @@
 		c.send(peer, kindEligibility, eligibility{})
 	}
 	c.reorganize(now)
-	if c.placer != nil {
+	if c.leads() {
 		c.send(peer, kindAssignment, c.assigned)
 	}
 }
@@ -168,6 +168,12 @@
 		decode[snapshotRequest](c, now, from, m)
 	case kindLostHosts:
 		decode[lostHosts](c, now, from, m)
+	case kindStatusRequest:
+		decode[statusRequest](c, now, from, m)
+	case kindRedirect:
+		decode[redirect](c, now, from, m)
+	case kindRedirectedJobs:
+		decode[redirectedJobs](c, now, from, m)
 	default:
 		c.logEvent(reporter.MessageRejected, "peer", from, "kind", m.Kind, "error", "the kind is not known")
 	}
@@ -234,6 +240,12 @@
 		c.receiveAnnouncement(now, from, m)
 	case lostHosts:
 		c.receiveLostHosts(from, m)
+	case statusRequest:
+		c.receiveStatusRequest(now, from, m)
+	case redirect:
+		c.receiveRedirect(now, from, m)
+	case redirectedJobs:
+		c.receiveRedirectedJobs(now, from, m)
 	case snapshotRequest:
 		c.send(from, kindSnapshot, c.snapshot())
 	default:
@@ -266,7 +278,7 @@
 			c.upstreamChanged(now, u)
 		}
 	}
-	if changed && c.placer != nil {
+	if changed && c.leads() {
 		c.assign(now)
 	}
 	if s.Document.Version > c.published.Version {
@@ -323,7 +335,7 @@
 			c.effects.StopPolling(host.Address)
 		}
 	}
-	c.choosePlacer(now)
+	c.chooseLeader(now)
 }
 
 // members returns the addresses of the eligible hosts of the domain, in the order of their starts.
@@ -359,7 +371,7 @@
 }
 
 // checkDiscovery reports whether this host has had enough time since its start to find the other
-// hosts of its domain. A host that becomes the placer too early would assign upstreams away from
+// hosts of its domain. A host that becomes the leader too early would assign upstreams away from
 // their leaseholders, only to assign them back.
 func (c *Core) checkDiscovery(now time.Time) bool {
 	if c.discoveryComplete || c.firstUpdateAt.IsZero() {
@@ -377,27 +389,23 @@
 	return c.discoveryComplete
 }
 
-// choosePlacer determines the placer of the domain, the member that started first. If it has
-// changed, this host starts or stops placing, and repeats its reports and requests to the new one.
-func (c *Core) choosePlacer(now time.Time) {
+// leads reports whether this host is the leader of its domain.
+func (c *Core) leads() bool { return c.leaderAddress == c.cfg.Self.Address }
+
+// chooseLeader determines the leader of the domain, the member that started first. If it has changed,
+// this host joins it, or begins to assign upstreams itself.
+func (c *Core) chooseLeader(now time.Time) {
 	members := c.members()
-	if len(members) == 0 || members[0] == c.placerAddress || !c.checkDiscovery(now) {
+	if len(members) == 0 || members[0] == c.leaderAddress || !c.checkDiscovery(now) {
 		return
 	}
-	c.placerAddress = members[0]
-	c.logEvent(reporter.PlacerChosen, "placer", c.placerAddress, "members", members)
-	if c.placerAddress == c.cfg.Self.Address {
-		c.beginPlacing(now)
-	} else if c.placer != nil {
-		c.endPlacing(now)
-	}
-	c.send(c.placerAddress, kindJoin, join{})
-	for _, h := range c.sortedHeld() {
-		c.reportUpstreamStatus(h)
-	}
-	for _, j := range c.sortedJobs() {
-		c.requestPlacement(now, j)
+	c.leaderAddress = members[0]
+	c.logEvent(reporter.LeaderChosen, "leader", c.leaderAddress, "members", members)
+	if c.leads() {
+		c.assign(now)
+		return
 	}
+	c.send(c.leaderAddress, kindJoin, join{})
 }
 
 // receiveEligibility records whether a host of the domain is eligible.
@@ -409,17 +417,17 @@
 	c.reorganize(now)
 }
 
-// reorganize chooses the placer again and, if that is this host, assigns the upstreams again.
+// reorganize chooses the leader again and, if that is this host, assigns the upstreams again.
 func (c *Core) reorganize(now time.Time) {
 	c.updateWatches(now)
-	c.choosePlacer(now)
+	c.chooseLeader(now)
 	c.reportLosses(now)
-	if c.placer != nil {
+	if c.leads() {
 		c.assign(now)
 	}
 }
 
-// SetHealthy sets whether this host is fast enough to be the placer and to hold upstreams.
+// SetHealthy sets whether this host is fast enough to be leader or placer and to hold upstreams.
 func (c *Core) SetHealthy(now time.Time, healthy bool) {
 	if c.unhealthy == !healthy {
 		return
@@ -430,7 +438,7 @@
 	c.reorganize(now)
 }
 
-// eligible reports whether this host may be the placer and hold upstreams.
+// eligible reports whether this host may be leader or placer and hold upstreams.
 func (c *Core) eligible() bool { return !c.draining && !c.unhealthy }
 
 // sendEligibility notifies the other hosts of the domain whether this host is eligible.
--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -40,6 +40,9 @@
 	kindAnnouncement     courier.Kind = 23
 	kindSnapshotRequest  courier.Kind = 24
 	kindLostHosts        courier.Kind = 25
+	kindStatusRequest    courier.Kind = 26
+	kindRedirect         courier.Kind = 27
+	kindRedirectedJobs   courier.Kind = 28
 )
 
 // snapshot carries the hosts and upstreams that concern the domain to a host that has just started.
@@ -61,14 +64,20 @@
 // snapshotRequest asks a peer for a snapshot, because the sender has not reached a control host yet.
 type snapshotRequest struct{}
 
-// join notifies a host that the sender regards it as the placer; the reply is the assignment.
+// join notifies a host that the sender regards it as the leader; the reply is the assignment.
 type join struct{}
 
-// assignment maps each upstream of a domain to the address of its leaseholder.
+// assignment divides the upstreams of a domain into shards. The leader sends it to all other hosts.
 type assignment struct {
-	// Number grows with each assignment by one placer.
-	Number       uint64            `msgpack:"number"`
+	// Number grows with each assignment by one leader.
+	Number uint64 `msgpack:"number"`
+	// Leaseholders maps each upstream to the address of its leaseholder.
 	Leaseholders map[string]string `msgpack:"keepers"`
+	// Placers holds the address of the placer of each shard. Hosts of earlier releases leave it out:
+	// the sender then is the only placer.
+	Placers []string `msgpack:"placers,omitempty"`
+	// Shards maps each upstream to the index of its shard.
+	Shards map[string]int `msgpack:"shards,omitempty"`
 }
 
 // placementRequest asks the placer to place all waiting tasks of a job. It replaces the previous
@@ -86,10 +95,12 @@
 	// LaterEstimate is the estimated time of the steps that follow the waiting tasks.
 	LaterEstimate time.Duration `msgpack:"rest,omitempty"`
 	// Started is set if tasks of the job may run or have run, Forwarded if the job comes from
-	// another domain.
-	Started   bool            `msgpack:"begun,omitempty"`
-	Forwarded bool            `msgpack:"passed-on,omitempty"`
-	Tasks     []requestedTask `msgpack:"tasks"`
+	// another domain or was redirected by another placer.
+	Started   bool `msgpack:"begun,omitempty"`
+	Forwarded bool `msgpack:"passed-on,omitempty"`
+	// RedirectedBy is the address of the placer that has redirected the job, or empty.
+	RedirectedBy string          `msgpack:"redirected-by,omitempty"`
+	Tasks        []requestedTask `msgpack:"tasks"`
 }
 
 // requestedTask is a placer.Task on the wire. Its fields must equal those of placer.Task.
@@ -190,12 +201,33 @@
 type forwardRequest struct {
 	Job    string `msgpack:"job"`
 	Domain string `msgpack:"domain"`
+	// To is the address of a placer there that has free capacity.
+	To string `msgpack:"to,omitempty"`
+}
+
+// redirect asks the entry host to send its placement request to the placer of another shard.
+type redirect struct {
+	Job string `msgpack:"job"`
+	To  string `msgpack:"to"`
+}
+
+// redirectedJobs tells a placer which jobs whose home shard is its own are placed by the sender.
+type redirectedJobs struct {
+	Jobs []string `msgpack:"jobs"`
+}
+
+// statusRequest asks for the status of held upstreams of the sender's shard. Without identifiers, the
+// sender has become the placer: it asks for the status of all of them, and for the placement requests
+// that it may not have received before.
+type statusRequest struct {
+	Upstreams []string `msgpack:"upstreams,omitempty"`
 }
 
 // forwardedJob carries a whole job to the placer of the entry host's domain, which relays it to the
 // placer of Domain.
 type forwardedJob struct {
 	Domain    string         `msgpack:"domain"`
+	To        string         `msgpack:"to,omitempty"`
 	ID        string         `msgpack:"id"`
 	Queue     string         `msgpack:"queue"`
 	Service   string         `msgpack:"service"`
@@ -240,13 +272,13 @@
 	Job string `msgpack:"job"`
 }
 
-// eligibility notifies the other hosts of the domain whether the sender may be the placer and hold
+// eligibility notifies the other hosts of the domain whether the sender may be leader or placer and hold
 // upstreams. A host that drains or is too slow may not, but still serves its callers' jobs.
 type eligibility struct {
 	Eligible bool `msgpack:"takes-part"`
 }
 
-// lostHosts tells the hosts of a domain which ones the placer has lost. They end their sessions with
+// lostHosts tells the hosts of a domain which ones the leader has lost. They end their sessions with
 // processes up to the given incarnations.
 type lostHosts struct {
 	Hosts []lostHost `msgpack:"hosts"`
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -14,25 +14,41 @@
 // their leaseholders report at once, or acquire them first.
 const placerGracePeriod = 300 * time.Millisecond
 
-// beginPlacing makes this host the placer of its domain.
-func (c *Core) beginPlacing(now time.Time) {
+// updateRole begins or ends placing if the assignment has made this host a placer, or another host the
+// placer of its shard. A placer begins anew if the number of shards has changed.
+func (c *Core) updateRole(now time.Time, previous *assignment) {
+	shard := c.assigned.shardOf(c.cfg.Self.Address)
+	switch {
+	case shard < 0 && c.placer != nil:
+		c.endPlacing(now)
+	case shard >= 0 && (c.placer == nil || shard != c.shard || len(c.assigned.Placers) != len(previous.Placers)):
+		c.beginPlacing(now, shard)
+	}
+}
+
+// beginPlacing makes this host the placer of a shard.
+func (c *Core) beginPlacing(now time.Time, shard int) {
 	c.placer = placer.New(placer.Config{GraceUntil: now.Add(placerGracePeriod)})
-	c.setIsPlacer(now, true)
-	c.connectRemotePlacers()
+	c.shard = shard
+	c.redirects = map[string]redirection{}
+	c.homesNotified = map[string]string{}
 	c.readyReporter = map[string]string{}
+	c.setIsPlacer(now, true)
 	for _, u := range c.upstreams.All() {
 		c.updatePlacerUpstream(now, u)
 	}
-	c.assign(now)
+	for _, address := range append(slices.Sorted(maps.Keys(c.peers)), c.cfg.Self.Address) {
+		c.send(address, kindStatusRequest, statusRequest{})
+	}
 }
 
-// updatePlacerUpstream passes a report about an upstream of the domain to the placer, if this host
-// is the placer.
+// updatePlacerUpstream passes a report about an upstream of the shard to the placer, if this host is
+// its placer.
 func (c *Core) updatePlacerUpstream(now time.Time, u discoverer.Upstream) {
 	if c.placer == nil || u.Domain != c.cfg.Self.Domain {
 		return
 	}
-	if u.State == discoverer.Gone {
+	if u.State == discoverer.Gone || c.assigned.placerOf(u.ID) != c.cfg.Self.Address {
 		c.placer.RemoveUpstream(u.ID)
 		delete(c.readyReporter, u.ID)
 		return
@@ -47,6 +63,54 @@
 	c.updateUsable(now, u.ID)
 }
 
+// updateShard passes the changes of the shard to the placer. A leaseholder may have applied the
+// assignment before this host and reported the status of its upstreams in vain, so it is asked for it.
+func (c *Core) updateShard(now time.Time, previous *assignment) {
+	asked := map[string]*statusRequest{}
+	for _, id := range slices.Sorted(maps.Keys(c.assigned.Shards)) {
+		u, known := c.upstreams.Get(id)
+		if !known {
+			continue
+		}
+		c.updatePlacerUpstream(now, u)
+		holder := c.assigned.Leaseholders[id]
+		if c.assigned.placerOf(id) != c.cfg.Self.Address || holder == previous.Leaseholders[id] && previous.placerOf(id) == c.cfg.Self.Address {
+			continue
+		}
+		if asked[holder] == nil {
+			asked[holder] = &statusRequest{}
+		}
+		asked[holder].Upstreams = append(asked[holder].Upstreams, id)
+	}
+	for id := range previous.Shards {
+		if _, assigned := c.assigned.Shards[id]; !assigned {
+			c.placer.RemoveUpstream(id)
+		}
+	}
+	for _, holder := range slices.Sorted(maps.Keys(asked)) {
+		c.send(holder, kindStatusRequest, *asked[holder])
+	}
+}
+
+// receiveStatusRequest reports the status of the requested upstreams to their placer. A new placer also
+// gets the placement requests that were sent to it before it began.
+func (c *Core) receiveStatusRequest(now time.Time, from string, m statusRequest) {
+	for _, h := range c.sortedHeld() {
+		id := h.session.Upstream().ID
+		if c.assigned.placerOf(id) == from && (len(m.Upstreams) == 0 || slices.Contains(m.Upstreams, id)) {
+			c.reportUpstreamStatus(h)
+		}
+	}
+	if len(m.Upstreams) > 0 {
+		return
+	}
+	for _, j := range c.sortedJobs() {
+		if !j.requestedAt.IsZero() && j.requestedFrom == from {
+			c.requestPlacement(now, j)
+		}
+	}
+}
+
 // endPlacing gives up the role of placer. Jobs that this host has forwarded to other domains
 // continue.
 func (c *Core) endPlacing(now time.Time) {
@@ -63,30 +127,24 @@
 	c.placer.SetUsable(now, id, usable)
 }
 
-// assign chooses a leaseholder for each upstream of the domain and sends the assignment to all
-// peers if it has changed. Leaseholders that are members keep their upstreams up to an even share;
-// all other upstreams are assigned to the members with the fewest.
+// assign plans the assignment of the domain and, if it has changed, sends it to all peers.
 func (c *Core) assign(now time.Time) {
 	members := c.members()
 	if len(members) == 0 {
 		return
 	}
-	leaseholders := balance(c.domainUpstreams(), c.assigned.Leaseholders, members)
+	next := planAssignment(c.assigned, c.domainUpstreams(), members, c.allHandleShards(), c.cfg.UpstreamsPerShard)
 	if c.isolated(now) {
 		// The lost hosts may be up and still hold their upstreams.
 		for id, holder := range c.assigned.Leaseholders {
-			if _, known := leaseholders[id]; known && !slices.Contains(members, holder) {
-				leaseholders[id] = holder
+			if _, known := next.Leaseholders[id]; known && !slices.Contains(members, holder) {
+				next.Leaseholders[id] = holder
 			}
 		}
 	}
-	if maps.Equal(leaseholders, c.assigned.Leaseholders) {
+	if next.equal(&c.assigned) {
 		return
 	}
-	next := assignment{
-		Number:       c.assigned.Number + 1,
-		Leaseholders: leaseholders,
-	}
 	c.applyAssignment(now, next)
 	// Hosts that are not eligible receive the assignment too: they release their upstreams and
 	// send the new leaseholders watch requests for the runs of their jobs.
@@ -95,66 +153,71 @@
 	}
 }
 
-// domainUpstreams returns the identifiers of the upstreams of the domain.
-func (c *Core) domainUpstreams() []string {
-	var ids []string
-	for _, u := range c.upstreams.All() {
-		if u.Domain == c.cfg.Self.Domain && u.State != discoverer.Gone {
-			ids = append(ids, u.ID)
+// allHandleShards reports whether all hosts of the domain can work with several shards.
+func (c *Core) allHandleShards() bool {
+	for peer := range c.peers {
+		if host, known := c.hosts.Get(peer); !known || !host.Shards {
+			return false
 		}
 	}
-	return ids
+	return true
 }
 
-// balance assigns upstreams to members, none of which gets more than an even share, rounded up. It
-// reassigns as few upstreams as possible.
-func balance(upstreams []string, current map[string]string, members []string) map[string]string {
-	maxLoad := (len(upstreams) + len(members) - 1) / len(members)
-	load := make(map[string]int, len(members))
-	for _, m := range members {
-		load[m] = 0
-	}
-	leaseholders := make(map[string]string, len(upstreams))
-	var unassigned []string
-	for _, id := range upstreams {
-		holder := current[id]
-		if n, member := load[holder]; !member || n >= maxLoad {
-			unassigned = append(unassigned, id)
-			continue
+// domainUpstreams returns the upstreams of the domain.
+func (c *Core) domainUpstreams() []discoverer.Upstream {
+	var upstreams []discoverer.Upstream
+	for _, u := range c.upstreams.All() {
+		if u.Domain == c.cfg.Self.Domain && u.State != discoverer.Gone {
+			upstreams = append(upstreams, u)
 		}
-		leaseholders[id] = holder
-		load[holder]++
 	}
-	for _, id := range unassigned {
-		least := slices.MinFunc(members, func(a, b string) int { return load[a] - load[b] })
-		leaseholders[id] = least
-		load[least]++
-	}
-	return leaseholders
+	return upstreams
 }
 
-// applyAssignment records an assignment, and acquires and releases upstreams accordingly.
+// applyAssignment records an assignment, begins or ends placing, and acquires and releases upstreams
+// accordingly.
 func (c *Core) applyAssignment(now time.Time, a assignment) {
+	previous := c.assigned
 	c.assigned = a
+	if !slices.Equal(a.Placers, previous.Placers) {
+		c.logEvent(reporter.PlacerChosen, "placers", a.Placers)
+	}
+	c.updateRole(now, &previous)
 	c.updateHeld(now)
 	if c.placer != nil {
-		for _, id := range slices.Sorted(maps.Keys(a.Leaseholders)) {
-			c.updateUsable(now, id)
+		c.updateShard(now, &previous)
+		c.connectOtherPlacers()
+	}
+	for _, h := range c.sortedHeld() {
+		if id := h.session.Upstream().ID; a.placerOf(id) != previous.placerOf(id) {
+			c.reportUpstreamStatus(h)
 		}
 	}
 	c.followLeaseholders(now)
+	c.followPlacers(now, &previous)
+	if c.placer != nil && !slices.Equal(a.Placers, previous.Placers) {
+		c.notifyHomes(c.placer.Jobs())
+	}
 }
 
 func (c *Core) receiveAssignment(now time.Time, from string, a assignment) {
-	if from != c.placerAddress || from == c.cfg.Self.Address {
+	if from != c.leaderAddress || from == c.cfg.Self.Address {
 		return
 	}
+	if len(a.Placers) == 0 {
+		// The leader runs an earlier release and is the only placer.
+		a.Placers = []string{from}
+		a.Shards = make(map[string]int, len(a.Leaseholders))
+		for id := range a.Leaseholders {
+			a.Shards[id] = 0
+		}
+	}
 	c.applyAssignment(now, a)
 }
 
-// receiveJoin sends the assignment to a host that regards this one as the placer.
+// receiveJoin sends the assignment to a host that regards this one as the leader.
 func (c *Core) receiveJoin(now time.Time, from string) {
-	if c.placer == nil {
+	if !c.leads() {
 		return
 	}
 	c.assign(now)
@@ -172,6 +235,9 @@
 		// The sender repeats the request after placementRetryInterval.
 		return
 	}
+	if !m.Forwarded && c.redirectAgain(from, m.Job) {
+		return
+	}
 	j := placer.Job{
 		ID:            m.Job,
 		Entry:         from,
@@ -190,6 +256,10 @@
 		j.Tasks = append(j.Tasks, placer.Task(t))
 	}
 	c.placer.Enqueue(now, j)
+	if m.RedirectedBy != "" {
+		c.homesNotified[m.Job] = m.RedirectedBy
+	}
+	c.notifyHomes([]string{m.Job})
 }
 
 func (c *Core) receiveCancelPlacement(from string, w cancelPlacement) {
@@ -206,16 +276,18 @@
 
 // receiveUpstreamStatus records the state of an upstream that its leaseholder reports.
 func (c *Core) receiveUpstreamStatus(now time.Time, from string, r upstreamStatus) {
-	if c.placer == nil {
-		return
-	}
-	if c.assigned.Leaseholders[r.Upstream] != from {
+	if c.placer == nil || c.assigned.Leaseholders[r.Upstream] != from || c.assigned.placerOf(r.Upstream) != c.cfg.Self.Address {
 		return
 	}
 	delete(c.readyReporter, r.Upstream)
 	if r.Ready {
 		c.readyReporter[r.Upstream] = from
 		c.placer.Reconcile(now, r.Upstream, r.Running)
+		jobs := make([]string, 0, len(r.Running))
+		for _, t := range r.Running {
+			jobs = append(jobs, t.Run.Task.Job)
+		}
+		c.notifyHomes(jobs)
 	}
 	c.updateUsable(now, r.Upstream)
 }
@@ -239,7 +311,7 @@
 }
 
 // sendDecisions sends the decisions of the placer to entry hosts and leaseholders.
-func (c *Core) sendDecisions() {
+func (c *Core) sendDecisions(now time.Time) {
 	if c.placer == nil {
 		return
 	}
@@ -257,12 +329,7 @@
 				Run:      d.Stop.Run,
 			})
 		case d.ForwardTo != "":
-			c.stats.Forwarded++
-			c.logEvent(reporter.JobPassedOn, "job", d.Job, "entry", d.Entry, "domain", d.ForwardTo)
-			c.send(d.Entry, kindForwardRequest, forwardRequest{
-				Job:    d.Job,
-				Domain: d.ForwardTo,
-			})
+			c.sendForwardDecision(now, d)
 		case d.Superseded:
 			c.stats.Superseded++
 			c.send(d.Entry, kindSuperseded, superseded{Job: d.Job})
--- /dev/null
+++ b/dispatcher/shards_test.go
@@ -0,0 +1,214 @@
+package dispatcher
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/discoverer"
+	"sesamedrift.example/sesamedrift/placer"
+)
+
+// shardUpstreams returns upstreams of which every third is half as large again as the others.
+func shardUpstreams(n int) []discoverer.Upstream {
+	upstreams := make([]discoverer.Upstream, 0, n)
+	for i := range n {
+		u := discoverer.Upstream{
+			ID:       fmt.Sprintf("u-%03d", i),
+			Capacity: sesamedrift.Resources{CPU: 16000},
+		}
+		if i%3 == 2 {
+			u.Capacity.CPU = 24000
+		}
+		upstreams = append(upstreams, u)
+	}
+	return upstreams
+}
+
+func shardMembers(n int) []string {
+	members := make([]string, 0, n)
+	for i := range n {
+		members = append(members, fmt.Sprintf("10.0.0.%02d:1", i))
+	}
+	return members
+}
+
+// changes returns the number of upstreams whose leaseholder or shard differs.
+func changes(a, b assignment) int {
+	n := 0
+	for id := range b.Shards {
+		if a.Leaseholders[id] != b.Leaseholders[id] || a.Shards[id] != b.Shards[id] {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a placer whose work grows with the domain: large domains have shards of equal capacity,
+// whose placers hold no upstreams and are not the leader.
+func TestShardsOfLargeDomain(t *testing.T) {
+	g := NewWithT(t)
+	upstreams, members := shardUpstreams(108), shardMembers(20)
+	a := planAssignment(assignment{}, upstreams, members, true, upstreamsPerShard)
+	g.Expect(a.Placers).To(HaveLen(3))
+	g.Expect(a.Placers).NotTo(ContainElement(members[0]))
+	capacity := make([]int64, 3)
+	holders := map[string]map[int]int{}
+	for _, u := range upstreams {
+		shard := a.Shards[u.ID]
+		capacity[shard] += u.Capacity.CPU
+		holder := a.Leaseholders[u.ID]
+		if holders[holder] == nil {
+			holders[holder] = map[int]int{}
+		}
+		holders[holder][shard]++
+		g.Expect(a.placerOf(u.ID)).To(Equal(a.Placers[shard]))
+	}
+	g.Expect(slices.Max(capacity) - slices.Min(capacity)).To(BeNumerically("<=", 24000))
+	g.Expect(holders).To(HaveLen(17))
+	mixed := 0
+	for holder, counts := range holders {
+		g.Expect(a.Placers).NotTo(ContainElement(holder))
+		if len(counts) > 1 {
+			mixed++
+		}
+	}
+	g.Expect(mixed).To(BeNumerically("<=", 2), "few leaseholders have upstreams of several shards")
+}
+
+// Guards against assignments that change more than they must when hosts or upstreams come and go.
+func TestAssignmentIsStable(t *testing.T) {
+	g := NewWithT(t)
+	upstreams, members := shardUpstreams(108), shardMembers(20)
+	a := planAssignment(assignment{}, upstreams, members, true, upstreamsPerShard)
+	again := planAssignment(a, upstreams, members, true, upstreamsPerShard)
+	g.Expect(again.equal(&a)).To(BeTrue())
+
+	withoutLeader := planAssignment(a, upstreams, members[1:], true, upstreamsPerShard)
+	g.Expect(withoutLeader.Placers).To(Equal(a.Placers))
+
+	lost := a.Placers[1]
+	withoutPlacer := planAssignment(a, upstreams, slices.DeleteFunc(slices.Clone(members), func(m string) bool { return m == lost }), true, upstreamsPerShard)
+	g.Expect(withoutPlacer.Placers[0]).To(Equal(a.Placers[0]))
+	g.Expect(withoutPlacer.Placers[2]).To(Equal(a.Placers[2]))
+	g.Expect(withoutPlacer.Shards).To(Equal(a.Shards))
+	g.Expect(changes(a, withoutPlacer)).To(BeNumerically("<=", 7), "only the upstreams of the new placer are reassigned")
+
+	fewer := planAssignment(a, upstreams[:90], members, true, upstreamsPerShard)
+	g.Expect(fewer.Placers).To(Equal(a.Placers))
+	g.Expect(changes(a, fewer)).To(BeNumerically("<=", 17))
+
+	// Half of the hosts are lost at once; shards remain as long as there is a member for each.
+	half := planAssignment(a, upstreams, members[10:], true, upstreamsPerShard)
+	g.Expect(half.Placers).To(HaveLen(3))
+	g.Expect(planAssignment(a, upstreams, members[18:], true, upstreamsPerShard).Placers).To(HaveLen(1))
+}
+
+// Guards against shards in domains that are too small for them, and in those with hosts of earlier
+// releases, which send all requests to the oldest host.
+func TestSingleShard(t *testing.T) {
+	g := NewWithT(t)
+	members := shardMembers(20)
+	for _, a := range []assignment{
+		planAssignment(assignment{}, shardUpstreams(16), members[:3], true, upstreamsPerShard),
+		planAssignment(assignment{}, shardUpstreams(108), members[:4], true, upstreamsPerShard),
+		planAssignment(assignment{}, shardUpstreams(108), members, false, upstreamsPerShard),
+	} {
+		g.Expect(a.Placers).To(Equal(members[:1]))
+		g.Expect(a.homeShard("5c0e7a21d94b36f8")).To(BeZero())
+	}
+}
+
+// Guards against jobs that are distributed unevenly over the shards.
+func TestHomeShards(t *testing.T) {
+	g := NewWithT(t)
+	a := assignment{Placers: []string{"a", "b", "c"}}
+	counts := make([]int, 3)
+	for i := range 3000 {
+		counts[a.homeShard(fmt.Sprintf("%016x", i*7919))]++
+	}
+	g.Expect(slices.Min(counts)).To(BeNumerically(">", 900))
+}
+
+// placeShard makes this host the placer of the first of two shards. The other host is the placer of the
+// second one and the leader. It returns a job whose home is the first shard.
+func (h *harness) placeShard() string {
+	h.makeOtherPlacer()
+	h.deliver(kindAssignment, assignment{
+		Placers:      []string{selfAddress, otherAddress},
+		Leaseholders: map[string]string{"u-1": otherAddress, "u-2": otherAddress},
+		Shards:       map[string]int{"u-1": 0, "u-2": 1},
+	})
+	h.g.Expect(h.core.placer).NotTo(BeNil())
+	for i := 0; ; i++ {
+		if id := fmt.Sprint("job-", i); h.core.assigned.homeShard(id) == 0 {
+			return id
+		}
+	}
+}
+
+// Guards against two runs of a job at the same time: a caller has sent it again, and the first try was
+// redirected to another shard by this placer or by the one that it has replaced.
+func TestResentJobIsRedirected(t *testing.T) {
+	request := func(job string) placementRequest {
+		return placementRequest{
+			Job:   job,
+			Tasks: []requestedTask{{}},
+		}
+	}
+	t.Run("by the previous placer", func(t *testing.T) {
+		h := newHarness(t)
+		job := h.placeShard()
+		h.deliver(kindPlacementRequest, request(job))
+		h.g.Expect(h.core.placer.WaitingJobs()).To(Equal(1))
+		h.deliver(kindRedirectedJobs, redirectedJobs{Jobs: []string{job}})
+		h.g.Expect(h.sent).To(Equal([]sentMessage{{otherAddress, kindRedirect}}))
+		h.g.Expect(h.core.placer.WaitingJobs()).To(BeZero())
+		h.deliver(kindPlacementRequest, request(job))
+		h.g.Expect(h.sent).To(Equal([]sentMessage{{otherAddress, kindRedirect}}))
+	})
+	t.Run("by this placer", func(t *testing.T) {
+		h := newHarness(t)
+		job := h.placeShard()
+		h.now = h.now.Add(2 * placerGracePeriod)
+		h.deliver(kindFreeCapacity, freeCapacity{
+			Domain:       "d",
+			FreeCapacity: placer.FreeCapacity{Tasks: 50},
+		})
+		h.deliver(kindPlacementRequest, request(job))
+		h.g.Expect(h.sent).To(Equal([]sentMessage{{otherAddress, kindRedirect}}))
+		h.deliver(kindPlacementRequest, request(job))
+		h.g.Expect(h.sent).To(Equal([]sentMessage{{otherAddress, kindRedirect}}))
+		h.g.Expect(h.core.Stats().Redirected).To(Equal(int64(1)), "the second time the first decision applies")
+	})
+}
+
+// Guards against a new placer of a home shard that does not know that another placer has runs of a job.
+func TestHomesAreNotified(t *testing.T) {
+	h := newHarness(t)
+	h.placeShard()
+	foreign := ""
+	for i := 0; foreign == ""; i++ {
+		if id := fmt.Sprint("job-", i); h.core.assigned.homeShard(id) == 1 {
+			foreign = id
+		}
+	}
+	redirected := placementRequest{
+		Job:          foreign,
+		Forwarded:    true,
+		RedirectedBy: otherAddress,
+		Tasks:        []requestedTask{{}},
+	}
+	h.deliver(kindPlacementRequest, redirected)
+	h.g.Expect(h.sent).To(BeEmpty(), "the placer that has redirected the job knows of it")
+	third := "10.0.0.3:1"
+	h.addPeer(third, 3)
+	h.deliver(kindAssignment, assignment{
+		Placers: []string{selfAddress, third},
+		Shards:  map[string]int{"u-1": 0, "u-2": 1},
+	})
+	h.g.Expect(h.sent).To(ContainElement(sentMessage{third, kindRedirectedJobs}))
+}
--- a/dispatcher/stats.go
+++ b/dispatcher/stats.go
@@ -19,9 +19,10 @@
 	Runs map[leaseholder.RunResult]int64
 	// Refused counts the refusals of this placer by reason.
 	Refused map[string]int64
-	// Forwarded, Rescheduled, Ejections and Superseded count the other decisions of this placer: jobs
-	// forwarded to other domains, runs rescheduled, upstreams ejected and jobs superseded.
-	Forwarded, Rescheduled, Ejections, Superseded int64
+	// Forwarded, Redirected, Rescheduled, Ejections and Superseded count the other decisions of this
+	// placer: jobs forwarded to other domains, jobs redirected to other shards, runs rescheduled,
+	// upstreams ejected and jobs superseded.
+	Forwarded, Redirected, Rescheduled, Ejections, Superseded int64
 	// JobTimes holds the times from arrival to end of the jobs that have ended since the last call
 	// of Core.Stats, PlacementWaits the times from the arrival of a job to a placement of its tasks.
 	JobTimes       []time.Duration
@@ -32,8 +33,9 @@
 	// HeldUpstreams is the number of upstreams that this host holds, ReadyUpstreams that of held
 	// upstreams that respond.
 	HeldUpstreams, ReadyUpstreams int
-	// IsPlacer is 1 if this host is the placer of its domain, else 0.
-	IsPlacer int
+	// IsPlacer is 1 if this host is a placer of its domain, IsLeader if it is the leader, else 0. Shards is
+	// the number of shards of the domain.
+	IsPlacer, IsLeader, Shards int
 	// Sessions is the number of other entry hosts of the domain with which there is a session.
 	Sessions int
 	// DocumentVersion is the version of the active document; 0 for none.
@@ -76,6 +78,10 @@
 		s.IsPlacer = 1
 		s.WaitingJobs = c.placer.WaitingJobs()
 	}
+	if c.leads() {
+		s.IsLeader = 1
+	}
+	s.Shards = len(c.assigned.Placers)
 	s.Sessions = len(c.peers)
 	s.DocumentVersion = c.published.Version
 	return s
@@ -121,6 +127,7 @@
 		scope.Tagged(map[string]string{"reason": reason}).Counter("refusals").Inc(s.Refused[reason] - p.last.Refused[reason])
 	}
 	scope.Counter("jobs_passed_on").Inc(s.Forwarded - p.last.Forwarded)
+	scope.Counter("jobs_redirected").Inc(s.Redirected - p.last.Redirected)
 	scope.Counter("jobs_superseded").Inc(s.Superseded - p.last.Superseded)
 	scope.Counter("runs_moved").Inc(s.Rescheduled - p.last.Rescheduled)
 	scope.Counter("upstream_rests").Inc(s.Ejections - p.last.Ejections)
@@ -135,6 +142,8 @@
 	scope.Gauge("upstreams_kept").Update(float64(s.HeldUpstreams))
 	scope.Gauge("upstreams_ready").Update(float64(s.ReadyUpstreams))
 	scope.Gauge("places").Update(float64(s.IsPlacer))
+	scope.Gauge("leads").Update(float64(s.IsLeader))
+	scope.Gauge("shards").Update(float64(s.Shards))
 	scope.Gauge("sessions").Update(float64(s.Sessions))
 	scope.Gauge("document_version").Update(float64(s.DocumentVersion))
 	p.last = s
--- a/dispatcher/watching.go
+++ b/dispatcher/watching.go
@@ -11,12 +11,12 @@
 
 // The hosts of a domain have sessions with each other, but not every pair has to detect quickly that
 // the other one is lost. The oldest members are monitors: they and all other hosts watch each other
-// closely. The placer, which is a monitor, tells the others which hosts are lost. So a host sends
+// closely. The leader, which is a monitor, tells the others which hosts are lost. So a host sends
 // heartbeats to a fixed number of hosts, however many there are in its domain. A host that loses a
 // monitor watches all others closely for a while: if it is cut off, it must detect the loss of all of
 // them before it acts on the loss of some.
 
-// monitorCount is the number of monitors. It allows for the loss of the placer and the next one at the
+// monitorCount is the number of monitors. It allows for the loss of the leader and the next one at the
 // same time.
 const monitorCount = 3
 
@@ -105,9 +105,9 @@
 	return gathered
 }
 
-// reportLosses tells the hosts of the domain which ones are lost. Only the placer does so.
+// reportLosses tells the hosts of the domain which ones are lost. Only the leader does so.
 func (c *Core) reportLosses(now time.Time) {
-	if c.placerAddress != c.cfg.Self.Address {
+	if !c.leads() {
 		return
 	}
 	var m lostHosts
@@ -128,9 +128,9 @@
 	}
 }
 
-// receiveLostHosts ends the sessions with the hosts that the placer has lost.
+// receiveLostHosts ends the sessions with the hosts that the leader has lost.
 func (c *Core) receiveLostHosts(from string, m lostHosts) {
-	if from != c.placerAddress {
+	if from != c.leaderAddress {
 		return
 	}
 	for _, lost := range m.Hosts {
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -33,6 +33,13 @@
 		cfg.Hosts = 2
 		cfg.JobsPerSecond = 20
 	}
+	if seed >= firstShardSeed {
+		cfg.Domains = 2
+		cfg.Hosts = 7
+		cfg.Upstreams = 12
+		cfg.UpstreamsPerShard = 6
+		every /= 2
+	}
 	if seed >= firstLongJobSeed {
 		cfg.LongJobShare = 0.05
 		cfg.JobsPerSecond /= 2
@@ -42,6 +49,9 @@
 	return w
 }
 
+// firstShardSeed is the lowest seed of simulations with several shards in each domain.
+const firstShardSeed = 2_000_000
+
 // Guards against jobs that are lost, refused or late although no fault is injected: at least 99 of
 // 100 are complete.
 func TestWithoutFaults(t *testing.T) {
@@ -63,7 +73,7 @@
 
 // seedCountVariable and firstSeedVariable name the environment variables that set how many seeds
 // TestFaults runs and the first of them. Without a first seed, as in CI, TestFaults runs that number
-// of seeds from 0 on and as many from firstLongJobSeed on.
+// of seeds from 0 on and as many from firstLongJobSeed and firstShardSeed on.
 const (
 	seedCountVariable = "EMULATOR_SEEDS"
 	firstSeedVariable = "EMULATOR_FIRST"
@@ -85,7 +95,7 @@
 	for i := range count {
 		seeds = append(seeds, uintFromEnv(firstSeedVariable, 0)+i)
 		if os.Getenv(firstSeedVariable) == "" {
-			seeds = append(seeds, firstLongJobSeed+i)
+			seeds = append(seeds, firstLongJobSeed+i, firstShardSeed+i)
 		}
 	}
 	for _, seed := range seeds {
--- a/emulator/scenario_test.go
+++ b/emulator/scenario_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift/dispatcher"
 )
 
 // newLightlyLoadedSimulation returns a simulation whose load uses a third of its capacity.
@@ -175,3 +177,58 @@
 	g.Expect(w.Violations()).To(BeEmpty())
 	t.Logf("%+v", w.Counts)
 }
+
+// newShardedSimulation returns a simulation of one domain with three shards, whose load uses a third of
+// its capacity.
+func newShardedSimulation() *Simulation {
+	return New(Config{
+		Seed:              1,
+		Domains:           1,
+		Hosts:             10,
+		Upstreams:         30,
+		UpstreamsPerShard: 10,
+		JobsPerSecond:     30,
+		Duration:          20 * time.Second,
+	})
+}
+
+// Guards against a domain with several shards that serves less than one with a single placer, and
+// against the loss of a placer or of the leader that stops more than its own shard.
+func TestShards(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// kills reports whether a host crashes at 8 s.
+		kills func(s dispatcher.Stats) bool
+		// complete is the least share of jobs that are complete.
+		complete float64
+	}{
+		{"no loss", func(dispatcher.Stats) bool { return false }, 0.99},
+		{"leader", func(s dispatcher.Stats) bool { return s.IsLeader == 1 }, 0.97},
+		{"all placers", func(s dispatcher.Stats) bool { return s.IsPlacer == 1 }, 0.9},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			w := newShardedSimulation()
+			w.Run(8 * time.Second)
+			placers, leaders := 0, 0
+			for _, n := range w.Hosts {
+				s := n.core.Stats()
+				g.Expect(s.Shards).To(Equal(3))
+				placers += s.IsPlacer
+				leaders += s.IsLeader
+				g.Expect(s.IsPlacer+s.IsLeader).To(BeNumerically("<", 2), "the leader is no placer")
+				if test.kills(s) {
+					n.Kill()
+					w.After(500*time.Millisecond, n.Start)
+				}
+			}
+			g.Expect(placers).To(Equal(3))
+			g.Expect(leaders).To(Equal(1))
+			w.Run(26 * time.Second)
+			g.Expect(w.Violations()).To(BeEmpty())
+			t.Logf("%+v", w.Counts)
+			g.Expect(w.Counts.Failed + w.Counts.Unanswered).To(BeZero())
+			g.Expect(float64(w.Counts.Complete)).To(BeNumerically(">=", test.complete*float64(w.Counts.Sent)))
+		})
+	}
+}
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -58,6 +58,8 @@
 	JobsPerSecond float64
 	// LongJobShare is the share of jobs, from 0 to 1, whose tasks run for longRunTime.
 	LongJobShare float64
+	// UpstreamsPerShard is that of dispatcher.CoreConfig.
+	UpstreamsPerShard int
 	// Duration is the simulated time at which jobs stop arriving.
 	Duration time.Duration
 	// Log receives the logs of hosts, upstreams and faults; nil discards them.
@@ -261,9 +263,10 @@
 			Incarnation: incarnation,
 			State:       discoverer.Serving,
 		},
-		LeaseConfig: LeaseConfig,
-		Parse:       func([]byte) (*router.Document, error) { return w.parsedDocument, nil },
-		Log:         w.logger(n.Name),
+		LeaseConfig:       LeaseConfig,
+		UpstreamsPerShard: w.cfg.UpstreamsPerShard,
+		Parse:             func([]byte) (*router.Document, error) { return w.parsedDocument, nil },
+		Log:               w.logger(n.Name),
 	}, dispatcher.Effects{
 		Post:       n.post,
 		Connect:    n.connect,
--- a/placer/forward.go
+++ b/placer/forward.go
@@ -6,18 +6,18 @@
 )
 
 const (
-	// capacityTTL is the age up to which the reported free capacity of a remote domain is used.
+	// capacityTTL is the age up to which the reported free capacity of another placer is used.
 	capacityTTL = 300 * time.Millisecond
-	// remoteReserve is the number of tasks for which a remote domain must have free capacity left
+	// forwardReserve is the number of tasks for which another placer must have free capacity left
 	// for its own jobs after a job was forwarded to it.
-	remoteReserve = 2
-	// forwardDelay is how long a job waits before it is forwarded to a domain that had no free
+	forwardReserve = 2
+	// forwardDelay is how long a job waits before it is forwarded to a placer that had no free
 	// capacity when the job arrived but has some now. A delay of 0 or 60 ms earns less value than
 	// 20 ms in the mean of six load scripts.
 	forwardDelay = 20 * time.Millisecond
 )
 
-// FreeCapacity is the report that placers send to the placers of other failure domains.
+// FreeCapacity is the report that placers send to each other.
 type FreeCapacity struct {
 	// Tasks is the number of tasks of mean CPU demand that can start immediately.
 	Tasks int `msgpack:"places"`
@@ -25,19 +25,21 @@
 	WaitingJobs int `msgpack:"waiting"`
 }
 
-// remoteDomain is the last report of another failure domain.
-type remoteDomain struct {
+// otherPlacer is the last report of another placer.
+type otherPlacer struct {
 	capacity   FreeCapacity
+	nearby     bool
 	receivedAt time.Time
 	// forwardedTasks is the number of tasks that were forwarded there since the report.
 	forwardedTasks int
 }
 
-// SetDomainCapacity records the free capacity that a remote domain reports, and forwards or
-// refuses waiting jobs on that basis.
-func (p *Placer) SetDomainCapacity(now time.Time, domain string, capacity FreeCapacity) {
-	p.remoteDomains[domain] = &remoteDomain{
+// SetOtherCapacity records the free capacity that another placer reports, and forwards or refuses
+// waiting jobs on that basis. A placer of the same failure domain is nearby.
+func (p *Placer) SetOtherCapacity(now time.Time, address string, nearby bool, capacity FreeCapacity) {
+	p.otherPlacers[address] = &otherPlacer{
 		capacity:   capacity,
+		nearby:     nearby,
 		receivedAt: now,
 	}
 	if len(p.order) > 0 {
@@ -45,11 +47,11 @@
 	}
 }
 
-// RemoveDomain discards the report of a remote domain, so that no jobs are forwarded there until
-// the next report. Callers use it for unreachable domains.
-func (p *Placer) RemoveDomain(domain string) { delete(p.remoteDomains, domain) }
+// RemoveOther discards the report of another placer, so that no jobs are forwarded there until the
+// next report. Callers use it for unreachable placers.
+func (p *Placer) RemoveOther(address string) { delete(p.otherPlacers, address) }
 
-// FreeCapacity returns the report for other domains. Ejected and probing upstreams count as full.
+// FreeCapacity returns the report for other placers. Ejected and probing upstreams count as full.
 // Tasks is 0 until the first job was enqueued, since the mean demand is not known before.
 func (p *Placer) FreeCapacity(now time.Time) FreeCapacity {
 	capacity := FreeCapacity{WaitingJobs: len(p.order)}
@@ -64,21 +66,23 @@
 	return capacity
 }
 
-// forwardTarget returns the remote domain with the most free capacity for a job that has not
-// begun, or "" if none has enough. It returns "" during the grace period: a new placer does not
-// know yet which jobs have runs in this domain.
+// forwardTarget returns the address of the placer with the most free capacity for a job that has not
+// begun, or "" if none has enough. Nearby placers come first: a job that is forwarded to another
+// domain is sent there whole. It returns "" during the grace period: a new placer does not know yet
+// which jobs have runs on its upstreams.
 func (p *Placer) forwardTarget(now time.Time, w *waitingJob) string {
 	if w.Forwarded || w.Started || now.Before(p.cfg.GraceUntil) || !p.enabled(RuleForward) {
 		return ""
 	}
-	best, maxFree := "", len(w.Tasks)+remoteReserve
-	for domain, remote := range p.remoteDomains {
-		if now.Sub(remote.receivedAt) > capacityTTL || remote.capacity.WaitingJobs > 0 {
+	best, nearby, maxFree := "", false, 0
+	for address, other := range p.otherPlacers {
+		free := other.capacity.Tasks - other.forwardedTasks
+		if now.Sub(other.receivedAt) > capacityTTL || other.capacity.WaitingJobs > 0 || free < len(w.Tasks)+forwardReserve {
 			continue
 		}
-		free := remote.capacity.Tasks - remote.forwardedTasks
-		if free > maxFree || free == maxFree && (best == "" || domain < best) {
-			best, maxFree = domain, free
+		if best == "" || other.nearby && !nearby ||
+			other.nearby == nearby && (free > maxFree || free == maxFree && address < best) {
+			best, nearby, maxFree = address, other.nearby, free
 		}
 	}
 	if best == "" || p.runsLocally(w) {
@@ -87,7 +91,7 @@
 	return best
 }
 
-// runsLocally reports whether a task of the job has a run in this domain. That is the case when
+// runsLocally reports whether a task of the job has a run on the upstreams of this placer. That is the case when
 // the caller has sent the job again and runs of the earlier try have not ended.
 func (p *Placer) runsLocally(w *waitingJob) bool {
 	for _, t := range w.Tasks {
@@ -98,24 +102,24 @@
 	return false
 }
 
-// forward withdraws a job and adds the decision to forward it to a remote domain. It reports false
-// if there is no remote domain with enough free capacity.
+// forward withdraws a job and adds the decision to forward it to another placer. It reports false if
+// none has enough free capacity.
 func (p *Placer) forward(now time.Time, w *waitingJob) bool {
-	domain := p.forwardTarget(now, w)
-	if domain == "" {
+	address := p.forwardTarget(now, w)
+	if address == "" {
 		return false
 	}
-	p.remoteDomains[domain].forwardedTasks += len(w.Tasks)
+	p.otherPlacers[address].forwardedTasks += len(w.Tasks)
 	p.Withdraw(w.Entry, w.ID)
 	p.decisions = append(p.decisions, Decision{
 		Job:       w.ID,
 		Entry:     w.Entry,
-		ForwardTo: domain,
+		ForwardTo: address,
 	})
 	return true
 }
 
-// forwardWaiting forwards jobs that have waited for forwardDelay to domains that can start them
+// forwardWaiting forwards jobs that have waited for forwardDelay to placers that can start them
 // immediately.
 func (p *Placer) forwardWaiting(now time.Time) {
 	for _, w := range slices.Clone(p.order) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -1,6 +1,7 @@
-// Package placer schedules the tasks of jobs on the upstreams of one failure domain. It decides
-// on which upstream a task runs, which tasks wait, and which jobs are refused or forwarded to
-// another failure domain.
+// Package placer schedules the tasks of jobs on a shard of the upstreams of a failure domain: all of
+// them in a small domain, and a part in a large one. It decides on which upstream a task runs, which
+// tasks wait, and which jobs are refused or forwarded to another placer, of the same failure domain or
+// of another one.
 //
 // The caller reports upstreams, jobs, and the progress and the ends of runs to a Placer, calls
 // Tick periodically, and carries out the decisions that TakeDecisions returns. A Placer has no
@@ -23,8 +24,8 @@
 //     free, they go to the fastest upstream instead.
 //   - Upstreams on which runs fail, stall or are slow are ejected for a while, and their stalled
 //     or slow runs are rescheduled (health.go).
-//   - Jobs for which there is no free capacity are forwarded to a failure domain that has some
-//     (forward.go).
+//   - Jobs for which there is no free capacity are forwarded to a placer that has some (forward.go).
+//     That levels the load between shards and between failure domains.
 package placer
 
 import (
@@ -60,7 +61,7 @@
 	// callers can still send them elsewhere. Without it they are refused when their deadline can
 	// no longer be met.
 	RuleShed Rule = "shed"
-	// RuleForward forwards jobs to failure domains with free capacity.
+	// RuleForward forwards jobs to placers with free capacity.
 	RuleForward Rule = "pass"
 	// RuleReschedule stops runs that are stalled or slow and places them again elsewhere.
 	RuleReschedule Rule = "move"
@@ -123,7 +124,7 @@
 	RemainingTime time.Duration
 	// Started is set if other tasks of the job run or have run.
 	Started bool
-	// Forwarded is set if another failure domain has forwarded the job. It is not forwarded again.
+	// Forwarded is set if another placer has forwarded the job. It is not forwarded again.
 	Forwarded bool
 	Tasks     []Task
 }
@@ -161,7 +162,7 @@
 	// They are set with Placements.
 	Waited         time.Duration
 	RemainingTasks int
-	// ForwardTo is the failure domain to which the job should be forwarded, or empty.
+	// ForwardTo is the address of the placer to which the job should be forwarded, or empty.
 	ForwardTo string
 	// Refused is set if the waiting tasks of the job will not be placed, for Reason.
 	Refused bool
@@ -208,17 +209,17 @@
 // jobKey identifies a job by the address of its entry host and its identifier.
 type jobKey struct{ entry, id string }
 
-// Placer holds the upstreams, runs and waiting jobs of one failure domain. Use New.
+// Placer holds the upstreams, runs and waiting jobs of one shard. Use New.
 type Placer struct {
-	cfg           Config
-	upstreams     map[string]*upstream
-	sorted        []*upstream // the upstreams by identifier
-	jobs          map[jobKey]*waitingJob
-	order         []*waitingJob // the waiting jobs in the order of compareJobs
-	queues        map[string]*queue
-	histories     map[jobKey]*jobHistory
-	runTimes      *estimator.Estimator
-	remoteDomains map[string]*remoteDomain
+	cfg          Config
+	upstreams    map[string]*upstream
+	sorted       []*upstream // the upstreams by identifier
+	jobs         map[jobKey]*waitingJob
+	order        []*waitingJob // the waiting jobs in the order of compareJobs
+	queues       map[string]*queue
+	histories    map[jobKey]*jobHistory
+	runTimes     *estimator.Estimator
+	otherPlacers map[string]*otherPlacer
 	// searches counts the searches through all upstreams for one that fits a task.
 	searches int
 	// runCounts holds the number of open runs of each task. A task with an open run is not placed.
@@ -258,14 +259,14 @@
 		cfg.Policy = Objective
 	}
 	return &Placer{
-		cfg:           cfg,
-		upstreams:     map[string]*upstream{},
-		jobs:          map[jobKey]*waitingJob{},
-		queues:        map[string]*queue{},
-		histories:     map[jobKey]*jobHistory{},
-		runTimes:      estimator.New(estimator.Config{HalfLife: runTimeHalfLife}),
-		remoteDomains: map[string]*remoteDomain{},
-		runCounts:     map[sesamedrift.TaskID]int{},
+		cfg:          cfg,
+		upstreams:    map[string]*upstream{},
+		jobs:         map[jobKey]*waitingJob{},
+		queues:       map[string]*queue{},
+		histories:    map[jobKey]*jobHistory{},
+		runTimes:     estimator.New(estimator.Config{HalfLife: runTimeHalfLife}),
+		otherPlacers: map[string]*otherPlacer{},
+		runCounts:    map[sesamedrift.TaskID]int{},
 	}
 }
 
@@ -380,9 +381,13 @@
 // Enqueue adds a job whose tasks wait for placement, and places, forwards or refuses what it can
 // immediately. It replaces the waiting tasks that the same entry host has sent for the job before;
 // if there are no tasks, it only removes these. A job of the same identifier from another entry
-// host is superseded.
+// host is superseded. Runs that are placed already are not enqueued: the entry host has sent the
+// request before it received their placement.
 func (p *Placer) Enqueue(now time.Time, j Job) {
 	p.Withdraw(j.Entry, j.ID)
+	waiting := slices.DeleteFunc(slices.Clone(j.Tasks), func(t Task) bool { return p.isPlaced(j.Entry, t.Run) })
+	j.Started = j.Started || len(waiting) < len(j.Tasks)
+	j.Tasks = waiting
 	if len(j.Tasks) == 0 {
 		return
 	}
@@ -403,6 +408,17 @@
 	p.shed(now)
 }
 
+// isPlaced reports whether a run is placed for an entry host and has not ended.
+func (p *Placer) isPlaced(entry string, run sesamedrift.Run) bool {
+	if p.runCounts[run.Task] == 0 {
+		return false
+	}
+	return slices.ContainsFunc(p.sorted, func(u *upstream) bool {
+		r := u.runs[run]
+		return r != nil && r.key.entry == entry
+	})
+}
+
 // supersede withdraws the job of the same identifier from other entry hosts, and adds a decision
 // for each of these hosts. Their runs must end before the tasks are placed again.
 func (p *Placer) supersede(w *waitingJob) {
@@ -550,6 +566,32 @@
 	})
 }
 
+// Jobs returns the identifiers of the jobs that wait or have open runs, without duplicates and in no
+// particular order.
+func (p *Placer) Jobs() []string {
+	ids := map[string]bool{}
+	for key := range p.jobs {
+		ids[key.id] = true
+	}
+	for task := range p.runCounts {
+		ids[task.Job] = true
+	}
+	return slices.Collect(maps.Keys(ids))
+}
+
+// WaitingEntries returns the entry hosts of which the job with the identifier waits, in the order of
+// their addresses.
+func (p *Placer) WaitingEntries(id string) []string {
+	var entries []string
+	for key := range p.jobs {
+		if key.id == id {
+			entries = append(entries, key.entry)
+		}
+	}
+	slices.Sort(entries)
+	return entries
+}
+
 // WaitingJobs returns the number of jobs with tasks that wait for placement.
 func (p *Placer) WaitingJobs() int { return len(p.order) }
 
@@ -584,7 +626,7 @@
 }
 
 // placeJob places those waiting tasks of a job for which there is an upstream. If a job has not
-// begun and not all of its tasks can be placed, it is forwarded instead if a remote domain has free
+// begun and not all of its tasks can be placed, it is forwarded instead if another placer has free
 // capacity for all of them: the job ends with its last task.
 func (p *Placer) placeJob(now time.Time, w *waitingJob) {
 	var selected []*upstream
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -122,6 +122,24 @@
 	h.collect()
 }
 
+// Guards against a job that is refused although its tasks run: the entry host has repeated its request
+// before it received the placement.
+func TestRepeatedRequestOfPlacedTasks(t *testing.T) {
+	h := newHarness(t, 16000)
+	h.enqueue(h.job("a", "q", 2, 8000, 500*time.Millisecond))
+	h.g.Expect(h.placedOn).To(HaveLen(2))
+	h.enqueue(h.job("a", "q", 2, 8000, 500*time.Millisecond))
+	h.g.Expect(h.p.WaitingJobs()).To(BeZero())
+	h.advance(time.Second)
+	h.g.Expect(h.refused).To(BeEmpty())
+	// A task of which another host has a run waits until that has ended.
+	resent := h.job("a", "q", 2, 8000, 500*time.Millisecond)
+	resent.Entry = "other"
+	h.enqueue(resent)
+	h.g.Expect(h.superseded).To(Equal([]string{"a@e"}))
+	h.g.Expect(h.p.WaitingJobs()).To(Equal(1))
+}
+
 // Guards against fragmented capacity, where no upstream has enough free capacity for a large task
 // although there is enough in total: small tasks go to the fullest upstream that fits them.
 func TestBestFit(t *testing.T) {
@@ -255,7 +273,7 @@
 func TestResubmittedJobSupersedesEarlierEntry(t *testing.T) {
 	h := newHarness(t, 10000, 10000, 10000)
 	h.enqueue(h.job("j", "q", 1, 10000, 100*time.Millisecond))
-	h.p.SetDomainCapacity(h.now, "other", FreeCapacity{Tasks: 10})
+	h.p.SetOtherCapacity(h.now, "other", false, FreeCapacity{Tasks: 10})
 	resubmitted := h.job("j", "q", 2, 10000, 100*time.Millisecond)
 	resubmitted.Entry = "f"
 	h.enqueue(resubmitted)
@@ -272,7 +290,7 @@
 // for a remote domain because of an outdated report of its free capacity.
 func TestForward(t *testing.T) {
 	h := newHarness(t, 10000)
-	h.p.SetDomainCapacity(h.now, "other", FreeCapacity{Tasks: 3 + remoteReserve})
+	h.p.SetOtherCapacity(h.now, "other", false, FreeCapacity{Tasks: 3 + forwardReserve})
 	h.enqueue(h.job("here", "q", 1, 10000, 100*time.Millisecond))
 	h.enqueue(h.job("first", "q", 2, 10000, 100*time.Millisecond))
 	h.enqueue(h.job("second", "q", 2, 10000, 100*time.Millisecond))
@@ -282,7 +300,7 @@
 	h.g.Expect(h.forwarded).NotTo(HaveKey("third"))
 	received := h.job("from", "q", 1, 10000, 100*time.Millisecond)
 	received.Forwarded = true
-	h.p.SetDomainCapacity(h.now, "other", FreeCapacity{Tasks: 100})
+	h.p.SetOtherCapacity(h.now, "other", false, FreeCapacity{Tasks: 100})
 	h.enqueue(received)
 	h.g.Expect(h.forwarded).NotTo(HaveKey("from"), "a forwarded job must not be forwarded again")
 }
@@ -291,11 +309,11 @@
 // have when they arrived.
 func TestWaitingJobIsForwarded(t *testing.T) {
 	h := newHarness(t, 10000)
-	h.p.SetDomainCapacity(h.now, "other", FreeCapacity{WaitingJobs: 1})
+	h.p.SetOtherCapacity(h.now, "other", false, FreeCapacity{WaitingJobs: 1})
 	h.enqueue(h.job("here", "q", 1, 10000, 50*time.Millisecond))
 	h.enqueue(h.job("waits", "q", 1, 10000, 50*time.Millisecond))
 	h.g.Expect(h.forwarded).To(BeEmpty())
-	h.p.SetDomainCapacity(h.now, "other", FreeCapacity{Tasks: 1 + remoteReserve})
+	h.p.SetOtherCapacity(h.now, "other", false, FreeCapacity{Tasks: 1 + forwardReserve})
 	h.advance(forwardDelay)
 	h.g.Expect(h.forwarded).To(Equal(map[string]string{"waits": "other"}))
 	h.g.Expect(h.refused).To(BeEmpty())
--- a/replayer/simulation.go
+++ b/replayer/simulation.go
@@ -528,7 +528,7 @@
 		for _, to := range w.hosts {
 			if to != from {
 				w.After(millis(w.script.InterDomainLatencyMS), func() {
-					to.placer.SetDomainCapacity(w.wallTime(), from.name, free)
+					to.placer.SetOtherCapacity(w.wallTime(), from.name, from.domain == to.domain, free)
 					w.applyDecisions(to)
 				})
 			}
--- a/reporter/events.go
+++ b/reporter/events.go
@@ -96,7 +96,7 @@
 		ID:          2006,
 		Name:        "placer-chosen",
 		Level:       slog.LevelInfo,
-		Description: "The placer, which decides on which upstreams the tasks of the failure domain run, has changed; the attributes hold its address.",
+		Description: "The placers, each of which decides on which upstreams of its shard tasks run, have changed; the attributes hold their addresses, in the order of the shards.",
 	}
 	SessionBegun = Event{
 		ID:          2007,
@@ -134,6 +134,12 @@
 		Level:       slog.LevelWarn,
 		Description: "Other hosts have acquired the leases of upstreams of this host while it could reach neither them nor a control host. Its jobs on these upstreams end as `lost`.",
 	}
+	LeaderChosen = Event{
+		ID:          2013,
+		Name:        "leader-chosen",
+		Level:       slog.LevelInfo,
+		Description: "The leader of the failure domain, which chooses the placers and the leaseholders of its upstreams, has changed; the attributes hold its address and those of all members.",
+	}
 )
 
 // Events 3xxx: environment documents.
@@ -399,6 +405,7 @@
 	HostChanged,
 	ControlContact,
 	CutOff,
+	LeaderChosen,
 	ConfigurationInForce,
 	ConfigurationRejected,
 	ConfigurationChanged,
