dispatcher: report to control hosts that the host handles shards

Cause: the report that a host sends to control hosts lacked the field, so that each domain kept one shard.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -88,6 +88,7 @@
 // New starts an entry host, which listens on its internal address when New returns. The caller must
 // call Close.
 func New(cfg Config) (*Host, error) {
+	cfg.Self.Shards = true
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{
 		cfg:     cfg,
