dispatcher, leaseholder, platform: less processor time for each job

Change: only the sessions that were called are ticked and asked for orders. Runs are sorted only if an order is due. The entry host logs the placement of its jobs.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -130,6 +130,8 @@
 
 	jobs map[string]*job
 	held map[string]*heldUpstream
+	// touched holds the upstreams whose sessions were called since the last Flush.
+	touched []*heldUpstream
 	// lastTokens holds the fencing token that was last used for each upstream.
 	lastTokens     map[string]uint64
 	progressSentAt time.Time
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -188,6 +188,7 @@
 func (c *Core) receivePlacement(from string, m placement) {
 	j := c.jobs[m.Job]
 	byLeaseholder := map[string]*startRuns{}
+	upstreams := make([]string, 0, len(m.Places))
 	for _, placed := range m.Places {
 		location := tracker.Location{
 			Upstream:    placed.Upstream,
@@ -205,8 +206,12 @@
 			s = &startRuns{Content: j.tracker.Job.Content}
 			byLeaseholder[placed.Leaseholder] = s
 		}
+		upstreams = append(upstreams, placed.Upstream)
 		s.Runs = append(s.Runs, newStartedRun(placed.Upstream, placed.Run, j.tracker.Job.Steps[placed.Run.Task.Step].Demand))
 	}
+	if len(upstreams) > 0 {
+		c.logEvent(reporter.JobPlaced, "job", m.Job, "placer", from, "waited", m.Waited, "upstreams", upstreams, "left", m.Remaining)
+	}
 	for _, address := range slices.Sorted(maps.Keys(byLeaseholder)) {
 		c.send(address, kindStartRuns, *byLeaseholder[address])
 	}
--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -65,17 +65,28 @@
 	leaseLostAt time.Time
 	// closed is set after the release; responses to orders are then dropped.
 	closed bool
+	// touched is set while the upstream is in Core.touched.
+	touched bool
 }
 
-func (c *Core) sortedHeld() []*heldUpstream {
-	all := make([]*heldUpstream, 0, len(c.held))
-	for _, h := range c.held {
-		all = append(all, h)
+// touch makes Flush send the orders and handle the events of an upstream whose session was called.
+func (c *Core) touch(h *heldUpstream) {
+	if !h.touched {
+		h.touched = true
+		c.touched = append(c.touched, h)
 	}
-	slices.SortFunc(all, func(a, b *heldUpstream) int {
+}
+
+func (c *Core) sortedHeld() []*heldUpstream {
+	all := slices.Collect(maps.Values(c.held))
+	sortHeld(all)
+	return all
+}
+
+func sortHeld(held []*heldUpstream) {
+	slices.SortFunc(held, func(a, b *heldUpstream) int {
 		return strings.Compare(a.session.Upstream().ID, b.session.Upstream().ID)
 	})
-	return all
 }
 
 // updateHeld acquires the upstreams that are assigned to this host and releases those that are
@@ -107,7 +118,9 @@
 	// between two takeovers; otherwise the upstream rejects the token, and the next one is higher.
 	token := max(uint64(now.UnixMilli()), c.lastTokens[u.ID]+1)
 	c.lastTokens[u.ID] = token
-	c.held[u.ID] = &heldUpstream{session: leaseholder.New(c.cfg.LeaseConfig, now, u, token)}
+	h := &heldUpstream{session: leaseholder.New(c.cfg.LeaseConfig, now, u, token)}
+	c.held[u.ID] = h
+	c.touch(h)
 	c.logEvent(reporter.UpstreamTaken, "upstream", u.ID, "address", u.Address, "token", token)
 }
 
@@ -158,6 +171,7 @@
 			c.release(h)
 		default:
 			h.session.Tick(now, c.holdsExclusively())
+			c.touch(h)
 		}
 	}
 }
@@ -206,10 +220,20 @@
 	}
 }
 
-// sendOrders sends the pending orders of all sessions and handles their events.
+// sendOrders sends the pending orders of the sessions that were called and handles their events.
 func (c *Core) sendOrders(now time.Time) {
+	if len(c.touched) == 0 {
+		return
+	}
 	exclusive := c.holdsExclusively()
-	for _, h := range c.sortedHeld() {
+	touched := c.touched
+	c.touched = nil
+	sortHeld(touched)
+	for _, h := range touched {
+		h.touched = false
+		if h.closed {
+			continue
+		}
 		h.session.Tick(now, exclusive)
 		orders, events := h.session.TakePending()
 		c.handleUpstreamEvents(now, h, events)
@@ -218,6 +242,7 @@
 			c.effects.Order(u, o, func(now time.Time, resp leaseholder.Response) {
 				if !h.closed {
 					h.session.HandleResponse(now, resp)
+					c.touch(h)
 				}
 			})
 		}
@@ -302,12 +327,14 @@
 			continue
 		}
 		h.session.Start(now, t)
+		c.touch(h)
 	}
 }
 
 func (c *Core) receiveStopRun(now time.Time, m stopRun) {
 	if h := c.held[m.Upstream]; h != nil {
 		h.session.Stop(now, m.Run)
+		c.touch(h)
 	}
 }
 
@@ -319,6 +346,7 @@
 			Entry:  from,
 			Demand: m.Run.Demand,
 		})
+		c.touch(h)
 		c.reportUpstreamStatus(h)
 	}
 }
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -100,6 +100,7 @@
 	c.relayHostLost(now, peer)
 	for _, h := range c.sortedHeld() {
 		h.session.StopAll(now, peer)
+		c.touch(h)
 	}
 	if c.placer != nil {
 		c.placer.RemoveEntry(now, peer)
--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -129,6 +129,9 @@
 type placement struct {
 	Job    string      `msgpack:"job"`
 	Places []placedRun `msgpack:"places"`
+	// Waited is how long the job has waited, Remaining the number of its tasks that still wait.
+	Waited    time.Duration `msgpack:"waited,omitempty"`
+	Remaining int           `msgpack:"left,omitempty"`
 }
 
 type placedRun struct {
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -334,18 +334,19 @@
 			c.stats.Superseded++
 			c.send(d.Entry, kindSuperseded, superseded{Job: d.Job})
 		case len(d.Placements) > 0:
-			m := placement{Job: d.Job}
-			upstreams := make([]string, 0, len(d.Placements))
+			m := placement{
+				Job:       d.Job,
+				Waited:    d.Waited,
+				Remaining: d.RemainingTasks,
+			}
 			for _, p := range d.Placements {
 				m.Places = append(m.Places, placedRun{
 					Run:         p.Run,
 					Upstream:    p.Upstream,
 					Leaseholder: c.assigned.Leaseholders[p.Upstream],
 				})
-				upstreams = append(upstreams, p.Upstream)
 			}
 			c.stats.PlacementWaits = addSample(c.stats.PlacementWaits, d.Waited)
-			c.logEvent(reporter.JobPlaced, "job", d.Job, "entry", d.Entry, "waited", d.Waited, "upstreams", upstreams, "left", d.RemainingTasks)
 			c.send(d.Entry, kindPlacement, m)
 		case d.Refused:
 			c.stats.Refused[string(d.Reason)]++
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -208,7 +208,7 @@
 // participantNames returns the names of the upstreams and hosts in an attribute.
 func participantNames(a Attribute) []string {
 	switch a.Key {
-	case "upstream", "entry", "keeper", "by", "peer":
+	case "upstream", "entry", "placer", "keeper", "by", "peer":
 		return []string{a.Value}
 	case "upstreams":
 		var list []string
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -437,9 +437,16 @@
 }
 
 func (s *Session) sortedTasks() []*task {
-	all := make([]*task, 0, len(s.tasks))
+	return s.tasksWhere(func(*task) bool { return true })
+}
+
+// tasksWhere returns the tasks that a function accepts, sorted by run.
+func (s *Session) tasksWhere(accept func(t *task) bool) []*task {
+	var all []*task
 	for _, t := range s.tasks {
-		all = append(all, t)
+		if accept(t) {
+			all = append(all, t)
+		}
 	}
 	slices.SortFunc(all, func(a, b *task) int { return compareRuns(a.Run, b.Run) })
 	return all
@@ -504,16 +511,21 @@
 			s.end(now, t, LeaseExpired, "")
 		}
 	}
-	for _, t := range s.sortedTasks() {
-		switch {
-		case t.unclaimed && !t.stopRequested && now.Sub(t.phaseSince) >= s.cfg.OrphanTimeout:
-			s.Stop(now, t.Run)
-		case t.stopRequested && t.stopAckedAt.IsZero() && t.stopSentAt.IsZero() && s.ready:
-			s.sendStop(now, t)
-		}
+	for _, t := range s.tasksWhere(func(t *task) bool { return s.needsStop(now, t) }) {
+		t.stopRequested = true
+		s.sendStop(now, t)
 	}
 }
 
+// needsStop reports whether a stop order is due for a run: nobody has claimed it in time, or an earlier
+// stop order was not answered.
+func (s *Session) needsStop(now time.Time, t *task) bool {
+	if !t.stopRequested {
+		return t.unclaimed && now.Sub(t.phaseSince) >= s.cfg.OrphanTimeout
+	}
+	return t.stopAckedAt.IsZero() && t.stopSentAt.IsZero() && s.ready
+}
+
 // renewWait returns how long the upstream may delay the response to the next renewal: not at all if
 // its state is unknown or it has no runs.
 func (s *Session) renewWait() time.Duration {
@@ -716,10 +728,8 @@
 			t.stopAckedAt = time.Time{}
 		}
 	}
-	for _, t := range s.sortedTasks() {
-		if !listed[t.Run] {
-			s.handleUnlisted(now, t, resp.Order.SentAt)
-		}
+	for _, t := range s.tasksWhere(func(t *task) bool { return !listed[t.Run] }) {
+		s.handleUnlisted(now, t, resp.Order.SentAt)
 	}
 }
 
--- a/reporter/events.go
+++ b/reporter/events.go
@@ -336,7 +336,7 @@
 		ID:          8001,
 		Name:        "job-placed",
 		Level:       slog.LevelInfo,
-		Description: "The placer has placed tasks of a job; the attributes hold the upstreams and how long the job has waited.",
+		Description: "The entry host has received the placement of tasks of a job; the attributes hold the placer, the upstreams and how long the job has waited.",
 	}
 	JobRefused = Event{
 		ID:          8002,
