courier, messenger: batches as one-way messages, acknowledged with what goes the other way

Cause: each message between two hosts was a call, whose reply was the acknowledgement: two packets, two wake-ups of each process, and a message that was posted meanwhile waited for the reply.

Change: batches are one-way messages, up to 32 of which may be unacknowledged. An acknowledgement goes with the next batch in the other direction, or alone after 20 ms. What is not acknowledged in 200 ms is sent again over a new connection, the first batch alone until it is acknowledged. Hosts of earlier releases, which lack the feature in their hello, get calls.

--- a/courier/courier.go
+++ b/courier/courier.go
@@ -1,17 +1,17 @@
 // Package courier is a reliable message transport between hosts: it keeps a session with each
 // peer, in which messages are delivered in order and exactly once.
 //
-// Messages are sent in batches. At most one batch per peer is in flight, and it is resent until
-// it is acknowledged. A session ends on both sides when either process restarts, or when one side
-// has received nothing, or no acknowledgement, for Watch.SuspectAfter; messages of a session that
-// has ended are never delivered later. Config.Deliver receives an event at the beginning and at
+// Messages are sent in batches, which are resent until they are acknowledged. An acknowledgement is
+// sent with the next messages in the other direction, or alone a little later, so that most messages
+// cost one packet. A session ends on both sides when either process restarts, or when one side has
+// received nothing, or no acknowledgement, for Watch.SuspectAfter; messages of a session that has
+// ended are never delivered later. Config.Deliver receives an event at the beginning and at
 // the end of each session, in order with the messages. When a session ends, the user of the
 // package must discard the state that it holds for the peer.
 //
-// A posted message is sent at once unless a batch is in flight. Without messages, an empty batch
-// is sent when there was no exchange for Watch.HeartbeatEvery, so that the session also serves as the
-// failure detector between its two hosts. On a host with a high rate of exchanges, consecutive exchanges with the
-// same peer are spaced by up to 10 ms (see pacer.go).
+// A posted message is sent at once. If nothing was received for Watch.HeartbeatEvery, a heartbeat is
+// sent, so that the session also serves as the failure detector between its two hosts. On a host that
+// sends and receives many batches, those to the same peer are spaced by up to 10 ms (see pacer.go).
 package courier
 
 import (
@@ -28,9 +28,9 @@
 	// maxQueue bounds the messages that are queued for one peer. A peer that leaves so many
 	// unacknowledged counts as lost, and its session ends.
 	maxQueue = 1 << 16
-	// maxFailures bounds the failed attempts to reach a peer that count for the backoff, which is half
-	// of Config.ResendAfter for each.
-	maxFailures = 4
+	// Feature is the feature of messenger.Hello of hosts that receive batches as one-way messages.
+	// Hosts of earlier releases receive them as calls and acknowledge them in the reply.
+	Feature = "one-way-batches"
 )
 
 // Config describes the courier of one host.
@@ -43,7 +43,7 @@
 	// ResendAfter is the time after which an unacknowledged batch is sent again over a new
 	// connection.
 	ResendAfter time.Duration
-	// Connection configures the connections to all peers.
+	// Connection configures the connections to all peers. Its hello must have Feature.
 	Connection messenger.Config
 	// Deliver receives the events of all sessions. It must not block. If it returns false, the
 	// events count as not delivered and are passed to it again, before any later events of the
@@ -70,7 +70,7 @@
 // batches.
 type peer struct {
 	conn atomic.Pointer[messenger.Peer]
-	// wake makes the goroutine send a batch at once.
+	// wake makes the goroutine look for a batch to send.
 	wake chan struct{}
 	// cancel stops the goroutine; it is nil while none runs. Courier.mu guards it.
 	cancel context.CancelFunc
@@ -124,6 +124,7 @@
 			Self:        c.cfg.Self,
 			Peer:        address,
 			Incarnation: c.cfg.Incarnation,
+			ResendAfter: c.cfg.ResendAfter,
 			MaxQueue:    maxQueue,
 			watch:       c.cfg.Watch,
 		},
@@ -152,8 +153,8 @@
 }
 
 // Disconnect ends the session with a host and stops sending to it, until the host sends a batch or
-// Connect is called again. The epoch is kept, so that the acknowledgement of the next batch of the
-// host shows that the session has ended.
+// Connect is called again. The epoch is kept, so that the answer to the next batch of the host shows
+// that the session has ended.
 func (c *Courier) Disconnect(address string) {
 	c.mu.Lock()
 	p := c.peers[address]
@@ -177,6 +178,7 @@
 		defer p.mu.Unlock()
 		if p.session.PeerIncarnation() <= incarnation {
 			c.deliver(p, p.session.End())
+			p.wakeSender()
 		}
 	}
 }
@@ -203,7 +205,7 @@
 	return posted
 }
 
-// wakeSender makes the goroutine of the peer send a batch without waiting for the next heartbeat.
+// wakeSender makes the goroutine of the peer look for a batch to send.
 func (p *peer) wakeSender() {
 	select {
 	case p.wake <- struct{}{}:
@@ -224,42 +226,39 @@
 	return all
 }
 
-// Handle applies a received batch and returns the encoded acknowledgement. A sender that is not
-// connected is connected. Under load the acknowledgement is delayed, so that the next batch of the
-// sender carries more messages. Handle returns messenger.ErrNoReply if Config.Deliver does not
-// accept earlier events; the sender then sends the batch again.
-func (c *Courier) Handle(body []byte) ([]byte, error) {
-	spacing := c.pacer.recordExchange(c.cfg.Now())
-	answer, err := c.handle(body)
-	if err == nil && spacing > 0 {
-		messenger.Sleep(c.ctx, spacing)
+// Receive applies a batch that was received as a one-way message. A sender that is not connected is
+// connected. A malformed batch, and one that Config.Deliver has no capacity for, is dropped; the sender
+// then sends it again.
+func (c *Courier) Receive(body []byte) {
+	var b Batch
+	if messenger.Decode(body, &b) != nil || b.From == "" || b.From == c.cfg.Self {
+		return
 	}
-	return answer, err
+	c.receive(b)
 }
 
-func (c *Courier) handle(body []byte) ([]byte, error) {
-	var b Batch
-	if err := messenger.Decode(body, &b); err != nil {
-		return nil, err
-	}
+// receive applies a batch. It returns the session's acknowledgement, and false if the batch was
+// dropped.
+func (c *Courier) receive(b Batch) (Ack, bool) {
 	c.mu.Lock()
 	p := c.connect(b.From)
 	c.mu.Unlock()
 	if conn := p.conn.Load(); conn != nil {
 		conn.MarkReachable()
 	}
+	now := c.cfg.Now()
+	spacing := c.pacer.recordExchange(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !c.deliver(p, nil) {
-		return nil, messenger.ErrNoReply
+		return Ack{}, false
 	}
-	ack, events := p.session.Receive(c.cfg.Now(), b)
-	c.deliver(p, events)
-	if !p.session.Up() {
-		// The peer has just proved reachable: try at once to begin a session.
-		p.wakeSender()
+	c.deliver(p, p.session.Receive(now, b))
+	if spacing > 0 {
+		p.session.Space(now.Add(spacing))
 	}
-	return messenger.Encode(ack)
+	p.wakeSender()
+	return p.session.ack(), true
 }
 
 // deliver passes the pending events and the given ones to Config.Deliver, in order. It reports
@@ -276,12 +275,11 @@
 	return true
 }
 
-// sendBatches exchanges batches with one peer until ctx ends.
+// sendBatches sends batches to one peer until ctx ends.
 func (c *Courier) sendBatches(ctx context.Context, p *peer, conn *messenger.Peer) {
 	defer func() { _ = conn.Close() }()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	failures := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -289,57 +287,55 @@
 		case <-p.wake:
 		case <-timer.C:
 		}
-		if wait := c.untilHeartbeat(p); wait > 0 {
-			timer.Reset(wait)
-			continue
-		}
-		spacing := c.pacer.recordExchange(c.cfg.Now())
-		answered := c.exchange(ctx, p, conn)
-		if spacing > 0 {
-			messenger.Sleep(ctx, spacing)
-		}
-		// If the peer does not answer, its last acknowledgement or the begin of its session may be
-		// lost, so that the next attempt must not wait for a heartbeat.
-		wait := c.cfg.ResendAfter / 2 * time.Duration(failures)
-		if answered {
-			failures = 0
-			wait = c.untilHeartbeat(p)
-		} else {
-			failures = min(failures+1, maxFailures)
+		for ctx.Err() == nil {
+			b, resend, found := c.nextBatch(p)
+			if !found {
+				break
+			}
+			if resend {
+				conn.Reconnect()
+			}
+			c.send(ctx, conn, b)
 		}
+		p.mu.Lock()
+		wait := p.session.UntilNextBatch(c.cfg.Now())
+		p.mu.Unlock()
 		timer.Reset(wait)
 	}
 }
 
-// untilHeartbeat ends the session if it has timed out, and returns the time until the next batch is to
-// be sent. An answered exchange without a session is followed by the next one at once: its
-// acknowledgement carried the incarnation and epoch that the next batch needs to begin a session.
-func (c *Courier) untilHeartbeat(p *peer) time.Duration {
+// nextBatch ends the session if it has timed out, and returns the next batch to send.
+func (c *Courier) nextBatch(p *peer) (b Batch, resend, found bool) {
 	now := c.cfg.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.deliver(p, p.session.CheckTimeout(now))
-	return p.session.UntilHeartbeat(now)
+	b, resend, found = p.session.NextBatch(now)
+	if found && len(b.Messages) > 0 {
+		if spacing := c.pacer.recordExchange(now); spacing > 0 {
+			p.session.Space(now.Add(spacing))
+		}
+	}
+	return b, resend, found
 }
 
-// exchange sends one batch and applies its acknowledgement. It reports whether there was one.
-func (c *Courier) exchange(ctx context.Context, p *peer, conn *messenger.Peer) bool {
-	p.mu.Lock()
-	batch := p.session.NextBatch(c.cfg.Now())
-	p.mu.Unlock()
-	body, err := messenger.Encode(batch)
+// send sends a batch. If that fails, the session sends the batch again after ResendAfter.
+func (c *Courier) send(ctx context.Context, conn *messenger.Peer, b Batch) {
+	body, err := messenger.Encode(b)
 	if err != nil {
 		panic("courier: encode batch: " + err.Error())
 	}
-	reply, err := conn.CallWithTimeout(ctx, c.cfg.ResendAfter, messenger.KindSessionBatch, body)
-	var ack Ack
-	if err != nil || messenger.Decode(reply, &ack) != nil {
-		return false
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.ResendAfter)
+	defer cancel()
+	remote, err := conn.Remote(ctx)
+	switch {
+	case err != nil:
+	case slices.Contains(remote.Features, Feature):
+		// An error means that the connection has ended, so that the batch is lost.
+		_ = conn.SendWait(ctx, messenger.KindSessionBatch, body)
+	default:
+		c.call(ctx, conn, b, body)
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c.deliver(p, p.session.HandleAck(c.cfg.Now(), batch, ack))
-	return true
 }
 
 // Close stops sending to all peers and waits until the goroutines have ended. Peers are not
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -166,8 +166,14 @@
 			Host:        h.cfg.Self.ID,
 			Domain:      h.cfg.Self.Domain,
 			Incarnation: h.cfg.Self.Incarnation,
+			Features:    []string{courier.Feature},
+		},
+		Handle: h.handle,
+		Receive: func(_ messenger.Hello, kind messenger.Kind, body []byte) {
+			if kind == messenger.KindSessionBatch {
+				h.courier.Receive(body)
+			}
 		},
-		Handle:       h.handle,
 		DialTimeout:  ResendAfter,
 		WriteTimeout: time.Second,
 	}
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -85,6 +85,8 @@
 	parsedDocument *router.Document
 	// ControlDown makes all control hosts unreachable while it is set.
 	ControlDown bool
+	// lastArrival is when the last batch between two hosts arrives.
+	lastArrival map[[2]string]time.Duration
 	// cutLinks is the set of directed links, as sender and receiver, on which messages are lost.
 	cutLinks map[[2]string]bool
 
@@ -119,8 +121,9 @@
 
 // sessionSender sends the batches of one host's session with another host.
 type sessionSender struct {
-	session  *courier.Session
-	inFlight bool
+	session *courier.Session
+	// nextSeq numbers the scheduled calls of send; only the latest one has an effect.
+	nextSeq int
 	// disconnected is set when the host ends the session, closed when its process crashes.
 	disconnected bool
 	closed       bool
@@ -158,7 +161,9 @@
 		hosts:     discoverer.NewList[discoverer.Host](),
 		upstreams: discoverer.NewList[discoverer.Upstream](),
 		cutLinks:  map[[2]string]bool{},
-		jobs:      map[string]*callerJob{},
+
+		lastArrival: map[[2]string]time.Duration{},
+		jobs:        map[string]*callerJob{},
 	}
 	w.invariants = newInvariantChecker(w)
 	w.parsedDocument = &router.Document{
@@ -359,7 +364,10 @@
 
 func (n *Host) senderTo(address string) *sessionSender {
 	if c := n.senders[address]; c != nil {
-		c.disconnected = false
+		if c.disconnected {
+			c.disconnected = false
+			n.scheduleSend(address, c, 0)
+		}
 		return c
 	}
 	c := &sessionSender{
@@ -367,31 +375,27 @@
 			Self:        n.Address,
 			Peer:        address,
 			Incarnation: n.incarnation,
+			ResendAfter: dispatcher.ResendAfter,
 			MaxQueue:    maxQueue,
 		},
 	}
 	c.session.SetWatch(n.w.wallTime(), dispatcher.CloseWatch)
 	n.senders[address] = c
-	var heartbeat func()
-	heartbeat = func() {
-		if c.closed {
-			return
-		}
-		n.runWhenUnfrozen(func() {
-			if c.closed {
-				return
-			}
-			n.deliver(c.session.CheckTimeout(n.w.wallTime()))
-			if c.session.UntilHeartbeat(n.w.wallTime()) == 0 {
-				n.send(address, c)
-			}
-		})
-		n.w.After(max(dispatcher.CloseWatch.HeartbeatEvery/2, c.session.UntilHeartbeat(n.w.wallTime())), heartbeat)
-	}
-	n.w.After(0, heartbeat)
+	n.scheduleSend(address, c, 0)
 	return c
 }
 
+// scheduleSend makes the host send what is due in a session after a time.
+func (n *Host) scheduleSend(address string, c *sessionSender, after time.Duration) {
+	c.nextSeq++
+	seq := c.nextSeq
+	n.w.After(after, func() {
+		if c.nextSeq == seq {
+			n.runWhenUnfrozen(func() { n.send(address, c) })
+		}
+	})
+}
+
 func (n *Host) disconnect(address string) {
 	c := n.senders[address]
 	if c == nil {
@@ -419,6 +423,7 @@
 			n.deliver(events)
 		}
 	})
+	n.scheduleSend(address, c, 0)
 }
 
 func (n *Host) post(to string, m courier.Message) bool {
@@ -426,7 +431,7 @@
 	if c == nil || !c.session.Post(m) {
 		return false
 	}
-	n.w.After(0, func() { n.send(to, c) })
+	n.scheduleSend(to, c, 0)
 	return true
 }
 
@@ -439,58 +444,48 @@
 	}
 }
 
-// send sends the next batch of a session unless a batch is unacknowledged.
+// send sends the batches of a session that are due, and schedules the next call.
 func (n *Host) send(address string, c *sessionSender) {
 	w := n.w
-	if c.closed || c.disconnected || c.inFlight || n.core == nil {
+	if c.closed || c.disconnected || n.core == nil {
 		return
 	}
-	c.inFlight = true
-	b := c.session.NextBatch(w.wallTime())
+	n.deliver(c.session.CheckTimeout(w.wallTime()))
 	to := w.hostByAddress(address)
-	answered := false
-	w.After(dispatcher.ResendAfter, func() {
-		if !answered {
-			answered = true
-			c.inFlight = false
+	for {
+		b, _, found := c.session.NextBatch(w.wallTime())
+		if !found {
+			break
+		}
+		if to != nil && w.linkUp(n.Name, to.Name) {
+			n.transmit(to, b)
 		}
-	})
-	if to == nil || !w.linkUp(n.Name, to.Name) {
-		return
 	}
-	w.After(w.latency(n.Domain, to.Domain), func() {
+	n.scheduleSend(address, c, c.session.UntilNextBatch(w.wallTime()))
+}
+
+// transmit delivers a batch to another host after the latency of the link. Batches to one host arrive in
+// the order in which they were sent.
+func (n *Host) transmit(to *Host, b courier.Batch) {
+	w := n.w
+	at := max(w.Now()+w.latency(n.Domain, to.Domain), w.lastArrival[[2]string{n.Name, to.Name}])
+	w.lastArrival[[2]string{n.Name, to.Name}] = at
+	w.At(at, func() {
 		if to.core == nil {
 			return
 		}
+		incarnation := to.incarnation
 		to.runWhenUnfrozen(func() {
-			reverse := to.senderTo(n.Address)
-			ack, events := reverse.session.Receive(w.wallTime(), b)
-			to.deliver(events)
-			if !w.linkUp(to.Name, n.Name) {
+			if to.core == nil || to.incarnation != incarnation {
 				return
 			}
-			w.After(w.latency(n.Domain, to.Domain), func() {
-				if n.core == nil || c.closed {
-					return
-				}
-				n.runWhenUnfrozen(func() { n.handleAck(address, c, b, ack, &answered) })
-			})
+			reverse := to.senderTo(n.Address)
+			to.deliver(reverse.session.Receive(w.wallTime(), b))
+			to.scheduleSend(n.Address, reverse, reverse.session.UntilNextBatch(w.wallTime()))
 		})
 	})
 }
 
-func (n *Host) handleAck(address string, c *sessionSender, b courier.Batch, a courier.Ack, answered *bool) {
-	if *answered || c.closed {
-		return
-	}
-	*answered = true
-	c.inFlight = false
-	n.deliver(c.session.HandleAck(n.w.wallTime(), b, a))
-	if !c.session.Up() || c.session.HasQueued() {
-		n.send(address, c)
-	}
-}
-
 // publishUpdates sends the changes since the last update to each host that can reach a control
 // host.
 func (w *Simulation) publishUpdates() {
--- a/messenger/listener.go
+++ b/messenger/listener.go
@@ -241,6 +241,10 @@
 		if f.typ != frameRequest && f.typ != frameOneWay {
 			return &MalformedError{Reason: "the dialing side sent a frame that is neither a request nor a one-way message"}
 		}
+		if f.typ == frameOneWay && n.cfg.Receive != nil {
+			n.cfg.Receive(l.remote, f.kind, f.body)
+			continue
+		}
 		if !n.takeSlot(slots) {
 			l.own.refused.Add(1)
 			n.total.refused.Add(1)
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -74,6 +74,8 @@
 	Domain string `msgpack:"domain"`
 	// Incarnation grows with each start of the host.
 	Incarnation uint64 `msgpack:"incarnation"`
+	// Features names parts of the protocol that the host supports beyond those of its first release.
+	Features []string `msgpack:"features,omitempty"`
 }
 
 // Handler handles a message and returns the body of the reply. The context ends when the
@@ -88,6 +90,10 @@
 	Local Hello
 	// Handle is called for each message that a Listener receives. A Peer does not use it.
 	Handle Handler
+	// Receive, if it is set, is called instead of Handle for each one-way message that a Listener
+	// receives. The calls for the messages of one connection follow each other in the order in which
+	// the messages were sent. It must not block.
+	Receive func(from Hello, kind Kind, body []byte)
 	// MaxFrame is the largest frame in bytes, without its length field. It must be
 	// equal on all hosts. Values below 1024 count as 1024.
 	MaxFrame int
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -15,6 +15,8 @@
 // anything but replies and goodbye.
 var errUnsolicited = &MalformedError{Reason: "a frame from the listener is not a reply"}
 
+var errNotQueued = errors.New("the message was not queued before the connection or the wait ended")
+
 var errReconnect = errors.New("the connection was given up for a new one")
 
 var errRefused = errors.New("the peer did not accept the message: it is stopping or too many handlers run")
@@ -51,6 +53,7 @@
 // clientLink is the dialing side of a link. It matches replies to calls.
 type clientLink struct {
 	*link
+	establishedAt time.Time
 	// stopping is set if the peer has sent goodbye, before the link ends.
 	stopping atomic.Bool
 
@@ -190,6 +193,43 @@
 	return nil
 }
 
+// SendWait queues a one-way message. If there is no connection, or the write queue is full, it waits
+// until ctx ends. The error is of type *NotSentError; if it is nil, the message may still be lost. The
+// body must not be changed afterwards.
+func (p *Peer) SendWait(ctx context.Context, kind Kind, body []byte) error {
+	if err := p.checkSize(body); err != nil {
+		return p.notSent(err)
+	}
+	l, err := p.connect(ctx)
+	if err != nil {
+		return p.notSent(err)
+	}
+	o := &outgoing{
+		frame: frame{
+			typ:  frameOneWay,
+			kind: kind,
+			body: body,
+		},
+	}
+	if !l.put(o, ctx.Done()) {
+		return p.notSent(errNotQueued)
+	}
+	return nil
+}
+
+// Remote returns the hello of the other side of the connection. If there is no connection, it waits for
+// one until ctx ends. The error is of type *NotSentError.
+func (p *Peer) Remote(ctx context.Context) (Hello, error) {
+	l, err := p.connect(ctx)
+	if err != nil {
+		return Hello{}, p.notSent(err)
+	}
+	return l.remote, nil
+}
+
+// Address returns the address of the other host.
+func (p *Peer) Address() string { return p.address }
+
 func (p *Peer) notSent(err error) error {
 	return &NotSentError{
 		Address: p.address,
@@ -306,19 +346,20 @@
 		return nil, err
 	}
 	return &clientLink{
-		link:    l,
-		pending: map[uint64]*call{},
+		link:          l,
+		establishedAt: time.Now(),
+		pending:       map[uint64]*call{},
 	}, nil
 }
 
-// disconnected removes a connection that has ended. One on which no reply was received
-// counts as a failed dial, so that the backoff also applies to a host that accepts
-// connections and then closes them.
+// disconnected removes a connection that has ended. One on which no reply was received, and
+// that did not last for the longest backoff, counts as a failed dial, so that the backoff also
+// applies to a host that accepts connections and then closes them.
 func (p *Peer) disconnected(l *clientLink, replies bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.link = nil
-	if replies {
+	if replies || time.Since(l.establishedAt) >= maxBackoff {
 		p.failures = 0
 		return
 	}
