dispatcher: forward a job once

Ruled out: a lost relay and a job that the caller has sent again: both runs are the first ones of the task, 54 ms apart.

Result: TestJobIsForwardedOnce fails without the check.

--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -225,6 +225,32 @@
 	h.g.Expect(results).To(ConsistOf(HaveField("Outcome", tracker.Complete)))
 }
 
+// Guards against a job that is forwarded to two domains, each of which runs it: the placer has received
+// the placement request twice and has decided on each.
+func TestJobIsForwardedOnce(t *testing.T) {
+	h := newHarness(t)
+	h.makeOtherPlacer()
+	h.core.Submit(h.now, tracker.Job{
+		ID:          "j",
+		MaxAttempts: 1,
+		Steps:       []tracker.Step{{TaskCount: 1}},
+		Arrived:     h.now,
+		Deadline:    h.now.Add(time.Minute),
+	}, NewCaller(func(Result) {}))
+	h.now = h.now.Add(placementRetryInterval)
+	h.core.Tick(h.now)
+	h.deliver(kindForwardRequest, forwardRequest{
+		Job:    "j",
+		Domain: "far",
+	})
+	h.g.Expect(h.sent).To(Equal([]sentMessage{{otherAddress, kindForwardedJob}}))
+	h.deliver(kindForwardRequest, forwardRequest{
+		Job:    "j",
+		Domain: "farther",
+	})
+	h.g.Expect(h.sent).To(BeEmpty())
+}
+
 // Guards against replacing the active document by an older or an invalid one.
 func TestDocumentVersionNeverDecreases(t *testing.T) {
 	h := newHarness(t)
--- a/dispatcher/forwarding.go
+++ b/dispatcher/forwarding.go
@@ -267,10 +267,11 @@
 	}
 }
 
-// receiveForwardRequest sends a job to the placer, which relays it.
+// receiveForwardRequest sends a job to the placer, which relays it. It ignores a second request, for a
+// placement request that was sent twice: both domains would run the job.
 func (c *Core) receiveForwardRequest(now time.Time, from string, m forwardRequest) {
 	j := c.jobs[m.Job]
-	if j == nil || from != j.requestedFrom || j.tracker.Started() {
+	if j == nil || from != j.requestedFrom || !j.isLocal() || j.tracker.Started() {
 		return
 	}
 	j.requestedAt = time.Time{}
