--- a/dispatcher/forwarding.go
+++ b/dispatcher/forwarding.go
@@ -186,7 +186,7 @@
 	for _, address := range to {
 		last := c.capacitySent[address]
 		elapsed := now.Sub(last.at)
-		if elapsed < capacityMinInterval || free == last.capacity && elapsed < capacityMaxInterval {
+		if elapsed < capacityMinInterval || !free.Differs(last.capacity) && elapsed < capacityMaxInterval {
 			continue
 		}
 		c.capacitySent[address] = sentCapacity{
--- a/placer/forward.go
+++ b/placer/forward.go
@@ -25,6 +25,20 @@
 	WaitingJobs int `msgpack:"waiting"`
 }
 
+// accepting reports whether jobs may be forwarded to a placer with the free capacity.
+func (c FreeCapacity) accepting() bool { return c.WaitingJobs == 0 && c.Tasks > forwardReserve }
+
+// Differs reports whether the free capacity differs from an earlier report so much that other placers
+// may decide differently. At peak load the exact numbers change with each run, while no placer accepts
+// jobs.
+func (c FreeCapacity) Differs(earlier FreeCapacity) bool {
+	if !c.accepting() || !earlier.accepting() {
+		return c.accepting() != earlier.accepting()
+	}
+	difference := max(c.Tasks, earlier.Tasks) - min(c.Tasks, earlier.Tasks)
+	return difference > max(c.Tasks, earlier.Tasks)/4
+}
+
 // otherPlacer is the last report of another placer.
 type otherPlacer struct {
 	capacity   FreeCapacity
@@ -77,7 +91,7 @@
 	best, nearby, maxFree := "", false, 0
 	for address, other := range p.otherPlacers {
 		free := other.capacity.Tasks - other.forwardedTasks
-		if now.Sub(other.receivedAt) > capacityTTL || other.capacity.WaitingJobs > 0 || free < len(w.Tasks)+forwardReserve {
+		if now.Sub(other.receivedAt) > capacityTTL || !other.capacity.accepting() || free < len(w.Tasks)+forwardReserve {
 			continue
 		}
 		if best == "" || other.nearby && !nearby ||
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -122,6 +122,19 @@
 	h.collect()
 }
 
+// Guards against reports about the free capacity with each run at peak load, and against capacity that
+// other placers do not learn of.
+func TestCapacityReportsThatMatter(t *testing.T) {
+	g := NewWithT(t)
+	full, waiting := FreeCapacity{Tasks: 1}, FreeCapacity{WaitingJobs: 7}
+	g.Expect(full.Differs(waiting)).To(BeFalse())
+	g.Expect(FreeCapacity{WaitingJobs: 3}.Differs(waiting)).To(BeFalse())
+	g.Expect(FreeCapacity{Tasks: 10}.Differs(waiting)).To(BeTrue())
+	g.Expect(waiting.Differs(FreeCapacity{Tasks: 10})).To(BeTrue())
+	g.Expect(FreeCapacity{Tasks: 60}.Differs(FreeCapacity{Tasks: 50})).To(BeFalse())
+	g.Expect(FreeCapacity{Tasks: 60}.Differs(FreeCapacity{Tasks: 40})).To(BeTrue())
+}
+
 // Guards against a job that is refused although its tasks run: the entry host has repeated its request
 // before it received the placement.
 func TestRepeatedRequestOfPlacedTasks(t *testing.T) {
