--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")/.."
 for n in review/[1-5]; do
   if [ -f "$n/main.go" ]; then
-    go build -o "target/review-$(basename "$n")" "./$n"
+    go build -buildvcs=false -o "target/review-$(basename "$n")" "./$n"
   fi
 done
