dispatcher: table of message decoders

The switches over the kinds and the types of messages are at the limit of the linter. The decoders become a table, and messages about runs and leases have a handler of their own. No change in behaviour.

--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -116,68 +116,46 @@
 	c.reorganize(now)
 }
 
+// decoders holds the function that decodes and handles the messages of each kind.
+var decoders = map[courier.Kind]func(c *Core, now time.Time, from string, m courier.Message){
+	kindSnapshot:         decode[snapshot],
+	kindJoin:             decode[join],
+	kindAssignment:       decode[assignment],
+	kindPlacementRequest: decode[placementRequest],
+	kindCancelPlacement:  decode[cancelPlacement],
+	kindReleasedPlace:    decode[releasedPlace],
+	kindPlacement:        decode[placement],
+	kindRefused:          decode[refused],
+	kindStartRuns:        decode[startRuns],
+	kindStopRun:          decode[stopRun],
+	kindWatchRun:         decode[watchRun],
+	kindRunEnded:         decode[runEnded],
+	kindUpstreamStatus:   decode[upstreamStatus],
+	kindFreed:            decode[freed],
+	kindEligibility:      decode[eligibility],
+	kindFreeCapacity:     decode[freeCapacity],
+	kindForwardRequest:   decode[forwardRequest],
+	kindForwardedJob:     decode[forwardedJob],
+	kindForwardResult:    decode[forwardResult],
+	kindCancelForward:    decode[cancelForward],
+	kindProgress:         decode[progress],
+	kindSuperseded:       decode[superseded],
+	kindAnnouncement:     decode[announcement],
+	kindSnapshotRequest:  decode[snapshotRequest],
+	kindLostHosts:        decode[lostHosts],
+	kindStatusRequest:    decode[statusRequest],
+	kindRedirect:         decode[redirect],
+	kindRedirectedJobs:   decode[redirectedJobs],
+}
+
 // receiveEncoded decodes a message and passes it to its handler.
 func (c *Core) receiveEncoded(now time.Time, from string, m courier.Message) {
-	switch m.Kind {
-	case kindSnapshot:
-		decode[snapshot](c, now, from, m)
-	case kindJoin:
-		decode[join](c, now, from, m)
-	case kindAssignment:
-		decode[assignment](c, now, from, m)
-	case kindPlacementRequest:
-		decode[placementRequest](c, now, from, m)
-	case kindCancelPlacement:
-		decode[cancelPlacement](c, now, from, m)
-	case kindReleasedPlace:
-		decode[releasedPlace](c, now, from, m)
-	case kindPlacement:
-		decode[placement](c, now, from, m)
-	case kindRefused:
-		decode[refused](c, now, from, m)
-	case kindStartRuns:
-		decode[startRuns](c, now, from, m)
-	case kindStopRun:
-		decode[stopRun](c, now, from, m)
-	case kindWatchRun:
-		decode[watchRun](c, now, from, m)
-	case kindRunEnded:
-		decode[runEnded](c, now, from, m)
-	case kindUpstreamStatus:
-		decode[upstreamStatus](c, now, from, m)
-	case kindFreed:
-		decode[freed](c, now, from, m)
-	case kindEligibility:
-		decode[eligibility](c, now, from, m)
-	case kindFreeCapacity:
-		decode[freeCapacity](c, now, from, m)
-	case kindForwardRequest:
-		decode[forwardRequest](c, now, from, m)
-	case kindForwardedJob:
-		decode[forwardedJob](c, now, from, m)
-	case kindForwardResult:
-		decode[forwardResult](c, now, from, m)
-	case kindCancelForward:
-		decode[cancelForward](c, now, from, m)
-	case kindProgress:
-		decode[progress](c, now, from, m)
-	case kindSuperseded:
-		decode[superseded](c, now, from, m)
-	case kindAnnouncement:
-		decode[announcement](c, now, from, m)
-	case kindSnapshotRequest:
-		decode[snapshotRequest](c, now, from, m)
-	case kindLostHosts:
-		decode[lostHosts](c, now, from, m)
-	case kindStatusRequest:
-		decode[statusRequest](c, now, from, m)
-	case kindRedirect:
-		decode[redirect](c, now, from, m)
-	case kindRedirectedJobs:
-		decode[redirectedJobs](c, now, from, m)
-	default:
+	handle, known := decoders[m.Kind]
+	if !known {
 		c.logEvent(reporter.MessageRejected, "peer", from, "kind", m.Kind, "error", "the kind is not known")
+		return
 	}
+	handle(c, now, from, m)
 }
 
 // decode decodes a message into an M and passes it to receive. A malformed message is logged.
@@ -209,18 +187,6 @@
 		c.receivePlacement(from, m)
 	case refused:
 		c.receiveRefused(now, from, m)
-	case startRuns:
-		c.receiveStartRuns(now, from, m)
-	case stopRun:
-		c.receiveStopRun(now, m)
-	case watchRun:
-		c.receiveWatchRun(now, from, m)
-	case runEnded:
-		c.receiveRunEnded(now, from, m)
-	case upstreamStatus:
-		c.receiveUpstreamStatus(now, from, m)
-	case freed:
-		c.receiveFreed(now, from, m)
 	case eligibility:
 		c.receiveEligibility(now, from, m)
 	case freeCapacity:
@@ -233,8 +199,6 @@
 		c.receiveForwardResult(now, from, m)
 	case cancelForward:
 		c.receiveCancelForward(now, from, m)
-	case progress:
-		c.receiveProgress(from, m)
 	case superseded:
 		c.receiveSuperseded(now, from, m)
 	case announcement:
@@ -249,6 +213,28 @@
 		c.receiveRedirectedJobs(now, from, m)
 	case snapshotRequest:
 		c.send(from, kindSnapshot, c.snapshot())
+	default:
+		c.receiveAboutRuns(now, from, v)
+	}
+}
+
+// receiveAboutRuns passes a message about runs and the leases of their upstreams to its handler.
+func (c *Core) receiveAboutRuns(now time.Time, from string, v any) {
+	switch m := v.(type) {
+	case startRuns:
+		c.receiveStartRuns(now, from, m)
+	case stopRun:
+		c.receiveStopRun(now, m)
+	case watchRun:
+		c.receiveWatchRun(now, from, m)
+	case runEnded:
+		c.receiveRunEnded(now, from, m)
+	case upstreamStatus:
+		c.receiveUpstreamStatus(now, from, m)
+	case freed:
+		c.receiveFreed(now, from, m)
+	case progress:
+		c.receiveProgress(from, m)
 	default:
 		panic("dispatcher: no handler for the message type")
 	}
