dispatcher, leaseholder, courier: ask whose found runs are

An entry host is killed and restarts after 0.5 s. Its callers send their jobs again after 1.3 s, while runs of the first try go on: 32 tasks in each of two runs on this machine.

Cause: the leader assigned upstreams to the new process, which ignores assignments until it has looked for the other hosts, for half a second here; the upstreams had no leaseholder meanwhile. Then that host waited for claims for the orphan timeout, as the previous leaseholder had.

Evidence: the last stop orders come from the restarted host, 0.3 s after its event 5007 for the upstream, 1.37 s after the kill. Ruled out: lost stop orders (each run has one, which ends it).

Change: upstreams are assigned to hosts that have joined the leader or have a part in its assignment. A leaseholder asks all hosts for their claims and stops what remains when all have answered. A lost host whose process is not known to have ended keeps the orphan timeout from its loss. Each change of the leaseholder now costs a round trip.

--- a/courier/courier.go
+++ b/courier/courier.go
@@ -18,9 +18,11 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"sesamedrift.example/sesamedrift/messenger"
@@ -302,7 +304,7 @@
 			if resend {
 				conn.Reconnect()
 			}
-			c.send(ctx, conn, b)
+			c.send(ctx, p, conn, b)
 		}
 		select {
 		case <-ctx.Done():
@@ -322,7 +324,7 @@
 }
 
 // send sends a batch. If that fails, the session sends the batch again after ResendAfter.
-func (c *Courier) send(ctx context.Context, conn *messenger.Peer, b Batch) {
+func (c *Courier) send(ctx context.Context, p *peer, conn *messenger.Peer, b Batch) {
 	body, err := messenger.Encode(b)
 	if err != nil {
 		panic("courier: encode batch: " + err.Error())
@@ -331,6 +333,10 @@
 	defer cancel()
 	remote, err := conn.Remote(ctx)
 	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		p.mu.Lock()
+		p.session.PeerRefused()
+		p.mu.Unlock()
 	case err != nil:
 	case slices.Contains(remote.Features, Feature):
 		// An error means that the connection has ended, so that the batch is lost.
--- a/courier/session.go
+++ b/courier/session.go
@@ -57,6 +57,9 @@
 	Peer        string
 	Incarnation uint64
 	Messages    []Message
+	// Ended is set in a Down event if the process of the peer is known to have ended, rather than only
+	// not to respond.
+	Ended bool
 }
 
 // Watch says how closely a host observes a peer.
@@ -116,7 +119,10 @@
 	peerIncarnation uint64
 	epoch           uint64
 	up              bool
-	attemptAt       time.Time // when the next batch is sent while no session is open
+	// refused is set if the peer's machine has refused a connection since the last batch was received:
+	// nothing listens at the address, so that the process has ended.
+	refused   bool
+	attemptAt time.Time // when the next batch is sent while no session is open
 
 	queue []Message // not sent yet
 	// unacked holds the batches that were sent and not acknowledged, of which the first onConnection
@@ -161,6 +167,9 @@
 // PeerIncarnation returns the last known incarnation of the other process, or 0 if none is known.
 func (s *Session) PeerIncarnation() uint64 { return s.peerIncarnation }
 
+// PeerRefused records that the peer's machine has refused a connection.
+func (s *Session) PeerRefused() { s.refused = true }
+
 // Post queues a message. It returns false if no session is open or the queue is full.
 func (s *Session) Post(m Message) bool {
 	if !s.up || s.queued >= s.MaxQueue {
@@ -328,8 +337,10 @@
 	}
 	events := s.CheckTimeout(now)
 	if b.Incarnation > s.peerIncarnation || b.Epoch > s.epoch {
+		s.refused = s.refused || b.Incarnation > s.peerIncarnation
 		events = append(events, s.reset(b.Incarnation, max(b.Epoch, s.epoch))...)
 	}
+	s.refused = false
 	s.lastReceived = now
 	if b.ReceiverIncarnation != s.Incarnation || b.Epoch < s.epoch {
 		// The next batch carries the incarnation and epoch with which the sender begins the next
@@ -423,7 +434,9 @@
 func (s *Session) reset(incarnation, epoch uint64) []Event {
 	var events []Event
 	if s.up {
-		events = append(events, s.event(Down))
+		down := s.event(Down)
+		down.Ended = s.refused
+		events = append(events, down)
 	}
 	s.up = false
 	s.peerIncarnation = incarnation
--- a/courier/session_test.go
+++ b/courier/session_test.go
@@ -233,6 +233,48 @@
 	p.g.Expect(p.received[0]).To(BeEmpty())
 }
 
+// Guards against a host that is suspended or cut off and taken for one whose process has ended, so that its runs are
+// stopped at once.
+func TestDownSaysWhetherPeerHasEnded(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// lose makes host 1 lose host 0.
+		lose  func(p *pair) []Event
+		ended bool
+	}{
+		{"silence", func(p *pair) []Event {
+			return p.hosts[1].CheckTimeout(p.now.Add(testWatch.SuspectAfter))
+		}, false},
+		{"refused connection", func(p *pair) []Event {
+			p.hosts[1].PeerRefused()
+			return p.hosts[1].CheckTimeout(p.now.Add(testWatch.SuspectAfter))
+		}, true},
+		{"refused connection before the last batch", func(p *pair) []Event {
+			p.hosts[1].PeerRefused()
+			p.settle()
+			return p.hosts[1].CheckTimeout(p.now.Add(testWatch.SuspectAfter))
+		}, false},
+		{"restart", func(p *pair) []Event {
+			b, _, _ := newSession("a", "b", 2).NextBatch(p.now)
+			return p.hosts[1].Receive(p.now, b)
+		}, true},
+		{"next session", func(p *pair) []Event {
+			p.hosts[0].End()
+			b, _, _ := p.hosts[0].NextBatch(p.now)
+			return p.hosts[1].Receive(p.now, b)
+		}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPair(t)
+			p.settle()
+			events := test.lose(p)
+			p.g.Expect(events).NotTo(BeEmpty())
+			p.g.Expect(events[0].Kind).To(Equal(Down))
+			p.g.Expect(events[0].Ended).To(Equal(test.ended))
+		})
+	}
+}
+
 // Guards against a disconnect that does not reach the peer, which would keep sending batches that
 // are never applied.
 func TestEndReachesPeer(t *testing.T) {
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -101,6 +101,8 @@
 	// peers holds the hosts of the domain with which there is a session, and whether they are
 	// eligible.
 	peers map[string]bool
+	// joined holds the peers that have applied an assignment, or are ready to, since their start.
+	joined map[string]bool
 	// peerLosses holds the hosts of the domain with which a session has ended.
 	peerLosses map[string]peerLoss
 	// monitors holds the hosts that all others watch closely, closelyWatched the peers that this
@@ -130,6 +132,10 @@
 
 	jobs map[string]*job
 	held map[string]*heldUpstream
+	// claimRounds holds the requests for claims that not all hosts have answered, by their numbers, of which
+	// lastClaimRound is the last one.
+	claimRounds    map[uint64]*claimRound
+	lastClaimRound uint64
 	// touched holds the upstreams whose sessions were called since the last Flush.
 	touched []*heldUpstream
 	// lastTokens holds the fencing token that was last used for each upstream.
@@ -178,6 +184,8 @@
 		reachableControls: map[string]bool{},
 		jobs:              map[string]*job{},
 		held:              map[string]*heldUpstream{},
+		claimRounds:       map[uint64]*claimRound{},
+		joined:            map[string]bool{},
 		lastTokens:        map[string]uint64{},
 		readyReporter:     map[string]string{},
 		remotePlacers:     map[string]*remotePlacer{},
@@ -228,6 +236,7 @@
 	c.fetchDocument(now)
 	c.tickJobs(now)
 	c.tickHeld(now)
+	c.requestClaims(now)
 	c.reportProgress(now)
 	if c.placer != nil {
 		c.placer.Tick(now)
--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -42,11 +43,18 @@
 	sent    []sentMessage
 	applied []uint64 // versions of the documents
 	fetches []documentFetch
+	orders  []pendingOrder
 	// watches holds the last watch of each host, ended the incarnations of sessions that were ended.
 	watches map[string]courier.Watch
 	ended   map[string]uint64
 }
 
+// pendingOrder is an order that the Core has sent.
+type pendingOrder struct {
+	leaseholder.Order
+	done func(now time.Time, resp leaseholder.Response)
+}
+
 // documentFetch is a fetch that the Core has started.
 type documentFetch struct {
 	from    string
@@ -73,9 +81,10 @@
 		ended:   map[string]uint64{},
 	}
 	h.core = NewCore(CoreConfig{
-		Self:  entryHost(selfAddress, 2),
-		Parse: parseTestDocument,
-		Log:   slog.New(slog.DiscardHandler),
+		Self:        entryHost(selfAddress, 2),
+		LeaseConfig: LeaseConfig(time.Second, 50*time.Millisecond),
+		Parse:       parseTestDocument,
+		Log:         slog.New(slog.DiscardHandler),
 	}, Effects{
 		Post: func(to string, m courier.Message) bool {
 			h.sent = append(h.sent, sentMessage{
@@ -91,7 +100,12 @@
 		StartPolling: func(string) {},
 		StopPolling:  func(string) {},
 		SelfChanged:  func(discoverer.Host) {},
-		Order:        func(discoverer.Upstream, leaseholder.Order, func(time.Time, leaseholder.Response)) {},
+		Order: func(_ discoverer.Upstream, o leaseholder.Order, done func(time.Time, leaseholder.Response)) {
+			h.orders = append(h.orders, pendingOrder{
+				Order: o,
+				done:  done,
+			})
+		},
 		FetchDocument: func(address string, version uint64, done func(now time.Time, d FetchedDocument)) {
 			h.fetches = append(h.fetches, documentFetch{
 				from:    address,
@@ -115,6 +129,14 @@
 	}
 }
 
+// advance lets time pass, in which the Core is called as often as by a host.
+func (h *harness) advance(d time.Duration) {
+	for until := h.now.Add(d); h.now.Before(until); {
+		h.now = h.now.Add(min(TickEvery, until.Sub(h.now)))
+		h.core.Tick(h.now)
+	}
+}
+
 // applyUpdates applies updates with the other host and the content of a document of the given
 // version, as control hosts of earlier releases send them. It returns the version of the active
 // document.
@@ -177,8 +199,7 @@
 		Kind: courier.Up,
 		Peer: otherAddress,
 	})
-	h.now = h.now.Add(maxDiscoveryTime)
-	h.core.Tick(h.now)
+	h.advance(maxDiscoveryTime)
 	h.core.Flush(h.now)
 	h.g.Expect(h.core.leaderAddress).To(Equal(otherAddress))
 	sent := h.sent
@@ -237,8 +258,7 @@
 		Arrived:     h.now,
 		Deadline:    h.now.Add(time.Minute),
 	}, NewCaller(func(Result) {}))
-	h.now = h.now.Add(placementRetryInterval)
-	h.core.Tick(h.now)
+	h.advance(placementRetryInterval)
 	h.deliver(kindForwardRequest, forwardRequest{
 		Job:    "j",
 		Domain: "far",
@@ -303,8 +323,7 @@
 		}
 	}
 	h.g.Expect(closely).To(Equal(monitorCount))
-	h.now = h.now.Add(maxDiscoveryTime)
-	h.core.Tick(h.now)
+	h.advance(maxDiscoveryTime)
 	h.g.Expect(h.core.leaderAddress).To(Equal(address(0)))
 	notice := lostHosts{
 		Hosts: []lostHost{{
@@ -323,8 +342,7 @@
 	for i := 1; i < 12; i++ {
 		h.g.Expect(h.watches[address(i)]).To(Equal(CloseWatch))
 	}
-	h.now = h.now.Add(CloseWatch.SuspectAfter + lossGatherDelay)
-	h.core.Tick(h.now)
+	h.advance(CloseWatch.SuspectAfter + lossGatherDelay)
 	h.g.Expect(h.watches[address(9)]).To(Equal(DistantWatch))
 }
 
@@ -338,19 +356,16 @@
 	h.core.self.Incarnation = 50
 	h.core.hosts.Put(h.now, h.core.self)
 	h.core.reorganize(h.now)
-	h.now = h.now.Add(maxDiscoveryTime)
-	h.core.Tick(h.now)
+	h.advance(maxDiscoveryTime)
 	for i := range monitorCount {
 		h.losePeer(fmt.Sprintf("10.0.0.%d:1", 10+i), uint64(10+i))
 	}
-	h.now = h.now.Add(lossGatherDelay)
-	h.core.Tick(h.now)
+	h.advance(lossGatherDelay)
 	h.g.Expect(h.core.leaderAddress).To(Equal("10.0.0.10:1"), "it waits until the others are lost too")
 	for i := monitorCount; i < 8; i++ {
 		h.losePeer(fmt.Sprintf("10.0.0.%d:1", 10+i), uint64(10+i))
 	}
-	h.now = h.now.Add(CloseWatch.SuspectAfter)
-	h.core.Tick(h.now)
+	h.advance(CloseWatch.SuspectAfter)
 	h.g.Expect(h.core.isolated(h.now)).To(BeTrue())
 }
 
@@ -361,14 +376,113 @@
 	for i := range 3 {
 		h.addPeer(fmt.Sprintf("10.0.0.%d:1", 10+i), uint64(10+i))
 	}
-	h.now = h.now.Add(maxDiscoveryTime)
-	h.core.Tick(h.now)
+	h.advance(maxDiscoveryTime)
 	h.g.Expect(h.core.leaderAddress).To(Equal(selfAddress))
 	h.sent = nil
 	h.losePeer("10.0.0.11:1", 11)
 	h.g.Expect(h.sent).To(ContainElements(sentMessage{"10.0.0.10:1", kindLostHosts}, sentMessage{"10.0.0.12:1", kindLostHosts}))
 }
 
+// Guards against upstreams without a leaseholder: the leader assigns them to a host that has restarted and ignores
+// assignments until it has chosen its leader.
+func TestUpstreamsAreAssignedToJoinedHosts(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetControlReachable(controlAddress, true)
+	h.core.HandleUpdates(h.now, controlAddress, poller.Updates{
+		Upstreams: []discoverer.Upstream{domainUpstream("a"), domainUpstream("b"), domainUpstream("c"), domainUpstream("d")},
+	})
+	const peer = "10.0.0.10:1"
+	h.addPeer(peer, 10)
+	h.advance(maxDiscoveryTime)
+	h.g.Expect(countByHolder(h.core.assigned.Leaseholders)).To(Equal(map[string]int{selfAddress: 2, peer: 2}))
+	h.losePeer(peer, 10)
+	h.g.Expect(countByHolder(h.core.assigned.Leaseholders)).To(Equal(map[string]int{selfAddress: 4}))
+	h.addPeer(peer, 11)
+	h.advance(time.Second)
+	h.g.Expect(countByHolder(h.core.assigned.Leaseholders)).To(Equal(map[string]int{selfAddress: 4}))
+	h.deliverFrom(peer, kindJoin, join{})
+	h.g.Expect(countByHolder(h.core.assigned.Leaseholders)).To(Equal(map[string]int{selfAddress: 2, peer: 2}))
+}
+
+// Guards against runs that outlive the time after which callers of a killed host resend their jobs, since the wait
+// for claims begins anew with each leaseholder, and against runs of a suspended host that are stopped before it
+// can claim them.
+func TestOrphansAreStoppedOnceDisclaimed(t *testing.T) {
+	const lost, peer = "10.0.0.10:1", "10.0.0.11:1"
+	for _, test := range []struct {
+		name  string
+		ended bool
+		// wait is the time from the discovery of a run until claims are requested.
+		wait time.Duration
+	}{
+		{"killed", true, claimDelay},
+		{"suspended", false, orphanTimeout},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.core.SetControlReachable(controlAddress, true)
+			h.addPeer(lost, 10)
+			h.addPeer(peer, 11)
+			h.advance(maxDiscoveryTime)
+			h.core.HandleSessionEvent(h.now, courier.Event{
+				Kind:        courier.Down,
+				Peer:        lost,
+				Incarnation: 10,
+				Ended:       test.ended,
+			})
+			h.core.HandleUpdates(h.now, controlAddress, poller.Updates{Upstreams: []discoverer.Upstream{domainUpstream("u")}})
+			h.core.Flush(h.now)
+			h.g.Expect(h.orders).To(HaveLen(1))
+			foundAt := h.now
+			run := sesamedrift.Run{
+				Task:   sesamedrift.TaskID{Job: "j"},
+				Number: 1,
+			}
+			h.orders[0].done(h.now, leaseholder.Response{
+				Order:       h.orders[0].Order,
+				Status:      leaseholder.Accepted,
+				HasClock:    true,
+				Incarnation: 1,
+				Running:     []leaseholder.ListedRun{{Run: run}},
+			})
+			h.orders, h.sent = nil, nil
+			request := sentMessage{peer, kindClaimRequest}
+			for h.now.Before(foundAt.Add(time.Second)) && !slices.Contains(h.sent, request) && h.stops() == 0 {
+				h.advance(TickEvery)
+				h.core.Flush(h.now)
+			}
+			h.g.Expect(h.now.Sub(foundAt)).To(BeNumerically("~", test.wait, TickEvery))
+			if !test.ended {
+				return
+			}
+			h.g.Expect(h.stops()).To(BeZero(), "the other host may claim the run")
+			h.deliverFrom(peer, kindClaimAnswer, claimAnswer{Number: h.core.lastClaimRound})
+			h.g.Expect(h.stops()).To(Equal(1))
+		})
+	}
+}
+
+// stops returns the number of stop orders that the Core has sent.
+func (h *harness) stops() int {
+	n := 0
+	for _, o := range h.orders {
+		if o.Kind == leaseholder.StopOrder {
+			n++
+		}
+	}
+	return n
+}
+
+// domainUpstream returns a serving upstream of the domain.
+func domainUpstream(id string) discoverer.Upstream {
+	return discoverer.Upstream{
+		ID:          id,
+		Domain:      "d",
+		Incarnation: 1,
+		State:       discoverer.Serving,
+	}
+}
+
 // Guards against a document that is fetched from each host which announces it: large documents then
 // fill the link of an entry host for longer than its sessions last.
 func TestDocumentIsFetchedOnce(t *testing.T) {
@@ -406,8 +520,7 @@
 	h.g.Expect(h.answerFetch(FetchedDocument{Err: &messenger.RemoteError{}})).To(Equal(controlAddress))
 	h.core.Tick(h.now)
 	h.g.Expect(h.fetches).To(BeEmpty(), "a source that has failed is left alone for a while")
-	h.now = h.now.Add(documentRetryInterval)
-	h.core.Tick(h.now)
+	h.advance(documentRetryInterval)
 	invalid := ParseDocument(poller.Document{
 		Version: 5,
 		Content: []byte("broken"),
--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -63,6 +63,8 @@
 	// leaseLostAt is when the session reported that the lease was lost or the upstream replaced;
 	// zero otherwise.
 	leaseLostAt time.Time
+	// claimsRequested holds the found runs for which claims were requested.
+	claimsRequested map[sesamedrift.Run]bool
 	// closed is set after the release; responses to orders are then dropped.
 	closed bool
 	// touched is set while the upstream is in Core.touched.
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -20,6 +20,7 @@
 		c.sessions[e.Peer] = e.Kind == courier.Up
 	}
 	if e.Kind == courier.Down {
+		delete(c.joined, e.Peer)
 		c.remoteSessionDown(now, e.Peer)
 	}
 	switch e.Kind {
@@ -57,6 +58,10 @@
 	if !c.eligible() {
 		c.send(peer, kindEligibility, eligibility{})
 	}
+	if peer == c.leaderAddress {
+		// The leader may have assigned upstreams anew while there was no session.
+		c.send(peer, kindJoin, join{})
+	}
 	c.reorganize(now)
 	if c.leads() {
 		c.send(peer, kindAssignment, c.assigned)
@@ -102,6 +107,7 @@
 		h.session.StopAll(now, peer)
 		c.touch(h)
 	}
+	c.claimantLost(now, peer)
 	if c.placer != nil {
 		c.placer.RemoveEntry(now, peer)
 	}
@@ -146,6 +152,8 @@
 	kindStatusRequest:    decode[statusRequest],
 	kindRedirect:         decode[redirect],
 	kindRedirectedJobs:   decode[redirectedJobs],
+	kindClaimRequest:     decode[claimRequest],
+	kindClaimAnswer:      decode[claimAnswer],
 }
 
 // receiveEncoded decodes a message and passes it to its handler.
@@ -235,6 +243,10 @@
 		c.receiveFreed(now, from, m)
 	case progress:
 		c.receiveProgress(from, m)
+	case claimRequest:
+		c.receiveClaimRequest(from, m)
+	case claimAnswer:
+		c.receiveClaimAnswer(now, from, m)
 	default:
 		panic("dispatcher: no handler for the message type")
 	}
--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -43,6 +43,8 @@
 	kindStatusRequest    courier.Kind = 26
 	kindRedirect         courier.Kind = 27
 	kindRedirectedJobs   courier.Kind = 28
+	kindClaimRequest     courier.Kind = 31
+	kindClaimAnswer      courier.Kind = 32
 )
 
 // snapshot carries the hosts and upstreams that concern the domain to a host that has just started.
@@ -291,3 +293,20 @@
 	Address     string `msgpack:"address"`
 	Incarnation uint64 `msgpack:"life"`
 }
+
+// claimRequest asks an entry host to claim its runs among those that a new leaseholder has found, with a watchRun
+// each, and to answer then. Hosts of earlier releases do not answer.
+type claimRequest struct {
+	Number uint64     `msgpack:"number"`
+	Runs   []foundRun `msgpack:"runs"`
+}
+
+type foundRun struct {
+	Upstream string          `msgpack:"upstream"`
+	Run      sesamedrift.Run `msgpack:"run"`
+}
+
+// claimAnswer answers a claimRequest, after the watchRun messages for the claimed runs.
+type claimAnswer struct {
+	Number uint64 `msgpack:"number"`
+}
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -129,7 +129,7 @@
 
 // assign plans the assignment of the domain and, if it has changed, sends it to all peers.
 func (c *Core) assign(now time.Time) {
-	members := c.members()
+	members := c.assignees()
 	if len(members) == 0 {
 		return
 	}
@@ -153,6 +153,29 @@
 	}
 }
 
+// assignees returns the members that upstreams and shards may be assigned to: this host, and the peers that
+// have joined it or that have a part in the current assignment. A host that has just started ignores assignments
+// until it has chosen its leader, so that upstreams which are assigned to it earlier would be without a
+// leaseholder for that time. Before the first assignment there are no runs, and all members count.
+func (c *Core) assignees() []string {
+	members := c.members()
+	if len(c.assigned.Leaseholders) == 0 {
+		return members
+	}
+	joined := slices.DeleteFunc(slices.Clone(members), func(m string) bool { return m != c.cfg.Self.Address && !c.joined[m] })
+	if len(joined) == 0 {
+		return members
+	}
+	return joined
+}
+
+// markJoined records that a peer has a part in the assignment.
+func (c *Core) markJoined(address string) {
+	if _, up := c.peers[address]; up {
+		c.joined[address] = true
+	}
+}
+
 // allHandleShards reports whether all hosts of the domain can work with several shards.
 func (c *Core) allHandleShards() bool {
 	for peer := range c.peers {
@@ -179,6 +202,12 @@
 func (c *Core) applyAssignment(now time.Time, a assignment) {
 	previous := c.assigned
 	c.assigned = a
+	for _, holder := range a.Leaseholders {
+		c.markJoined(holder)
+	}
+	for _, placer := range a.Placers {
+		c.markJoined(placer)
+	}
 	if !slices.Equal(a.Placers, previous.Placers) {
 		c.logEvent(reporter.PlacerChosen, "placers", a.Placers)
 	}
@@ -217,6 +246,7 @@
 
 // receiveJoin sends the assignment to a host that regards this one as the leader.
 func (c *Core) receiveJoin(now time.Time, from string) {
+	c.joined[from] = true
 	if !c.leads() {
 		return
 	}
--- a/dispatcher/stats.go
+++ b/dispatcher/stats.go
@@ -23,6 +23,8 @@
 	// placer: jobs forwarded to other domains, jobs redirected to other shards, runs rescheduled,
 	// upstreams ejected and jobs superseded.
 	Forwarded, Redirected, Rescheduled, Ejections, Superseded int64
+	// Orphans counts the runs that this host has found and stopped because they are of no host of the domain.
+	Orphans int64
 	// JobTimes holds the times from arrival to end of the jobs that have ended since the last call
 	// of Core.Stats, PlacementWaits the times from the arrival of a job to a placement of its tasks.
 	JobTimes       []time.Duration
@@ -131,6 +133,7 @@
 	scope.Counter("jobs_superseded").Inc(s.Superseded - p.last.Superseded)
 	scope.Counter("runs_moved").Inc(s.Rescheduled - p.last.Rescheduled)
 	scope.Counter("upstream_rests").Inc(s.Ejections - p.last.Ejections)
+	scope.Counter("orphans_stopped").Inc(s.Orphans - p.last.Orphans)
 	for _, d := range s.JobTimes {
 		p.jobTime.RecordDuration(d)
 	}
--- a/dispatcher/watching.go
+++ b/dispatcher/watching.go
@@ -40,6 +40,8 @@
 	at          time.Time
 	incarnation uint64
 	eligible    bool
+	// ended is set if the process of the host has ended; otherwise it may be suspended or cut off.
+	ended bool
 }
 
 // updateWatches watches the hosts closely that this one has to detect the loss of, and the others
@@ -88,6 +90,7 @@
 		at:          now,
 		incarnation: e.Incarnation,
 		eligible:    c.peers[e.Peer],
+		ended:       e.Ended,
 	}
 	delete(c.peers, e.Peer)
 	delete(c.closelyWatched, e.Peer)
--- a/emulator/callers.go
+++ b/emulator/callers.go
@@ -129,7 +129,7 @@
 }
 
 // submitOnce sends a job to a random ready host of its domain, or of another domain if its own has
-// none. If no host is ready, it tries again after resubmitDelay.
+// none or if Config.ResubmitElsewhere says so. If no host is ready, it tries again after resubmitDelay.
 func (w *Simulation) submitOnce(j *callerJob) {
 	var local, remote []*Host
 	for _, n := range w.Hosts {
@@ -141,7 +141,7 @@
 			remote = append(remote, n)
 		}
 	}
-	if len(local) == 0 {
+	if len(local) == 0 || w.cfg.ResubmitElsewhere && j.attempts > 0 && len(remote) > 0 {
 		local = remote
 	}
 	if len(local) == 0 {
--- a/emulator/scenario_test.go
+++ b/emulator/scenario_test.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -178,6 +179,50 @@
 	t.Logf("%+v", w.Counts)
 }
 
+// Guards against two concurrent runs of one task after a host was killed: its runs continue beyond the time after
+// which callers resend their jobs, because the host that has restarted becomes the leaseholder of the upstreams
+// while it does not follow a leader yet, and the wait for claims of the runs begins anew.
+func TestKilledHostRestarts(t *testing.T) {
+	for _, delay := range []time.Duration{
+		20 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond, 600 * time.Millisecond, 800 * time.Millisecond,
+	} {
+		for killed := range 3 {
+			for _, second := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s host %d second %t", delay, killed, second), func(t *testing.T) {
+					t.Parallel()
+					g := NewWithT(t)
+					w := New(Config{
+						Seed:              uint64(killed),
+						Domains:           2,
+						Hosts:             4,
+						Upstreams:         8,
+						JobsPerSecond:     3,
+						Duration:          20 * time.Second,
+						LongJobShare:      0.4,
+						ResubmitElsewhere: true,
+					})
+					// One host of the domain leaves for good.
+					w.At(2*time.Second, w.Hosts[3].Drain)
+					w.At(6*time.Second, w.Hosts[3].Kill)
+					for at := 7 * time.Second; at < 20*time.Second; at += 4 * time.Second {
+						w.At(at, w.Hosts[killed].Kill)
+						w.At(at+delay, w.Hosts[killed].Start)
+						if second {
+							// The host that has taken over is killed, too.
+							next := w.Hosts[(killed+1)%3]
+							w.At(at+600*time.Millisecond, next.Kill)
+							w.At(at+600*time.Millisecond+delay, next.Start)
+						}
+					}
+					w.Run(32 * time.Second)
+					g.Expect(w.Violations()).To(BeEmpty())
+					t.Logf("%+v", w.Counts)
+				})
+			}
+		}
+	}
+}
+
 // newShardedSimulation returns a simulation of one domain with three shards, whose load uses a third of
 // its capacity.
 func newShardedSimulation() *Simulation {
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -58,6 +58,8 @@
 	JobsPerSecond float64
 	// LongJobShare is the share of jobs, from 0 to 1, whose tasks run for longRunTime.
 	LongJobShare float64
+	// ResubmitElsewhere makes callers resend their jobs to hosts of other domains.
+	ResubmitElsewhere bool
 	// UpstreamsPerShard is that of dispatcher.CoreConfig.
 	UpstreamsPerShard int
 	// Duration is the simulated time at which jobs stop arriving.
@@ -472,6 +474,12 @@
 	w.lastArrival[[2]string{n.Name, to.Name}] = at
 	w.At(at, func() {
 		if to.core == nil {
+			// The machine refuses the connection.
+			w.After(w.latency(n.Domain, to.Domain), func() {
+				if sender := n.senders[to.Address]; n.core != nil && sender != nil && w.linkUp(to.Name, n.Name) {
+					n.runWhenUnfrozen(sender.session.PeerRefused)
+				}
+			})
 			return
 		}
 		incarnation := to.incarnation
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -59,8 +59,8 @@
 	// TimerMargin is added to the time at which a lease has expired and to StopTime, since timers
 	// may fire late.
 	TimerMargin time.Duration
-	// OrphanTimeout is how long runs of a previous leaseholder continue until an entry host
-	// claims them with Session.Watch.
+	// OrphanTimeout is how long runs of a previous leaseholder continue at most until an entry host
+	// claims them with Session.Watch. The caller stops them earlier if it learns that they are nobody's.
 	OrphanTimeout time.Duration
 }
 
@@ -430,6 +430,27 @@
 	}
 }
 
+// Unclaimed returns the runs that were found at least the given time ago and that no entry host has claimed, without
+// those that are being stopped, sorted by run.
+func (s *Session) Unclaimed(now time.Time, age time.Duration) []sesamedrift.Run {
+	found := s.tasksWhere(func(t *task) bool { return t.unclaimed && !t.stopRequested && now.Sub(t.phaseSince) >= age })
+	runs := make([]sesamedrift.Run, 0, len(found))
+	for _, t := range found {
+		runs = append(runs, t.Run)
+	}
+	return runs
+}
+
+// StopUnclaimed sends the stop order of a run unless an entry host has claimed it, and reports whether it did.
+func (s *Session) StopUnclaimed(now time.Time, run sesamedrift.Run) bool {
+	t := s.tasks[run]
+	if t == nil || !t.unclaimed || t.stopRequested {
+		return false
+	}
+	s.Stop(now, run)
+	return true
+}
+
 // StopAll stops the runs of an entry host and drops its watches.
 func (s *Session) StopAll(now time.Time, entry string) {
 	for _, t := range s.sortedTasks() {
--- a/reporter/events.go
+++ b/reporter/events.go
@@ -272,6 +272,12 @@
 		Level:       slog.LevelInfo,
 		Description: "The placer has ejected an upstream because of failures, stalls or rejections; it places no tasks there for the given time.",
 	}
+	OrphansStopped = Event{
+		ID:          5017,
+		Name:        "orphans-stopped",
+		Level:       slog.LevelInfo,
+		Description: "This host has found runs of a previous leaseholder that all hosts of the failure domain have disclaimed, because their entry host is lost, and stops them.",
+	}
 )
 
 // Events 6xxx: connections and messages between hosts.
@@ -426,6 +432,7 @@
 	ReportRejected,
 	OrderUnreadable,
 	UpstreamRests,
+	OrphansStopped,
 	PeerRejected,
 	MessageRejected,
 	JournalTornTail,
