leaseholder, dispatcher: leases expire only within a tenure

Cause: a leaseholder took the lease of a silent upstream for expired if it was the leader of the domain or had a session with the leader. That says what it knew before the freeze.

Evidence: event 8006 of the resumed host with how=lapsed and itself as the keeper, 6 ms after it resumes; the upstream ends these runs 0.47 s later. Ruled out: ends that the next leaseholder reports wrongly (its runs had ended), and placements without an end of the previous run (none).

Change: leaseholder.Tenure is the time in which certainly no other host has held the upstreams. A host asks its leader, and the leader all hosts, which leader they follow, once a lease has ended on its clock; runs count as ended only within the tenure, which the session asserts. The emulator drops responses that a frozen host reads after the time limit of their order, as the HTTP client does.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -132,6 +132,9 @@
 
 	jobs map[string]*job
 	held map[string]*heldUpstream
+	// tenure is that of this host; tenureCheck is the check that is in flight.
+	tenure      leaseholder.Tenure
+	tenureCheck pendingTenureCheck
 	// claimRounds holds the requests for claims that not all hosts have answered, by their numbers, of which
 	// lastClaimRound is the last one.
 	claimRounds    map[uint64]*claimRound
@@ -236,6 +239,7 @@
 	c.fetchDocument(now)
 	c.tickJobs(now)
 	c.tickHeld(now)
+	c.tickTenure(now)
 	c.requestClaims(now)
 	c.reportProgress(now)
 	if c.placer != nil {
--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -63,6 +63,8 @@
 	// leaseLostAt is when the session reported that the lease was lost or the upstream replaced;
 	// zero otherwise.
 	leaseLostAt time.Time
+	// awaitsTenure is set while the runs wait for a tenure that shows that the lease has expired.
+	awaitsTenure bool
 	// claimsRequested holds the found runs for which claims were requested.
 	claimsRequested map[sesamedrift.Run]bool
 	// closed is set after the release; responses to orders are then dropped.
@@ -160,6 +162,7 @@
 // tickHeld calls Tick of the session of each held upstream, releases idle upstreams that are not
 // assigned any more, and acquires lost ones again after reacquireDelay.
 func (c *Core) tickHeld(now time.Time) {
+	tenure := c.currentTenure(now)
 	for _, h := range c.sortedHeld() {
 		u := h.session.Upstream()
 		switch {
@@ -172,15 +175,22 @@
 		case c.assigned.Leaseholders[u.ID] == "" && len(h.session.Tasks()) == 0:
 			c.release(h)
 		default:
-			h.session.Tick(now, c.holdsExclusively())
+			c.tickSession(now, h, tenure)
 			c.touch(h)
 		}
 	}
 }
 
-// holdsExclusively reports whether this host would have been notified if the leader had assigned
-// its upstreams to another leaseholder: it is the leader or has a session with it.
-func (c *Core) holdsExclusively() bool { return c.leads() || c.peers[c.leaderAddress] }
+// tickSession calls Tick of the session of a held upstream.
+func (c *Core) tickSession(now time.Time, h *heldUpstream, t leaseholder.Tenure) {
+	h.session.Tick(now, t)
+	awaits := h.session.AwaitsExpiry(now, t)
+	if awaits && !h.awaitsTenure {
+		c.logEvent(reporter.LeaseExpiryChecked, "upstream", h.session.Upstream().ID, "token", h.session.Token(), "runs", len(h.session.Tasks()),
+			"tenure-since", t.Since, "tenure-until", t.Until)
+	}
+	h.awaitsTenure = awaits
+}
 
 // progressInterval is the time between two progress reports. They contain the runs that have been
 // active for at least minProgressRunTime; most runs end before that.
@@ -227,7 +237,7 @@
 	if len(c.touched) == 0 {
 		return
 	}
-	exclusive := c.holdsExclusively()
+	tenure := c.currentTenure(now)
 	touched := c.touched
 	c.touched = nil
 	sortHeld(touched)
@@ -236,7 +246,7 @@
 		if h.closed {
 			continue
 		}
-		h.session.Tick(now, exclusive)
+		c.tickSession(now, h, tenure)
 		orders, events := h.session.TakePending()
 		c.handleUpstreamEvents(now, h, events)
 		u := h.session.Upstream()
@@ -253,9 +263,13 @@
 
 func (c *Core) handleUpstreamEvents(now time.Time, h *heldUpstream, events []leaseholder.Event) {
 	id := h.session.Upstream().ID
+	expired := 0
 	for _, e := range events {
 		switch e.Kind {
 		case leaseholder.Ended:
+			if e.Result == leaseholder.LeaseExpired && !h.session.Ready() {
+				expired++
+			}
 			c.send(e.Task.Entry, kindRunEnded, runEnded{
 				Upstream: id,
 				Run:      e.Task.Run,
@@ -290,6 +304,11 @@
 			c.reportUpstreamStatus(h)
 		}
 	}
+	if expired > 0 {
+		c.stats.LeaseExpiries++
+		c.logEvent(reporter.LeaseExpired, "upstream", id, "token", h.session.Token(), "runs", expired,
+			"tenure-since", c.tenure.Since, "tenure-until", c.tenure.Until)
+	}
 }
 
 // reportUpstreamStatus sends the state of an upstream and its active runs to its placer.
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -51,6 +51,9 @@
 	c.peers[peer] = true
 	delete(c.peerLosses, peer)
 	c.logEvent(reporter.SessionBegun, "peer", peer)
+	if c.leads() {
+		c.resetTenure()
+	}
 	c.send(peer, kindAnnouncement, announcement{
 		Self:            c.self,
 		DocumentVersion: c.published.Version,
@@ -101,6 +104,9 @@
 // reorganizes the domain.
 func (c *Core) peerLost(now time.Time, e courier.Event) {
 	peer := e.Peer
+	if c.leads() || peer == c.leaderAddress {
+		c.resetTenure()
+	}
 	c.dropCallers(now, peer)
 	c.relayHostLost(now, peer)
 	for _, h := range c.sortedHeld() {
@@ -152,6 +158,8 @@
 	kindStatusRequest:    decode[statusRequest],
 	kindRedirect:         decode[redirect],
 	kindRedirectedJobs:   decode[redirectedJobs],
+	kindTenureCheck:      decode[tenureCheck],
+	kindTenureAnswer:     decode[tenureAnswer],
 	kindClaimRequest:     decode[claimRequest],
 	kindClaimAnswer:      decode[claimAnswer],
 }
@@ -243,6 +251,10 @@
 		c.receiveFreed(now, from, m)
 	case progress:
 		c.receiveProgress(from, m)
+	case tenureCheck:
+		c.receiveTenureCheck(now, from, m)
+	case tenureAnswer:
+		c.receiveTenureAnswer(now, from, m)
 	case claimRequest:
 		c.receiveClaimRequest(from, m)
 	case claimAnswer:
@@ -399,6 +411,7 @@
 		return
 	}
 	c.leaderAddress = members[0]
+	c.resetTenure()
 	c.logEvent(reporter.LeaderChosen, "leader", c.leaderAddress, "members", members)
 	if c.leads() {
 		c.assign(now)
--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -43,6 +43,8 @@
 	kindStatusRequest    courier.Kind = 26
 	kindRedirect         courier.Kind = 27
 	kindRedirectedJobs   courier.Kind = 28
+	kindTenureCheck      courier.Kind = 29
+	kindTenureAnswer     courier.Kind = 30
 	kindClaimRequest     courier.Kind = 31
 	kindClaimAnswer      courier.Kind = 32
 )
@@ -294,6 +296,18 @@
 	Incarnation uint64 `msgpack:"life"`
 }
 
+// tenureCheck asks the leader, or a host that follows the sender, which leader it follows. Hosts of earlier
+// releases do not answer.
+type tenureCheck struct {
+	Number uint64 `msgpack:"number"`
+}
+
+// tenureAnswer answers a tenureCheck. All assignments that the sender knew of come before it.
+type tenureAnswer struct {
+	Number uint64 `msgpack:"number"`
+	Leader string `msgpack:"leader"`
+}
+
 // claimRequest asks an entry host to claim its runs among those that a new leaseholder has found, with a watchRun
 // each, and to answer then. Hosts of earlier releases do not answer.
 type claimRequest struct {
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -231,6 +231,8 @@
 
 func (c *Core) receiveAssignment(now time.Time, from string, a assignment) {
 	if from != c.leaderAddress || from == c.cfg.Self.Address {
+		// Another host regards itself as the leader and may have acquired upstreams of this host.
+		c.resetTenure()
 		return
 	}
 	if len(a.Placers) == 0 {
--- a/dispatcher/stats.go
+++ b/dispatcher/stats.go
@@ -23,6 +23,9 @@
 	// placer: jobs forwarded to other domains, jobs redirected to other shards, runs rescheduled,
 	// upstreams ejected and jobs superseded.
 	Forwarded, Redirected, Rescheduled, Ejections, Superseded int64
+	// LeaseExpiries counts the times at which the runs of an unresponsive upstream were taken to have ended
+	// with their lease, TenureChecks the checks whether this host has remained their leaseholder.
+	LeaseExpiries, TenureChecks int64
 	// Orphans counts the runs that this host has found and stopped because they are of no host of the domain.
 	Orphans int64
 	// JobTimes holds the times from arrival to end of the jobs that have ended since the last call
@@ -133,7 +136,9 @@
 	scope.Counter("jobs_superseded").Inc(s.Superseded - p.last.Superseded)
 	scope.Counter("runs_moved").Inc(s.Rescheduled - p.last.Rescheduled)
 	scope.Counter("upstream_rests").Inc(s.Ejections - p.last.Ejections)
+	scope.Counter("lease_expiries").Inc(s.LeaseExpiries - p.last.LeaseExpiries)
 	scope.Counter("orphans_stopped").Inc(s.Orphans - p.last.Orphans)
+	scope.Counter("tenure_checks").Inc(s.TenureChecks - p.last.TenureChecks)
 	for _, d := range s.JobTimes {
 		p.jobTime.RecordDuration(d)
 	}
--- a/emulator/scenario_test.go
+++ b/emulator/scenario_test.go
@@ -179,6 +179,38 @@
 	t.Logf("%+v", w.Counts)
 }
 
+// Guards against two concurrent runs of one task after a freeze: the host that resumes regards the leases of
+// its upstreams as expired, although their next leaseholders have renewed them.
+func TestHostsFreeze(t *testing.T) {
+	for _, freeze := range []time.Duration{
+		350 * time.Millisecond, 450 * time.Millisecond, 500 * time.Millisecond, 550 * time.Millisecond, 600 * time.Millisecond,
+		640 * time.Millisecond, 700 * time.Millisecond, 800 * time.Millisecond, 950 * time.Millisecond, 1300 * time.Millisecond,
+		2500 * time.Millisecond, 5 * time.Second,
+	} {
+		for frozen := range 3 {
+			t.Run(fmt.Sprintf("%s host %d", freeze, frozen), func(t *testing.T) {
+				t.Parallel()
+				g := NewWithT(t)
+				w := New(Config{
+					Seed:          uint64(frozen),
+					Domains:       2,
+					Hosts:         3,
+					Upstreams:     8,
+					JobsPerSecond: 4,
+					Duration:      20 * time.Second,
+					LongJobShare:  0.3,
+				})
+				for i, at := range []time.Duration{4 * time.Second, 5 * time.Second, 6500 * time.Millisecond, 9 * time.Second, 13 * time.Second} {
+					w.At(at+time.Duration(i)*freeze, func() { w.Hosts[frozen].Freeze(freeze) })
+				}
+				w.Run(32 * time.Second)
+				g.Expect(w.Violations()).To(BeEmpty())
+				t.Logf("%+v", w.Counts)
+			})
+		}
+	}
+}
+
 // Guards against two concurrent runs of one task after a host was killed: its runs continue beyond the time after
 // which callers resend their jobs, because the host that has restarted becomes the leaseholder of the upstreams
 // while it does not follow a leader yet, and the wait for claims of the runs begins anew.
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -288,6 +288,13 @@
 		Order: func(u discoverer.Upstream, o leaseholder.Order, done func(now time.Time, a leaseholder.Response)) {
 			w.sendOrder(n, u, o, func(a leaseholder.Response) {
 				ifRunning(func() {
+					if w.wallTime().Sub(o.SentAt) > o.Timeout {
+						// The timeout of the order has passed while the host was frozen.
+						a = leaseholder.Response{
+							Order:  o,
+							Status: leaseholder.NoResponse,
+						}
+					}
 					done(w.wallTime(), a)
 					n.core.Flush(w.wallTime())
 				})()
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -9,8 +9,9 @@
 //     closes. After this event the run certainly does not run on this upstream and will not
 //     start there.
 //   - A run counts as ended only if the upstream has reported its end, no longer lists it
-//     after it was listed or stopped, or has another incarnation, or if the lease has expired
-//     even on the slowest clock that an upstream may have.
+//     after it was listed or stopped, or has another incarnation, or if the lease has certainly
+//     expired: even on the slowest clock that an upstream may have, and within a Tenure, so that no
+//     other host has renewed it.
 //   - The fencing token of the session never decreases, so that delayed orders of a previous
 //     leaseholder have no effect.
 //
@@ -284,6 +285,7 @@
 	clockKnown       bool
 	clockRequestedAt time.Time // when the order of that response was sent
 	clockReceivedAt  time.Time // when that response arrived
+	acceptedAt       time.Time // when the newest accepted order was sent
 	leaseUntil       int64     // latest lease end that may have been ordered, on the upstream's clock
 
 	orders []Order
@@ -518,10 +520,36 @@
 	return s.clockReceivedAt.Add(time.Duration(remaining*float64(time.Millisecond)) + s.cfg.TimerMargin)
 }
 
-// Tick sends the orders that are due and ends the runs whose lease has expired. The caller sets
-// exclusive only if no other host can have become the leaseholder, since that one may have
-// renewed the lease.
-func (s *Session) Tick(now time.Time, exclusive bool) {
+// Tenure is the time in which certainly no host but the caller has been the leaseholder of the
+// upstreams that it holds. It proves nothing about the time after Until, which may be long past. The
+// zero value proves nothing.
+//
+// Invariant: if Until is set, Since is set and not after it.
+type Tenure struct {
+	Since, Until time.Time
+}
+
+// expiresAt returns the time from which on the lease has certainly expired, if the tenure lasts until
+// then. Before the tenure another host may have requested the longest lease.
+func (s *Session) expiresAt(t Tenure) time.Time {
+	at := s.leaseExpiredAt()
+	if t.Since.After(s.acceptedAt) {
+		longest := time.Duration(float64(s.cfg.MaxLease)/(1-s.cfg.MaxClockDrift)) + s.cfg.TimerMargin
+		if lapsed := t.Since.Add(longest); lapsed.After(at) {
+			return lapsed
+		}
+	}
+	return at
+}
+
+// AwaitsExpiry reports whether the upstream is unresponsive and the runs count as ended once the tenure
+// is known to have lasted until now.
+func (s *Session) AwaitsExpiry(now time.Time, t Tenure) bool {
+	return !s.closed && !s.ready && s.clockKnown && len(s.tasks) > 0 && now.After(s.expiresAt(t))
+}
+
+// Tick sends the orders that are due and ends the runs whose lease has expired within the tenure.
+func (s *Session) Tick(now time.Time, t Tenure) {
 	if s.closed {
 		return
 	}
@@ -531,14 +559,26 @@
 		s.extraRenewalAt = time.Time{}
 		s.renew(now, 0)
 	}
-	if exclusive && !s.ready && s.clockKnown && len(s.tasks) > 0 && now.After(s.leaseExpiredAt()) {
-		for _, t := range s.sortedTasks() {
-			s.end(now, t, LeaseExpired, "")
+	if s.AwaitsExpiry(now, t) && t.Until.After(s.expiresAt(t)) {
+		for _, expired := range s.sortedTasks() {
+			s.assertExpired(now, t)
+			s.end(now, expired, LeaseExpired, "")
 		}
 	}
-	for _, t := range s.tasksWhere(func(t *task) bool { return s.needsStop(now, t) }) {
-		t.stopRequested = true
-		s.sendStop(now, t)
+	for _, unclaimed := range s.tasksWhere(func(t *task) bool { return s.needsStop(now, t) }) {
+		unclaimed.stopRequested = true
+		s.sendStop(now, unclaimed)
+	}
+}
+
+// assertExpired panics if the lease may be in force: another host may have renewed it, or it has not
+// expired on the slowest clock.
+func (s *Session) assertExpired(now time.Time, t Tenure) {
+	switch {
+	case t.Since.IsZero() || t.Until.Before(t.Since) || t.Until.After(now):
+		panic("leaseholder: a lease is taken for expired without a tenure")
+	case t.Until.Before(s.leaseExpiredAt()):
+		panic("leaseholder: a lease is taken for expired before its end")
 	}
 }
 
@@ -596,6 +636,9 @@
 	if resp.HasClock {
 		s.recordClock(now, resp)
 	}
+	if resp.Status == Accepted && resp.Order.SentAt.After(s.acceptedAt) {
+		s.acceptedAt = resp.Order.SentAt
+	}
 	if resp.Status == Refused && resp.Reason == Fenced && resp.Order.Token >= s.token {
 		s.closed = true
 		s.events = append(s.events, Event{Kind: LeaseLost})
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -70,7 +70,10 @@
 // advance moves the clock, calls Tick and collects pending orders and events.
 func (h *harness) advance(d time.Duration) {
 	h.now = h.now.Add(d)
-	h.session.Tick(h.now, true)
+	h.session.Tick(h.now, Tenure{
+		Since: startTime,
+		Until: h.now,
+	})
 	orders, events := h.session.TakePending()
 	h.orders = append(h.orders, orders...)
 	h.events = append(h.events, events...)
@@ -273,18 +276,44 @@
 	h.g.Expect(slowClock).To(BeNumerically(">=", float64(h.session.leaseUntil)))
 }
 
-// Guards against a host that regards a lease as expired which another leaseholder may have renewed.
-func TestLeaseExpiresOnlyIfExclusive(t *testing.T) {
-	h := newHarness(t)
-	h.startRun()
-	h.session.HandleResponse(h.now, Response{
-		Order:  h.takeOrder(RenewOrder),
-		Status: NoResponse,
-	})
-	h.now = h.now.Add(10 * time.Second)
-	h.session.Tick(h.now, false)
-	_, events := h.session.TakePending()
-	h.g.Expect(events).NotTo(ContainElement(HaveField("Result", LeaseExpired)))
+// Guards against a host that regards a lease as expired which another leaseholder may have renewed: it knows of
+// no tenure, of one that has ended before the lease, or of one that began after the last accepted order.
+func TestLeaseExpiresOnlyWithinTenure(t *testing.T) {
+	const expiry = 10 * time.Second
+	for _, test := range []struct {
+		name         string
+		since, until time.Duration
+		expired      bool
+	}{
+		{"unknown", 0, 0, false},
+		{"ends before the lease", time.Millisecond, 500 * time.Millisecond, false},
+		{"lasts", time.Millisecond, expiry, true},
+		{"begins less than the longest lease ago", expiry - time.Second, expiry, false},
+		{"begins longer than the longest lease ago", expiry - 1100*time.Millisecond, expiry, true},
+		{"ends before the longest lease", expiry - 1100*time.Millisecond, expiry - 200*time.Millisecond, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.advance(10 * time.Millisecond)
+			h.startRun()
+			h.session.HandleResponse(h.now, Response{
+				Order:  h.takeOrder(RenewOrder),
+				Status: NoResponse,
+			})
+			h.now = startTime.Add(expiry)
+			tenure := Tenure{}
+			if test.until > 0 {
+				tenure.Since, tenure.Until = startTime.Add(test.since), startTime.Add(test.until)
+			}
+			h.session.Tick(h.now, tenure)
+			_, events := h.session.TakePending()
+			if test.expired {
+				h.g.Expect(events).To(ContainElement(HaveField("Result", LeaseExpired)))
+			} else {
+				h.g.Expect(events).NotTo(ContainElement(HaveField("Result", LeaseExpired)))
+			}
+		})
+	}
 }
 
 // Guards against a new leaseholder that regards a run as ended while the lease that the previous
--- a/reporter/events.go
+++ b/reporter/events.go
@@ -272,6 +272,18 @@
 		Level:       slog.LevelInfo,
 		Description: "The placer has ejected an upstream because of failures, stalls or rejections; it places no tasks there for the given time.",
 	}
+	LeaseExpiryChecked = Event{
+		ID:          5015,
+		Name:        "lease-expiry-checked",
+		Level:       slog.LevelInfo,
+		Description: "The lease of an unresponsive upstream has reached its end. Its runs count as ended once the leader, or on the leader all hosts of the failure domain, have confirmed that no other host has renewed it. If `lease-expired` does not follow, look for a host that does not respond or that has another leader.",
+	}
+	LeaseExpired = Event{
+		ID:          5016,
+		Name:        "lease-expired",
+		Level:       slog.LevelWarn,
+		Description: "The runs of an unresponsive upstream count as ended, because their lease has certainly expired; the attributes hold their number and the time in which certainly no other host held the upstream.",
+	}
 	OrphansStopped = Event{
 		ID:          5017,
 		Name:        "orphans-stopped",
@@ -432,6 +444,8 @@
 	ReportRejected,
 	OrderUnreadable,
 	UpstreamRests,
+	LeaseExpiryChecked,
+	LeaseExpired,
 	OrphansStopped,
 	PeerRejected,
 	MessageRejected,
