leaseholder: the duration of a found run is unknown

Seen by callers: after a change of the leaseholder, tasks that are nearly done are stopped as slow and start again elsewhere.

Cause: a leaseholder reported the time since it had found a run as the duration of that run. The placer learned 0.9 s for tasks of 5 s and took the others of the job for slow.

Change: the duration is left out, and the placer learns nothing, as it does for runs without a duration.

Test: TestDurationOfFoundRunIsUnknown fails before.

--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -216,7 +216,7 @@
 	Task   Task
 	Result RunResult
 	Reason Reason
-	// Duration is the time from the start order to the end.
+	// Duration is the time from the start order to the end; 0 for a run that a previous leaseholder has started.
 	Duration time.Duration
 }
 
@@ -238,6 +238,8 @@
 	// phaseSince is when the current phase began.
 	phaseSince time.Time
 	orderedAt  time.Time
+	// found is set for runs that a previous leaseholder has started.
+	found bool
 	// unclaimed is set for runs that the session has not started itself, until an entry host
 	// claims them.
 	unclaimed bool
@@ -782,6 +784,7 @@
 				phase:      confirmed,
 				phaseSince: now,
 				orderedAt:  now,
+				found:      true,
 				unclaimed:  true,
 			}
 			s.tasks[r.Run] = t
@@ -822,13 +825,16 @@
 	if t.unclaimed {
 		return
 	}
-	s.events = append(s.events, Event{
-		Kind:     Ended,
-		Task:     t.Task,
-		Result:   result,
-		Reason:   reason,
-		Duration: now.Sub(t.orderedAt),
-	})
+	e := Event{
+		Kind:   Ended,
+		Task:   t.Task,
+		Result: result,
+		Reason: reason,
+	}
+	if !t.found {
+		e.Duration = now.Sub(t.orderedAt)
+	}
+	s.events = append(s.events, e)
 }
 
 // resolveWatches resolves the watches that were requested before a renewal was sent. The response
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -366,6 +366,21 @@
 	h.g.Expect(h.orders).NotTo(ContainElement(HaveField("Kind", StopOrder)))
 }
 
+// Guards against runs that a placer moves as slow because it has learned too short a run time: a run that a
+// previous leaseholder has started ends with the time since it was found.
+func TestDurationOfFoundRunIsUnknown(t *testing.T) {
+	h := newHarness(t)
+	h.respondToRenewal(listedRuns(testRun(0, 1)), nil)
+	h.session.Watch(h.now, testTask(0, 1))
+	h.advance(time.Millisecond)
+	h.takeEvents()
+	h.respondToRenewal(nil, endedRuns(1, testRun(0, 1), Done))
+	events := h.takeEvents()
+	h.g.Expect(events).To(HaveLen(1))
+	h.g.Expect(events[0].Result).To(Equal(Done))
+	h.g.Expect(events[0].Duration).To(BeZero())
+}
+
 // Guards against an unclaimed run that continues because its stop order was lost.
 func TestStopOfUnclaimedRunIsResent(t *testing.T) {
 	h := newHarness(t)
