dispatcher: a host that resumes settles first

Seen by callers: after a host has resumed from a freeze, runs of jobs of other hosts on upstreams of other hosts are stopped or lose their lease.

Cause: the resumed host takes its own silence for that of the others. It acquires their upstreams, reports them as lost, stops the runs of their jobs, and as a leader sends the assignment from before the freeze.

Change: a host that was not called for half of the suspicion time settles for 160 ms, in which it neither chooses a leader nor assigns nor reports losses nor concludes that it is cut off, and lets the runs of lost entry hosts count as unclaimed. A host that has led meanwhile hands its assignment to the returning leader.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -34,6 +34,14 @@
 	// isolationWindow is how long a lost host counts as possibly partitioned; after that it counts
 	// as down. Machines are reachable again within that time.
 	isolationWindow = 10 * time.Second
+	// pauseThreshold is the time between two calls of the Core after which its process counts as suspended
+	// meanwhile. The other hosts may regard it as lost after hardly more than that.
+	pauseThreshold = SuspectAfter / 2
+	// settleTime is how long a host that has resumed neither chooses a leader nor assigns upstreams. The
+	// sessions that the others have ended begin again within that time.
+	settleTime = 160 * time.Millisecond
+	// maxSettleTime bounds that time if the process is suspended again and again.
+	maxSettleTime = time.Second
 	// lossGatherDelay is the time within which an isolated host detects the loss of all peers that it
 	// watches closely: the last exchanges with them are at most so far apart.
 	lossGatherDelay = 160 * time.Millisecond
@@ -114,6 +122,9 @@
 	// if no loss is pending.
 	reorganizeAt time.Time
 	polling      map[string]bool
+	// lastActive is the time of the last call. settlingSince is when the process resumed, and settleUntil
+	// the end of the time in which it settles; both are zero unless it has been suspended.
+	lastActive, settlingSince, settleUntil time.Time
 	// reachableControls holds the control hosts that respond.
 	reachableControls map[string]bool
 	draining          bool
@@ -225,8 +236,43 @@
 	}
 }
 
+// noticePause detects that the process was suspended since the last call. The steady clock may have stood
+// still meanwhile, so the wall clock counts, too; a step of it has the same effect and does no harm.
+//
+// What a host concludes from silence right after a pause says nothing about the others: it has not heard
+// them because it was suspended, and they have probably replaced it. So it settles first.
+func (c *Core) noticePause(now time.Time) {
+	last := c.lastActive
+	c.lastActive = now
+	pause := max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
+	if last.IsZero() || pause < pauseThreshold {
+		return
+	}
+	c.stats.Pauses++
+	c.logEvent(reporter.HostResumed, "after", pause)
+	if c.settlingSince.IsZero() || now.Sub(c.settlingSince) >= maxSettleTime {
+		c.settlingSince = now
+	}
+	c.settleUntil = now.Add(settleTime)
+	if latest := c.settlingSince.Add(maxSettleTime); latest.Before(c.settleUntil) {
+		c.settleUntil = latest
+	}
+}
+
+// settling reports whether this host has just resumed. If so, the domain is reorganized later.
+func (c *Core) settling(now time.Time) bool {
+	if !now.Before(c.settleUntil) {
+		return false
+	}
+	if c.reorganizeAt.Before(c.settleUntil) {
+		c.reorganizeAt = c.settleUntil
+	}
+	return true
+}
+
 // Tick handles everything that has become due: timeouts, retries, renewals and periodic reports.
 func (c *Core) Tick(now time.Time) {
+	c.noticePause(now)
 	if !c.discoveryComplete {
 		c.chooseLeader(now)
 	}
@@ -325,6 +371,9 @@
 	}
 }
 
+// Holds reports whether this host holds an upstream.
+func (c *Core) Holds(upstream string) bool { return c.held[upstream] != nil }
+
 // BeginDrain starts a planned stop: the other hosts of the domain take over the roles and the upstreams
 // of this host. Jobs that callers still submit are served.
 func (c *Core) BeginDrain(now time.Time) {
--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -63,6 +63,9 @@
 	// leaseLostAt is when the session reported that the lease was lost or the upstream replaced;
 	// zero otherwise.
 	leaseLostAt time.Time
+	// overtaken is set when another host has acquired the upstream, until the jobs on it have ended because
+	// this host is cut off.
+	overtaken bool
 	// awaitsTenure is set while the runs wait for a tenure that shows that the lease has expired.
 	awaitsTenure bool
 	// claimsRequested holds the found runs for which claims were requested.
@@ -167,6 +170,7 @@
 		u := h.session.Upstream()
 		switch {
 		case !h.leaseLostAt.IsZero() && c.isolated(now):
+			c.checkCutOff(now, h)
 		case !h.leaseLostAt.IsZero() && now.Sub(h.leaseLostAt) >= reacquireDelay:
 			c.release(h)
 			if c.assigned.Leaseholders[u.ID] == c.cfg.Self.Address {
@@ -292,12 +296,9 @@
 		case leaseholder.LeaseLost:
 			c.logEvent(reporter.UpstreamOvertaken, "upstream", id, "token", h.session.Token(), "runs", len(h.session.Tasks()))
 			h.leaseLostAt = now
+			h.overtaken = true
 			c.reportUpstreamStatus(h)
-			if c.isolated(now) {
-				c.upstreamsLost = true
-				c.logEvent(reporter.CutOff, "upstream", id)
-				c.failJobsOn(now, id)
-			}
+			c.checkCutOff(now, h)
 		case leaseholder.Replaced:
 			c.logEvent(reporter.UpstreamReplaced, "upstream", id)
 			h.leaseLostAt = now
@@ -311,6 +312,18 @@
 	}
 }
 
+// checkCutOff ends the jobs with runs on an upstream that another host has acquired while this one is isolated.
+// A host that has just resumed may only seem to be.
+func (c *Core) checkCutOff(now time.Time, h *heldUpstream) {
+	if !h.overtaken || c.settling(now) || !c.isolated(now) {
+		return
+	}
+	h.overtaken = false
+	c.upstreamsLost = true
+	c.logEvent(reporter.CutOff, "upstream", h.session.Upstream().ID)
+	c.failJobsOn(now, h.session.Upstream().ID)
+}
+
 // reportUpstreamStatus sends the state of an upstream and its active runs to its placer.
 func (c *Core) reportUpstreamStatus(h *heldUpstream) {
 	r := upstreamStatus{
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -16,6 +16,7 @@
 // HandleSessionEvent handles the start or end of a session with another host, or the messages that
 // arrived in it.
 func (c *Core) HandleSessionEvent(now time.Time, e courier.Event) {
+	c.noticePause(now)
 	if e.Kind != courier.Delivered {
 		c.sessions[e.Peer] = e.Kind == courier.Up
 	}
@@ -66,7 +67,7 @@
 		c.send(peer, kindJoin, join{})
 	}
 	c.reorganize(now)
-	if c.leads() {
+	if c.leads() && !c.settling(now) {
 		c.send(peer, kindAssignment, c.assigned)
 	}
 }
@@ -110,7 +111,12 @@
 	c.dropCallers(now, peer)
 	c.relayHostLost(now, peer)
 	for _, h := range c.sortedHeld() {
-		h.session.StopAll(now, peer)
+		if c.settling(now) {
+			// The peer has probably lost this host and not the other way round.
+			h.session.DisownAll(now, peer)
+		} else {
+			h.session.StopAll(now, peer)
+		}
 		c.touch(h)
 	}
 	c.claimantLost(now, peer)
@@ -190,7 +196,7 @@
 	case snapshot:
 		c.applySnapshot(now, m)
 	case join:
-		c.receiveJoin(now, from)
+		c.receiveJoin(now, from, m)
 	case assignment:
 		c.receiveAssignment(now, from, m)
 	case placementRequest:
@@ -407,9 +413,10 @@
 // this host joins it, or begins to assign upstreams itself.
 func (c *Core) chooseLeader(now time.Time) {
 	members := c.members()
-	if len(members) == 0 || members[0] == c.leaderAddress || !c.checkDiscovery(now) {
+	if len(members) == 0 || members[0] == c.leaderAddress || !c.checkDiscovery(now) || c.settling(now) {
 		return
 	}
+	led := c.leads()
 	c.leaderAddress = members[0]
 	c.resetTenure()
 	c.logEvent(reporter.LeaderChosen, "leader", c.leaderAddress, "members", members)
@@ -417,7 +424,11 @@
 		c.assign(now)
 		return
 	}
-	c.send(c.leaderAddress, kindJoin, join{})
+	j := join{}
+	if led {
+		j.Leaseholders = c.assigned.Leaseholders
+	}
+	c.send(c.leaderAddress, kindJoin, j)
 }
 
 // receiveEligibility records whether a host of the domain is eligible.
@@ -432,6 +443,9 @@
 // reorganize chooses the leader again and, if that is this host, assigns the upstreams again.
 func (c *Core) reorganize(now time.Time) {
 	c.updateWatches(now)
+	if c.settling(now) {
+		return
+	}
 	c.chooseLeader(now)
 	c.reportLosses(now)
 	if c.leads() {
--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -69,7 +69,10 @@
 type snapshotRequest struct{}
 
 // join notifies a host that the sender regards it as the leader; the reply is the assignment.
-type join struct{}
+type join struct {
+	// Leaseholders are those that the sender has assigned, if it was the leader until now.
+	Leaseholders map[string]string `msgpack:"keepers,omitempty"`
+}
 
 // assignment divides the upstreams of a domain into shards. The leader sends it to all other hosts.
 type assignment struct {
--- a/dispatcher/orphans.go
+++ b/dispatcher/orphans.go
@@ -44,7 +44,7 @@
 			}
 		}
 	}
-	if len(found) == 0 || !c.discoveryComplete || c.awaitsReturn(now) {
+	if len(found) == 0 || !c.discoveryComplete || c.awaitsReturn(now) || c.settling(now) {
 		return
 	}
 	for _, f := range found {
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -130,7 +130,7 @@
 // assign plans the assignment of the domain and, if it has changed, sends it to all peers.
 func (c *Core) assign(now time.Time) {
 	members := c.assignees()
-	if len(members) == 0 {
+	if len(members) == 0 || c.settling(now) {
 		return
 	}
 	next := planAssignment(c.assigned, c.domainUpstreams(), members, c.allHandleShards(), c.cfg.UpstreamsPerShard)
@@ -246,14 +246,25 @@
 	c.applyAssignment(now, a)
 }
 
-// receiveJoin sends the assignment to a host that regards this one as the leader.
-func (c *Core) receiveJoin(now time.Time, from string) {
+// receiveJoin sends the assignment to a host that regards this one as the leader. If that host has led the
+// domain meanwhile, its leaseholders stay.
+func (c *Core) receiveJoin(now time.Time, from string, m join) {
 	c.joined[from] = true
 	if !c.leads() {
 		return
 	}
+	if len(m.Leaseholders) > 0 && len(c.assigned.Leaseholders) > 0 {
+		adopted := c.assigned
+		adopted.Leaseholders = maps.Clone(c.assigned.Leaseholders)
+		for id, holder := range m.Leaseholders {
+			if _, assigned := adopted.Leaseholders[id]; assigned {
+				adopted.Leaseholders[id] = holder
+			}
+		}
+		c.applyAssignment(now, adopted)
+	}
 	c.assign(now)
-	if from != c.cfg.Self.Address {
+	if from != c.cfg.Self.Address && !c.settling(now) {
 		c.send(from, kindAssignment, c.assigned)
 	}
 }
--- a/dispatcher/stats.go
+++ b/dispatcher/stats.go
@@ -26,6 +26,8 @@
 	// LeaseExpiries counts the times at which the runs of an unresponsive upstream were taken to have ended
 	// with their lease, TenureChecks the checks whether this host has remained their leaseholder.
 	LeaseExpiries, TenureChecks int64
+	// Pauses counts the times at which the process of this host was suspended.
+	Pauses int64
 	// Orphans counts the runs that this host has found and stopped because they are of no host of the domain.
 	Orphans int64
 	// JobTimes holds the times from arrival to end of the jobs that have ended since the last call
@@ -137,6 +139,7 @@
 	scope.Counter("runs_moved").Inc(s.Rescheduled - p.last.Rescheduled)
 	scope.Counter("upstream_rests").Inc(s.Ejections - p.last.Ejections)
 	scope.Counter("lease_expiries").Inc(s.LeaseExpiries - p.last.LeaseExpiries)
+	scope.Counter("pauses").Inc(s.Pauses - p.last.Pauses)
 	scope.Counter("orphans_stopped").Inc(s.Orphans - p.last.Orphans)
 	scope.Counter("tenure_checks").Inc(s.TenureChecks - p.last.TenureChecks)
 	for _, d := range s.JobTimes {
--- a/dispatcher/watching.go
+++ b/dispatcher/watching.go
@@ -103,7 +103,10 @@
 	}
 	c.updateWatches(now)
 	if len(c.reachableControls) > 0 {
-		return now
+		gathered = now
+	}
+	if c.settling(now) && gathered.Before(c.settleUntil) {
+		gathered = c.settleUntil
 	}
 	return gathered
 }
--- a/emulator/scenario_test.go
+++ b/emulator/scenario_test.go
@@ -7,7 +7,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/dispatcher"
+	"sesamedrift.example/sesamedrift/leaseholder"
 )
 
 // newLightlyLoadedSimulation returns a simulation whose load uses a third of its capacity.
@@ -211,6 +213,53 @@
 	}
 }
 
+// Guards against a host that resumes from a freeze and takes its own silence for that of the others: it acquires
+// the upstreams that they hold, has them end their sessions with each other, and so ends live runs. The runs of
+// jobs of the other hosts on upstreams that the others hold are neither stopped nor do they lose their lease.
+func TestResumedHostLeavesOthersAlone(t *testing.T) {
+	for _, freeze := range []time.Duration{400 * time.Millisecond, 550 * time.Millisecond, 700 * time.Millisecond, 1200 * time.Millisecond, 5 * time.Second} {
+		for frozen := range 3 {
+			t.Run(fmt.Sprintf("%s host %d", freeze, frozen), func(t *testing.T) {
+				t.Parallel()
+				g := NewWithT(t)
+				w := New(Config{
+					Seed:          uint64(frozen),
+					Domains:       1,
+					Hosts:         3,
+					Upstreams:     8,
+					JobsPerSecond: 1,
+					Duration:      20 * time.Second,
+					LongJobShare:  0.5,
+				})
+				host := w.Hosts[frozen]
+				for at := 4 * time.Second; at < 20*time.Second; at += 3*time.Second + freeze {
+					w.Run(at)
+					// The runs that the freeze leaves alone.
+					spared := map[sesamedrift.Run]bool{}
+					for _, s := range w.Upstreams {
+						for id := range s.current.runs {
+							if w.jobs[id.Task.Job].host != host && !host.core.Holds(s.current.Report.ID) {
+								spared[id] = true
+							}
+						}
+						u := s.current
+						u.OnEnd = func(now time.Time, u *Upstream, run sesamedrift.Run, result leaseholder.RunResult) {
+							if spared[run] && result != leaseholder.Done {
+								t.Errorf("%s: run %s on %s ended: %s", w.Now(), run, u.Report.ID, result)
+							}
+							w.invariants.runEnded(now, u, run, result)
+						}
+					}
+					host.Freeze(freeze)
+				}
+				w.Run(32 * time.Second)
+				g.Expect(w.Violations()).To(BeEmpty())
+				t.Logf("%+v", w.Counts)
+			})
+		}
+	}
+}
+
 // Guards against two concurrent runs of one task after a host was killed: its runs continue beyond the time after
 // which callers resend their jobs, because the host that has restarted becomes the leaseholder of the upstreams
 // while it does not follow a leader yet, and the wait for claims of the runs begins anew.
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -465,6 +465,18 @@
 	s.watches = slices.DeleteFunc(s.watches, func(w watch) bool { return w.Entry == entry })
 }
 
+// DisownAll lets the runs of an entry host count as found now: they are stopped unless it claims them again. It
+// drops the watches of the entry host.
+func (s *Session) DisownAll(now time.Time, entry string) {
+	for _, t := range s.tasks {
+		if t.Entry == entry && !t.unclaimed {
+			t.unclaimed = true
+			t.phaseSince = now
+		}
+	}
+	s.watches = slices.DeleteFunc(s.watches, func(w watch) bool { return w.Entry == entry })
+}
+
 func (s *Session) sortedTasks() []*task {
 	return s.tasksWhere(func(*task) bool { return true })
 }
--- a/reporter/events.go
+++ b/reporter/events.go
@@ -58,6 +58,12 @@
 		Level:       slog.LevelWarn,
 		Description: "The connections to an address reached their limit; the one that had been idle for longest was closed, or the new one if none was idle.",
 	}
+	HostResumed = Event{
+		ID:          1010,
+		Name:        "host-resumed",
+		Level:       slog.LevelWarn,
+		Description: "The process has not run for the given time, because it or its machine was suspended or got no processor time. It lets its sessions begin again before it concludes anything from the silence of other hosts.",
+	}
 )
 
 // Events 2xxx: membership, leases and sessions between hosts.
@@ -411,6 +417,7 @@
 	ListenerFailed,
 	LinesLeftOut,
 	ConnectionClosed,
+	HostResumed,
 	ViewInstalled,
 	ViewProposalFailed,
 	LeaseLost,
