dispatcher: a leader that steps down does not undo its successor's assignment

Cause: since a host that has led the domain sends its assignment with its join. A leader that is stopped as planned does so, too, and its successor adopted the earlier assignment and planned again, so that upstreams changed their leaseholder twice.

Change: the assignment is adopted only if its number is higher than the own one, that is, if it follows it.

--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -404,6 +404,46 @@
 	h.g.Expect(countByHolder(h.core.assigned.Leaseholders)).To(Equal(map[string]int{selfAddress: 2, peer: 2}))
 }
 
+// Guards against a leader that steps down and has its successor undo its own assignment, and against a leader that
+// returns and undoes that of a host which has led meanwhile.
+func TestFormerLeaderJoins(t *testing.T) {
+	const peer = "10.0.0.10:1"
+	for _, test := range []struct {
+		name string
+		// later is the difference of the numbers of the assignments of the peer and of this host.
+		later   int
+		adopted bool
+	}{
+		{"steps down", -1, false},
+		{"same assignment", 0, false},
+		{"has led meanwhile", 1, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.core.SetControlReachable(controlAddress, true)
+			h.core.HandleUpdates(h.now, controlAddress, poller.Updates{
+				Upstreams: []discoverer.Upstream{domainUpstream("a"), domainUpstream("b")},
+			})
+			h.addPeer(peer, 10)
+			h.advance(maxDiscoveryTime)
+			before := h.core.assigned
+			swapped := map[string]string{
+				"a": before.Leaseholders["b"],
+				"b": before.Leaseholders["a"],
+			}
+			h.deliverFrom(peer, kindJoin, join{
+				Leaseholders: swapped,
+				Number:       uint64(int(before.Number) + test.later),
+			})
+			if test.adopted {
+				h.g.Expect(h.core.assigned.Leaseholders).To(Equal(swapped))
+			} else {
+				h.g.Expect(h.core.assigned.Leaseholders).To(Equal(before.Leaseholders))
+			}
+		})
+	}
+}
+
 // Guards against runs that outlive the time after which callers of a killed host resend their jobs, since the wait
 // for claims begins anew with each leaseholder, and against runs of a suspended host that are stopped before it
 // can claim them.
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -426,7 +426,7 @@
 	}
 	j := join{}
 	if led {
-		j.Leaseholders = c.assigned.Leaseholders
+		j.Leaseholders, j.Number = c.assigned.Leaseholders, c.assigned.Number
 	}
 	c.send(c.leaderAddress, kindJoin, j)
 }
--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -70,13 +70,15 @@
 
 // join notifies a host that the sender regards it as the leader; the reply is the assignment.
 type join struct {
-	// Leaseholders are those that the sender has assigned, if it was the leader until now.
+	// Leaseholders and Number are those of the assignment of the sender, if it was the leader until now.
 	Leaseholders map[string]string `msgpack:"keepers,omitempty"`
+	Number       uint64            `msgpack:"number,omitempty"`
 }
 
 // assignment divides the upstreams of a domain into shards. The leader sends it to all other hosts.
 type assignment struct {
-	// Number grows with each assignment by one leader.
+	// Number grows with each assignment, also with the first one of a new leader, which follows the last one
+	// that it has received.
 	Number uint64 `msgpack:"number"`
 	// Leaseholders maps each upstream to the address of its leaseholder.
 	Leaseholders map[string]string `msgpack:"keepers"`
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -247,14 +247,15 @@
 }
 
 // receiveJoin sends the assignment to a host that regards this one as the leader. If that host has led the
-// domain meanwhile, its leaseholders stay.
+// domain meanwhile, its leaseholders stay; the assignment of a leader that steps down is an earlier one.
 func (c *Core) receiveJoin(now time.Time, from string, m join) {
 	c.joined[from] = true
 	if !c.leads() {
 		return
 	}
-	if len(m.Leaseholders) > 0 && len(c.assigned.Leaseholders) > 0 {
+	if m.Number > c.assigned.Number && len(c.assigned.Leaseholders) > 0 {
 		adopted := c.assigned
+		adopted.Number = m.Number
 		adopted.Leaseholders = maps.Clone(c.assigned.Leaseholders)
 		for id, holder := range m.Leaseholders {
 			if _, assigned := adopted.Leaseholders[id]; assigned {
