dispatcher, leaseholder, courier: simplify what the fixes added

settling was a predicate that also postponed the reorganization, and was called once for each held upstream; it only reports now, and postpones does the rest where work is left out. The session asserts an expired lease once and not for each run, and has one conversion for slow clocks. Session.reset derives from its arguments whether the peer has restarted. The emulator builds a missing response in one place. No change in behaviour is intended.

--- a/courier/session.go
+++ b/courier/session.go
@@ -337,7 +337,6 @@
 	}
 	events := s.CheckTimeout(now)
 	if b.Incarnation > s.peerIncarnation || b.Epoch > s.epoch {
-		s.refused = s.refused || b.Incarnation > s.peerIncarnation
 		events = append(events, s.reset(b.Incarnation, max(b.Epoch, s.epoch))...)
 	}
 	s.refused = false
@@ -435,7 +434,7 @@
 	var events []Event
 	if s.up {
 		down := s.event(Down)
-		down.Ended = s.refused
+		down.Ended = s.refused || incarnation > s.peerIncarnation
 		events = append(events, down)
 	}
 	s.up = false
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -259,9 +259,12 @@
 	}
 }
 
-// settling reports whether this host has just resumed. If so, the domain is reorganized later.
-func (c *Core) settling(now time.Time) bool {
-	if !now.Before(c.settleUntil) {
+// settling reports whether this host has just resumed.
+func (c *Core) settling(now time.Time) bool { return now.Before(c.settleUntil) }
+
+// postpones reports whether this host is settling. If so, the domain is reorganized after that.
+func (c *Core) postpones(now time.Time) bool {
+	if !c.settling(now) {
 		return false
 	}
 	if c.reorganizeAt.Before(c.settleUntil) {
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -413,7 +413,7 @@
 // this host joins it, or begins to assign upstreams itself.
 func (c *Core) chooseLeader(now time.Time) {
 	members := c.members()
-	if len(members) == 0 || members[0] == c.leaderAddress || !c.checkDiscovery(now) || c.settling(now) {
+	if len(members) == 0 || members[0] == c.leaderAddress || !c.checkDiscovery(now) || c.postpones(now) {
 		return
 	}
 	led := c.leads()
@@ -443,7 +443,7 @@
 // reorganize chooses the leader again and, if that is this host, assigns the upstreams again.
 func (c *Core) reorganize(now time.Time) {
 	c.updateWatches(now)
-	if c.settling(now) {
+	if c.postpones(now) {
 		return
 	}
 	c.chooseLeader(now)
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -130,7 +130,7 @@
 // assign plans the assignment of the domain and, if it has changed, sends it to all peers.
 func (c *Core) assign(now time.Time) {
 	members := c.assignees()
-	if len(members) == 0 || c.settling(now) {
+	if len(members) == 0 || c.postpones(now) {
 		return
 	}
 	next := planAssignment(c.assigned, c.domainUpstreams(), members, c.allHandleShards(), c.cfg.UpstreamsPerShard)
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -290,10 +290,7 @@
 				ifRunning(func() {
 					if w.wallTime().Sub(o.SentAt) > o.Timeout {
 						// The timeout of the order has passed while the host was frozen.
-						a = leaseholder.Response{
-							Order:  o,
-							Status: leaseholder.NoResponse,
-						}
+						a = noResponse(o)
 					}
 					done(w.wallTime(), a)
 					n.core.Flush(w.wallTime())
@@ -662,13 +659,17 @@
 	}
 }
 
-// sendOrder sends an order from a host to an upstream and calls done once, with the response or,
-// after the timeout of the order, with NoResponse.
-func (w *Simulation) sendOrder(n *Host, to discoverer.Upstream, o leaseholder.Order, done func(leaseholder.Response)) {
-	noResponse := leaseholder.Response{
+// noResponse stands for the response to an order that was not answered in time.
+func noResponse(o leaseholder.Order) leaseholder.Response {
+	return leaseholder.Response{
 		Order:  o,
 		Status: leaseholder.NoResponse,
 	}
+}
+
+// sendOrder sends an order from a host to an upstream and calls done once, with the response or,
+// after the timeout of the order, with NoResponse.
+func (w *Simulation) sendOrder(n *Host, to discoverer.Upstream, o leaseholder.Order, done func(leaseholder.Response)) {
 	answered := false
 	answer := func(a leaseholder.Response) {
 		if !answered {
@@ -676,7 +677,7 @@
 			done(a)
 		}
 	}
-	w.After(o.Timeout, func() { answer(noResponse) })
+	w.After(o.Timeout, func() { answer(noResponse(o)) })
 	i := slices.IndexFunc(w.Upstreams, func(s *UpstreamServer) bool { return s.Name == to.Address })
 	if i < 0 || !w.linkUp(n.Name, w.Upstreams[i].Name) {
 		return
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -530,8 +530,14 @@
 // leaseExpiredAt returns the time at which the latest lease has certainly expired. The clock of the
 // upstream was read before the response arrived, and may run slow.
 func (s *Session) leaseExpiredAt() time.Time {
-	remaining := float64(s.leaseUntil-s.clock) / (1 - s.cfg.MaxClockDrift)
-	return s.clockReceivedAt.Add(time.Duration(remaining*float64(time.Millisecond)) + s.cfg.TimerMargin)
+	return s.clockReceivedAt.Add(s.longestWait(s.leaseUntil - s.clock))
+}
+
+// longestWait returns the time after which the clock of the upstream, which may run slow, has certainly advanced
+// by a number of milliseconds.
+func (s *Session) longestWait(ms int64) time.Duration {
+	slowest := float64(ms) / (1 - s.cfg.MaxClockDrift)
+	return time.Duration(slowest*float64(time.Millisecond)) + s.cfg.TimerMargin
 }
 
 // Tenure is the time in which certainly no host but the caller has been the leaseholder of the
@@ -548,8 +554,7 @@
 func (s *Session) expiresAt(t Tenure) time.Time {
 	at := s.leaseExpiredAt()
 	if t.Since.After(s.acceptedAt) {
-		longest := time.Duration(float64(s.cfg.MaxLease)/(1-s.cfg.MaxClockDrift)) + s.cfg.TimerMargin
-		if lapsed := t.Since.Add(longest); lapsed.After(at) {
+		if lapsed := t.Since.Add(s.longestWait(s.cfg.MaxLease.Milliseconds())); lapsed.After(at) {
 			return lapsed
 		}
 	}
@@ -563,7 +568,7 @@
 }
 
 // Tick sends the orders that are due and ends the runs whose lease has expired within the tenure.
-func (s *Session) Tick(now time.Time, t Tenure) {
+func (s *Session) Tick(now time.Time, tenure Tenure) {
 	if s.closed {
 		return
 	}
@@ -573,15 +578,15 @@
 		s.extraRenewalAt = time.Time{}
 		s.renew(now, 0)
 	}
-	if s.AwaitsExpiry(now, t) && t.Until.After(s.expiresAt(t)) {
-		for _, expired := range s.sortedTasks() {
-			s.assertExpired(now, t)
-			s.end(now, expired, LeaseExpired, "")
+	if s.AwaitsExpiry(now, tenure) && tenure.Until.After(s.expiresAt(tenure)) {
+		s.assertExpired(now, tenure)
+		for _, t := range s.sortedTasks() {
+			s.end(now, t, LeaseExpired, "")
 		}
 	}
-	for _, unclaimed := range s.tasksWhere(func(t *task) bool { return s.needsStop(now, t) }) {
-		unclaimed.stopRequested = true
-		s.sendStop(now, unclaimed)
+	for _, t := range s.tasksWhere(func(t *task) bool { return s.needsStop(now, t) }) {
+		t.stopRequested = true
+		s.sendStop(now, t)
 	}
 }
 
