emulator: upstreams restart under the identifier that they had

Until now each incarnation had a new identifier, so that orders for the previous one were refused (421). The provider's upstreams may start again under the id that they had, and the header that names the intended instance does not distinguish the two. Only responses with lists of runs and the reports name the incarnation; the emulated upstream named it in every response.

--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -40,6 +40,10 @@
 		cfg.UpstreamsPerShard = 6
 		every /= 2
 	}
+	if seed >= firstRestartSeed {
+		cfg.KeepUpstreamIDs = true
+		cfg.MaxReportDelay = 1500 * time.Millisecond
+	}
 	if seed >= firstLongJobSeed {
 		cfg.LongJobShare = 0.05
 		cfg.JobsPerSecond /= 2
@@ -49,8 +53,12 @@
 	return w
 }
 
-// firstShardSeed is the lowest seed of simulations with several shards in each domain.
-const firstShardSeed = 2_000_000
+// firstShardSeed is the lowest seed of simulations with several shards in each domain, and firstRestartSeed of
+// those whose upstreams also restart under the identifier that they had.
+const (
+	firstShardSeed   = 2_000_000
+	firstRestartSeed = 3_000_000
+)
 
 // Guards against jobs that are lost, refused or late although no fault is injected: at least 99 of
 // 100 are complete.
@@ -110,6 +118,21 @@
 	}
 }
 
+// Guards against two concurrent runs of one task when upstreams restart under their identifiers beside other faults.
+func TestFaultsAndRestarts(t *testing.T) {
+	for i := range uintFromEnv(seedCountVariable, defaultSeedCount) {
+		seed := firstRestartSeed + i
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			w := newFaultySimulation(seed)
+			w.Run(32 * time.Second)
+			g.Expect(w.Violations()).To(BeEmpty())
+			t.Logf("%+v, %d runs", w.Counts, w.invariants.runs)
+		})
+	}
+}
+
 // Guards against two concurrent runs of one task, each cause under the seeds that showed it:
 //   - 1000012, 1000041 and 1000048: orphaned runs that a new leaseholder lets continue for 1 s, so
 //     that they overlap with the runs of the resent job.
--- a/emulator/faults.go
+++ b/emulator/faults.go
@@ -32,6 +32,9 @@
 		w.isolate(host, duration)
 	case 4:
 		s.Crash()
+		if w.cfg.KeepUpstreamIDs {
+			duration /= 20
+		}
 		w.After(duration/2, s.Start)
 	case 5:
 		for _, n := range w.Hosts {
--- a/emulator/scenario_test.go
+++ b/emulator/scenario_test.go
@@ -304,6 +304,39 @@
 	}
 }
 
+// Guards against two concurrent runs of one task after an upstream has restarted under its identifier: the runs of the
+// new incarnation are taken for those of the old one.
+func TestUpstreamRestartsUnderItsID(t *testing.T) {
+	for _, delay := range []time.Duration{0, 300 * time.Millisecond, 1500 * time.Millisecond} {
+		for _, gap := range []time.Duration{time.Millisecond, 40 * time.Millisecond, 400 * time.Millisecond} {
+			t.Run(fmt.Sprintf("report after %s at most, down for %s", delay, gap), func(t *testing.T) {
+				t.Parallel()
+				g := NewWithT(t)
+				w := New(Config{
+					Seed:            1,
+					Domains:         2,
+					Hosts:           3,
+					Upstreams:       8,
+					JobsPerSecond:   12,
+					KeepUpstreamIDs: true,
+					MaxReportDelay:  delay,
+					Duration:        20 * time.Second,
+				})
+				for at := 2 * time.Second; at < 18*time.Second; at += 200 * time.Millisecond {
+					w.At(at, func() {
+						s := w.Upstreams[w.rng.IntN(len(w.Upstreams))]
+						s.Crash()
+						w.After(gap, s.Start)
+					})
+				}
+				w.Run(26 * time.Second)
+				g.Expect(w.Violations()).To(BeEmpty())
+				t.Logf("%+v", w.Counts)
+			})
+		}
+	}
+}
+
 // newShardedSimulation returns a simulation of one domain with three shards, whose load uses a third of
 // its capacity.
 func newShardedSimulation() *Simulation {
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -62,6 +62,11 @@
 	ResubmitElsewhere bool
 	// UpstreamsPerShard is that of dispatcher.CoreConfig.
 	UpstreamsPerShard int
+	// KeepUpstreamIDs makes upstreams restart under the identifier that they had, soon after a crash.
+	KeepUpstreamIDs bool
+	// MaxReportDelay bounds the time until control hosts receive the first report of an upstream that has
+	// restarted.
+	MaxReportDelay time.Duration
 	// Duration is the simulated time at which jobs stop arriving.
 	Duration time.Duration
 	// Log receives the logs of hosts, upstreams and faults; nil discards them.
@@ -563,7 +568,7 @@
 	s.draining = false
 	s.current = &Upstream{
 		Report: discoverer.Upstream{
-			ID:          fmt.Sprintf("%s-life-%d", s.Name, s.incarnation),
+			ID:          s.id(),
 			Service:     "service",
 			Address:     s.Name,
 			Domain:      s.Domain,
@@ -580,15 +585,37 @@
 		OnEnd:     w.invariants.runEnded,
 	}
 	s.current.Start(w.wallTime())
-	w.upstreams.Put(w.wallTime(), s.current.Report)
+	report := s.current.Report
+	w.After(s.reportDelay(), func() { w.upstreams.Put(w.wallTime(), report) })
+}
+
+// id returns the identifier of the current incarnation.
+func (s *UpstreamServer) id() string {
+	if s.w.cfg.KeepUpstreamIDs {
+		return s.Name
+	}
+	return fmt.Sprintf("%s-life-%d", s.Name, s.incarnation)
+}
+
+// reportDelay returns the time until control hosts receive the first report of the current incarnation.
+func (s *UpstreamServer) reportDelay() time.Duration {
+	if s.w.cfg.MaxReportDelay <= 0 || s.incarnation == 1 {
+		return 0
+	}
+	return time.Duration(s.w.rng.Int64N(int64(s.w.cfg.MaxReportDelay)))
 }
 
 // Crash ends the upstream's process and its runs without notifying any host; it does nothing if the
 // upstream is down.
 func (s *UpstreamServer) Crash() {
-	if s.current != nil {
-		s.current.Crash(s.w.wallTime())
-		s.current = nil
+	if s.current == nil {
+		return
+	}
+	s.current.Crash(s.w.wallTime())
+	s.current = nil
+	if s.w.cfg.KeepUpstreamIDs {
+		// The next incarnation does not answer the polls of this one.
+		s.pendingPolls = nil
 	}
 }
 
--- a/emulator/upstream.go
+++ b/emulator/upstream.go
@@ -194,16 +194,16 @@
 	return next, found
 }
 
-// HandleOrder executes an order and returns the response. It does not wait for the MaxWait of a
+// HandleOrder executes an order and returns the response. Only the response to a lease renewal contains the
+// incarnation. It does not wait for the MaxWait of a
 // lease renewal: a caller that emulates the long poll calls it again.
 func (u *Upstream) HandleOrder(now time.Time, o leaseholder.Order, demand sesamedrift.Resources) leaseholder.Response {
 	u.Advance(now)
 	a := leaseholder.Response{
-		Order:       o,
-		Status:      leaseholder.Accepted,
-		Clock:       u.Clock(now),
-		HasClock:    true,
-		Incarnation: u.Report.Incarnation,
+		Order:    o,
+		Status:   leaseholder.Accepted,
+		Clock:    u.Clock(now),
+		HasClock: true,
 	}
 	if o.Token < u.fencingToken {
 		return refuse(a, leaseholder.Fenced)
@@ -224,6 +224,7 @@
 			r.stopAt = now.Add(u.StopTime)
 		}
 	case leaseholder.RenewOrder:
+		a.Incarnation = u.Report.Incarnation
 		u.ends = slices.DeleteFunc(u.ends, func(e leaseholder.EndedRun) bool { return e.Seq <= o.AckedSeq })
 		a.Ended = slices.Clone(u.ends[:min(len(u.ends), maxEnds)])
 		for _, id := range u.sortedRuns() {
