leaseholder: a run ends only with the incarnation that has listed it

Cause: a leaseholder gave up all runs of an upstream when it learned of a new incarnation. An upstream may restart under the id that it had. The header of an order names the id alone and the response to a start order no incarnation, so start orders for the previous incarnation are executed by the next one until the leaseholder has heard of it. A report that came after the first responses of the new incarnation, by up to the heartbeat interval, ended all runs that it had started since. The runs went on, unclaimed, while their tasks were placed again.

Change: only runs that the incarnation has listed end with it. The others are left to the successor of the session, which watches them: its first renewal, with a higher fencing token, shows whether they run, and after it none of them can start. A report about the incarnation that responds already, or about an earlier one, ends nothing, and a response of an earlier incarnation counts as none. New: event 5018 upstream-restarted, metrics upstream_restarts and undetermined_runs; 5011 is left for another upstream at the address.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -230,7 +230,7 @@
 		}
 		c.sendDecisions(now)
 		c.sendOrders(now)
-		if len(c.localMessages) == 0 {
+		if len(c.localMessages) == 0 && len(c.touched) == 0 {
 			return
 		}
 	}
--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -60,8 +60,8 @@
 // heldUpstream is an upstream that this host holds under a lease.
 type heldUpstream struct {
 	session *leaseholder.Session
-	// leaseLostAt is when the session reported that the lease was lost or the upstream replaced;
-	// zero otherwise.
+	// leaseLostAt is when the session reported that the lease was lost or that another upstream has the
+	// address; zero otherwise.
 	leaseLostAt time.Time
 	// overtaken is set when another host has acquired the upstream, until the jobs on it have ended because
 	// this host is cut off.
@@ -121,14 +121,24 @@
 
 // acquire starts holding an upstream with a new fencing token.
 func (c *Core) acquire(now time.Time, u discoverer.Upstream) {
-	// The token is based on the wall clock. Wall clocks of hosts differ by less than the time
-	// between two takeovers; otherwise the upstream rejects the token, and the next one is higher.
-	token := max(uint64(now.UnixMilli()), c.lastTokens[u.ID]+1)
-	c.lastTokens[u.ID] = token
-	h := &heldUpstream{session: leaseholder.New(c.cfg.LeaseConfig, now, u, token)}
+	c.hold(u, leaseholder.New(c.cfg.LeaseConfig, now, u, c.nextToken(now, u.ID)))
+}
+
+// hold starts holding an upstream with a new session.
+func (c *Core) hold(u discoverer.Upstream, session *leaseholder.Session) {
+	h := &heldUpstream{session: session}
 	c.held[u.ID] = h
 	c.touch(h)
-	c.logEvent(reporter.UpstreamTaken, "upstream", u.ID, "address", u.Address, "token", token)
+	c.logEvent(reporter.UpstreamTaken, "upstream", u.ID, "address", u.Address, "token", session.Token())
+}
+
+// nextToken returns the fencing token of a new session with an upstream. It is based on the wall clock. Wall clocks of
+// hosts differ by less than the time between two takeovers; otherwise the upstream rejects the token, and the next
+// one is higher.
+func (c *Core) nextToken(now time.Time, upstream string) uint64 {
+	token := max(uint64(now.UnixMilli()), c.lastTokens[upstream]+1)
+	c.lastTokens[upstream] = token
+	return token
 }
 
 // upstreamChanged handles a newer report about an upstream.
@@ -138,28 +148,28 @@
 			"service", u.Service, "cpu", u.Capacity.CPU)
 	}
 	c.updatePlacerUpstream(now, u)
-	h := c.held[u.ID]
-	if h == nil {
-		return
-	}
-	if h.session.Upstream().Incarnation != u.Incarnation || h.session.Upstream().Address != u.Address {
-		// Runs of the old incarnation have ended with it. Its session detects this by itself if
-		// it has runs; the new incarnation gets its own session.
-		c.replace(now, h, u)
-		return
+	if h := c.held[u.ID]; h != nil {
+		h.session.Update(now, u)
+		c.touch(h)
 	}
-	h.session.Update(u)
 }
 
-// replace closes the session with the old incarnation and opens one with the new incarnation.
-func (c *Core) replace(now time.Time, h *heldUpstream, u discoverer.Upstream) {
-	h.session.Replace(now)
-	_, events := h.session.TakePending()
-	c.handleUpstreamEvents(now, h, events)
+// reopen continues with the next incarnation of an upstream, also if the leader has not assigned the upstream: the runs
+// that may have started there have to be found.
+func (c *Core) reopen(now time.Time, h *heldUpstream) {
+	u := c.latestReport(h)
 	c.release(h)
-	if c.assigned.Leaseholders[u.ID] == c.cfg.Self.Address {
-		c.acquire(now, u)
+	if holder := c.assigned.Leaseholders[u.ID]; holder == c.cfg.Self.Address || holder == "" {
+		c.hold(u, h.session.Successor(now, u, c.nextToken(now, u.ID)))
+	}
+}
+
+// latestReport returns the newest report about a held upstream.
+func (c *Core) latestReport(h *heldUpstream) discoverer.Upstream {
+	if u, known := c.upstreams.Get(h.session.Upstream().ID); known {
+		return u
 	}
+	return h.session.Upstream()
 }
 
 // tickHeld calls Tick of the session of each held upstream, releases idle upstreams that are not
@@ -174,9 +184,9 @@
 		case !h.leaseLostAt.IsZero() && now.Sub(h.leaseLostAt) >= reacquireDelay:
 			c.release(h)
 			if c.assigned.Leaseholders[u.ID] == c.cfg.Self.Address {
-				c.acquire(now, u)
+				c.acquire(now, c.latestReport(h))
 			}
-		case c.assigned.Leaseholders[u.ID] == "" && len(h.session.Tasks()) == 0:
+		case c.assigned.Leaseholders[u.ID] == "" && !h.session.Busy():
 			c.release(h)
 		default:
 			c.tickSession(now, h, tenure)
@@ -303,6 +313,13 @@
 			c.logEvent(reporter.UpstreamReplaced, "upstream", id)
 			h.leaseLostAt = now
 			c.reportUpstreamStatus(h)
+		case leaseholder.Restarted:
+			c.stats.UpstreamRestarts++
+			c.stats.UndeterminedRuns += int64(h.session.Undetermined())
+			c.logEvent(reporter.UpstreamRestarted, "upstream", id, "token", h.session.Token(), "previous", h.session.Incarnation(),
+				"undetermined", h.session.Undetermined())
+			c.reportUpstreamStatus(h)
+			c.reopen(now, h)
 		}
 	}
 	if expired > 0 {
--- a/dispatcher/stats.go
+++ b/dispatcher/stats.go
@@ -26,6 +26,9 @@
 	// LeaseExpiries counts the times at which the runs of an unresponsive upstream were taken to have ended
 	// with their lease, TenureChecks the checks whether this host has remained their leaseholder.
 	LeaseExpiries, TenureChecks int64
+	// UpstreamRestarts counts the held upstreams that have restarted, UndeterminedRuns the runs of which the next
+	// incarnation had to be asked.
+	UpstreamRestarts, UndeterminedRuns int64
 	// Pauses counts the times at which the process of this host was suspended.
 	Pauses int64
 	// Orphans counts the runs that this host has found and stopped because they are of no host of the domain.
@@ -142,6 +145,8 @@
 	scope.Counter("pauses").Inc(s.Pauses - p.last.Pauses)
 	scope.Counter("orphans_stopped").Inc(s.Orphans - p.last.Orphans)
 	scope.Counter("tenure_checks").Inc(s.TenureChecks - p.last.TenureChecks)
+	scope.Counter("upstream_restarts").Inc(s.UpstreamRestarts - p.last.UpstreamRestarts)
+	scope.Counter("undetermined_runs").Inc(s.UndeterminedRuns - p.last.UndeterminedRuns)
 	for _, d := range s.JobTimes {
 		p.jobTime.RecordDuration(d)
 	}
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -56,6 +56,7 @@
 	reporter.UpstreamSilent.ID:    true,
 	reporter.UpstreamOvertaken.ID: true,
 	reporter.UpstreamReplaced.ID:  true,
+	reporter.UpstreamRestarted.ID: true,
 	reporter.UpstreamRests.ID:     true,
 	reporter.UpstreamAnnounced.ID: true,
 	reporter.SessionEnded.ID:      true,
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -9,9 +9,10 @@
 //     closes. After this event the run certainly does not run on this upstream and will not
 //     start there.
 //   - A run counts as ended only if the upstream has reported its end, no longer lists it
-//     after it was listed or stopped, or has another incarnation, or if the lease has certainly
-//     expired: even on the slowest clock that an upstream may have, and within a Tenure, so that no
-//     other host has renewed it.
+//     after it was listed or stopped, or if the lease has certainly expired: even on the slowest clock
+//     that an upstream may have, and within a Tenure, so that no other host has renewed it. A run that an
+//     incarnation has listed also ends with that incarnation. A run that none has listed may have been
+//     started by the next one, which must be asked (Session.Successor).
 //   - The fencing token of the session never decreases, so that delayed orders of a previous
 //     leaseholder have no effect.
 //
@@ -204,9 +205,11 @@
 	Unresponsive EventKind = "silent"
 	// LeaseLost means that another host has become the leaseholder of the upstream.
 	LeaseLost EventKind = "overtaken"
-	// Replaced means that the upstream has a new incarnation, or that another upstream has its
-	// address.
+	// Replaced means that another upstream has the address.
 	Replaced EventKind = "replaced"
+	// Restarted means that the upstream has a new incarnation. The caller continues with the Successor of the
+	// session.
+	Restarted EventKind = "restarted"
 )
 
 // Event reports a change to the caller of the session. Task, Result, Reason and Duration are set
@@ -240,6 +243,9 @@
 	orderedAt  time.Time
 	// found is set for runs that a previous leaseholder has started.
 	found bool
+	// listed is set once the incarnation of the session has listed the run. Until then it is not known which
+	// incarnation has executed the start order.
+	listed bool
 	// unclaimed is set for runs that the session has not started itself, until an entry host
 	// claims them.
 	unclaimed bool
@@ -256,6 +262,8 @@
 type watch struct {
 	Task
 	requestedAt time.Time
+	// stopRequested is set if the run is to be stopped if it is found.
+	stopRequested bool
 }
 
 // Session is the state of one held upstream.
@@ -271,13 +279,15 @@
 	watches []watch
 
 	ready bool
-	// closed is set when the lease is lost or the upstream has a new incarnation; replaced only
-	// in the latter case, in which all runs of the old incarnation have ended.
-	closed      bool
-	replaced    bool
-	handledSeq  uint64 // sequence number of the last ended run that was handled
-	lastOrderID uint64
-	failures    int // consecutive failed renewals
+	// closed is set when the lease is lost or the upstream has a new incarnation; replaced only if another
+	// upstream has its address, so that all runs have ended.
+	closed   bool
+	replaced bool
+	// undetermined holds the runs that the next incarnation may have started.
+	undetermined []watch
+	handledSeq   uint64 // sequence number of the last ended run that was handled
+	lastOrderID  uint64
+	failures     int // consecutive failed renewals
 
 	pendingRenewals int       // renewals in flight
 	nextRenewalAt   time.Time // when the next renewal is sent if none is in flight
@@ -319,6 +329,9 @@
 // Token returns the fencing token of the session.
 func (s *Session) Token() uint64 { return s.token }
 
+// Incarnation returns the incarnation of the upstream, or 0 until a response has contained it.
+func (s *Session) Incarnation() uint64 { return s.incarnation }
+
 // Ready reports whether the upstream responds and the session is not closed.
 func (s *Session) Ready() bool { return s.ready && !s.closed }
 
@@ -352,8 +365,22 @@
 	return cmp.Or(a.Task.Compare(b.Task), cmp.Compare(a.Number, b.Number))
 }
 
-// Update records a newer report about the same incarnation of the upstream.
-func (s *Session) Update(u discoverer.Upstream) { s.upstream = u }
+// Update records a newer report about the upstream. A report about another incarnation or another address than that
+// of the session restarts it: the session closes with an event Restarted. A report that is older than the responses of
+// the upstream is ignored.
+func (s *Session) Update(now time.Time, u discoverer.Upstream) {
+	switch {
+	case u.Address != s.upstream.Address || s.incarnation != 0 && u.Incarnation > s.incarnation:
+		s.restart(now, u.Incarnation, u.Address)
+	case u.Incarnation != 0 && u.Incarnation < s.incarnation:
+	default:
+		if u.Incarnation != s.upstream.Incarnation && !s.ready {
+			s.failures = 0
+			s.nextRenewalAt = now
+		}
+		s.upstream = u
+	}
+}
 
 // Start sends the start order of a run. A run that the session tracks already is claimed for the
 // entry host of t; a run that cannot be started now is rejected with an Ended event.
@@ -649,6 +676,13 @@
 	if s.closed {
 		return
 	}
+	if resp.Incarnation != 0 && resp.Incarnation < s.incarnation {
+		// The response of an earlier incarnation was overtaken by one of the present incarnation.
+		resp = Response{
+			Order:  resp.Order,
+			Status: NoResponse,
+		}
+	}
 	if resp.Status != NoResponse && s.checkIncarnation(now, resp) {
 		return
 	}
@@ -683,25 +717,23 @@
 	s.clockReceivedAt = now
 }
 
-// checkIncarnation closes the session and returns true if another incarnation responded. All runs
-// of the old incarnation have ended with it.
+// checkIncarnation closes the session and returns true if a later incarnation or another upstream responded.
 func (s *Session) checkIncarnation(now time.Time, resp Response) bool {
-	if s.incarnation == 0 && resp.Status != OtherIncarnation {
+	switch {
+	case resp.Status == OtherIncarnation:
+		s.replace(now)
+		return true
+	case s.incarnation == 0:
 		s.incarnation = resp.Incarnation
+	case resp.Incarnation > s.incarnation:
+		s.restart(now, resp.Incarnation, s.upstream.Address)
+		return true
 	}
-	if resp.Status != OtherIncarnation && (resp.Incarnation == 0 || resp.Incarnation == s.incarnation) {
-		return false
-	}
-	s.Replace(now)
-	return true
+	return false
 }
 
-// Replace closes the session because the upstream has a new incarnation. All runs of the old one
-// have ended.
-func (s *Session) Replace(now time.Time) {
-	if s.closed {
-		return
-	}
+// replace closes the session because another upstream has the address. All runs have ended.
+func (s *Session) replace(now time.Time) {
 	s.closed = true
 	s.replaced = true
 	for _, t := range s.sortedTasks() {
@@ -714,6 +746,48 @@
 	s.events = append(s.events, Event{Kind: Replaced})
 }
 
+// restart closes the session because the upstream has another incarnation or address. The runs that the present
+// incarnation has listed end with it; where the others are, only the next one can tell.
+func (s *Session) restart(now time.Time, incarnation uint64, address string) {
+	if s.closed {
+		return
+	}
+	s.closed = true
+	s.orders = nil
+	next := s.incarnation != 0 && incarnation > s.incarnation
+	for _, t := range s.sortedTasks() {
+		if next && (t.listed || address != s.upstream.Address) {
+			s.end(now, t, Lost, "")
+			continue
+		}
+		delete(s.tasks, t.Run)
+		if !t.unclaimed {
+			s.undetermined = append(s.undetermined, watch{
+				Task:          t.Task,
+				stopRequested: t.stopRequested,
+			})
+		}
+	}
+	s.undetermined = append(s.undetermined, s.watches...)
+	s.watches = nil
+	s.events = append(s.events, Event{Kind: Restarted})
+}
+
+// Successor returns a session with the next incarnation of the upstream. It watches the runs of this session that
+// this incarnation may have started; since its fencing token is higher, none of them starts later.
+func (s *Session) Successor(now time.Time, u discoverer.Upstream, token uint64) *Session {
+	next := New(s.cfg, now, u, token)
+	next.watches = s.undetermined
+	for i := range next.watches {
+		next.watches[i].requestedAt = now
+	}
+	s.undetermined = nil
+	return next
+}
+
+// Undetermined returns the number of runs that the next incarnation may have started.
+func (s *Session) Undetermined() int { return len(s.undetermined) }
+
 func (s *Session) handleStartResponse(now time.Time, resp Response) {
 	t := s.tasks[resp.Order.Run]
 	if t == nil || t.phase != startPending {
@@ -766,7 +840,7 @@
 		s.ready = true
 		s.events = append(s.events, Event{Kind: Ready})
 	}
-	s.resolveWatches(resp.Order.SentAt)
+	s.resolveWatches(now, resp.Order.SentAt)
 	s.nextRenewalAt = now
 	if len(s.tasks) == 0 {
 		// The polls of all idle upstreams are sent at the same time.
@@ -811,6 +885,7 @@
 			t.phase = confirmed
 			t.phaseSince = now
 		}
+		t.listed = true
 		t.percent = r.Percent
 		t.percentAt = now
 		if !t.stopAckedAt.IsZero() && resp.Order.SentAt.After(t.stopAckedAt.Add(stopResendFactor*s.cfg.StopTime)) {
@@ -856,12 +931,15 @@
 
 // resolveWatches resolves the watches that were requested before a renewal was sent. The response
 // to an earlier renewal proves nothing: another leaseholder may have started the run since.
-func (s *Session) resolveWatches(sent time.Time) {
+func (s *Session) resolveWatches(now, sent time.Time) {
 	s.watches = slices.DeleteFunc(s.watches, func(w watch) bool {
 		t := s.tasks[w.Run]
 		switch {
 		case t != nil:
 			t.claim(w.Task)
+			if w.stopRequested {
+				s.Stop(now, w.Run)
+			}
 		case !sent.Before(w.requestedAt):
 			s.reportLost(w.Task)
 		default:
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -418,6 +418,128 @@
 	}))
 }
 
+// Guards against two concurrent runs of one task: the report about an incarnation comes after its responses and ends the
+// runs that it has started.
+func TestLateReportEndsNoRuns(t *testing.T) {
+	h := newHarness(t)
+	h.session.upstream.Incarnation = 0
+	h.startRun()
+	h.session.Update(h.now, discoverer.Upstream{
+		ID:          "u",
+		Incarnation: 1,
+		State:       discoverer.Serving,
+	})
+	h.advance(0)
+	h.g.Expect(h.takeEvents()).To(BeEmpty())
+	h.g.Expect(h.session.Ready()).To(BeTrue())
+}
+
+// respondAfterRestart accepts the oldest unanswered renewal in the name of the next incarnation.
+func (h *harness) respondAfterRestart(running []ListedRun) {
+	h.session.HandleResponse(h.now, Response{
+		Order:       h.takeOrder(RenewOrder),
+		Status:      Accepted,
+		Incarnation: 2,
+		HasClock:    true,
+		Running:     running,
+	})
+	h.advance(0)
+}
+
+// Guards against two concurrent runs of one task: the upstream has restarted while a start order was under way, and the
+// next incarnation has executed it.
+func TestStartBesideRestart(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		accepted bool
+		running  []ListedRun
+		want     []Event
+	}{
+		{
+			name:     "the next incarnation runs it",
+			accepted: true,
+			running:  listedRuns(testRun(0, 1)),
+			want:     []Event{{Kind: Ready}},
+		},
+		{
+			name:    "the next incarnation runs it, not answered yet",
+			running: listedRuns(testRun(0, 1)),
+			want:    []Event{{Kind: Ready}},
+		},
+		{
+			name:     "the previous incarnation has run it",
+			accepted: true,
+			want: []Event{
+				{Kind: Ready},
+				{
+					Kind:   Ended,
+					Task:   testTask(0, 1),
+					Result: Lost,
+				},
+			},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.respondToRenewal(nil, nil)
+			h.takeEvents()
+			h.session.Start(h.now, testTask(0, 1))
+			start := h.takeOrder(StartOrder)
+			if test.accepted {
+				h.session.HandleResponse(h.now, Response{
+					Order:    start,
+					Status:   Accepted,
+					HasClock: true,
+				})
+			}
+			h.advance(time.Millisecond)
+			h.respondAfterRestart(test.running)
+			h.g.Expect(h.takeEvents()).To(Equal([]Event{{Kind: Restarted}}))
+			h.g.Expect(h.session.Ready()).To(BeFalse())
+			h.g.Expect(h.session.Undetermined()).To(Equal(1))
+
+			h.session = h.session.Successor(h.now, h.session.Upstream(), 8)
+			h.orders = nil
+			h.respondAfterRestart(test.running)
+			h.g.Expect(h.takeEvents()).To(Equal(test.want))
+			h.advance(testConfig.OrphanTimeout)
+			h.g.Expect(h.orders).NotTo(ContainElement(HaveField("Kind", StopOrder)))
+		})
+	}
+}
+
+// Guards against a run that is stopped while its upstream restarts, and that runs on under the next incarnation.
+func TestStopBesideRestart(t *testing.T) {
+	h := newHarness(t)
+	h.respondToRenewal(nil, nil)
+	h.session.Start(h.now, testTask(0, 1))
+	h.takeOrder(StartOrder)
+	h.session.Stop(h.now, testRun(0, 1))
+	h.takeOrder(StopOrder)
+	h.advance(time.Millisecond)
+	h.respondAfterRestart(nil)
+	h.session = h.session.Successor(h.now, h.session.Upstream(), 8)
+	h.orders = nil
+	h.respondAfterRestart(listedRuns(testRun(0, 1)))
+	h.g.Expect(h.takeOrder(StopOrder).Run).To(Equal(testRun(0, 1)))
+}
+
+// Guards against live runs that are given up because a response of the previous incarnation has been overtaken.
+func TestOvertakenResponseOfPreviousIncarnation(t *testing.T) {
+	h := newHarness(t)
+	h.respondAfterRestart(nil)
+	h.session.Start(h.now, testTask(0, 1))
+	h.session.HandleResponse(h.now, Response{
+		Order:    h.takeOrder(StartOrder),
+		Status:   Accepted,
+		HasClock: true,
+	})
+	h.advance(time.Millisecond)
+	h.takeEvents()
+	h.respondToRenewal(nil, nil)
+	h.g.Expect(h.takeEvents()).NotTo(ContainElement(HaveField("Kind", BeElementOf(Ended, Restarted, Replaced))))
+}
+
 // Guards against start orders to an upstream that is unresponsive or leaving.
 func TestStartIsRejectedWithoutOrder(t *testing.T) {
 	h := newHarness(t)
@@ -426,7 +548,7 @@
 	h.g.Expect(h.takeEvents()).To(ConsistOf(HaveField("Reason", Unreachable)))
 	h.respondToRenewal(nil, nil)
 	h.takeEvents()
-	h.session.Update(discoverer.Upstream{
+	h.session.Update(h.now, discoverer.Upstream{
 		ID:          "u",
 		Incarnation: 1,
 		State:       discoverer.Leaving,
--- a/reporter/events.go
+++ b/reporter/events.go
@@ -258,7 +258,7 @@
 		ID:          5011,
 		Name:        "upstream-replaced",
 		Level:       slog.LevelInfo,
-		Description: "The upstream has restarted with a new incarnation; the runs of the previous one have ended.",
+		Description: "Another upstream has the address of this one; its runs have ended.",
 	}
 	ReportRejected = Event{
 		ID:          5012,
@@ -296,6 +296,12 @@
 		Level:       slog.LevelInfo,
 		Description: "This host has found runs of a previous leaseholder that all hosts of the failure domain have disclaimed, because their entry host is lost, and stops them.",
 	}
+	UpstreamRestarted = Event{
+		ID:          5018,
+		Name:        "upstream-restarted",
+		Level:       slog.LevelInfo,
+		Description: "The upstream has a new incarnation. The runs that the previous one has listed have ended; the new one is asked for the others, whose number is in the attributes.",
+	}
 )
 
 // Events 6xxx: connections and messages between hosts.
@@ -454,6 +460,7 @@
 	LeaseExpiryChecked,
 	LeaseExpired,
 	OrphansStopped,
+	UpstreamRestarted,
 	PeerRejected,
 	MessageRejected,
 	JournalTornTail,
