leaseholder: the lease of a run that was not listed lasts for the longest time

What callers could see: two runs of one task, if an upstream restarts under its id, starts a run that was ordered from the previous incarnation and cannot be reached from then on.

Cause: the end of the lease was computed from the clock of the incarnation that has responded last. The clock of the next one begins anew, so that the end that the start order names is far ahead there and the lease is cut to the longest one, a second here instead of 0.6 s.

Change: the lease of each run counts by itself, and that of a run that no incarnation has listed expires after the longest lease. TestLeaseOfUnlistedRunIsTheLongest failed before (0.62 s instead of 1.02 s). Listed runs expire as before.

--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -554,10 +554,22 @@
 	return s.clock + (now.Sub(s.clockRequestedAt) + s.cfg.LeaseTime).Milliseconds()
 }
 
-// leaseExpiredAt returns the time at which the latest lease has certainly expired. The clock of the
-// upstream was read before the response arrived, and may run slow.
-func (s *Session) leaseExpiredAt() time.Time {
-	return s.clockReceivedAt.Add(s.longestWait(s.leaseUntil - s.clock))
+// leaseExpiredAt returns the time at which the latest lease of a run has certainly expired. The clock of the
+// upstream was read before the response arrived, and may run slow. A run that has not been listed may have been started by
+// the next incarnation, whose clock begins anew, so that only the longest lease bounds it.
+func (s *Session) leaseExpiredAt(t *task) time.Time {
+	at := s.clockReceivedAt.Add(s.longestWait(s.leaseUntil - s.clock))
+	if t.listed {
+		return at
+	}
+	return later(at, t.phaseSince.Add(s.longestWait(s.cfg.MaxLease.Milliseconds())))
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // longestWait returns the time after which the clock of the upstream, which may run slow, has certainly advanced
@@ -576,22 +588,29 @@
 	Since, Until time.Time
 }
 
-// expiresAt returns the time from which on the lease has certainly expired, if the tenure lasts until
+// expiresAt returns the time from which on the lease of a run has certainly expired, if the tenure lasts until
 // then. Before the tenure another host may have requested the longest lease.
-func (s *Session) expiresAt(t Tenure) time.Time {
-	at := s.leaseExpiredAt()
-	if t.Since.After(s.acceptedAt) {
-		if lapsed := t.Since.Add(s.longestWait(s.cfg.MaxLease.Milliseconds())); lapsed.After(at) {
-			return lapsed
-		}
+func (s *Session) expiresAt(t *task, tenure Tenure) time.Time {
+	at := s.leaseExpiredAt(t)
+	if tenure.Since.After(s.acceptedAt) {
+		return later(at, tenure.Since.Add(s.longestWait(s.cfg.MaxLease.Milliseconds())))
 	}
 	return at
 }
 
-// AwaitsExpiry reports whether the upstream is unresponsive and the runs count as ended once the tenure
+// AwaitsExpiry reports whether the upstream is unresponsive and runs count as ended once the tenure
 // is known to have lasted until now.
-func (s *Session) AwaitsExpiry(now time.Time, t Tenure) bool {
-	return !s.closed && !s.ready && s.clockKnown && len(s.tasks) > 0 && now.After(s.expiresAt(t))
+func (s *Session) AwaitsExpiry(now time.Time, tenure Tenure) bool {
+	return len(s.expiring(now, tenure)) > 0
+}
+
+// expiring returns the runs of an unresponsive upstream whose lease has expired by now if the tenure lasts until
+// then, sorted by run.
+func (s *Session) expiring(now time.Time, tenure Tenure) []*task {
+	if s.closed || s.ready || !s.clockKnown || len(s.tasks) == 0 {
+		return nil
+	}
+	return s.tasksWhere(func(t *task) bool { return now.After(s.expiresAt(t, tenure)) })
 }
 
 // Tick sends the orders that are due and ends the runs whose lease has expired within the tenure.
@@ -605,9 +624,9 @@
 		s.extraRenewalAt = time.Time{}
 		s.renew(now, 0)
 	}
-	if s.AwaitsExpiry(now, tenure) && tenure.Until.After(s.expiresAt(tenure)) {
-		s.assertExpired(now, tenure)
-		for _, t := range s.sortedTasks() {
+	for _, t := range s.expiring(now, tenure) {
+		if tenure.Until.After(s.expiresAt(t, tenure)) {
+			s.assertExpired(now, t, tenure)
 			s.end(now, t, LeaseExpired, "")
 		}
 	}
@@ -619,11 +638,11 @@
 
 // assertExpired panics if the lease may be in force: another host may have renewed it, or it has not
 // expired on the slowest clock.
-func (s *Session) assertExpired(now time.Time, t Tenure) {
+func (s *Session) assertExpired(now time.Time, t *task, tenure Tenure) {
 	switch {
-	case t.Since.IsZero() || t.Until.Before(t.Since) || t.Until.After(now):
+	case tenure.Since.IsZero() || tenure.Until.Before(tenure.Since) || tenure.Until.After(now):
 		panic("leaseholder: a lease is taken for expired without a tenure")
-	case t.Until.Before(s.leaseExpiredAt()):
+	case tenure.Until.Before(s.leaseExpiredAt(t)):
 		panic("leaseholder: a lease is taken for expired before its end")
 	}
 }
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -508,6 +508,39 @@
 	}
 }
 
+// Guards against two concurrent runs of one task: the upstream has restarted, started the run under a lease on its new
+// clock and become unreachable, and the lease is taken for expired by the clock of the previous incarnation.
+func TestLeaseOfUnlistedRunIsTheLongest(t *testing.T) {
+	h := newHarness(t)
+	h.startRun()
+	h.session.Start(h.now, testTask(1, 1))
+	h.advance(time.Millisecond)
+	accepted := h.now
+	h.session.HandleResponse(h.now, Response{
+		Order:    h.takeOrder(StartOrder),
+		Status:   Accepted,
+		HasClock: true,
+		Clock:    h.now.Sub(startTime).Milliseconds(),
+	})
+	ended := map[sesamedrift.Run]time.Duration{}
+	for h.now.Sub(accepted) < 2*testConfig.MaxLease {
+		h.advance(time.Millisecond)
+		for _, o := range h.orders {
+			h.dropOrder(o)
+		}
+		h.orders = nil
+		for _, e := range h.takeEvents() {
+			if e.Kind == Ended {
+				h.g.Expect(e.Result).To(Equal(LeaseExpired))
+				ended[e.Task.Run] = h.now.Sub(accepted)
+			}
+		}
+	}
+	h.g.Expect(ended).To(HaveLen(2))
+	h.g.Expect(ended[testRun(0, 1)]).To(BeNumerically("<", testConfig.MaxLease))
+	h.g.Expect(ended[testRun(1, 1)]).To(BeNumerically(">=", testConfig.MaxLease+testConfig.MaxLease/50))
+}
+
 // Guards against a run that is stopped while its upstream restarts, and that runs on under the next incarnation.
 func TestStopBesideRestart(t *testing.T) {
 	h := newHarness(t)
