leaseholder: later orders extend the lease of a run that was not listed

What callers could see: two runs of one task, if an upstream restarts under its id, executes start orders that were meant for the previous incarnation and cannot be reached from then on. Not seen in a run of the system; found by review.

Cause: the lease of a run that no incarnation has listed was taken for expired when the longest lease had passed since the run was accepted. The lease covers all runs of an upstream, and each later order extends it: its lease end lies far ahead on the clock of the next incarnation, which cuts it to the longest lease from then on.

Evidence: TestLaterOrdersExtendLeaseOfUnlistedRun failed before (0.951 s after the later order instead of 1.02 s or more).

Change: the longest lease counts from the newest order that names a lease end, with the time that the order may be under way. Listed runs expire as before.

--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -299,6 +299,7 @@
 	clockReceivedAt  time.Time // when that response arrived
 	acceptedAt       time.Time // when the newest accepted order was sent
 	leaseUntil       int64     // latest lease end that may have been ordered, on the upstream's clock
+	leaseOrderedAt   time.Time // when the newest order with a lease end was sent
 
 	orders []Order
 	events []Event
@@ -541,6 +542,9 @@
 
 func (s *Session) send(o Order) {
 	s.leaseUntil = max(s.leaseUntil, o.LeaseUntil)
+	if o.LeaseUntil > 0 {
+		s.leaseOrderedAt = o.SentAt
+	}
 	s.orders = append(s.orders, o)
 }
 
@@ -556,13 +560,14 @@
 
 // leaseExpiredAt returns the time at which the latest lease of a run has certainly expired. The clock of the
 // upstream was read before the response arrived, and may run slow. A run that has not been listed may have been started by
-// the next incarnation, whose clock begins anew, so that only the longest lease bounds it.
+// the next incarnation, whose clock begins anew, so that each order with a lease end may have extended its lease to the
+// longest one.
 func (s *Session) leaseExpiredAt(t *task) time.Time {
 	at := s.clockReceivedAt.Add(s.longestWait(s.leaseUntil - s.clock))
 	if t.listed {
 		return at
 	}
-	return later(at, t.phaseSince.Add(s.longestWait(s.cfg.MaxLease.Milliseconds())))
+	return later(at, s.leaseOrderedAt.Add(s.cfg.ResponseTimeout+s.longestWait(s.cfg.MaxLease.Milliseconds())))
 }
 
 func later(a, b time.Time) time.Time {
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -541,6 +541,54 @@
 	h.g.Expect(ended[testRun(1, 1)]).To(BeNumerically(">=", testConfig.MaxLease+testConfig.MaxLease/50))
 }
 
+// Guards against two concurrent runs of one task: an order that came later than the start of a run has extended its lease on
+// the clock of the next incarnation.
+func TestLaterOrdersExtendLeaseOfUnlistedRun(t *testing.T) {
+	h := newHarness(t)
+	h.startRun()
+	h.session.Start(h.now, testTask(1, 1))
+	h.advance(time.Millisecond)
+	h.session.HandleResponse(h.now, Response{
+		Order:    h.takeOrder(StartOrder),
+		Status:   Accepted,
+		HasClock: true,
+		Clock:    h.now.Sub(startTime).Milliseconds(),
+	})
+	// The next incarnation executes this order, too, and then cannot be reached.
+	h.advance(80 * time.Millisecond)
+	h.session.Start(h.now, testTask(2, 1))
+	h.advance(0)
+	later := h.takeOrder(StartOrder)
+	h.g.Expect(later.LeaseUntil).NotTo(BeZero())
+	pending := []Order{later}
+	ended := map[sesamedrift.Run]time.Duration{}
+	for h.now.Sub(later.SentAt) < 3*testConfig.MaxLease {
+		h.advance(time.Millisecond)
+		pending = append(pending, h.orders...)
+		h.orders = nil
+		var open []Order
+		for _, o := range pending {
+			if h.now.Sub(o.SentAt) >= o.Timeout {
+				h.session.HandleResponse(h.now, Response{
+					Order:  o,
+					Status: NoResponse,
+				})
+			} else {
+				open = append(open, o)
+			}
+		}
+		pending = open
+		for _, e := range h.takeEvents() {
+			if e.Kind == Ended {
+				ended[e.Task.Run] = h.now.Sub(later.SentAt)
+			}
+		}
+	}
+	h.g.Expect(ended).To(HaveLen(3))
+	h.g.Expect(ended[testRun(0, 1)]).To(BeNumerically("<", testConfig.MaxLease))
+	h.g.Expect(ended[testRun(1, 1)]).To(BeNumerically(">=", testConfig.MaxLease+testConfig.MaxLease/50))
+}
+
 // Guards against a run that is stopped while its upstream restarts, and that runs on under the next incarnation.
 func TestStopBesideRestart(t *testing.T) {
 	h := newHarness(t)
