leaseholder: runs end with their lease if the upstream never responds after its restart

What callers saw: a job that waits until its deadline, if its upstream restarts under its id while a start order is under way and then never responds.

Cause: the successor of the session watches these runs and resolves them with the first response. Watches had no other end.

Change: a run that this host has ordered before the restart ends as lapsed after the longest lease, within the tenure. This does not hold for runs of another host, which may still renew the lease: those are resolved by a response only, as before.

--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -264,6 +264,9 @@
 	requestedAt time.Time
 	// stopRequested is set if the run is to be stopped if it is found.
 	stopRequested bool
+	// inherited is set for runs that this host has ordered before the upstream restarted. No other host has been the
+	// leaseholder since, as far as the tenure shows, so that the lease of the run is bounded.
+	inherited bool
 }
 
 // Session is the state of one held upstream.
@@ -436,7 +439,7 @@
 	case s.tasks[t.Run] != nil:
 		s.tasks[t.Run].claim(t)
 	case s.replaced:
-		s.reportLost(t)
+		s.reportWatched(t, Lost)
 	case !s.closed && !watched:
 		s.watches = append(s.watches, watch{
 			Task:        t,
@@ -446,11 +449,11 @@
 	}
 }
 
-func (s *Session) reportLost(t Task) {
+func (s *Session) reportWatched(t Task, result RunResult) {
 	s.events = append(s.events, Event{
 		Kind:   Ended,
 		Task:   t,
-		Result: Lost,
+		Result: result,
 	})
 }
 
@@ -603,10 +606,35 @@
 	return at
 }
 
+// watchExpiresAt returns the time from which on the lease of an inherited watched run has certainly expired, if the tenure
+// lasts until then. Before the tenure another host, and before the request the previous session, may have requested the
+// longest lease.
+func (s *Session) watchExpiresAt(w watch, tenure Tenure) time.Time {
+	at := later(later(w.requestedAt, tenure.Since), s.leaseOrderedAt)
+	return at.Add(s.cfg.ResponseTimeout + s.longestWait(s.cfg.MaxLease.Milliseconds()))
+}
+
 // AwaitsExpiry reports whether the upstream is unresponsive and runs count as ended once the tenure
 // is known to have lasted until now.
 func (s *Session) AwaitsExpiry(now time.Time, tenure Tenure) bool {
-	return len(s.expiring(now, tenure)) > 0
+	return len(s.expiring(now, tenure)) > 0 || slices.ContainsFunc(s.watches, func(w watch) bool { return s.watchExpires(now, w, tenure) })
+}
+
+// watchExpires reports whether the lease of an inherited watched run of an unresponsive upstream has expired by now if the
+// tenure lasts until then.
+func (s *Session) watchExpires(now time.Time, w watch, tenure Tenure) bool {
+	return w.inherited && !s.closed && !s.ready && now.After(s.watchExpiresAt(w, tenure))
+}
+
+// expireWatches resolves the watches of an unresponsive upstream whose runs have ended with their lease.
+func (s *Session) expireWatches(now time.Time, tenure Tenure) {
+	s.watches = slices.DeleteFunc(s.watches, func(w watch) bool {
+		if tenure.Since.IsZero() || !s.watchExpires(now, w, tenure) || !tenure.Until.After(s.watchExpiresAt(w, tenure)) {
+			return false
+		}
+		s.reportWatched(w.Task, LeaseExpired)
+		return true
+	})
 }
 
 // expiring returns the runs of an unresponsive upstream whose lease has expired by now if the tenure lasts until
@@ -635,6 +663,7 @@
 			s.end(now, t, LeaseExpired, "")
 		}
 	}
+	s.expireWatches(now, tenure)
 	for _, t := range s.tasksWhere(func(t *task) bool { return s.needsStop(now, t) }) {
 		t.stopRequested = true
 		s.sendStop(now, t)
@@ -764,7 +793,7 @@
 		s.end(now, t, Lost, "")
 	}
 	for _, w := range s.watches {
-		s.reportLost(w.Task)
+		s.reportWatched(w.Task, Lost)
 	}
 	s.watches = nil
 	s.events = append(s.events, Event{Kind: Replaced})
@@ -789,6 +818,7 @@
 			s.undetermined = append(s.undetermined, watch{
 				Task:          t.Task,
 				stopRequested: t.stopRequested,
+				inherited:     true,
 			})
 		}
 	}
@@ -965,7 +995,7 @@
 				s.Stop(now, w.Run)
 			}
 		case !sent.Before(w.requestedAt):
-			s.reportLost(w.Task)
+			s.reportWatched(w.Task, Lost)
 		default:
 			return false
 		}
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -589,6 +589,38 @@
 	h.g.Expect(ended[testRun(1, 1)]).To(BeNumerically(">=", testConfig.MaxLease+testConfig.MaxLease/50))
 }
 
+// Guards against a job that waits until its deadline: the upstream has restarted and never responds again.
+func TestRunOfUpstreamThatNeverRespondsAfterRestart(t *testing.T) {
+	h := newHarness(t)
+	h.respondToRenewal(nil, nil)
+	h.session.Start(h.now, testTask(0, 1))
+	h.takeOrder(StartOrder)
+	h.takeEvents()
+	h.session.Update(h.now, discoverer.Upstream{
+		ID:          "u",
+		Incarnation: 2,
+		State:       discoverer.Serving,
+	})
+	h.advance(0)
+	h.g.Expect(h.takeEvents()).To(Equal([]Event{{Kind: Restarted}}))
+	restarted := h.now
+	h.session = h.session.Successor(h.now, discoverer.Upstream{
+		ID:          "u",
+		Incarnation: 2,
+		State:       discoverer.Serving,
+	}, 8)
+	h.orders = nil
+	for h.now.Sub(restarted) < 5*time.Second && len(h.events) == 0 {
+		h.advance(10 * time.Millisecond)
+		for _, o := range h.orders {
+			h.dropOrder(o)
+		}
+		h.orders = nil
+	}
+	h.g.Expect(h.takeEvents()).To(ContainElement(HaveField("Result", LeaseExpired)))
+	h.g.Expect(h.now.Sub(restarted)).To(BeNumerically(">=", testConfig.MaxLease+testConfig.MaxLease/50))
+}
+
 // Guards against a run that is stopped while its upstream restarts, and that runs on under the next incarnation.
 func TestStopBesideRestart(t *testing.T) {
 	h := newHarness(t)
