leaseholder: renewals of an unresponsive upstream acknowledge no ends

What callers could see: work that is done twice, if an upstream restarts under its id and completes a run that was ordered for its previous incarnation before its leaseholder has reached it. Not seen in a run of the system; found by review.

Cause: incarnations number their ends anew. The first renewal that reaches the next incarnation named the last number of the previous one, so that the ends up to it were forgotten and taken note of although no host had seen them.

Evidence: TestUnresponsiveUpstreamForgetsNoEnds failed before (last number 5 instead of 0).

Change: only a renewal to an upstream that has responded to the last one acknowledges ends. A restart while a renewal is in flight breaks that renewal and makes the upstream unresponsive first. Ends that are listed again are ignored as before.

--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -701,7 +701,11 @@
 
 func (s *Session) renew(now time.Time, wait time.Duration) {
 	o := s.newOrder(now, RenewOrder, wait+s.cfg.ResponseTimeout)
-	o.AckedSeq = s.handledSeq
+	// An unresponsive upstream may have restarted and number its ends anew, so that it would forget ends that this host
+	// has not seen.
+	if s.ready {
+		o.AckedSeq = s.handledSeq
+	}
 	o.MaxWait = wait
 	// A renewal of an unresponsive upstream does not extend the lease: the upstream may apply it
 	// although the response is lost, and the time at which the lease has expired would never be
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -621,6 +621,21 @@
 	h.g.Expect(h.now.Sub(restarted)).To(BeNumerically(">=", testConfig.MaxLease+testConfig.MaxLease/50))
 }
 
+// Guards against an end that is forgotten unseen: the next incarnation numbers its ends anew and is told the last
+// number of the previous one.
+func TestUnresponsiveUpstreamForgetsNoEnds(t *testing.T) {
+	h := newHarness(t)
+	h.startRun()
+	h.advance(50 * time.Millisecond)
+	h.respondToRenewal(nil, endedRuns(5, testRun(0, 1), Done))
+	h.session.Start(h.now, testTask(1, 1))
+	h.takeOrder(StartOrder)
+	h.advance(time.Millisecond)
+	h.dropOrder(h.takeOrder(RenewOrder))
+	h.advance(time.Second)
+	h.g.Expect(h.takeOrder(RenewOrder).AckedSeq).To(BeZero())
+}
+
 // Guards against a run that is stopped while its upstream restarts, and that runs on under the next incarnation.
 func TestStopBesideRestart(t *testing.T) {
 	h := newHarness(t)
