leaseholder: the ends that the first response lists resolve watches

What callers saw: work that is done twice. A run that has ended before the first response to a new session counted as lost, and its task ran again, although that response listed the end.

Cause: ends were only looked up among the runs that the session tracks, and a watched run is not one of them.

Evidence: TestNextIncarnationHasCompletedTheRun failed before (lost instead of done).

Change: a watch whose run is listed as ended is resolved with that result. An end that is listed before the watch is requested is still not kept.

--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -898,7 +898,7 @@
 		s.ready = true
 		s.events = append(s.events, Event{Kind: Ready})
 	}
-	s.resolveWatches(now, resp.Order.SentAt)
+	s.resolveWatches(now, resp)
 	s.nextRenewalAt = now
 	if len(s.tasks) == 0 {
 		// The polls of all idle upstreams are sent at the same time.
@@ -987,17 +987,29 @@
 	s.events = append(s.events, e)
 }
 
-// resolveWatches resolves the watches that were requested before a renewal was sent. The response
-// to an earlier renewal proves nothing: another leaseholder may have started the run since.
-func (s *Session) resolveWatches(now, sent time.Time) {
+// resolveWatches resolves the watches of runs that a response lists, and those that were requested before its renewal
+// was sent. If it lists no end of a run, the response to an earlier renewal proves nothing: another leaseholder may have
+// started the run since.
+func (s *Session) resolveWatches(now time.Time, resp Response) {
+	if len(s.watches) == 0 {
+		return
+	}
+	ended := make(map[sesamedrift.Run]RunResult, len(resp.Ended))
+	for _, e := range resp.Ended {
+		ended[e.Run] = e.Result
+	}
+	sent := resp.Order.SentAt
 	s.watches = slices.DeleteFunc(s.watches, func(w watch) bool {
 		t := s.tasks[w.Run]
+		result, hasEnded := ended[w.Run]
 		switch {
 		case t != nil:
 			t.claim(w.Task)
 			if w.stopRequested {
 				s.Stop(now, w.Run)
 			}
+		case hasEnded:
+			s.reportWatched(w.Task, result)
 		case !sent.Before(w.requestedAt):
 			s.reportWatched(w.Task, Lost)
 		default:
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -636,6 +636,42 @@
 	h.g.Expect(h.takeOrder(RenewOrder).AckedSeq).To(BeZero())
 }
 
+// Guards against work that is done twice: the next incarnation has completed the run before its leaseholder asks.
+func TestNextIncarnationHasCompletedTheRun(t *testing.T) {
+	h := newHarness(t)
+	h.startRun()
+	h.advance(50 * time.Millisecond)
+	h.respondToRenewal(nil, endedRuns(5, testRun(0, 1), Done))
+	h.session.Start(h.now, testTask(1, 1))
+	start := h.takeOrder(StartOrder)
+	h.session.HandleResponse(h.now, Response{
+		Order:    start,
+		Status:   Accepted,
+		HasClock: true,
+	})
+	h.advance(time.Millisecond)
+	h.session.Update(h.now, discoverer.Upstream{
+		ID:          "u",
+		Incarnation: 2,
+		State:       discoverer.Serving,
+	})
+	h.advance(0)
+	h.takeEvents()
+	h.session = h.session.Successor(h.now, h.session.Upstream(), 8)
+	h.orders = nil
+	renewal := h.takeOrder(RenewOrder)
+	h.g.Expect(renewal.AckedSeq).To(BeZero())
+	h.session.HandleResponse(h.now, Response{
+		Order:       renewal,
+		Status:      Accepted,
+		Incarnation: 2,
+		HasClock:    true,
+		Ended:       endedRuns(1, testRun(1, 1), Done),
+	})
+	h.advance(0)
+	h.g.Expect(h.takeEvents()).To(ContainElement(And(HaveField("Kind", Ended), HaveField("Result", Done))))
+}
+
 // Guards against a run that is stopped while its upstream restarts, and that runs on under the next incarnation.
 func TestStopBesideRestart(t *testing.T) {
 	h := newHarness(t)
