dispatcher: hold an assigned upstream as soon as it is known

What users see: an upstream that nobody holds, until the next change of the assignment.

Cause: the leader assigns an upstream to a host that has not received its report yet. The host acquired upstreams only when it received an assignment.

Change: a report about an upstream that is assigned to this host acquires it.

--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -404,6 +404,27 @@
 	h.g.Expect(countByHolder(h.core.assigned.Leaseholders)).To(Equal(map[string]int{selfAddress: 2, peer: 2}))
 }
 
+// Guards against an upstream without a leaseholder: the leader assigns it to a host that has not heard of it yet.
+func TestUpstreamIsHeldOnceItIsKnown(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetControlReachable(controlAddress, true)
+	const leader = "10.0.0.10:1"
+	h.addPeer(leader, 1)
+	h.advance(maxDiscoveryTime)
+	h.deliverFrom(leader, kindAssignment, assignment{
+		Number:       1,
+		Placers:      []string{leader},
+		Shards:       map[string]int{"a": 0},
+		Leaseholders: map[string]string{"a": selfAddress},
+	})
+	h.g.Expect(h.core.Holds("a")).To(BeFalse())
+	h.core.HandleUpdates(h.now, controlAddress, poller.Updates{
+		Upstreams: []discoverer.Upstream{domainUpstream("a")},
+	})
+	h.advance(0)
+	h.g.Expect(h.core.Holds("a")).To(BeTrue())
+}
+
 // Guards against a leader that steps down and has its successor undo its own assignment, and against a leader that
 // returns and undoes that of a host which has led meanwhile.
 func TestFormerLeaderJoins(t *testing.T) {
--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -148,9 +148,13 @@
 			"service", u.Service, "cpu", u.Capacity.CPU)
 	}
 	c.updatePlacerUpstream(now, u)
-	if h := c.held[u.ID]; h != nil {
+	h := c.held[u.ID]
+	switch {
+	case h != nil:
 		h.session.Update(now, u)
 		c.touch(h)
+	case c.assigned.Leaseholders[u.ID] == c.cfg.Self.Address && u.State != discoverer.Gone:
+		c.acquire(now, u)
 	}
 }
 
