leaseholder: an unanswered start order may be executed by the next incarnation

What callers saw: two runs of one task.

Cause: the lease end in the order keeps an incarnation from executing it late, but not the next one, whose clock begins anew. The expiry counted from the sending of the order.

Change: the lease of a run whose start order was not answered expires after the time in which such orders may still be executed (15 s) and the longest lease. The upstream resolves the run sooner as soon as it responds. Jobs with such a run on an upstream that never responds again end with their deadline.

--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -29,6 +29,8 @@
 	maxBackoff = 500 * time.Millisecond
 	// maxClockDrift is the fraction by which clocks of upstreams may run slow.
 	maxClockDrift = 0.02
+	// maxOrderDelay is above the time after which upstreams carry out orders that they have not answered.
+	maxOrderDelay = 15 * time.Second
 	// timerMargin covers timers that fire late.
 	timerMargin = 10 * time.Millisecond
 	// orphanTimeout is how long runs of a previous leaseholder continue unclaimed. Entry hosts
@@ -52,6 +54,7 @@
 		MaxBackoff:       maxBackoff,
 		StopTime:         stopTime,
 		MaxClockDrift:    maxClockDrift,
+		MaxOrderDelay:    maxOrderDelay,
 		TimerMargin:      timerMargin,
 		OrphanTimeout:    orphanTimeout,
 	}
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -58,6 +58,9 @@
 	StopTime time.Duration
 	// MaxClockDrift is the fraction by which the clock of an upstream may run slow.
 	MaxClockDrift float64
+	// MaxOrderDelay is how long after it was sent an order that was not answered may still be executed, also by the next
+	// incarnation of the upstream.
+	MaxOrderDelay time.Duration
 	// TimerMargin is added to the time at which a lease has expired and to StopTime, since timers
 	// may fire late.
 	TimerMargin time.Duration
@@ -267,6 +270,8 @@
 	// inherited is set for runs that this host has ordered before the upstream restarted. No other host has been the
 	// leaseholder since, as far as the tenure shows, so that the lease of the run is bounded.
 	inherited bool
+	// answered is set for an inherited run whose start order was accepted.
+	answered bool
 }
 
 // Session is the state of one held upstream.
@@ -422,6 +427,9 @@
 	t.Content = wanted.Content
 }
 
+// answered reports whether the upstream has accepted the start order or listed the run.
+func (t *task) answered() bool { return t.phase == confirmed }
+
 func (s *Session) reportRejected(t Task, reason Reason) {
 	s.events = append(s.events, Event{
 		Kind:   Ended,
@@ -564,13 +572,23 @@
 // leaseExpiredAt returns the time at which the latest lease of a run has certainly expired. The clock of the
 // upstream was read before the response arrived, and may run slow. A run that has not been listed may have been started by
 // the next incarnation, whose clock begins anew, so that each order with a lease end may have extended its lease to the
-// longest one.
+// longest one. An unanswered start order may not have been executed yet.
 func (s *Session) leaseExpiredAt(t *task) time.Time {
 	at := s.clockReceivedAt.Add(s.longestWait(s.leaseUntil - s.clock))
 	if t.listed {
 		return at
 	}
-	return later(at, s.leaseOrderedAt.Add(s.cfg.ResponseTimeout+s.longestWait(s.cfg.MaxLease.Milliseconds())))
+	return later(at, s.unlistedExpiresAt(s.leaseOrderedAt, t.answered()))
+}
+
+// unlistedExpiresAt returns the time at which the lease of a run that no incarnation has listed has certainly expired, if the
+// last order that may have extended it was sent at the given time. answered says whether the start order was accepted.
+func (s *Session) unlistedExpiresAt(ordered time.Time, answered bool) time.Time {
+	delay := s.cfg.ResponseTimeout
+	if !answered {
+		delay = s.cfg.MaxOrderDelay
+	}
+	return ordered.Add(delay + s.longestWait(s.cfg.MaxLease.Milliseconds()))
 }
 
 func later(a, b time.Time) time.Time {
@@ -611,7 +629,7 @@
 // longest lease.
 func (s *Session) watchExpiresAt(w watch, tenure Tenure) time.Time {
 	at := later(later(w.requestedAt, tenure.Since), s.leaseOrderedAt)
-	return at.Add(s.cfg.ResponseTimeout + s.longestWait(s.cfg.MaxLease.Milliseconds()))
+	return s.unlistedExpiresAt(at, w.answered)
 }
 
 // AwaitsExpiry reports whether the upstream is unresponsive and runs count as ended once the tenure
@@ -823,6 +841,7 @@
 				Task:          t.Task,
 				stopRequested: t.stopRequested,
 				inherited:     true,
+				answered:      t.answered(),
 			})
 		}
 	}
