emulator: disturbances that go on through a simulation

Loops of hosts that handle nothing for up to 0.3 s while their sessions go on, batches, orders and responses that are late, connections of callers that break, noticed or not, with jobs that are sent again 1.3 s later to any host, hosts that are unhealthy by turns, planned stops in series, and wall clocks that differ.

The check for answers leaves out a host whose loop handles nothing at the deadline.

--- a/emulator/callers.go
+++ b/emulator/callers.go
@@ -104,11 +104,14 @@
 		return longRunTime, false
 	}
 	runTimeMS := 60 * math.Exp(2*jobFraction(run.Task.Job))
+	if w.cfg.Disturbances.WideRunTimes {
+		runTimeMS = 50 * math.Exp(math.Log(16)*jobFraction(run.Task.Job))
+	}
 	return time.Duration((runTimeMS + float64(run.Task.Index)) * float64(time.Millisecond)), false
 }
 
 // submit sends a job for the first time, and records a violation if it has no answer by its deadline
-// although the host that received it is running and was not frozen during the last second.
+// although the host that received it is running, was not frozen during the last second and handles messages.
 func (w *Simulation) submit(j *callerJob) {
 	timeout := j.job.Deadline.Sub(Epoch)
 	j.job.Arrived = w.wallTime()
@@ -122,7 +125,7 @@
 		}
 		j.done = true
 		w.Counts.Unanswered++
-		if j.host != nil && j.host.Up() && j.host.frozenUntil < w.Now()-time.Second {
+		if j.host != nil && j.host.Up() && j.host.frozenUntil < w.Now()-time.Second && j.host.loopBusyUntil < w.Now()-answerGrace {
 			w.invariants.recordViolation("job %s got no answer by its deadline from %s", j.job.ID, j.host.Name)
 		}
 	})
@@ -141,6 +144,9 @@
 			remote = append(remote, n)
 		}
 	}
+	if w.cfg.Disturbances.ResubmitAnywhere && j.attempts > 0 {
+		local = append(local, remote...)
+	}
 	if len(local) == 0 || w.cfg.ResubmitElsewhere && j.attempts > 0 && len(remote) > 0 {
 		local = remote
 	}
@@ -157,14 +163,16 @@
 		w.After(0, func() { w.handleAnswer(j, attempt, r) })
 	})
 	job := j.job
-	job.Arrived = w.wallTime()
+	job.Arrived = n.wallTime()
+	job.Deadline = job.Deadline.Add(n.clockOffset)
 	incarnation := n.incarnation
-	n.runWhenUnfrozen(func() {
+	n.runInLoop(func() {
 		if n.core != nil && n.incarnation == incarnation {
-			n.core.Submit(w.wallTime(), job, j.caller)
-			n.core.Flush(w.wallTime())
+			n.core.Submit(n.wallTime(), job, j.caller)
+			n.core.Flush(n.wallTime())
 		}
 	})
+	w.scheduleBreak(j)
 }
 
 func (w *Simulation) resubmit(j *callerJob) {
--- /dev/null
+++ b/emulator/disturbances_test.go
@@ -0,0 +1,121 @@
+package emulator
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// firstDisturbedSeed is the lowest seed of simulations with disturbances.
+const firstDisturbedSeed = 4_000_000
+
+// grownVariable names the environment variable that makes disturbed simulations as large as a grown site.
+const grownVariable = "EMULATOR_GROWN"
+
+// disturbanceProfiles are the combinations of disturbances. A seed names the one at its index modulo their number.
+var disturbanceProfiles = []struct {
+	name string
+	// faults is whether faults are scheduled beside the disturbances.
+	faults bool
+	Disturbances
+}{
+	{"busy loops and delays", false, Disturbances{
+		BusyEvery:    time.Second,
+		BusyTime:     300 * time.Millisecond,
+		DelayedShare: 0.03,
+		MaxDelay:     300 * time.Millisecond,
+	}},
+	{"broken connections", false, Disturbances{
+		BusyEvery:        2 * time.Second,
+		BusyTime:         300 * time.Millisecond,
+		DelayedShare:     0.01,
+		MaxDelay:         300 * time.Millisecond,
+		BrokenShare:      0.3,
+		NoticeTime:       300 * time.Millisecond,
+		ResubmitAnywhere: true,
+	}},
+	{"connections that break unnoticed", false, Disturbances{
+		BusyEvery:      2 * time.Second,
+		BusyTime:       300 * time.Millisecond,
+		BrokenShare:    0.3,
+		NoticeTime:     300 * time.Millisecond,
+		UnnoticedShare: 0.5,
+	}},
+	{"planned stops and unhealthy hosts", false, Disturbances{
+		BusyEvery:        2 * time.Second,
+		BusyTime:         200 * time.Millisecond,
+		BrokenShare:      0.3,
+		NoticeTime:       100 * time.Millisecond,
+		ResubmitAnywhere: true,
+		UnhealthyEvery:   4 * time.Second,
+		UnhealthyTime:    2 * time.Second,
+		StopEvery:        900 * time.Millisecond,
+	}},
+	{"clocks that differ", true, Disturbances{
+		BrokenShare:      0.1,
+		NoticeTime:       100 * time.Millisecond,
+		ResubmitAnywhere: true,
+		UnhealthyEvery:   6 * time.Second,
+		UnhealthyTime:    time.Second,
+		MaxClockOffset:   5 * time.Second,
+	}},
+	{"all beside faults", true, Disturbances{
+		BusyEvery:        2 * time.Second,
+		BusyTime:         300 * time.Millisecond,
+		DelayedShare:     0.01,
+		MaxDelay:         300 * time.Millisecond,
+		BrokenShare:      0.1,
+		NoticeTime:       100 * time.Millisecond,
+		ResubmitAnywhere: true,
+		UnhealthyEvery:   6 * time.Second,
+		UnhealthyTime:    time.Second,
+		StopEvery:        2500 * time.Millisecond,
+	}},
+}
+
+// newDisturbedSimulation returns a simulation whose disturbances depend on the seed.
+func newDisturbedSimulation(seed uint64) *Simulation {
+	profile := disturbanceProfiles[seed%uint64(len(disturbanceProfiles))]
+	cfg := Config{
+		Seed:              seed,
+		Domains:           3,
+		Hosts:             7,
+		Upstreams:         12,
+		UpstreamsPerShard: 6,
+		JobsPerSecond:     14,
+		LongJobShare:      0.03,
+		Duration:          14 * time.Second,
+		Disturbances:      profile.Disturbances,
+	}
+	cfg.Disturbances.WideRunTimes = true
+	if os.Getenv(grownVariable) != "" {
+		cfg.Hosts = 14
+		cfg.Upstreams = 117
+		cfg.UpstreamsPerShard = 36
+		cfg.JobsPerSecond = 140
+	}
+	w := New(cfg)
+	if profile.faults {
+		w.ScheduleFaults(600*time.Millisecond, 12*time.Second)
+	}
+	return w
+}
+
+// Guards against two concurrent runs of one task when processors are busy, messages are late, connections of callers
+// break, placers and leaseholders change often, or clocks differ.
+func TestDisturbances(t *testing.T) {
+	for i := range uintFromEnv(seedCountVariable, uint64(len(disturbanceProfiles))) {
+		seed := uintFromEnv(firstSeedVariable, firstDisturbedSeed) + i
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			w := newDisturbedSimulation(seed)
+			w.Run(26 * time.Second)
+			g.Expect(w.Violations()).To(BeEmpty())
+			t.Logf("%+v, %d runs", w.Counts, w.invariants.runs)
+		})
+	}
+}
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -67,6 +67,8 @@
 	// MaxReportDelay bounds the time until control hosts receive the first report of an upstream that has
 	// restarted.
 	MaxReportDelay time.Duration
+	// Disturbances are faults that go on through the whole simulation.
+	Disturbances Disturbances
 	// Duration is the simulated time at which jobs stop arriving.
 	Duration time.Duration
 	// Log receives the logs of hosts, upstreams and faults; nil discards them.
@@ -82,6 +84,8 @@
 	sequencer.Sequencer
 	cfg Config
 	rng *rand.Rand
+	// disturbanceRng is apart from rng, so that seeds keep their course without disturbances.
+	disturbanceRng *rand.Rand
 
 	Hosts     []*Host
 	Upstreams []*UpstreamServer
@@ -120,6 +124,10 @@
 	core        *dispatcher.Core // nil while the process is down
 	// frozenUntil is the simulated time until which the process is suspended.
 	frozenUntil time.Duration
+	// loopBusyUntil is the simulated time until which the loop of the host handles nothing; its sessions go on.
+	loopBusyUntil time.Duration
+	// clockOffset is the difference of the host's wall clock from the true time.
+	clockOffset time.Duration
 	senders     map[string]*sessionSender
 	// seenSeqs holds the sequence numbers up to which the host has received the lists of hosts and
 	// of upstreams.
@@ -163,8 +171,11 @@
 // 300 ms and its jobs arrive from 1 s on; Run executes it.
 func New(cfg Config) *Simulation {
 	w := &Simulation{
-		cfg:       cfg,
-		rng:       rand.New(rand.NewPCG(cfg.Seed, 7)),
+		cfg: cfg,
+		rng: rand.New(rand.NewPCG(cfg.Seed, 7)),
+
+		disturbanceRng: rand.New(rand.NewPCG(cfg.Seed, 11)),
+
 		hosts:     discoverer.NewList[discoverer.Host](),
 		upstreams: discoverer.NewList[discoverer.Upstream](),
 		cutLinks:  map[[2]string]bool{},
@@ -204,6 +215,7 @@
 		}
 	}
 	w.scheduleJobs()
+	w.scheduleDisturbances()
 	w.Every(updateInterval, w.publishUpdates)
 	w.Every(dispatcher.TickEvery, w.invariants.checkPeriodic)
 	return w
@@ -255,14 +267,15 @@
 		return
 	}
 	w := n.w
-	n.incarnation = uint64(w.wallTime().UnixNano())
+	n.clockOffset = w.drawClockOffset()
+	n.incarnation = uint64(n.wallTime().UnixNano())
 	n.senders = map[string]*sessionSender{}
 	n.seenSeqs = [3]uint64{}
 	incarnation := n.incarnation
 	ifRunning := func(do func()) func() {
 		return func() {
 			if n.core != nil && n.incarnation == incarnation {
-				n.runWhenUnfrozen(do)
+				n.runInLoop(do)
 			}
 		}
 	}
@@ -284,7 +297,7 @@
 		Connect:    n.connect,
 		Disconnect: n.disconnect,
 		Watch: func(address string, w courier.Watch) {
-			n.senderTo(address).session.SetWatch(n.w.wallTime(), w)
+			n.senderTo(address).session.SetWatch(n.wallTime(), w)
 		},
 		EndSession:   n.endSession,
 		StartPolling: func(string) {},
@@ -292,30 +305,32 @@
 		SelfChanged:  func(discoverer.Host) {},
 		Order: func(u discoverer.Upstream, o leaseholder.Order, done func(now time.Time, a leaseholder.Response)) {
 			w.sendOrder(n, u, o, func(a leaseholder.Response) {
-				ifRunning(func() {
-					if w.wallTime().Sub(o.SentAt) > o.Timeout {
+				n.runWhenUnfrozen(func() {
+					if n.wallTime().Sub(o.SentAt) > o.Timeout {
 						// The timeout of the order has passed while the host was frozen.
 						a = noResponse(o)
 					}
-					done(w.wallTime(), a)
-					n.core.Flush(w.wallTime())
-				})()
+					ifRunning(func() {
+						done(n.wallTime(), a)
+						n.core.Flush(n.wallTime())
+					})()
+				})
 			})
 		},
 		FetchDocument: func(address string, version uint64, done func(now time.Time, d dispatcher.FetchedDocument)) {
 			w.fetchDocument(n, address, version, func(d dispatcher.FetchedDocument) {
 				ifRunning(func() {
-					done(w.wallTime(), d)
-					n.core.Flush(w.wallTime())
+					done(n.wallTime(), d)
+					n.core.Flush(n.wallTime())
 				})()
 			})
 		},
 		DocumentApplied: func(dispatcher.FetchedDocument) {},
-	}, w.wallTime(), nil)
+	}, n.wallTime(), nil)
 	var tick func()
 	tick = ifRunning(func() {
-		n.core.Tick(w.wallTime())
-		n.core.Flush(w.wallTime())
+		n.core.Tick(n.wallTime())
+		n.core.Flush(n.wallTime())
 		w.After(dispatcher.TickEvery, tick)
 	})
 	tick()
@@ -334,6 +349,26 @@
 	do()
 }
 
+// runInLoop calls do now, or once the loop of the host is free, after what was deferred before. It drops do if the
+// process ends meanwhile.
+func (n *Host) runInLoop(do func()) {
+	incarnation := n.incarnation
+	n.runWhenUnfrozen(func() {
+		if n.loopBusyUntil <= n.w.Now() {
+			do()
+			return
+		}
+		n.w.At(n.loopBusyUntil, func() {
+			if n.core != nil && n.incarnation == incarnation {
+				n.runInLoop(do)
+			}
+		})
+	})
+}
+
+// wallTime returns the time on the wall clock of the host.
+func (n *Host) wallTime() time.Time { return n.w.wallTime().Add(n.clockOffset) }
+
 // Kill crashes the host's process: it sends nothing more, and the connections of its callers break.
 // It does nothing if the process is down.
 func (n *Host) Kill() {
@@ -354,8 +389,8 @@
 // Drain starts a graceful shutdown of the host; it does nothing if the process is down.
 func (n *Host) Drain() {
 	if n.core != nil {
-		n.core.BeginDrain(n.w.wallTime())
-		n.core.Flush(n.w.wallTime())
+		n.core.BeginDrain(n.wallTime())
+		n.core.Flush(n.wallTime())
 	}
 }
 
@@ -390,7 +425,7 @@
 			MaxQueue:    maxQueue,
 		},
 	}
-	c.session.SetWatch(n.w.wallTime(), dispatcher.CloseWatch)
+	c.session.SetWatch(n.wallTime(), dispatcher.CloseWatch)
 	n.senders[address] = c
 	n.scheduleSend(address, c, 0)
 	return c
@@ -447,12 +482,15 @@
 }
 
 func (n *Host) deliver(events []courier.Event) {
-	for _, e := range events {
-		n.core.HandleSessionEvent(n.w.wallTime(), e)
-	}
-	if len(events) > 0 {
-		n.core.Flush(n.w.wallTime())
+	if len(events) == 0 {
+		return
 	}
+	n.runInLoop(func() {
+		for _, e := range events {
+			n.core.HandleSessionEvent(n.wallTime(), e)
+		}
+		n.core.Flush(n.wallTime())
+	})
 }
 
 // send sends the batches of a session that are due, and schedules the next call.
@@ -461,10 +499,10 @@
 	if c.closed || c.disconnected || n.core == nil {
 		return
 	}
-	n.deliver(c.session.CheckTimeout(w.wallTime()))
+	n.deliver(c.session.CheckTimeout(n.wallTime()))
 	to := w.hostByAddress(address)
 	for {
-		b, _, found := c.session.NextBatch(w.wallTime())
+		b, _, found := c.session.NextBatch(n.wallTime())
 		if !found {
 			break
 		}
@@ -472,14 +510,14 @@
 			n.transmit(to, b)
 		}
 	}
-	n.scheduleSend(address, c, c.session.UntilNextBatch(w.wallTime()))
+	n.scheduleSend(address, c, c.session.UntilNextBatch(n.wallTime()))
 }
 
 // transmit delivers a batch to another host after the latency of the link. Batches to one host arrive in
 // the order in which they were sent.
 func (n *Host) transmit(to *Host, b courier.Batch) {
 	w := n.w
-	at := max(w.Now()+w.latency(n.Domain, to.Domain), w.lastArrival[[2]string{n.Name, to.Name}])
+	at := max(w.Now()+w.latency(n.Domain, to.Domain)+w.extraDelay(), w.lastArrival[[2]string{n.Name, to.Name}])
 	w.lastArrival[[2]string{n.Name, to.Name}] = at
 	w.At(at, func() {
 		if to.core == nil {
@@ -497,8 +535,8 @@
 				return
 			}
 			reverse := to.senderTo(n.Address)
-			to.deliver(reverse.session.Receive(w.wallTime(), b))
-			to.scheduleSend(n.Address, reverse, reverse.session.UntilNextBatch(w.wallTime()))
+			to.deliver(reverse.session.Receive(to.wallTime(), b))
+			to.scheduleSend(n.Address, reverse, reverse.session.UntilNextBatch(to.wallTime()))
 		})
 	})
 }
@@ -507,7 +545,7 @@
 // host.
 func (w *Simulation) publishUpdates() {
 	for _, n := range w.Hosts {
-		if n.core == nil || n.frozenUntil > w.Now() {
+		if n.core == nil || n.frozenUntil > w.Now() || n.loopBusyUntil > w.Now() {
 			continue
 		}
 		reachable := !w.ControlDown && w.linkUp(n.Name, controlName)
@@ -522,8 +560,8 @@
 			DocumentVersion: w.document.Version,
 		}
 		n.seenSeqs[0], n.seenSeqs[1] = w.hosts.Seq(), w.upstreams.Seq()
-		n.core.HandleUpdates(w.wallTime(), controlName, updates)
-		n.core.Flush(w.wallTime())
+		n.core.HandleUpdates(n.wallTime(), controlName, updates)
+		n.core.Flush(n.wallTime())
 	}
 }
 
@@ -720,7 +758,7 @@
 		})
 		return
 	}
-	w.After(w.latency(n.Domain, s.Domain), func() { s.handleOrder(n, to, o, w.Now()+o.MaxWait, answer) })
+	w.After(w.latency(n.Domain, s.Domain)+w.extraDelay(), func() { s.handleOrder(n, to, o, w.Now()+o.MaxWait, answer) })
 }
 
 // handleOrder executes an order and answers it. An accepted lease renewal without ended runs is
@@ -753,6 +791,6 @@
 	}
 	w.logger(s.Name).Debug("answer", "host", n.Name, "id", o.ID, "status", a.Status, "reason", a.Reason, "running", len(a.Running), "ended", len(a.Ended))
 	if w.linkUp(s.Name, n.Name) {
-		w.After(w.latency(n.Domain, s.Domain), func() { answer(a) })
+		w.After(w.latency(n.Domain, s.Domain)+w.extraDelay(), func() { answer(a) })
 	}
 }
--- a/emulator/trace_test.go
+++ b/emulator/trace_test.go
@@ -15,6 +15,9 @@
 		t.Skip("EMULATOR_SEED is not set to a seed")
 	}
 	w := newFaultySimulation(seed)
+	if seed >= firstDisturbedSeed {
+		w = newDisturbedSimulation(seed)
+	}
 	w.cfg.Log = os.Stdout
 	w.Run(32 * time.Second)
 	for _, v := range w.Violations() {
