leaseholder: a stop also reaches a run that is only watched

Callers saw: two runs of one task, when connections of callers broke within some 2 ms of a change of leaseholders and they sent their jobs again to another failure domain 1.3 s later.

Cause: the entry host of a run asks the new leaseholder to watch it. A stop that came before the first renewal was answered was dropped, since the run was not among the tasks yet. The response then listed the run, and the watch claimed it for an entry host that had forgotten the job, so that it was not stopped as an orphan either.

A stop of a watched run is now kept with the watch and carried out once the run is found. If the run is not found, the watch ends as before.

--- a/emulator/scenario_test.go
+++ b/emulator/scenario_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -337,6 +339,39 @@
 	}
 }
 
+// Guards against two concurrent runs of one task when callers leave while leaseholders change, and send their jobs again to
+// any host: stops that reach a new leaseholder before it has found the runs are lost.
+func TestCallersLeaveWhileLeaseholdersChange(t *testing.T) {
+	for _, after := range []time.Duration{0, 500 * time.Microsecond, time.Millisecond, 2 * time.Millisecond, 20 * time.Millisecond} {
+		t.Run(fmt.Sprintf("%s after the change", after), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			w := New(Config{
+				Seed:          1,
+				Domains:       2,
+				Hosts:         4,
+				Upstreams:     8,
+				JobsPerSecond: 3,
+				Duration:      20 * time.Second,
+				LongJobShare:  0.5,
+				Disturbances:  Disturbances{ResubmitAnywhere: true},
+			})
+			for i := range 8 {
+				at := 4*time.Second + time.Duration(i)*1700*time.Millisecond
+				w.At(at, func() { w.restart(w.Hosts[i%4]) })
+				w.At(at+after, func() {
+					for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
+						w.breakConnection(w.jobs[id], true, 0)
+					}
+				})
+			}
+			w.Run(32 * time.Second)
+			g.Expect(w.Violations()).To(BeEmpty())
+			t.Logf("%+v", w.Counts)
+		})
+	}
+}
+
 // newShardedSimulation returns a simulation of one domain with three shards, whose load uses a third of
 // its capacity.
 func newShardedSimulation() *Simulation {
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -453,11 +453,19 @@
 	})
 }
 
-// Stop sends the stop order of a run. An Ended event reports the end of the run.
+// Stop sends the stop order of a run, once it is found if it is only watched. An Ended event reports the end of the run.
 func (s *Session) Stop(now time.Time, run sesamedrift.Run) {
-	if t := s.tasks[run]; t != nil && !t.stopRequested {
-		t.stopRequested = true
-		s.sendStop(now, t)
+	if t := s.tasks[run]; t != nil {
+		if !t.stopRequested {
+			t.stopRequested = true
+			s.sendStop(now, t)
+		}
+		return
+	}
+	for i := range s.watches {
+		if s.watches[i].Run == run {
+			s.watches[i].stopRequested = true
+		}
 	}
 }
 
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -352,6 +352,15 @@
 	h.g.Expect(h.takeEvents()).To(ConsistOf(HaveField("Result", Lost)))
 }
 
+// Guards against a run that goes on although its job has ended: the stop comes before the run is found.
+func TestStopOfWatchedRun(t *testing.T) {
+	h := newHarness(t)
+	h.session.Watch(h.now, testTask(0, 1))
+	h.session.Stop(h.now, testRun(0, 1))
+	h.respondToRenewal(listedRuns(testRun(0, 1)), nil)
+	h.g.Expect(h.takeOrder(StopOrder).Run).To(Equal(testRun(0, 1)))
+}
+
 // Guards against runs of a previous leaseholder that continue although no entry host claims them,
 // and against stopping them before the orphan timeout has given the entry hosts time to do so.
 func TestUnclaimedRunsAreStopped(t *testing.T) {
