dispatcher: a host that has resumed opens no sessions before it has settled

What callers could see: two runs of one task after a freeze.

Cause: a host that resumes may learn of the restart of an upstream, or of an upstream that it is to hold, before the assignment by which another host holds it now. It opened a session with a higher fencing token at once, overtook that host and executed start orders that had waited since before the freeze.

Change: such sessions are opened once the host has settled, and updates from control hosts and responses count as calls by which a pause is noticed. TestResumedHostDoesNotReopenUpstreams failed before.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -143,6 +143,8 @@
 
 	jobs map[string]*job
 	held map[string]*heldUpstream
+	// acquireLater is set while upstreams that are assigned to this host wait until it has settled.
+	acquireLater bool
 	// tenure is that of this host; tenureCheck is the check that is in flight.
 	tenure      leaseholder.Tenure
 	tenureCheck pendingTenureCheck
@@ -222,6 +224,7 @@
 
 // Flush delivers local messages and sends the decisions and orders that are pending.
 func (c *Core) Flush(now time.Time) {
+	c.noticePause(now)
 	for {
 		local := c.localMessages
 		c.localMessages = nil
--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -425,6 +425,36 @@
 	h.g.Expect(h.core.Holds("a")).To(BeTrue())
 }
 
+// Guards against a host that resumes and acquires an upstream which another one holds meanwhile, because the upstream has
+// restarted.
+func TestResumedHostDoesNotReopenUpstreams(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetControlReachable(controlAddress, true)
+	h.core.HandleUpdates(h.now, controlAddress, poller.Updates{
+		Upstreams: []discoverer.Upstream{domainUpstream("a")},
+	})
+	h.advance(maxDiscoveryTime)
+	h.core.Flush(h.now)
+	first := h.orders[0]
+	first.done(h.now, leaseholder.Response{
+		Order:       first.Order,
+		Status:      leaseholder.Accepted,
+		Incarnation: 1,
+	})
+	h.core.Flush(h.now)
+	h.orders = nil
+	h.now = h.now.Add(time.Second)
+	restarted := domainUpstream("a")
+	restarted.Incarnation = 2
+	h.core.HandleUpdates(h.now, controlAddress, poller.Updates{Upstreams: []discoverer.Upstream{restarted}})
+	h.core.Flush(h.now)
+	h.g.Expect(h.orders).To(BeEmpty())
+	h.advance(maxSettleTime)
+	h.core.Flush(h.now)
+	h.g.Expect(h.orders).NotTo(BeEmpty())
+	h.g.Expect(h.orders[0].Token).To(BeNumerically(">", first.Token))
+}
+
 // Guards against a leader that steps down and has its successor undo its own assignment, and against a leader that
 // returns and undoes that of a host which has led meanwhile.
 func TestFormerLeaderJoins(t *testing.T) {
--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -66,6 +66,8 @@
 	// leaseLostAt is when the session reported that the lease was lost or that another upstream has the
 	// address; zero otherwise.
 	leaseLostAt time.Time
+	// restarted is set when the upstream has restarted, until the session with its next incarnation begins.
+	restarted bool
 	// overtaken is set when another host has acquired the upstream, until the jobs on it have ended because
 	// this host is cut off.
 	overtaken bool
@@ -156,14 +158,21 @@
 	case h != nil:
 		h.session.Update(now, u)
 		c.touch(h)
-	case c.assigned.Leaseholders[u.ID] == c.cfg.Self.Address && u.State != discoverer.Gone:
+	case c.assigned.Leaseholders[u.ID] != c.cfg.Self.Address || u.State == discoverer.Gone:
+	case c.settling(now):
+		c.acquireLater = true
+	default:
 		c.acquire(now, u)
 	}
 }
 
 // reopen continues with the next incarnation of an upstream, also if the leader has not assigned the upstream: the runs
-// that may have started there have to be found.
+// that may have started there have to be found. A host that has just resumed waits, since another one may hold the
+// upstream meanwhile.
 func (c *Core) reopen(now time.Time, h *heldUpstream) {
+	if c.settling(now) {
+		return
+	}
 	u := c.latestReport(h)
 	c.release(h)
 	if holder := c.assigned.Leaseholders[u.ID]; holder == c.cfg.Self.Address || holder == "" {
@@ -182,10 +191,16 @@
 // tickHeld calls Tick of the session of each held upstream, releases idle upstreams that are not
 // assigned any more, and acquires lost ones again after reacquireDelay.
 func (c *Core) tickHeld(now time.Time) {
+	if c.acquireLater && !c.settling(now) {
+		c.acquireLater = false
+		c.updateHeld(now)
+	}
 	tenure := c.currentTenure(now)
 	for _, h := range c.sortedHeld() {
 		u := h.session.Upstream()
 		switch {
+		case h.restarted:
+			c.reopen(now, h)
 		case !h.leaseLostAt.IsZero() && c.isolated(now):
 			c.checkCutOff(now, h)
 		case !h.leaseLostAt.IsZero() && now.Sub(h.leaseLostAt) >= reacquireDelay:
@@ -325,6 +340,7 @@
 			c.stats.UndeterminedRuns += int64(h.session.Undetermined())
 			c.logEvent(reporter.UpstreamRestarted, "upstream", id, "token", h.session.Token(), "previous", h.session.Incarnation(),
 				"undetermined", h.session.Undetermined())
+			h.restarted = true
 			c.reportUpstreamStatus(h)
 			c.reopen(now, h)
 		}
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -324,6 +324,7 @@
 
 // HandleUpdates applies updates from the control host with the address.
 func (c *Core) HandleUpdates(now time.Time, from string, updates poller.Updates) {
+	c.noticePause(now)
 	c.applySnapshot(now, snapshot{
 		Hosts:     updates.Hosts,
 		Upstreams: updates.Upstreams,
