leaseholder: a restarted session keeps its runs as watches

A stop of a run, or the loss of its entry host, between the restart of an upstream and the session with the next incarnation was lost, since the undetermined runs were kept apart from the watches. By reading; TestEntryIsLostBesideRestart failed to find the run unclaimed before. An upstream that is not assigned any more is released as before, unless runs of this host may go on there: watches for runs of other hosts do not keep it.

--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -208,7 +208,7 @@
 			if c.assigned.Leaseholders[u.ID] == c.cfg.Self.Address {
 				c.acquire(now, c.latestReport(h))
 			}
-		case c.assigned.Leaseholders[u.ID] == "" && !h.session.Busy():
+		case c.assigned.Leaseholders[u.ID] == "" && !h.session.OwnsRuns():
 			c.release(h)
 		default:
 			c.tickSession(now, h, tenure)
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -283,19 +283,17 @@
 
 	tasks map[sesamedrift.Run]*task
 	// watches holds the unresolved watches. The response to the first renewal that is sent after
-	// a watch was requested resolves it.
+	// a watch was requested resolves it. The successor of a closed session takes them over.
 	watches []watch
 
 	ready bool
 	// closed is set when the lease is lost or the upstream has a new incarnation; replaced only if another
 	// upstream has its address, so that all runs have ended.
-	closed   bool
-	replaced bool
-	// undetermined holds the runs that the next incarnation may have started.
-	undetermined []watch
-	handledSeq   uint64 // sequence number of the last ended run that was handled
-	lastOrderID  uint64
-	failures     int // consecutive failed renewals
+	closed      bool
+	replaced    bool
+	handledSeq  uint64 // sequence number of the last ended run that was handled
+	lastOrderID uint64
+	failures    int // consecutive failed renewals
 
 	pendingRenewals int       // renewals in flight
 	nextRenewalAt   time.Time // when the next renewal is sent if none is in flight
@@ -347,6 +345,11 @@
 // Busy reports whether Tick has more to do than to poll the upstream at IdlePollInterval.
 func (s *Session) Busy() bool { return !s.closed && len(s.tasks)+len(s.watches) > 0 }
 
+// OwnsRuns reports whether there are runs of the session, or of its predecessor, that have not ended as far as is known.
+func (s *Session) OwnsRuns() bool {
+	return len(s.tasks) > 0 || slices.ContainsFunc(s.watches, func(w watch) bool { return w.inherited })
+}
+
 // Tasks returns the runs that are or may be active, with their progress, sorted by run.
 func (s *Session) Tasks() []Progress {
 	all := make([]Progress, 0, len(s.tasks))
@@ -838,6 +841,7 @@
 	s.closed = true
 	s.orders = nil
 	next := s.incarnation != 0 && incarnation > s.incarnation
+	var inherited []watch
 	for _, t := range s.sortedTasks() {
 		if next && (t.listed || address != s.upstream.Address) {
 			s.end(now, t, Lost, "")
@@ -845,7 +849,7 @@
 		}
 		delete(s.tasks, t.Run)
 		if !t.unclaimed {
-			s.undetermined = append(s.undetermined, watch{
+			inherited = append(inherited, watch{
 				Task:          t.Task,
 				stopRequested: t.stopRequested,
 				inherited:     true,
@@ -853,8 +857,7 @@
 			})
 		}
 	}
-	s.undetermined = append(s.undetermined, s.watches...)
-	s.watches = nil
+	s.watches = append(inherited, s.watches...)
 	s.events = append(s.events, Event{Kind: Restarted})
 }
 
@@ -862,16 +865,15 @@
 // this incarnation may have started; since its fencing token is higher, none of them starts later.
 func (s *Session) Successor(now time.Time, u discoverer.Upstream, token uint64) *Session {
 	next := New(s.cfg, now, u, token)
-	next.watches = s.undetermined
+	next.watches = slices.Clone(s.watches)
 	for i := range next.watches {
 		next.watches[i].requestedAt = now
 	}
-	s.undetermined = nil
 	return next
 }
 
-// Undetermined returns the number of runs that the next incarnation may have started.
-func (s *Session) Undetermined() int { return len(s.undetermined) }
+// Undetermined returns the number of watched runs. After a restart the next incarnation may have started them.
+func (s *Session) Undetermined() int { return len(s.watches) }
 
 func (s *Session) handleStartResponse(now time.Time, resp Response) {
 	t := s.tasks[resp.Order.Run]
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -723,6 +723,22 @@
 	h.g.Expect(h.takeOrder(StopOrder).Run).To(Equal(testRun(0, 1)))
 }
 
+// Guards against a run that goes on for a lost entry host, because that was lost between a restart of the upstream and the
+// session with its next incarnation.
+func TestEntryIsLostBesideRestart(t *testing.T) {
+	h := newHarness(t)
+	h.respondToRenewal(nil, nil)
+	h.session.Start(h.now, testTask(0, 1))
+	h.takeOrder(StartOrder)
+	h.advance(time.Millisecond)
+	h.respondAfterRestart(nil)
+	h.session.StopAll(h.now, "entry")
+	h.session = h.session.Successor(h.now, h.session.Upstream(), 8)
+	h.orders = nil
+	h.respondAfterRestart(listedRuns(testRun(0, 1)))
+	h.g.Expect(h.session.Unclaimed(h.now, 0)).To(Equal([]sesamedrift.Run{testRun(0, 1)}))
+}
+
 // Guards against live runs that are given up because a response of the previous incarnation has been overtaken.
 func TestOvertakenResponseOfPreviousIncarnation(t *testing.T) {
 	h := newHarness(t)
