dispatcher: a leaseholder rejects starts that were placed before its time

No caller had left, no process had ended and no message was lost.

Cause: a start that reached its leaseholder late, over a slow link or while its loop was behind. Meanwhile the upstream had been assigned to another host, for example since the first one had counted as slow for a moment, and back. The host between did not find the run and reported it as lost to the entry host, which had asked it to watch the run; the task was placed again. Then the first host, with a new fencing token, executed the start.

Change: placements carry the number of the assignment that their leaseholders are from, and starts that of the placement. A leaseholder knows since which assignment it is that without interruption, and rejects earlier starts; the entry host then has the task placed again. What another host has reported about the run in between stays true. A host of an earlier release leaves the number out, and its starts are executed as before.

--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -203,7 +203,10 @@
 		}
 		s := byLeaseholder[placed.Leaseholder]
 		if s == nil {
-			s = &startRuns{Content: j.tracker.Job.Content}
+			s = &startRuns{
+				Content: j.tracker.Job.Content,
+				Number:  m.Number,
+			}
 			byLeaseholder[placed.Leaseholder] = s
 		}
 		upstreams = append(upstreams, placed.Upstream)
--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -75,6 +75,8 @@
 	awaitsTenure bool
 	// claimsRequested holds the found runs for which claims were requested.
 	claimsRequested map[sesamedrift.Run]bool
+	// heldSince is the number of the assignment in force when this host became the leaseholder.
+	heldSince uint64
 	// closed is set after the release; responses to orders are then dropped.
 	closed bool
 	// touched is set while the upstream is in Core.touched.
@@ -126,12 +128,15 @@
 
 // acquire starts holding an upstream with a new fencing token.
 func (c *Core) acquire(now time.Time, u discoverer.Upstream) {
-	c.hold(u, leaseholder.New(c.cfg.LeaseConfig, now, u, c.nextToken(now, u.ID)))
+	c.hold(u, leaseholder.New(c.cfg.LeaseConfig, now, u, c.nextToken(now, u.ID)), c.assigned.Number)
 }
 
-// hold starts holding an upstream with a new session.
-func (c *Core) hold(u discoverer.Upstream, session *leaseholder.Session) {
-	h := &heldUpstream{session: session}
+// hold starts holding an upstream with a new session. This host is its leaseholder since an assignment.
+func (c *Core) hold(u discoverer.Upstream, session *leaseholder.Session, since uint64) {
+	h := &heldUpstream{
+		session:   session,
+		heldSince: since,
+	}
 	c.held[u.ID] = h
 	c.touch(h)
 	c.logEvent(reporter.UpstreamTaken, "upstream", u.ID, "address", u.Address, "token", session.Token())
@@ -176,7 +181,7 @@
 	u := c.latestReport(h)
 	c.release(h)
 	if holder := c.assigned.Leaseholders[u.ID]; holder == c.cfg.Self.Address || holder == "" {
-		c.hold(u, h.session.Successor(now, u, c.nextToken(now, u.ID)))
+		c.hold(u, h.session.Successor(now, u, c.nextToken(now, u.ID)), h.heldSince)
 	}
 }
 
@@ -378,6 +383,8 @@
 	c.send(c.assigned.placerOf(r.Upstream), kindUpstreamStatus, r)
 }
 
+// receiveStartRuns starts runs. It rejects those that were placed before this host became the leaseholder: it may
+// have been that earlier, and another one may have reported them as lost meanwhile.
 func (c *Core) receiveStartRuns(now time.Time, from string, m startRuns) {
 	for _, r := range m.Runs {
 		t := leaseholder.Task{
@@ -387,7 +394,7 @@
 			Content: m.Content,
 		}
 		h := c.held[r.Upstream]
-		if h == nil {
+		if h == nil || m.Number != 0 && m.Number < h.heldSince {
 			c.send(from, kindRunEnded, runEnded{
 				Upstream: r.Upstream,
 				Run:      r.Run,
--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -141,6 +141,8 @@
 	// Waited is how long the job has waited, Remaining the number of its tasks that still wait.
 	Waited    time.Duration `msgpack:"waited,omitempty"`
 	Remaining int           `msgpack:"left,omitempty"`
+	// Number is that of the assignment that the leaseholders are taken from. Hosts of earlier releases leave it out.
+	Number uint64 `msgpack:"number,omitempty"`
 }
 
 type placedRun struct {
@@ -160,6 +162,8 @@
 type startRuns struct {
 	Content string       `msgpack:"content"`
 	Runs    []startedRun `msgpack:"runs"`
+	// Number is that of the placement.
+	Number uint64 `msgpack:"number,omitempty"`
 }
 
 type startedRun struct {
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -382,6 +382,7 @@
 				Job:       d.Job,
 				Waited:    d.Waited,
 				Remaining: d.RemainingTasks,
+				Number:    c.assigned.Number,
 			}
 			for _, p := range d.Placements {
 				m.Places = append(m.Places, placedRun{
--- a/emulator/disturbances.go
+++ b/emulator/disturbances.go
@@ -139,3 +139,8 @@
 		})
 	})
 }
+
+// holdLink delays the batches from one host to another until a time has passed.
+func (w *Simulation) holdLink(from, to *Host, d time.Duration) {
+	w.lastArrival[[2]string{from.Name, to.Name}] = w.Now() + d
+}
--- a/emulator/scenario_test.go
+++ b/emulator/scenario_test.go
@@ -372,6 +372,40 @@
 	}
 }
 
+// Guards against two concurrent runs of one task when a start reaches its leaseholder late: the upstream has moved to
+// another leaseholder meanwhile, which has reported the run as lost, and back.
+func TestStartIsLateAndLeaseholderReturns(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			w := New(Config{
+				Seed:          seed,
+				Domains:       1,
+				Hosts:         5,
+				Upstreams:     10,
+				JobsPerSecond: 20,
+				Duration:      20 * time.Second,
+			})
+			for i := range 40 {
+				w.At(2*time.Second+time.Duration(i)*400*time.Millisecond, func() {
+					holder := w.Hosts[i%len(w.Hosts)]
+					for _, n := range w.Hosts {
+						if n != holder && n.core.Stats().IsLeader == 0 {
+							w.holdLink(n, holder, 250*time.Millisecond)
+						}
+					}
+					w.After(20*time.Millisecond, func() { holder.setHealthy(false) })
+					w.After(80*time.Millisecond, func() { holder.setHealthy(true) })
+				})
+			}
+			w.Run(26 * time.Second)
+			g.Expect(w.Violations()).To(BeEmpty())
+			t.Logf("%+v", w.Counts)
+		})
+	}
+}
+
 // newShardedSimulation returns a simulation of one domain with three shards, whose load uses a third of
 // its capacity.
 func newShardedSimulation() *Simulation {
