--- a/emulator/disturbances_test.go
+++ b/emulator/disturbances_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"regexp"
+	"slices"
 	"testing"
 	"time"
 
@@ -119,3 +121,58 @@
 		})
 	}
 }
+
+// Guards against two concurrent runs of one task when the host never notices that the connection of a caller has broken,
+// and the caller sends the job again to another host:
+//   - The placer changes within the time that it takes to stop the runs of the first submission. The next placer
+//     places the second one before it has received these runs.
+//   - The first submission was redirected to another shard. The next placer of the home shard does not know that.
+//   - The second submission is forwarded to the domain of the first. The placer that it arrives at does not
+//     know that another placer of the domain places the job.
+//   - The first submission was forwarded by a placer that is none any more. The next placer does not know of it.
+func TestConnectionsBreakUnnoticed(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		seed uint64
+		Disturbances
+		// sameDomain restricts the check to pairs of runs in one domain: two domains know nothing of the jobs of each
+		// other.
+		sameDomain bool
+	}{
+		{"placer changes", 7, Disturbances{StopEvery: 700 * time.Millisecond}, false},
+		{"placer of the home shard changes", 101, Disturbances{StopEvery: 700 * time.Millisecond}, false},
+		{"forwarded", 7, Disturbances{ResubmitAnywhere: true}, true},
+		{"former placer has forwarded", 1, Disturbances{
+			UnhealthyEvery: 3 * time.Second,
+			UnhealthyTime:  time.Second,
+		}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			test.BrokenShare = 0.3
+			test.UnnoticedShare = 1
+			test.WideRunTimes = true
+			w := New(Config{
+				Seed:              test.seed,
+				Domains:           3,
+				Hosts:             7,
+				Upstreams:         12,
+				UpstreamsPerShard: 6,
+				JobsPerSecond:     14,
+				LongJobShare:      0.1,
+				Duration:          14 * time.Second,
+				Disturbances:      test.Disturbances,
+			})
+			w.Run(26 * time.Second)
+			violations := w.Violations()
+			if test.sameDomain {
+				violations = slices.DeleteFunc(violations, func(v string) bool { return !sameDomainPair.MatchString(v) })
+			}
+			g.Expect(violations).To(BeEmpty())
+		})
+	}
+}
+
+// sameDomainPair matches a violation by two runs in one domain. Names of upstreams begin with the number of their domain.
+var sameDomainPair = regexp.MustCompile(`on upstream-0-.* on upstream-0-|on upstream-1-.* on upstream-1-|on upstream-2-.* on upstream-2-`)
