dispatcher: starts by an assignment with a lower number are accepted

A leader that has missed the last assignments of its predecessor numbers its own from below. A leaseholder would have rejected all starts on an upstream that it kept, until the numbers had caught up. By reading; TestStartsAfterLowerAssignment failed before.

--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -425,6 +425,41 @@
 	h.g.Expect(h.core.Holds("a")).To(BeTrue())
 }
 
+// Guards against a leaseholder that rejects all starts, since a leader that has missed assignments numbers its own from below.
+func TestStartsAfterLowerAssignment(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetControlReachable(controlAddress, true)
+	const leader = "10.0.0.10:1"
+	h.addPeer(leader, 1)
+	h.advance(maxDiscoveryTime)
+	h.core.HandleUpdates(h.now, controlAddress, poller.Updates{
+		Upstreams: []discoverer.Upstream{domainUpstream("a")},
+	})
+	a := assignment{
+		Number:       9,
+		Placers:      []string{leader},
+		Shards:       map[string]int{"a": 0},
+		Leaseholders: map[string]string{"a": selfAddress},
+	}
+	h.deliverFrom(leader, kindAssignment, a)
+	a.Number = 4
+	h.deliverFrom(leader, kindAssignment, a)
+	h.core.Flush(h.now)
+	first := h.orders[0]
+	first.done(h.now, leaseholder.Response{
+		Order:       first.Order,
+		Status:      leaseholder.Accepted,
+		Incarnation: 1,
+	})
+	h.orders = nil
+	h.deliverFrom(leader, kindStartRuns, startRuns{
+		Runs:   []startedRun{{Upstream: "a"}},
+		Number: 4,
+	})
+	h.core.Flush(h.now)
+	h.g.Expect(h.orders).To(ContainElement(HaveField("Kind", leaseholder.StartOrder)))
+}
+
 // Guards against a host that resumes and acquires an upstream which another one holds meanwhile, because the upstream has
 // restarted.
 func TestResumedHostDoesNotReopenUpstreams(t *testing.T) {
--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -171,6 +171,14 @@
 	}
 }
 
+// lowerHeldSince lets this host accept starts that are placed by an assignment with the number. A leader that has missed the last
+// assignment of its predecessor numbers its own ones from below.
+func (c *Core) lowerHeldSince(number uint64) {
+	for _, h := range c.held {
+		h.heldSince = min(h.heldSince, number)
+	}
+}
+
 // reopen continues with the next incarnation of an upstream, also if the leader has not assigned the upstream: the runs
 // that may have started there have to be found. A host that has just resumed waits, since another one may hold the
 // upstream meanwhile.
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -212,6 +212,7 @@
 		c.logEvent(reporter.PlacerChosen, "placers", a.Placers)
 	}
 	c.updateRole(now, &previous)
+	c.lowerHeldSince(a.Number)
 	c.updateHeld(now)
 	if c.placer != nil {
 		c.updateShard(now, &previous)
