--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -133,6 +133,19 @@
 	}
 }
 
+// Guards against a start order that is executed seconds late by the next incarnation of its upstream: beside another run
+// of the task (3000226), or after the job has ended (3000208).
+func TestLateStartOnNextIncarnation(t *testing.T) {
+	for _, seed := range []uint64{3000208, 3000226} {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			t.Parallel()
+			w := newFaultySimulation(seed)
+			w.Run(32 * time.Second)
+			NewWithT(t).Expect(w.Violations()).To(BeEmpty())
+		})
+	}
+}
+
 // Guards against two concurrent runs of one task, each cause under the seeds that showed it:
 //   - 1000012, 1000041 and 1000048: orphaned runs that a new leaseholder lets continue for 1 s, so
 //     that they overlap with the runs of the resent job.
