soaker: a run has ended when it was due, however late the experiment sees it

The checker now takes the time of the work, the lease or the stop, if that is earlier, and leaves out pairs whose runs do not overlap by these times.

--- a/soaker/checker_test.go
+++ b/soaker/checker_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -19,6 +20,7 @@
 	run              sesamedrift.Run
 	life             *life
 	token            uint64
+	work             time.Duration
 	beganAt, endedAt time.Time
 	stopAt           time.Time
 	how              string
@@ -47,6 +49,7 @@
 		run:     run,
 		life:    l,
 		token:   l.token,
+		work:    l.work,
 		beganAt: now,
 	}
 	c.runs++
@@ -83,6 +86,15 @@
 	defer c.mu.Unlock()
 	r, i := c.find(l, run)
 	r.endedAt, r.how = now, how
+	// The experiment itself may get no processor time for a while: the run has ended when it was due.
+	due := map[string]time.Time{
+		"done":    r.beganAt.Add(r.work),
+		"lapsed":  l.lease,
+		"stopped": r.stopAt.Add(standin.StopTime / 2),
+	}[how]
+	if !due.IsZero() && due.Before(now) {
+		r.endedAt = due
+	}
 	active := c.active[run.Task]
 	active[i] = active[len(active)-1]
 	c.active[run.Task] = active[:len(active)-1]
@@ -98,6 +110,16 @@
 	}
 }
 
+// overlaps returns the pairs whose runs were at work at the same time.
+func (c *checker) overlaps() []pair {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(c.pairs), func(p pair) bool {
+		ended := func(r *record, at time.Time) bool { return !r.endedAt.IsZero() && !r.endedAt.After(at) }
+		return ended(p.first, p.second.beganAt) || ended(p.second, p.first.beganAt)
+	})
+}
+
 // logs is what the logs of entry hosts say: which host took an upstream with a token, and how it
 // took runs for ended.
 type logs struct {
