--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -377,23 +377,6 @@
 	return cmp.Or(a.Task.Compare(b.Task), cmp.Compare(a.Number, b.Number))
 }
 
-// Update records a newer report about the upstream. A report about another incarnation or another address than that
-// of the session restarts it: the session closes with an event Restarted. A report that is older than the responses of
-// the upstream is ignored.
-func (s *Session) Update(now time.Time, u discoverer.Upstream) {
-	switch {
-	case u.Address != s.upstream.Address || s.incarnation != 0 && u.Incarnation > s.incarnation:
-		s.restart(now, u.Incarnation, u.Address)
-	case u.Incarnation != 0 && u.Incarnation < s.incarnation:
-	default:
-		if u.Incarnation != s.upstream.Incarnation && !s.ready {
-			s.failures = 0
-			s.nextRenewalAt = now
-		}
-		s.upstream = u
-	}
-}
-
 // Start sends the start order of a run. A run that the session tracks already is claimed for the
 // entry host of t; a run that cannot be started now is rejected with an Ended event.
 func (s *Session) Start(now time.Time, t Task) {
@@ -580,101 +563,6 @@
 	return s.clock + (now.Sub(s.clockRequestedAt) + s.cfg.LeaseTime).Milliseconds()
 }
 
-// leaseExpiredAt returns the time at which the latest lease of a run has certainly expired. The clock of the
-// upstream was read before the response arrived, and may run slow. A run that has not been listed may have been started by
-// the next incarnation, whose clock begins anew, so that each order with a lease end may have extended its lease to the
-// longest one. An unanswered start order may not have been executed yet.
-func (s *Session) leaseExpiredAt(t *task) time.Time {
-	at := s.clockReceivedAt.Add(s.longestWait(s.leaseUntil - s.clock))
-	if t.listed {
-		return at
-	}
-	return later(at, s.unlistedExpiresAt(s.leaseOrderedAt, t.answered()))
-}
-
-// unlistedExpiresAt returns the time at which the lease of a run that no incarnation has listed has certainly expired, if the
-// last order that may have extended it was sent at the given time. answered says whether the start order was accepted.
-func (s *Session) unlistedExpiresAt(ordered time.Time, answered bool) time.Time {
-	delay := s.cfg.ResponseTimeout
-	if !answered {
-		delay = s.cfg.MaxOrderDelay
-	}
-	return ordered.Add(delay + s.longestWait(s.cfg.MaxLease.Milliseconds()))
-}
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
-// longestWait returns the time after which the clock of the upstream, which may run slow, has certainly advanced
-// by a number of milliseconds.
-func (s *Session) longestWait(ms int64) time.Duration {
-	slowest := float64(ms) / (1 - s.cfg.MaxClockDrift)
-	return time.Duration(slowest*float64(time.Millisecond)) + s.cfg.TimerMargin
-}
-
-// Tenure is the time in which certainly no host but the caller has been the leaseholder of the
-// upstreams that it holds. It proves nothing about the time after Until, which may be long past. The
-// zero value proves nothing.
-//
-// Invariant: if Until is set, Since is set and not after it.
-type Tenure struct {
-	Since, Until time.Time
-}
-
-// expiresAt returns the time from which on the lease of a run has certainly expired, if the tenure lasts until
-// then. Before the tenure another host may have requested the longest lease.
-func (s *Session) expiresAt(t *task, tenure Tenure) time.Time {
-	at := s.leaseExpiredAt(t)
-	if tenure.Since.After(s.acceptedAt) {
-		return later(at, tenure.Since.Add(s.longestWait(s.cfg.MaxLease.Milliseconds())))
-	}
-	return at
-}
-
-// watchExpiresAt returns the time from which on the lease of an inherited watched run has certainly expired, if the tenure
-// lasts until then. Before the tenure another host, and before the request the previous session, may have requested the
-// longest lease.
-func (s *Session) watchExpiresAt(w watch, tenure Tenure) time.Time {
-	at := later(later(w.requestedAt, tenure.Since), s.leaseOrderedAt)
-	return s.unlistedExpiresAt(at, w.answered)
-}
-
-// AwaitsExpiry reports whether the upstream is unresponsive and runs count as ended once the tenure
-// is known to have lasted until now.
-func (s *Session) AwaitsExpiry(now time.Time, tenure Tenure) bool {
-	return len(s.expiring(now, tenure)) > 0 || slices.ContainsFunc(s.watches, func(w watch) bool { return s.watchExpires(now, w, tenure) })
-}
-
-// watchExpires reports whether the lease of an inherited watched run of an unresponsive upstream has expired by now if the
-// tenure lasts until then.
-func (s *Session) watchExpires(now time.Time, w watch, tenure Tenure) bool {
-	return w.inherited && !s.closed && !s.ready && now.After(s.watchExpiresAt(w, tenure))
-}
-
-// expireWatches resolves the watches of an unresponsive upstream whose runs have ended with their lease.
-func (s *Session) expireWatches(now time.Time, tenure Tenure) {
-	s.watches = slices.DeleteFunc(s.watches, func(w watch) bool {
-		if tenure.Since.IsZero() || !s.watchExpires(now, w, tenure) || !tenure.Until.After(s.watchExpiresAt(w, tenure)) {
-			return false
-		}
-		s.reportWatched(w.Task, LeaseExpired)
-		return true
-	})
-}
-
-// expiring returns the runs of an unresponsive upstream whose lease has expired by now if the tenure lasts until
-// then, sorted by run.
-func (s *Session) expiring(now time.Time, tenure Tenure) []*task {
-	if s.closed || s.ready || !s.clockKnown || len(s.tasks) == 0 {
-		return nil
-	}
-	return s.tasksWhere(func(t *task) bool { return now.After(s.expiresAt(t, tenure)) })
-}
-
 // Tick sends the orders that are due and ends the runs whose lease has expired within the tenure.
 func (s *Session) Tick(now time.Time, tenure Tenure) {
 	if s.closed {
@@ -699,17 +587,6 @@
 	}
 }
 
-// assertExpired panics if the lease may be in force: another host may have renewed it, or it has not
-// expired on the slowest clock.
-func (s *Session) assertExpired(now time.Time, t *task, tenure Tenure) {
-	switch {
-	case tenure.Since.IsZero() || tenure.Until.Before(tenure.Since) || tenure.Until.After(now):
-		panic("leaseholder: a lease is taken for expired without a tenure")
-	case tenure.Until.Before(s.leaseExpiredAt(t)):
-		panic("leaseholder: a lease is taken for expired before its end")
-	}
-}
-
 // needsStop reports whether a stop order is due for a run: nobody has claimed it in time, or an earlier
 // stop order was not answered.
 func (s *Session) needsStop(now time.Time, t *task) bool {
@@ -803,78 +680,6 @@
 	s.clockReceivedAt = now
 }
 
-// checkIncarnation closes the session and returns true if a later incarnation or another upstream responded.
-func (s *Session) checkIncarnation(now time.Time, resp Response) bool {
-	switch {
-	case resp.Status == OtherIncarnation:
-		s.replace(now)
-		return true
-	case s.incarnation == 0:
-		s.incarnation = resp.Incarnation
-	case resp.Incarnation > s.incarnation:
-		s.restart(now, resp.Incarnation, s.upstream.Address)
-		return true
-	}
-	return false
-}
-
-// replace closes the session because another upstream has the address. All runs have ended.
-func (s *Session) replace(now time.Time) {
-	s.closed = true
-	s.replaced = true
-	for _, t := range s.sortedTasks() {
-		s.end(now, t, Lost, "")
-	}
-	for _, w := range s.watches {
-		s.reportWatched(w.Task, Lost)
-	}
-	s.watches = nil
-	s.events = append(s.events, Event{Kind: Replaced})
-}
-
-// restart closes the session because the upstream has another incarnation or address. The runs that the present
-// incarnation has listed end with it; where the others are, only the next one can tell.
-func (s *Session) restart(now time.Time, incarnation uint64, address string) {
-	if s.closed {
-		return
-	}
-	s.closed = true
-	s.orders = nil
-	next := s.incarnation != 0 && incarnation > s.incarnation
-	var inherited []watch
-	for _, t := range s.sortedTasks() {
-		if next && (t.listed || address != s.upstream.Address) {
-			s.end(now, t, Lost, "")
-			continue
-		}
-		delete(s.tasks, t.Run)
-		if !t.unclaimed {
-			inherited = append(inherited, watch{
-				Task:          t.Task,
-				stopRequested: t.stopRequested,
-				inherited:     true,
-				answered:      t.answered(),
-			})
-		}
-	}
-	s.watches = append(inherited, s.watches...)
-	s.events = append(s.events, Event{Kind: Restarted})
-}
-
-// Successor returns a session with the next incarnation of the upstream. It watches the runs of this session that
-// this incarnation may have started; since its fencing token is higher, none of them starts later.
-func (s *Session) Successor(now time.Time, u discoverer.Upstream, token uint64) *Session {
-	next := New(s.cfg, now, u, token)
-	next.watches = slices.Clone(s.watches)
-	for i := range next.watches {
-		next.watches[i].requestedAt = now
-	}
-	return next
-}
-
-// Undetermined returns the number of watched runs. After a restart the next incarnation may have started them.
-func (s *Session) Undetermined() int { return len(s.watches) }
-
 func (s *Session) handleStartResponse(now time.Time, resp Response) {
 	t := s.tasks[resp.Order.Run]
 	if t == nil || t.phase != startPending {
