--- a/leaseholder/expiry.go
+++ b/leaseholder/expiry.go
@@ -86,7 +86,7 @@
 // expireWatches resolves the watches of an unresponsive upstream whose runs have ended with their lease.
 func (s *Session) expireWatches(now time.Time, tenure Tenure) {
 	s.watches = slices.DeleteFunc(s.watches, func(w watch) bool {
-		if tenure.Since.IsZero() || !s.watchExpires(now, w, tenure) || !tenure.Until.After(s.watchExpiresAt(w, tenure)) {
+		if !s.watchExpires(now, w, tenure) || !tenure.Until.After(s.watchExpiresAt(w, tenure)) {
 			return false
 		}
 		s.reportWatched(w.Task, LeaseExpired)
