--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -404,7 +404,7 @@
 	e.refused = slices.DeleteFunc(e.refused, func(id string) bool { return !e.checker.began[id] })
 	pairs := e.checker.overlaps()
 	t.Logf("%d runs, answers %v, faults %v, pairs %d, refused jobs that ran %d", e.checker.runs, e.answers, e.faults, len(pairs), len(e.refused))
-	for _, event := range []string{"upstream-taken", "upstream-replaced", "upstream-overtaken", "lease-expired", "run-ended-badly"} {
+	for _, event := range []string{"upstream-taken", "upstream-restarted", "upstream-replaced", "upstream-overtaken", "lease-expired", "run-ended-badly"} {
 		t.Logf("logged %s: %d", event, l.counts[event])
 	}
 	for _, p := range pairs {
