Tests: one loop over seeds, one for unanswered orders, one follower

checkSeeds serves five tests of the emulator, dropOrdersFor two of leaseholder and newFollower two of dispatcher. All assertions stay; dropOrdersFor checks the result in both tests.

--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -404,19 +404,43 @@
 	h.g.Expect(countByHolder(h.core.assigned.Leaseholders)).To(Equal(map[string]int{selfAddress: 2, peer: 2}))
 }
 
-// Guards against an upstream without a leaseholder: the leader assigns it to a host that has not heard of it yet.
-func TestUpstreamIsHeldOnceItIsKnown(t *testing.T) {
+// leaderAddress is that of the leader of a host that newFollower returns.
+const leaderAddress = "10.0.0.10:1"
+
+// newFollower returns the harness of a host that follows a leader.
+func newFollower(t *testing.T) *harness {
 	h := newHarness(t)
 	h.core.SetControlReachable(controlAddress, true)
-	const leader = "10.0.0.10:1"
-	h.addPeer(leader, 1)
+	h.addPeer(leaderAddress, 1)
 	h.advance(maxDiscoveryTime)
-	h.deliverFrom(leader, kindAssignment, assignment{
-		Number:       1,
-		Placers:      []string{leader},
+	return h
+}
+
+// assign lets the leader assign upstream a to this host.
+func (h *harness) assign(number uint64) {
+	h.deliverFrom(leaderAddress, kindAssignment, assignment{
+		Number:       number,
+		Placers:      []string{leaderAddress},
 		Shards:       map[string]int{"a": 0},
 		Leaseholders: map[string]string{"a": selfAddress},
 	})
+}
+
+// acceptFirstOrder accepts the oldest order in the name of the first incarnation of its upstream, and returns it.
+func (h *harness) acceptFirstOrder() pendingOrder {
+	first := h.orders[0]
+	first.done(h.now, leaseholder.Response{
+		Order:       first.Order,
+		Status:      leaseholder.Accepted,
+		Incarnation: 1,
+	})
+	return first
+}
+
+// Guards against an upstream without a leaseholder: the leader assigns it to a host that has not heard of it yet.
+func TestUpstreamIsHeldOnceItIsKnown(t *testing.T) {
+	h := newFollower(t)
+	h.assign(1)
 	h.g.Expect(h.core.Holds("a")).To(BeFalse())
 	h.core.HandleUpdates(h.now, controlAddress, poller.Updates{
 		Upstreams: []discoverer.Upstream{domainUpstream("a")},
@@ -427,32 +451,16 @@
 
 // Guards against a leaseholder that rejects all starts, since a leader that has missed assignments numbers its own from below.
 func TestStartsAfterLowerAssignment(t *testing.T) {
-	h := newHarness(t)
-	h.core.SetControlReachable(controlAddress, true)
-	const leader = "10.0.0.10:1"
-	h.addPeer(leader, 1)
-	h.advance(maxDiscoveryTime)
+	h := newFollower(t)
 	h.core.HandleUpdates(h.now, controlAddress, poller.Updates{
 		Upstreams: []discoverer.Upstream{domainUpstream("a")},
 	})
-	a := assignment{
-		Number:       9,
-		Placers:      []string{leader},
-		Shards:       map[string]int{"a": 0},
-		Leaseholders: map[string]string{"a": selfAddress},
-	}
-	h.deliverFrom(leader, kindAssignment, a)
-	a.Number = 4
-	h.deliverFrom(leader, kindAssignment, a)
+	h.assign(9)
+	h.assign(4)
 	h.core.Flush(h.now)
-	first := h.orders[0]
-	first.done(h.now, leaseholder.Response{
-		Order:       first.Order,
-		Status:      leaseholder.Accepted,
-		Incarnation: 1,
-	})
+	h.acceptFirstOrder()
 	h.orders = nil
-	h.deliverFrom(leader, kindStartRuns, startRuns{
+	h.deliverFrom(leaderAddress, kindStartRuns, startRuns{
 		Runs:   []startedRun{{Upstream: "a"}},
 		Number: 4,
 	})
@@ -470,12 +478,7 @@
 	})
 	h.advance(maxDiscoveryTime)
 	h.core.Flush(h.now)
-	first := h.orders[0]
-	first.done(h.now, leaseholder.Response{
-		Order:       first.Order,
-		Status:      leaseholder.Accepted,
-		Incarnation: 1,
-	})
+	first := h.acceptFirstOrder()
 	h.core.Flush(h.now)
 	h.orders = nil
 	h.now = h.now.Add(time.Second)
--- a/emulator/disturbances_test.go
+++ b/emulator/disturbances_test.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"fmt"
 	"os"
 	"regexp"
 	"slices"
@@ -109,17 +108,8 @@
 // Guards against two concurrent runs of one task when processors are busy, messages are late, connections of callers
 // break, placers and leaseholders change often, or clocks differ.
 func TestDisturbances(t *testing.T) {
-	for i := range uintFromEnv(seedCountVariable, uint64(len(disturbanceProfiles))) {
-		seed := uintFromEnv(firstSeedVariable, firstDisturbedSeed) + i
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
-			t.Parallel()
-			g := NewWithT(t)
-			w := newDisturbedSimulation(seed)
-			w.Run(26 * time.Second)
-			g.Expect(w.Violations()).To(BeEmpty())
-			t.Logf("%+v, %d runs", w.Counts, w.invariants.runs)
-		})
-	}
+	first := uintFromEnv(firstSeedVariable, firstDisturbedSeed)
+	checkSeeds(t, seedRange(first, uintFromEnv(seedCountVariable, uint64(len(disturbanceProfiles)))), newDisturbedSimulation)
 }
 
 // Guards against two concurrent runs of one task when the host never notices that the connection of a caller has broken,
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -106,44 +106,45 @@
 			seeds = append(seeds, firstLongJobSeed+i, firstShardSeed+i)
 		}
 	}
+	checkSeeds(t, seeds, newFaultySimulation)
+}
+
+// seedRange returns a number of seeds from the first one on.
+func seedRange(first, count uint64) []uint64 {
+	seeds := make([]uint64, 0, count)
+	for i := range count {
+		seeds = append(seeds, first+i)
+	}
+	return seeds
+}
+
+// checkSeeds plays a simulation for each seed, none of which may violate an invariant.
+func checkSeeds(t *testing.T, seeds []uint64, newSimulation func(seed uint64) *Simulation) {
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
-			w := newFaultySimulation(seed)
-			w.Run(32 * time.Second)
+			w := newSimulation(seed)
+			w.Run(w.cfg.Duration + settlingTime)
 			g.Expect(w.Violations()).To(BeEmpty())
 			t.Logf("%+v, %d runs", w.Counts, w.invariants.runs)
 		})
 	}
 }
 
+// settlingTime is the simulated time from the last arrival of a job until all jobs have ended and the checks of
+// their runs are complete.
+const settlingTime = 12 * time.Second
+
 // Guards against two concurrent runs of one task when upstreams restart under their identifiers beside other faults.
 func TestFaultsAndRestarts(t *testing.T) {
-	for i := range uintFromEnv(seedCountVariable, defaultSeedCount) {
-		seed := firstRestartSeed + i
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
-			t.Parallel()
-			g := NewWithT(t)
-			w := newFaultySimulation(seed)
-			w.Run(32 * time.Second)
-			g.Expect(w.Violations()).To(BeEmpty())
-			t.Logf("%+v, %d runs", w.Counts, w.invariants.runs)
-		})
-	}
+	checkSeeds(t, seedRange(firstRestartSeed, uintFromEnv(seedCountVariable, defaultSeedCount)), newFaultySimulation)
 }
 
 // Guards against a start order that is executed seconds late by the next incarnation of its upstream: beside another run
 // of the task (3000226), or after the job has ended (3000208).
 func TestLateStartOnNextIncarnation(t *testing.T) {
-	for _, seed := range []uint64{3000208, 3000226} {
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
-			t.Parallel()
-			w := newFaultySimulation(seed)
-			w.Run(32 * time.Second)
-			NewWithT(t).Expect(w.Violations()).To(BeEmpty())
-		})
-	}
+	checkSeeds(t, []uint64{3000208, 3000226}, newFaultySimulation)
 }
 
 // Guards against two concurrent runs of one task, each cause under the seeds that showed it:
@@ -155,12 +156,5 @@
 //     domain before it has received the runs of the first submission, and a placer that places a
 //     resent job before the other domain has ended the runs of the forwarded first submission.
 func TestRegressionSeeds(t *testing.T) {
-	for _, seed := range []uint64{1000012, 1000041, 1000048, 1000354, 1000334, 1001289, 1001315, 1001538} {
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
-			t.Parallel()
-			w := newFaultySimulation(seed)
-			w.Run(32 * time.Second)
-			NewWithT(t).Expect(w.Violations()).To(BeEmpty())
-		})
-	}
+	checkSeeds(t, []uint64{1000012, 1000041, 1000048, 1000354, 1000334, 1001289, 1001315, 1001538}, newFaultySimulation)
 }
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -171,17 +171,15 @@
 // 300 ms and its jobs arrive from 1 s on; Run executes it.
 func New(cfg Config) *Simulation {
 	w := &Simulation{
-		cfg: cfg,
-		rng: rand.New(rand.NewPCG(cfg.Seed, 7)),
-
-		disturbanceRng: rand.New(rand.NewPCG(cfg.Seed, 11)),
-
+		cfg:       cfg,
+		rng:       rand.New(rand.NewPCG(cfg.Seed, 7)),
 		hosts:     discoverer.NewList[discoverer.Host](),
 		upstreams: discoverer.NewList[discoverer.Upstream](),
 		cutLinks:  map[[2]string]bool{},
 
-		lastArrival: map[[2]string]time.Duration{},
-		jobs:        map[string]*callerJob{},
+		disturbanceRng: rand.New(rand.NewPCG(cfg.Seed, 11)),
+		lastArrival:    map[[2]string]time.Duration{},
+		jobs:           map[string]*callerJob{},
 	}
 	w.invariants = newInvariantChecker(w)
 	w.parsedDocument = &router.Document{
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -121,6 +121,26 @@
 	h.advance(0)
 }
 
+// dropOrdersFor reports for a time that no order is answered. It returns after which time each run was taken to have ended
+// with its lease.
+func (h *harness) dropOrdersFor(d time.Duration) map[sesamedrift.Run]time.Duration {
+	ended := map[sesamedrift.Run]time.Duration{}
+	for since := h.now; h.now.Sub(since) < d; {
+		h.advance(time.Millisecond)
+		for _, o := range h.orders {
+			h.dropOrder(o)
+		}
+		h.orders = nil
+		for _, e := range h.takeEvents() {
+			if e.Kind == Ended {
+				h.g.Expect(e.Result).To(Equal(LeaseExpired))
+				ended[e.Task.Run] = h.now.Sub(since)
+			}
+		}
+	}
+	return ended
+}
+
 // takeEvents returns the events since its last call.
 func (h *harness) takeEvents() []Event {
 	events := h.events
@@ -525,27 +545,13 @@
 	h.startRun()
 	h.session.Start(h.now, testTask(1, 1))
 	h.advance(time.Millisecond)
-	accepted := h.now
 	h.session.HandleResponse(h.now, Response{
 		Order:    h.takeOrder(StartOrder),
 		Status:   Accepted,
 		HasClock: true,
 		Clock:    h.now.Sub(startTime).Milliseconds(),
 	})
-	ended := map[sesamedrift.Run]time.Duration{}
-	for h.now.Sub(accepted) < 2*testConfig.MaxLease {
-		h.advance(time.Millisecond)
-		for _, o := range h.orders {
-			h.dropOrder(o)
-		}
-		h.orders = nil
-		for _, e := range h.takeEvents() {
-			if e.Kind == Ended {
-				h.g.Expect(e.Result).To(Equal(LeaseExpired))
-				ended[e.Task.Run] = h.now.Sub(accepted)
-			}
-		}
-	}
+	ended := h.dropOrdersFor(2 * testConfig.MaxLease)
 	h.g.Expect(ended).To(HaveLen(2))
 	h.g.Expect(ended[testRun(0, 1)]).To(BeNumerically("<", testConfig.MaxLease))
 	h.g.Expect(ended[testRun(1, 1)]).To(BeNumerically(">=", testConfig.MaxLease+testConfig.MaxLease/50))
@@ -688,20 +694,7 @@
 	h := newHarness(t)
 	h.startRun()
 	h.session.Start(h.now, testTask(1, 1))
-	sent := h.now
-	ended := map[sesamedrift.Run]time.Duration{}
-	for h.now.Sub(sent) < 2*testConfig.MaxOrderDelay {
-		h.advance(time.Millisecond)
-		for _, o := range h.orders {
-			h.dropOrder(o)
-		}
-		h.orders = nil
-		for _, e := range h.takeEvents() {
-			if e.Kind == Ended {
-				ended[e.Task.Run] = h.now.Sub(sent)
-			}
-		}
-	}
+	ended := h.dropOrdersFor(2 * testConfig.MaxOrderDelay)
 	h.g.Expect(ended).To(HaveLen(2))
 	h.g.Expect(ended[testRun(0, 1)]).To(BeNumerically("<", testConfig.MaxLease))
 	h.g.Expect(ended[testRun(1, 1)]).To(BeNumerically(">=", testConfig.MaxOrderDelay+testConfig.MaxLease))
