placer: give the first comparisons of an upstream's speed more weight

With the constant weight 0.15, a new placer takes an upstream of 0.55 times the usual speed for an average one for its first ten jobs or so. The n-th comparison now has the weight max(0.15, 1/(n+1)).

--- a/placer/health.go
+++ b/placer/health.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// slownessWeight is the weight of one comparison in the slowness of an upstream. It is low
-	// because the sizes of the tasks of one job differ by some tenths.
-	slownessWeight = 0.15
+	// minSlownessWeight is the weight of one comparison in the slowness of an upstream after the first
+	// few ones. It is low because the sizes of the tasks of one job differ by some tenths.
+	minSlownessWeight = 0.15
 	// maxSlowness bounds the magnitude of the slowness, so that one stalled task does not distort
 	// it for long.
 	maxSlowness = 0.7
@@ -33,6 +33,8 @@
 	// slowness is the natural logarithm of the ratio between run times on this upstream and on one
 	// of average speed; it is positive for slow upstreams.
 	slowness float64
+	// comparisons is the number of comparisons in slowness.
+	comparisons int
 	// cooldownUntil is the end of the period in which the upstream gets no tasks.
 	cooldownUntil time.Time
 	// probing is set by an ejection. After the cooldown the upstream gets one task at a time until
@@ -56,9 +58,12 @@
 }
 
 // recordComparison adjusts the slowness by the logarithm of the ratio between the normalized run
-// time of a task here and the mean of its job.
+// time of a task here and the mean of its job. The n-th comparison has the weight 1/(n+1) until that
+// is less than minSlownessWeight: with a constant weight, a new placer would take an upstream of half
+// the usual speed for an average one for its first ten jobs or so.
 func (h *health) recordComparison(logRatio float64) {
-	h.slowness += slownessWeight * logRatio
+	h.comparisons++
+	h.slowness += max(minSlownessWeight, 1/float64(h.comparisons+1)) * logRatio
 	h.slowness = max(-maxSlowness, min(h.slowness, maxSlowness))
 }
 
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -372,6 +373,16 @@
 	}
 }
 
+// Guards against upstreams of half the usual speed that a new placer takes for average ones for a long
+// time.
+func TestSpeedsAreLearnedWithinAFewComparisons(t *testing.T) {
+	var h health
+	for range 4 {
+		h.recordComparison(math.Log(1.8) - h.slowness)
+	}
+	NewWithT(t).Expect(h.slowness).To(BeNumerically("~", math.Log(1.8), 0.15))
+}
+
 // Guards against a placer that searches all upstreams for every waiting task at each event and
 // becomes too slow at peaks. Ejected upstreams must not cause searches: they have free capacity,
 // but accept no tasks.
