placer: compare runs with the run time that is usual on their upstream

checkRun compared the projected run time with that on an upstream of average speed. On an upstream of 0.55 times the usual speed, a task 1.4 times as long as the others of its job counted as slow: the upstream was ejected and the run was stopped. The comparison is now with the run time on this upstream, or on an average one if that is longer.

--- a/placer/health.go
+++ b/placer/health.go
@@ -218,11 +218,14 @@
 		normalized = h.meanRunTime()
 		factor = relativeSlowFactor
 	}
+	// An upstream that is slow by its kind is not ejected for that: its runs are compared with the run
+	// time that is usual on it. A new start elsewhere is assumed on an upstream of average speed.
+	expected := max(u.health.expected(normalized), normalized)
 	remaining := time.Duration(math.MaxInt64)
 	stalled := r.progress.runTime-r.progress.lastIncrease > stallTimeout
 	if !stalled && r.progress.percent > 0 {
 		projected := r.progress.projectedRunTime()
-		if float64(projected) < factor*float64(normalized) {
+		if float64(projected) < factor*float64(expected) {
 			return
 		}
 		remaining = projected - now.Sub(r.placedAt)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -373,6 +373,44 @@
 	}
 }
 
+// Guards against an upstream that is ejected, and its runs stopped, because it is slow by its kind, and
+// against one that is not ejected although it has become slower than it was.
+func TestSlowKindIsNotEjectedAndTurnedSlowIs(t *testing.T) {
+	for _, test := range []struct {
+		slow    float64 // learned run time factor
+		runTime time.Duration
+		ejected bool
+	}{
+		{slow: 1, runTime: 190 * time.Millisecond},
+		{slow: 1, runTime: 300 * time.Millisecond, ejected: true},
+		{slow: 1.82, runTime: 300 * time.Millisecond},
+		{slow: 1.82, runTime: 500 * time.Millisecond, ejected: true},
+		{slow: 0.83, runTime: 240 * time.Millisecond},
+		{slow: 0.83, runTime: 300 * time.Millisecond, ejected: true},
+	} {
+		t.Run(fmt.Sprint(test.slow, test.runTime), func(t *testing.T) {
+			h := newHarness(t, 10000, 10000)
+			h.p.upstreams["u1"].health.slowness = math.Log(test.slow)
+			j := h.job("j", "q", 2, 10000, 100*time.Millisecond)
+			j.SlackFactor = 3
+			h.enqueue(j)
+			onSlow := 0
+			if h.placedOn[runOf("j", 1).String()] == "u1" {
+				onSlow = 1
+			}
+			h.advance(100 * time.Millisecond)
+			h.endRun("j", 1-onSlow, leaseholder.Done, 100*time.Millisecond)
+			h.p.RecordProgress("u1", runOf("j", onSlow), int(100*100*time.Millisecond/test.runTime), 100*time.Millisecond)
+			h.advance(10 * time.Millisecond)
+			if test.ejected {
+				h.g.Expect(h.ejected).To(Equal([]string{"u1"}))
+			} else {
+				h.g.Expect(h.ejected).To(BeEmpty())
+			}
+		})
+	}
+}
+
 // Guards against upstreams of half the usual speed that a new placer takes for average ones for a long
 // time.
 func TestSpeedsAreLearnedWithinAFewComparisons(t *testing.T) {
