placer: subtract the observed overhead of runs from the latest start of jobs

The time that messages take from the placement of a run to its start and from its end to the report was counted nowhere. On weak hosts it takes 10 to 30 ms, a considerable part of the slack of about 90 ms that jobs of 51 ms have. The placer now keeps a moving mean of it.

--- a/placer/estimate.go
+++ b/placer/estimate.go
@@ -115,6 +115,7 @@
 	u.health.recordEnd()
 	switch {
 	case result == leaseholder.Done && runTime > 0:
+		p.recordOverhead(now, r, runTime)
 		normalized := u.health.normalized(runTime)
 		h.samples = append(h.samples, sample{
 			upstream:   id,
--- a/placer/fit.go
+++ b/placer/fit.go
@@ -6,9 +6,16 @@
 	"sesamedrift.example/sesamedrift"
 )
 
-// fastestFirstFreeShare is the free share of the capacity of a service above which its tasks go to
-// the fastest upstreams instead of the fullest ones.
-const fastestFirstFreeShare = 0.4
+const (
+	// fastestFirstFreeShare is the free share of the capacity of a service above which its tasks go to
+	// the fastest upstreams instead of the fullest ones.
+	fastestFirstFreeShare = 0.4
+	// overheadWeight is the weight of one run in the moving mean of the overhead.
+	overheadWeight = 0.05
+	// maxOverhead bounds the overhead of one run, so that a report that was sent again after a lost
+	// connection does not distort the mean.
+	maxOverhead = 200 * time.Millisecond
+)
 
 // selectUpstream returns the upstream for a task. It returns nil if no upstream has the free
 // capacity, or if another run of the task has not ended.
@@ -48,6 +55,13 @@
 	}
 }
 
+// recordOverhead adds the time between the placement of a run and the report of its end that was not
+// run time to the moving mean of the overhead.
+func (p *Placer) recordOverhead(now time.Time, r *placedRun, runTime time.Duration) {
+	overhead := max(0, min(now.Sub(r.placedAt)-runTime, maxOverhead))
+	p.overhead += time.Duration(overheadWeight * float64(overhead-p.overhead))
+}
+
 // maxFreeCPU returns the largest free CPU capacity of an available upstream, or -1 if no upstream
 // is available.
 func (p *Placer) maxFreeCPU(now time.Time) int64 {
--- a/placer/order.go
+++ b/placer/order.go
@@ -22,7 +22,9 @@
 const lateFactor = 3
 
 // newWaitingJob estimates the run time of a job and computes its latest starts. The objective is
-// SlackFactor times the expected run time of the rest of the job, plus TargetLatency.
+// SlackFactor times the expected run time of the rest of the job, plus TargetLatency. The latest starts
+// are times of placement: the observed overhead of a run is subtracted, because on weak hosts it takes
+// a considerable part of the slack of short jobs.
 func (p *Placer) newWaitingJob(j Job) *waitingJob {
 	w := &waitingJob{
 		Job: j,
@@ -36,7 +38,7 @@
 	}
 	criticalPath := w.estimate + j.RemainingTime
 	objective := time.Duration(j.SlackFactor*float64(criticalPath)) + j.TargetLatency
-	w.latestStart = j.Arrived.Add(objective - criticalPath)
+	w.latestStart = j.Arrived.Add(objective - criticalPath - p.overhead)
 	w.latestUsefulStart = j.Arrived.Add(lateFactor*objective - criticalPath)
 	if latest := j.Deadline.Add(-criticalPath); latest.Before(w.latestUsefulStart) {
 		w.latestUsefulStart = latest
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -224,7 +224,10 @@
 	// runCounts holds the number of open runs of each task. A task with an open run is not placed.
 	runCounts map[sesamedrift.TaskID]int
 	// meanCPU is the moving mean of the CPU demand of a task, over enqueued jobs.
-	meanCPU   float64
+	meanCPU float64
+	// overhead is the moving mean of the time that a run takes from its placement to the report of its
+	// end, less its run time.
+	overhead  time.Duration
 	decisions []Decision
 	lastTick  time.Time
 	nextSweep time.Time
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -373,6 +373,21 @@
 	}
 }
 
+// Guards against tasks that are placed so late that they miss their objective by the time that messages
+// take: what passes between placement and report besides the run time is part of a job's latency.
+func TestOverheadIsPartOfTheLatestStart(t *testing.T) {
+	h := newHarness(t, 10000)
+	for i := range 100 {
+		id := fmt.Sprint("j", i)
+		h.enqueue(h.job(id, "q", 1, 10000, 50*time.Millisecond))
+		h.advance(70 * time.Millisecond)
+		h.endRun(id, 0, leaseholder.Done, 50*time.Millisecond)
+	}
+	h.g.Expect(h.p.overhead).To(BeNumerically("~", 20*time.Millisecond, time.Millisecond))
+	w := h.p.newWaitingJob(h.job("last", "q", 1, 10000, 50*time.Millisecond))
+	h.g.Expect(w.latestStart.Sub(h.now)).To(BeNumerically("~", 70*time.Millisecond, time.Millisecond))
+}
+
 // Guards against an upstream that is ejected, and its runs stopped, because it is slow by its kind, and
 // against one that is not ejected although it has become slower than it was.
 func TestSlowKindIsNotEjectedAndTurnedSlowIs(t *testing.T) {
