placer: choose upstreams by whether a task is in time there

Where a quarter of the upstreams run at 0.55 times the usual speed, nearly all late jobs had a task on one of these: best fit disregards speed, and the slack factor of 1.6 does not cover a run time factor of 1.8. The new rule speed places a task on the fullest upstream on which it is in time; if there is none with free capacity, the task waits for one until its latest start. It has effect only for jobs whose slack factor is less than the run time factor of the slowest upstream.

--- a/placer/fit.go
+++ b/placer/fit.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"time"
 
 	"sesamedrift.example/sesamedrift"
@@ -10,6 +11,12 @@
 	// fastestFirstFreeShare is the free share of the capacity of a service above which its tasks go to
 	// the fastest upstreams instead of the fullest ones.
 	fastestFirstFreeShare = 0.4
+	// inTimeMargin is the factor by which a run may exceed its expected run time and still end in
+	// time, because estimates are inaccurate.
+	inTimeMargin = 1.1
+	// minSlowFactor is the run time factor of the slowest upstream from which on RuleSpeed has effect
+	// for jobs with a smaller slack factor. Smaller factors are within the error of learned speeds.
+	minSlowFactor = 1.35
 	// overheadWeight is the weight of one run in the moving mean of the overhead.
 	overheadWeight = 0.05
 	// maxOverhead bounds the overhead of one run, so that a report that was sent again after a lost
@@ -18,20 +25,25 @@
 )
 
 // selectUpstream returns the upstream for a task. It returns nil if no upstream has the free
-// capacity, or if another run of the task has not ended.
+// capacity, if another run of the task has not ended, or if the task waits for a faster upstream.
 func (p *Placer) selectUpstream(now time.Time, w *waitingJob, t Task) *upstream {
 	if p.runCounts[t.Run.Task] > 0 {
 		return nil
 	}
 	p.searches++
-	var fullest, fastest, emptiest *upstream
+	limit := p.maxSlownessInTime(now, w, t)
+	var fullest, fastest, emptiest, inTime *upstream
 	var freeCPU, totalCPU int64
+	slowest := 0.0
+	inTimeLater := false // on an upstream that has too little free capacity now
 	for _, u := range p.sorted {
 		if !u.usable || u.Service != w.Service {
 			continue
 		}
 		freeCPU += u.free.CPU
 		totalCPU += u.Capacity.CPU
+		slowest = max(slowest, u.health.slowness)
+		inTimeLater = inTimeLater || u.health.slowness <= limit && u.suits(t) && p.available(now, u)
 		if !p.canRun(now, u, w, t) {
 			continue
 		}
@@ -44,17 +56,38 @@
 		if emptiest == nil || moreFree(u, emptiest) {
 			emptiest = u
 		}
+		if u.health.slowness <= limit && (inTime == nil || lessFree(u, inTime)) {
+			inTime = u
+		}
 	}
+	choosesSpeed := p.enabled(RuleSpeed) && math.Exp(slowest) > max(w.SlackFactor, minSlowFactor)
 	switch {
 	case !p.enabled(RuleBinPack):
 		return emptiest
+	case choosesSpeed && inTime == nil && inTimeLater && now.Before(w.latestStart):
+		return nil
+	case choosesSpeed && inTime == nil:
+		return fastest
 	case totalCPU > 0 && float64(freeCPU)/float64(totalCPU) > fastestFirstFreeShare:
 		return fastest
+	case choosesSpeed:
+		return inTime
 	default:
 		return fullest
 	}
 }
 
+// maxSlownessInTime returns the slowness up to which an upstream is expected to end a task within the
+// objective of its job if the task is placed there now.
+func (p *Placer) maxSlownessInTime(now time.Time, w *waitingJob, t Task) float64 {
+	remaining := w.latestStart.Add(w.estimate).Sub(now)
+	expected := p.estimate(now, &w.Job, t)
+	if remaining <= 0 || expected <= 0 {
+		return math.Inf(-1)
+	}
+	return math.Log(float64(remaining) / (inTimeMargin * float64(expected)))
+}
+
 // recordOverhead adds the time between the placement of a run and the report of its end that was not
 // run time to the moving mean of the overhead.
 func (p *Placer) recordOverhead(now time.Time, r *placedRun, runTime time.Duration) {
@@ -88,10 +121,7 @@
 
 // canRun reports whether a task may be placed on an upstream now.
 func (p *Placer) canRun(now time.Time, u *upstream, w *waitingJob, t Task) bool {
-	if u.Service != w.Service || u.ID == t.Avoid || !t.Demand.Fits(u.free) {
-		return false
-	}
-	if t.Requires != "" && t.Requires != u.WorkerType && t.Requires != u.Rack {
+	if u.Service != w.Service || !t.Demand.Fits(u.free) || !u.suits(t) {
 		return false
 	}
 	if t.MaxPerUpstream > 0 && u.runsOfStep(t.Run.Task) >= t.MaxPerUpstream {
@@ -100,6 +130,14 @@
 	return p.available(now, u)
 }
 
+// suits reports whether a task may run on the upstream when no other run uses its capacity.
+func (u *upstream) suits(t Task) bool {
+	if u.ID == t.Avoid || !t.Demand.Fits(u.Capacity) {
+		return false
+	}
+	return t.Requires == "" || t.Requires == u.WorkerType || t.Requires == u.Rack
+}
+
 // runsOfStep returns the number of runs on the upstream that belong to the step of a task.
 func (u *upstream) runsOfStep(id sesamedrift.TaskID) int {
 	n := 0
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -21,7 +21,8 @@
 //     capacity from the others.
 //   - Tasks go to the upstream with the least free capacity that fits them, best fit (fit.go), so
 //     that at peak load free capacity for large tasks is not fragmented. While much capacity is
-//     free, they go to the fastest upstream instead.
+//     free, they go to the fastest upstream instead. Where slow upstreams would make jobs late, tasks
+//     go to the fullest upstream on which they are in time, and wait for one if need be.
 //   - Upstreams on which runs fail, stall or are slow are ejected for a while, and their stalled
 //     or slow runs are rescheduled (health.go).
 //   - Jobs for which there is no free capacity are forwarded to a placer that has some (forward.go).
@@ -74,11 +75,16 @@
 	// RuleLeastLaxity orders waiting jobs by the latest time at which they can begin and still meet
 	// their objective. Without it they are ordered by arrival.
 	RuleLeastLaxity Rule = "slack"
+	// RuleSpeed places tasks on upstreams on which they are expected to end within the objective of
+	// their job, and lets them wait for such an upstream until their latest start. It has effect for
+	// jobs whose slack factor is less than the run time factor of the slowest upstream: other jobs are
+	// in time on any upstream if they begin at once.
+	RuleSpeed Rule = "speed"
 )
 
 // Rules returns all rules in the order of their declaration.
 func Rules() []Rule {
-	return []Rule{RuleShed, RuleForward, RuleReschedule, RuleEject, RuleCorrectEstimates, RuleBinPack, RuleLeastLaxity}
+	return []Rule{RuleShed, RuleForward, RuleReschedule, RuleEject, RuleCorrectEstimates, RuleBinPack, RuleLeastLaxity, RuleSpeed}
 }
 
 // Config holds the settings of a Placer.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -373,6 +373,52 @@
 	}
 }
 
+// Guards against jobs that are late because a task was placed on an upstream on which it takes longer
+// than its objective allows, and against tasks that wait although waiting cannot help: where no upstream
+// differs by more than the slack factor, where no suitable upstream is fast, or after the latest start.
+func TestTaskWaitsForUpstreamOnWhichItIsInTime(t *testing.T) {
+	const estimate = 400 * time.Millisecond // 300 ms of slack
+	for _, test := range []struct {
+		name     string
+		slow     float64 // run time factor of the free upstream u0; u1 is in use
+		slack    float64
+		requires string
+		waited   time.Duration
+		rule     Rule // the disabled one
+		placed   bool
+	}{
+		{name: "too slow", slow: 1.8, slack: 1.6},
+		{name: "too slow, latest start", slow: 1.8, slack: 1.6, waited: 300 * time.Millisecond, placed: true},
+		{name: "slow but in time", slow: 1.8, slack: 2.5, placed: true},
+		{name: "within slack", slow: 1.4, slack: 1.6, waited: 200 * time.Millisecond, placed: true},
+		{name: "no other suits", slow: 1.8, slack: 1.6, requires: "rack-0", placed: true},
+		{name: "disabled", slow: 1.8, slack: 1.6, rule: RuleSpeed, placed: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 10000, 10000)
+			h.p.cfg.DisabledRule = test.rule
+			h.p.upstreams["u0"].Rack = "rack-0"
+			h.p.upstreams["u0"].health.slowness = math.Log(test.slow)
+			h.enqueue(h.job("running", "q", 1, 10000, 150*time.Millisecond))
+			h.g.Expect(h.placedOn).To(HaveKeyWithValue(runOf("running", 0).String(), "u1"))
+			j := h.job("j", "q", 1, 10000, estimate)
+			j.SlackFactor = test.slack
+			j.Arrived = h.now.Add(-test.waited)
+			j.Tasks[0].Requires = test.requires
+			h.enqueue(j)
+			h.g.Expect(h.refused).To(BeEmpty())
+			if test.placed {
+				h.g.Expect(h.placedOn).To(HaveKeyWithValue(runOf("j", 0).String(), "u0"))
+				return
+			}
+			h.g.Expect(h.p.WaitingJobs()).To(Equal(1))
+			h.advance(150 * time.Millisecond)
+			h.endRun("running", 0, leaseholder.Done, 150*time.Millisecond)
+			h.g.Expect(h.placedOn).To(HaveKeyWithValue(runOf("j", 0).String(), "u1"))
+		})
+	}
+}
+
 // Guards against tasks that are placed so late that they miss their objective by the time that messages
 // take: what passes between placement and report besides the run time is part of a job's latency.
 func TestOverheadIsPartOfTheLatestStart(t *testing.T) {
--- a/replayer/replayer_test.go
+++ b/replayer/replayer_test.go
@@ -111,6 +111,7 @@
 		{placer.RuleForward, []string{"burst", "crest", "dark", "swing"}, value},
 		{placer.RuleEject, []string{"failing", "hanging", "slow"}, savedWork},
 		{placer.RuleReschedule, []string{"hanging"}, savedWork},
+		{placer.RuleSpeed, []string{"uneven"}, value},
 	} {
 		for _, name := range test.scripts {
 			t.Run(string(test.rule)+"/"+name, func(t *testing.T) {
