--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -372,6 +373,115 @@
 	}
 }
 
+// Guards against jobs that are late because a task was placed on an upstream on which it takes longer
+// than its objective allows, and against tasks that wait although waiting cannot help: where no upstream
+// differs by more than the slack factor, where no suitable upstream is fast, or after the latest start.
+func TestTaskWaitsForUpstreamOnWhichItIsInTime(t *testing.T) {
+	const estimate = 400 * time.Millisecond // 300 ms of slack
+	for _, test := range []struct {
+		name     string
+		slow     float64 // run time factor of the free upstream u0; u1 is in use
+		slack    float64
+		requires string
+		waited   time.Duration
+		rule     Rule // the disabled one
+		placed   bool
+	}{
+		{name: "too slow", slow: 1.8, slack: 1.6},
+		{name: "too slow, latest start", slow: 1.8, slack: 1.6, waited: 300 * time.Millisecond, placed: true},
+		{name: "slow but in time", slow: 1.8, slack: 2.5, placed: true},
+		{name: "within slack", slow: 1.4, slack: 1.6, waited: 200 * time.Millisecond, placed: true},
+		{name: "no other suits", slow: 1.8, slack: 1.6, requires: "rack-0", placed: true},
+		{name: "disabled", slow: 1.8, slack: 1.6, rule: RuleSpeed, placed: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 10000, 10000)
+			h.p.cfg.DisabledRule = test.rule
+			h.p.upstreams["u0"].Rack = "rack-0"
+			h.p.upstreams["u0"].health.slowness = math.Log(test.slow)
+			h.enqueue(h.job("running", "q", 1, 10000, 150*time.Millisecond))
+			h.g.Expect(h.placedOn).To(HaveKeyWithValue(runOf("running", 0).String(), "u1"))
+			j := h.job("j", "q", 1, 10000, estimate)
+			j.SlackFactor = test.slack
+			j.Arrived = h.now.Add(-test.waited)
+			j.Tasks[0].Requires = test.requires
+			h.enqueue(j)
+			h.g.Expect(h.refused).To(BeEmpty())
+			if test.placed {
+				h.g.Expect(h.placedOn).To(HaveKeyWithValue(runOf("j", 0).String(), "u0"))
+				return
+			}
+			h.g.Expect(h.p.WaitingJobs()).To(Equal(1))
+			h.advance(150 * time.Millisecond)
+			h.endRun("running", 0, leaseholder.Done, 150*time.Millisecond)
+			h.g.Expect(h.placedOn).To(HaveKeyWithValue(runOf("j", 0).String(), "u1"))
+		})
+	}
+}
+
+// Guards against tasks that are placed so late that they miss their objective by the time that messages
+// take: what passes between placement and report besides the run time is part of a job's latency.
+func TestOverheadIsPartOfTheLatestStart(t *testing.T) {
+	h := newHarness(t, 10000)
+	for i := range 100 {
+		id := fmt.Sprint("j", i)
+		h.enqueue(h.job(id, "q", 1, 10000, 50*time.Millisecond))
+		h.advance(70 * time.Millisecond)
+		h.endRun(id, 0, leaseholder.Done, 50*time.Millisecond)
+	}
+	h.g.Expect(h.p.overhead).To(BeNumerically("~", 20*time.Millisecond, time.Millisecond))
+	w := h.p.newWaitingJob(h.job("last", "q", 1, 10000, 50*time.Millisecond))
+	h.g.Expect(w.latestStart.Sub(h.now)).To(BeNumerically("~", 70*time.Millisecond, time.Millisecond))
+}
+
+// Guards against an upstream that is ejected, and its runs stopped, because it is slow by its kind, and
+// against one that is not ejected although it has become slower than it was.
+func TestSlowKindIsNotEjectedAndTurnedSlowIs(t *testing.T) {
+	for _, test := range []struct {
+		slow    float64 // learned run time factor
+		runTime time.Duration
+		ejected bool
+	}{
+		{slow: 1, runTime: 190 * time.Millisecond},
+		{slow: 1, runTime: 300 * time.Millisecond, ejected: true},
+		{slow: 1.82, runTime: 300 * time.Millisecond},
+		{slow: 1.82, runTime: 500 * time.Millisecond, ejected: true},
+		{slow: 0.83, runTime: 240 * time.Millisecond},
+		{slow: 0.83, runTime: 300 * time.Millisecond, ejected: true},
+	} {
+		t.Run(fmt.Sprint(test.slow, test.runTime), func(t *testing.T) {
+			h := newHarness(t, 10000, 10000)
+			h.p.upstreams["u1"].health.slowness = math.Log(test.slow)
+			j := h.job("j", "q", 2, 10000, 100*time.Millisecond)
+			j.SlackFactor = 3
+			h.enqueue(j)
+			onSlow := 0
+			if h.placedOn[runOf("j", 1).String()] == "u1" {
+				onSlow = 1
+			}
+			h.advance(100 * time.Millisecond)
+			h.endRun("j", 1-onSlow, leaseholder.Done, 100*time.Millisecond)
+			h.p.RecordProgress("u1", runOf("j", onSlow), int(100*100*time.Millisecond/test.runTime), 100*time.Millisecond)
+			h.advance(10 * time.Millisecond)
+			if test.ejected {
+				h.g.Expect(h.ejected).To(Equal([]string{"u1"}))
+			} else {
+				h.g.Expect(h.ejected).To(BeEmpty())
+			}
+		})
+	}
+}
+
+// Guards against upstreams of half the usual speed that a new placer takes for average ones for a long
+// time.
+func TestSpeedsAreLearnedWithinAFewComparisons(t *testing.T) {
+	var h health
+	for range 4 {
+		h.recordComparison(math.Log(1.8) - h.slowness)
+	}
+	NewWithT(t).Expect(h.slowness).To(BeNumerically("~", math.Log(1.8), 0.15))
+}
+
 // Guards against a placer that searches all upstreams for every waiting task at each event and
 // becomes too slow at peaks. Ejected upstreams must not cause searches: they have free capacity,
 // but accept no tasks.
