controller: store evacuations and distribute them with the poll replies

Operators' evacuations need the durability of the document and must reach all hosts. The controller keeps them in a register with package evacuator and sends the newest state in the replies to polls. Polls of earlier releases get neither field, since each of their polls would otherwise be answered at once.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -1,9 +1,9 @@
 // Package controller is a control host: a member of the control plane, which replicates the
-// operator's document on the disks of the control hosts and distributes the lists of hosts and
-// upstreams.
+// operator's document and the evacuated failure domains on the disks of the control hosts, and
+// distributes the lists of hosts and upstreams.
 //
-// Operators and upstreams may use any control host. A document is acknowledged once a majority of
-// the replicas has stored it; a read returns the newest one or an error. Reports of upstreams are
+// Operators and upstreams may use any control host. A document or an evacuation is acknowledged once a
+// majority of the replicas has stored it; a read returns the newest one or an error. Reports of upstreams are
 // held in memory and sent to all hosts that poll for updates.
 //
 // All exported methods are safe for concurrent use.
@@ -22,6 +22,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"sesamedrift.example/sesamedrift/discoverer"
+	"sesamedrift.example/sesamedrift/evacuator"
 	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/poller"
 	"sesamedrift.example/sesamedrift/publisher"
@@ -79,6 +80,7 @@
 	log       *slog.Logger
 	replica   *replicator.Replica
 	publisher *publisher.Publisher
+	evacuator *evacuator.Evacuator
 	listener  *messenger.Listener
 	poller    *poller.Poller
 	ctx       context.Context // ends with Close
@@ -96,7 +98,11 @@
 	document publisher.Document
 	// documents serves the document to other hosts.
 	documents poller.DocumentSource
-	// updated is closed and replaced when a list or the document changes.
+	// evacuations is the newest state of evacuations that this host has learned. evacuationsKnown is set
+	// once it may have missed none that was acknowledged; see learnEvacuations.
+	evacuations      evacuator.State
+	evacuationsKnown bool
+	// updated is closed and replaced when a list, the document or the evacuations change.
 	updated chan struct{}
 	// polling holds the addresses of the control hosts that this one polls.
 	polling map[string]bool
@@ -154,12 +160,13 @@
 	}
 	h.publisher = &publisher.Publisher{
 		Register: documentRegister,
-		Read: func(ctx context.Context, now time.Time, register string) (registrar.Entry, error) {
-			return h.replica.Registers().Read(ctx, now, register)
-		},
-		Change: func(ctx context.Context, now time.Time, c registrar.Change) (registrar.Result, error) {
-			return h.replica.Registers().Change(ctx, now, c)
-		},
+		Read:     h.readRegister,
+		Change:   h.changeRegister,
+	}
+	h.evacuator = &evacuator.Evacuator{
+		Register: evacuator.Register,
+		Read:     h.readRegister,
+		Change:   h.changeRegister,
 	}
 	h.listener, err = messenger.Listen(cfg.Self.Address, messenger.Config{
 		Local:        h.hello(),
@@ -173,6 +180,7 @@
 	}
 	h.wg.Go(func() { h.replica.Run(ctx) })
 	h.wg.Go(func() { h.maintainReplicas(ctx) })
+	h.wg.Go(func() { h.learnEvacuations(ctx) })
 	h.mu.Lock()
 	for _, seed := range cfg.Seeds {
 		h.startPolling(seed)
@@ -181,6 +189,14 @@
 	return h, nil
 }
 
+func (h *Host) readRegister(ctx context.Context, now time.Time, register string) (registrar.Entry, error) {
+	return h.replica.Registers().Read(ctx, now, register)
+}
+
+func (h *Host) changeRegister(ctx context.Context, now time.Time, c registrar.Change) (registrar.Result, error) {
+	return h.replica.Registers().Change(ctx, now, c)
+}
+
 func (h *Host) hello() messenger.Hello {
 	return messenger.Hello{
 		Token:       h.cfg.Token,
@@ -216,7 +232,7 @@
 	}
 }
 
-// ErrNotReady is returned by Publish and Newest while the replica of this host does not vote.
+// ErrNotReady is returned by the methods for operators while the replica of this host does not vote.
 var ErrNotReady = errors.New("the replica of this host is not ready")
 
 // Publish stores a document unless a version that is at least as high is stored. After ErrNotReady
@@ -277,13 +293,18 @@
 	h.updated = make(chan struct{})
 }
 
-// applyDecided records a decided entry of the document register and distributes it if its version is
-// newer.
+// applyDecided records a decided entry of the registers of the document and of the evacuations, and
+// distributes it if its version is newer.
 func (h *Host) applyDecided(e registrar.Entry) {
-	if e.Register != documentRegister {
-		return
+	switch e.Register {
+	case documentRegister:
+		h.applyDocument(publisher.Decode(e.Value))
+	case evacuator.Register:
+		h.applyEvacuations(evacuator.Decode(e.Value))
 	}
-	d := publisher.Decode(e.Value)
+}
+
+func (h *Host) applyDocument(d publisher.Document) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if d.Version <= h.document.Version {
--- a/controller/updates.go
+++ b/controller/updates.go
@@ -21,8 +21,8 @@
 	h.wg.Go(func() { h.poller.Poll(h.ctx, address) })
 }
 
-// applyUpdates merges the lists that another control host has sent. It ignores the document, which
-// this host receives from its replica.
+// applyUpdates merges the lists and the evacuations that another control host has sent. It ignores the
+// document, which this host receives from its replica.
 func (h *Host) applyUpdates(_ context.Context, _ string, updates poller.Updates) {
 	now := h.cfg.Now()
 	h.mu.Lock()
@@ -34,6 +34,9 @@
 	for _, u := range updates.Upstreams {
 		changed = h.upstreams.Put(now, u) || changed
 	}
+	if updates.Evacuations != nil {
+		changed = h.putEvacuations(*updates.Evacuations) || changed
+	}
 	if changed {
 		h.notifyPollers()
 	}
@@ -68,12 +71,13 @@
 	h.mu.Unlock()
 	if req.Incarnation != h.cfg.Self.Incarnation {
 		req.HostsSeq, req.UpstreamsSeq = 0, 0
+		req.EvacuationsVersion, req.EvacuationsKnown = 0, false
 	}
 	timer := time.NewTimer(poller.MaxWait)
 	defer timer.Stop()
 	for {
 		updates, changed := h.updatesSince(req)
-		if !updates.Empty() {
+		if !updates.Empty(req) {
 			return updates
 		}
 		// Changes that do not concern the polling host are not looked at again.
@@ -101,6 +105,12 @@
 		Hosts:        h.hosts.Since(req.HostsSeq),
 		Upstreams:    h.upstreams.Since(req.UpstreamsSeq),
 	}
+	if req.TakesEvacuations {
+		updates.EvacuationsKnown = h.evacuationsKnown
+		if state := h.evacuations; state.Version > req.EvacuationsVersion {
+			updates.Evacuations = &state
+		}
+	}
 	if req.Self.Role == discoverer.Entry {
 		updates.Hosts = slices.DeleteFunc(updates.Hosts, func(host discoverer.Host) bool { return !h.concerns(host, req.Self.Domain) })
 		updates.Upstreams = slices.DeleteFunc(updates.Upstreams, func(u discoverer.Upstream) bool { return u.Domain != req.Self.Domain })
--- a/poller/poller.go
+++ b/poller/poller.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"sesamedrift.example/sesamedrift/discoverer"
+	"sesamedrift.example/sesamedrift/evacuator"
 	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/reporter"
 )
@@ -48,6 +49,13 @@
 	// AnnounceOnly is set by hosts that fetch documents themselves. Hosts of earlier releases leave
 	// it out and expect the content in the reply.
 	AnnounceOnly bool `msgpack:"announce-only,omitempty"`
+	// TakesEvacuations is set by hosts that use the evacuations. Hosts of earlier releases leave it out: they
+	// would not say which version they have, and each poll would be answered at once.
+	TakesEvacuations bool `msgpack:"takes-evacuations,omitempty"`
+	// EvacuationsVersion is the version of the newest state of evacuations that the control host has sent
+	// to the polling host. EvacuationsKnown is set if the control host has said that it knows the state.
+	EvacuationsVersion uint64 `msgpack:"evacuations-version,omitempty"`
+	EvacuationsKnown   bool   `msgpack:"evacuations-known,omitempty"`
 }
 
 // Updates is the reply to a Request.
@@ -64,11 +72,18 @@
 	DocumentVersion uint64 `msgpack:"document-version,omitempty"`
 	// Document is set instead if the request does not set AnnounceOnly.
 	Document Document `msgpack:"document"`
+	// Evacuations are the evacuated domains if their version is newer than EvacuationsVersion of the request
+	// and TakesEvacuations is set there, otherwise nil.
+	Evacuations *evacuator.State `msgpack:"evacuations,omitempty"`
+	// EvacuationsKnown is set if the control host knows the state of evacuations: it may have missed none
+	// that was acknowledged. Hosts of earlier releases leave it out, and do not receive it.
+	EvacuationsKnown bool `msgpack:"evacuations-known,omitempty"`
 }
 
-// Empty reports whether there is no update.
-func (u *Updates) Empty() bool {
-	return len(u.Hosts) == 0 && len(u.Upstreams) == 0 && u.DocumentVersion == 0 && u.Document.Version == 0
+// Empty reports whether there is no update for the request.
+func (u *Updates) Empty(req Request) bool {
+	return len(u.Hosts) == 0 && len(u.Upstreams) == 0 && u.DocumentVersion == 0 && u.Document.Version == 0 &&
+		u.Evacuations == nil && u.EvacuationsKnown == req.EvacuationsKnown
 }
 
 // Poller polls control hosts on behalf of one host. Its fields must be set before Poll is called.
@@ -101,8 +116,9 @@
 	})
 	defer func() { _ = peer.Close() }()
 	req := Request{
-		Self:         self,
-		AnnounceOnly: true,
+		Self:             self,
+		AnnounceOnly:     true,
+		TakesEvacuations: true,
 	}
 	reachable := false
 	backoff := minBackoff
@@ -125,9 +141,14 @@
 		p.Apply(ctx, address, updates)
 		req.Self = p.Self()
 		if updates.Incarnation != req.Incarnation {
-			// Another incarnation announces its document anew.
+			// Another incarnation announces its document and the evacuations anew.
 			req.Version = 0
+			req.EvacuationsVersion = 0
 		}
+		if updates.Evacuations != nil {
+			req.EvacuationsVersion = max(req.EvacuationsVersion, updates.Evacuations.Version)
+		}
+		req.EvacuationsKnown = updates.EvacuationsKnown
 		req.Version = max(req.Version, updates.DocumentVersion, updates.Document.Version)
 		req.Incarnation = updates.Incarnation
 		req.HostsSeq = updates.HostsSeq
