placer: close the shards of an evacuated domain, spare cold upstreams

In an evacuated domain no task may start, and waiting jobs must not wait for their deadline. SetClosed stops placement; waiting jobs are forwarded to any other domain that reports, spread by free capacity and waiting jobs, or refused. Jobs that have begun are refused after their runs have ended. Upstreams that are cold after their domain is taken back get one task at a time, come last, and do not teach run times.

--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -111,6 +111,9 @@
 	Unreachable Reason = "unreachable"
 	// LeavingUpstream means that the upstream accepts no new runs; no order was sent.
 	LeavingUpstream Reason = "leaving"
+	// EvacuatedDomain means that no run may start in the failure domain of the upstream, or that it is not
+	// known whether it may; no order was sent.
+	EvacuatedDomain Reason = "evacuated"
 	// Unconfirmed means that the start order was not answered and has been withdrawn.
 	Unconfirmed Reason = "no-answer"
 )
--- a/placer/estimate.go
+++ b/placer/estimate.go
@@ -114,6 +114,8 @@
 	h.openRuns--
 	u.health.recordEnd()
 	switch {
+	case result == leaseholder.Done && r.cold:
+		u.health.recordSuccess(now)
 	case result == leaseholder.Done && runTime > 0:
 		normalized := u.health.normalized(runTime)
 		h.samples = append(h.samples, sample{
@@ -128,7 +130,8 @@
 		if len(h.failedOn) < jobFaultThreshold {
 			p.eject(now, u, "run failed")
 		}
-	case result == leaseholder.Rejected && reason != leaseholder.StaleRun && reason != leaseholder.LeavingUpstream:
+	case result == leaseholder.Rejected && reason != leaseholder.StaleRun && reason != leaseholder.LeavingUpstream &&
+		reason != leaseholder.EvacuatedDomain:
 		p.recordRejection(now, u, reason)
 	}
 	if h.openRuns <= 0 {
--- a/placer/fit.go
+++ b/placer/fit.go
@@ -62,7 +62,7 @@
 
 // available reports whether an upstream accepts tasks now if it has the free capacity.
 func (p *Placer) available(now time.Time, u *upstream) bool {
-	return u.usable && (p.cfg.Policy == FIFO || u.health.acceptsTasks(now))
+	return u.usable && (!u.isCold || len(u.runs) == 0) && (p.cfg.Policy == FIFO || u.health.acceptsTasks(now))
 }
 
 // sameConstraints reports whether two tasks of one job can run on the same upstreams, so that
@@ -97,18 +97,23 @@
 	return n
 }
 
-// lessFree reports whether a has less free CPU than b, or as much and is faster.
+// lessFree reports whether a has less free CPU than b, or as much and is faster. Cold upstreams come last.
 func lessFree(a, b *upstream) bool {
+	if a.isCold != b.isCold {
+		return b.isCold
+	}
 	if a.free.CPU != b.free.CPU {
 		return a.free.CPU < b.free.CPU
 	}
 	return faster(a, b)
 }
 
-// faster reports whether a is faster than b. Among equally fast upstreams the one with less free
+// faster reports whether a is faster than b. Cold upstreams come last. Among equally fast upstreams the one with less free
 // CPU comes first, then the one with the lower identifier.
 func faster(a, b *upstream) bool {
 	switch {
+	case a.isCold != b.isCold:
+		return b.isCold
 	case a.health.slowness != b.health.slowness:
 		return a.health.slowness < b.health.slowness
 	case a.free.CPU != b.free.CPU:
--- a/placer/forward.go
+++ b/placer/forward.go
@@ -23,17 +23,21 @@
 	Tasks int `msgpack:"places"`
 	// WaitingJobs is the number of jobs with tasks that wait for placement.
 	WaitingJobs int `msgpack:"waiting"`
+	// Closed is set by a placer that places nothing. Hosts of earlier releases leave it out.
+	Closed bool `msgpack:"closed,omitempty"`
 }
 
 // accepting reports whether jobs may be forwarded to a placer with the free capacity.
-func (c FreeCapacity) accepting() bool { return c.WaitingJobs == 0 && c.Tasks > forwardReserve }
+func (c FreeCapacity) accepting() bool {
+	return !c.Closed && c.WaitingJobs == 0 && c.Tasks > forwardReserve
+}
 
 // Differs reports whether the free capacity differs from an earlier report so much that other placers
 // may decide differently. At peak load the exact numbers change with each run, while no placer accepts
 // jobs.
 func (c FreeCapacity) Differs(earlier FreeCapacity) bool {
 	if !c.accepting() || !earlier.accepting() {
-		return c.accepting() != earlier.accepting()
+		return c.accepting() != earlier.accepting() || c.Closed != earlier.Closed
 	}
 	difference := max(c.Tasks, earlier.Tasks) - min(c.Tasks, earlier.Tasks)
 	return difference > max(c.Tasks, earlier.Tasks)/4
@@ -65,12 +69,16 @@
 // next report. Callers use it for unreachable placers.
 func (p *Placer) RemoveOther(address string) { delete(p.otherPlacers, address) }
 
-// FreeCapacity returns the report for other placers. Ejected and probing upstreams count as full.
+// FreeCapacity returns the report for other placers. Ejected, probing and cold upstreams count as full.
 // Tasks is 0 until the first job was enqueued, since the mean demand is not known before.
 func (p *Placer) FreeCapacity(now time.Time) FreeCapacity {
 	capacity := FreeCapacity{WaitingJobs: len(p.order)}
+	if p.closed != "" {
+		capacity.Closed = true
+		return capacity
+	}
 	for _, u := range p.sorted {
-		if !u.usable || !u.health.acceptsTasks(now) || u.health.probing {
+		if !u.usable || !u.health.acceptsTasks(now) || u.health.probing || u.isCold {
 			continue
 		}
 		if p.meanCPU > 0 {
@@ -83,9 +91,18 @@
 // forwardTarget returns the address of the placer with the most free capacity for a job that has not
 // begun, or "" if none has enough. Nearby placers come first: a job that is forwarded to another
 // domain is sent there whole. It returns "" during the grace period: a new placer does not know yet
-// which jobs have runs on its upstreams.
+// which jobs have runs on its upstreams. For a closed shard see closedTarget.
 func (p *Placer) forwardTarget(now time.Time, w *waitingJob) string {
-	if w.Forwarded || w.Started || now.Before(p.cfg.GraceUntil) || !p.enabled(RuleForward) {
+	if w.Forwarded || w.Started || now.Before(p.cfg.GraceUntil) {
+		return ""
+	}
+	if p.closed != "" {
+		if p.runsLocally(w) {
+			return ""
+		}
+		return p.closedTarget(now)
+	}
+	if !p.enabled(RuleForward) {
 		return ""
 	}
 	best, nearby, maxFree := "", false, 0
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -26,6 +26,7 @@
 //     or slow runs are rescheduled (health.go).
 //   - Jobs for which there is no free capacity are forwarded to a placer that has some (forward.go).
 //     That levels the load between shards and between failure domains.
+//   - In an evacuated failure domain nothing is placed, and waiting jobs go to other domains (closed.go).
 package placer
 
 import (
@@ -101,6 +102,9 @@
 	WorkerType string
 	Rack       string
 	Capacity   sesamedrift.Resources
+	// ColdUntil is the time until which the upstream is slow after its failure domain was taken back into
+	// service; zero for one that is not. It gets one task at a time, and warm upstreams come first.
+	ColdUntil time.Time
 }
 
 // Job is a job with tasks to be placed.
@@ -204,6 +208,11 @@
 	// ReasonTooLarge means that a task of the job needs more than the whole capacity of any
 	// upstream of its service.
 	ReasonTooLarge Reason = "no upstream is large enough for a task of the job"
+	// ReasonEvacuated means that no task may start in the failure domain.
+	ReasonEvacuated Reason = "the failure domain is evacuated"
+	// ReasonEvacuationsUnknown means that the host has just started and does not know yet whether its
+	// failure domain is evacuated.
+	ReasonEvacuationsUnknown Reason = "it is not known yet whether the failure domain is evacuated"
 )
 
 // jobKey identifies a job by the address of its entry host and its identifier.
@@ -225,16 +234,21 @@
 	// runCounts holds the number of open runs of each task. A task with an open run is not placed.
 	runCounts map[sesamedrift.TaskID]int
 	// meanCPU is the moving mean of the CPU demand of a task, over enqueued jobs.
-	meanCPU   float64
-	decisions []Decision
-	lastTick  time.Time
-	nextSweep time.Time
+	meanCPU float64
+	// closed is why the shard is closed since closedSince; empty if it is open.
+	closed      Reason
+	closedSince time.Time
+	decisions   []Decision
+	lastTick    time.Time
+	nextSweep   time.Time
 }
 
 // upstream is an upstream with its open runs.
 type upstream struct {
 	Upstream
 	usable bool
+	// isCold is set until the first tick after ColdUntil.
+	isCold bool
 	free   sesamedrift.Resources
 	runs   map[sesamedrift.Run]*placedRun
 	health health
@@ -247,6 +261,8 @@
 	queue    string
 	placedAt time.Time
 	expected time.Duration
+	// cold is set if the upstream was cold when the run was placed; the run time then does not show its speed.
+	cold bool
 	// reported is set once the leaseholder has listed the run.
 	reported     bool
 	progress     progress
@@ -292,6 +308,7 @@
 		p.sorted = slices.Insert(p.sorted, i, known)
 	}
 	known.Upstream = u
+	known.isCold = !u.ColdUntil.IsZero()
 	known.recomputeFree()
 }
 
@@ -394,7 +411,7 @@
 	w := p.newWaitingJob(j)
 	p.supersede(w)
 	p.recordDemand(j)
-	if !p.feasible(w) {
+	if p.closed == "" && !p.feasible(w) {
 		_, releases := p.predictReleases(now)
 		p.refuse(w, ReasonTooLarge, 0, releases)
 		return
@@ -544,7 +561,10 @@
 // upstreams whose cooldown has ended, and forwards or refuses jobs that can no longer begin in time.
 func (p *Placer) Tick(now time.Time) {
 	p.decayUsage(now)
-	p.checkRuns(now)
+	p.updateCold(now)
+	if p.closed == "" {
+		p.checkRuns(now)
+	}
 	p.place(now)
 	p.shed(now)
 	p.expireHistories(now)
@@ -597,7 +617,7 @@
 
 // place searches upstreams for the waiting tasks, in the order of their jobs.
 func (p *Placer) place(now time.Time) {
-	if len(p.order) == 0 {
+	if len(p.order) == 0 || p.closed != "" {
 		return
 	}
 	// Under load hundreds of jobs wait, and after an event few of them fit. Jobs whose tasks all
@@ -686,12 +706,17 @@
 
 // reserve adds a run of a task to an upstream.
 func (p *Placer) reserve(now time.Time, w *waitingJob, t Task, u *upstream) {
+	expected := u.health.expected(p.estimate(now, &w.Job, t))
+	if u.isCold {
+		expected = time.Duration(coldFactor * float64(expected))
+	}
 	p.addRun(u, t.Run, &placedRun{
 		demand:   t.Demand,
 		key:      w.key,
 		queue:    w.Queue,
 		placedAt: now,
-		expected: u.health.expected(p.estimate(now, &w.Job, t)),
+		expected: expected,
+		cold:     u.isCold,
 	})
 	u.free = u.free.Minus(t.Demand)
 }
--- a/placer/shed.go
+++ b/placer/shed.go
@@ -72,6 +72,10 @@
 
 // shed forwards or refuses jobs until all that still wait are predicted to begin in time.
 func (p *Placer) shed(now time.Time) {
+	if p.closed != "" {
+		p.clearWaiting(now)
+		return
+	}
 	if !p.enabled(RuleShed) {
 		p.refuseExpired(now)
 		return
