dispatcher: start nothing in an evacuated failure domain

An evacuation must stop starts on all hosts, also on those that were cut off, have restarted or learn it late. Entry hosts keep the newest state, pass it on to the hosts of their domain, and reject start orders in an evacuated domain at the leaseholder with a reason of its own. Placers close, and jobs from other domains are answered as not run. If the settings name a bound, a host that has started starts nothing before a control host or a peer that knows the evacuations has told it. Reports of upstreams carry the time for which they remain cold.

Measured: go test -race ./dispatcher ./discoverer ./placer ./leaseholder passes.

--- a/discoverer/discoverer.go
+++ b/discoverer/discoverer.go
@@ -89,6 +89,9 @@
 	Rack       string `msgpack:"rack"`
 	// Worker names the machine. Upstreams that are started on it later have other identifiers.
 	Worker string `msgpack:"worker"`
+	// ColdRemaining is the time from the report for which the upstream remains slow after its failure domain
+	// was taken back into service.
+	ColdRemaining time.Duration `msgpack:"cold,omitempty"`
 }
 
 // Key returns the address, which identifies a host.
@@ -106,7 +109,8 @@
 }
 
 // merge returns the newer of two reports of one upstream, and whether it differs from u in more than
-// ReportSeq. Within an incarnation, u.State is kept if n.State comes before it.
+// ReportSeq. Within an incarnation, u.State is kept if n.State comes before it. ColdRemaining differs when
+// the cold time begins, ends or is extended, and not while it passes.
 func (u Upstream) merge(n Upstream) (Upstream, bool) {
 	if n.Incarnation < u.Incarnation || n.Incarnation == u.Incarnation && n.ReportSeq < u.ReportSeq {
 		return u, false
@@ -116,6 +120,9 @@
 	}
 	old := u
 	old.ReportSeq = n.ReportSeq
+	if 0 < n.ColdRemaining && n.ColdRemaining <= u.ColdRemaining {
+		old.ColdRemaining = n.ColdRemaining
+	}
 	return n, n != old
 }
 
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -56,6 +56,9 @@
 	// UpstreamsPerShard is the wanted size of a shard; upstreamsPerShard if it is zero. All hosts of a
 	// domain must have the same.
 	UpstreamsPerShard int
+	// EvacuateWithin is the time from an order until no task starts in an evacuated domain, or zero if the
+	// deployment has no evacuations. If it is set, no task starts through this host before it knows them.
+	EvacuateWithin time.Duration
 	// Parse decodes and validates a published document.
 	Parse func(content []byte) (*router.Document, error)
 	Log   *slog.Logger
@@ -102,6 +105,12 @@
 	table     *router.Table
 	published poller.Document
 	documents documentFetcher
+	// evacuations is the newest state of evacuations that this host has received. A state is never replaced
+	// by an older one.
+	evacuations evacuations
+	// coldUntil holds the times until which upstreams remain slow after their domain was taken back.
+	coldUntil map[string]time.Time
+	startedAt time.Time
 	// snapshotRequestedAt is when this host last asked a peer for its lists; zero before.
 	snapshotRequestedAt time.Time
 	// sessions holds the hosts with which there is a session.
@@ -192,6 +201,8 @@
 		hosts:             discoverer.NewList[discoverer.Host](),
 		upstreams:         discoverer.NewList[discoverer.Upstream](),
 		documents:         newDocumentFetcher(),
+		coldUntil:         map[string]time.Time{},
+		startedAt:         now,
 		sessions:          map[string]bool{},
 		peers:             map[string]bool{},
 		peerLosses:        map[string]peerLoss{},
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -52,6 +52,8 @@
 	Token string
 	// LeaseConfig holds the time settings of leases on upstreams.
 	LeaseConfig leaseholder.Config
+	// EvacuateWithin is that of CoreConfig.
+	EvacuateWithin time.Duration
 	// Order sends an order to an upstream and returns the response, or one with the status
 	// NoResponse. ctx ends after the timeout of the order.
 	Order func(ctx context.Context, u discoverer.Upstream, o leaseholder.Order) leaseholder.Response
@@ -126,10 +128,11 @@
 		return nil, err
 	}
 	h.core = NewCore(CoreConfig{
-		Self:        cfg.Self,
-		LeaseConfig: cfg.LeaseConfig,
-		Parse:       cfg.Parse,
-		Log:         cfg.Log,
+		Self:           cfg.Self,
+		LeaseConfig:    cfg.LeaseConfig,
+		EvacuateWithin: cfg.EvacuateWithin,
+		Parse:          cfg.Parse,
+		Log:            cfg.Log,
 	}, Effects{
 		Post:          h.courier.Post,
 		Connect:       h.courier.Connect,
--- a/dispatcher/forwarding.go
+++ b/dispatcher/forwarding.go
@@ -313,6 +313,15 @@
 		c.send(to, kindForwardedJob, m)
 		return
 	}
+	if reason := c.closedFor(); reason != "" && c.jobs[m.ID] == nil {
+		c.send(from, kindForwardResult, forwardResult{
+			Job:        m.ID,
+			Outcome:    tracker.NotRun,
+			Reason:     string(reason),
+			RetryAfter: closedRetryAfter,
+		})
+		return
+	}
 	c.Submit(now, tracker.Job{
 		ID:            m.ID,
 		Queue:         m.Queue,
--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -392,7 +392,8 @@
 }
 
 // receiveStartRuns starts runs. It rejects those that were placed before this host became the leaseholder: it may
-// have been that earlier, and another one may have reported them as lost meanwhile.
+// have been that earlier, and another one may have reported them as lost meanwhile. In an evacuated domain it
+// rejects all, whichever host has placed them.
 func (c *Core) receiveStartRuns(now time.Time, from string, m startRuns) {
 	for _, r := range m.Runs {
 		t := leaseholder.Task{
@@ -402,12 +403,12 @@
 			Content: m.Content,
 		}
 		h := c.held[r.Upstream]
-		if h == nil || m.Number != 0 && m.Number < h.heldSince {
+		if reason := c.startRejection(h, m.Number); reason != "" {
 			c.send(from, kindRunEnded, runEnded{
 				Upstream: r.Upstream,
 				Run:      r.Run,
 				Result:   leaseholder.Rejected,
-				Reason:   leaseholder.Unreachable,
+				Reason:   reason,
 			})
 			c.send(c.assigned.placerOf(r.Upstream), kindReleasedPlace, releasedPlace{
 				Upstream: r.Upstream,
@@ -420,6 +421,19 @@
 	}
 }
 
+// startRejection returns why a start that was placed by the assignment with the number is rejected, or "".
+func (c *Core) startRejection(h *heldUpstream, number uint64) leaseholder.Reason {
+	switch {
+	case c.closedFor() != "":
+		c.stats.EvacuationRejections++
+		return leaseholder.EvacuatedDomain
+	case h == nil || number != 0 && number < h.heldSince:
+		return leaseholder.Unreachable
+	default:
+		return ""
+	}
+}
+
 func (c *Core) receiveStopRun(now time.Time, m stopRun) {
 	if h := c.held[m.Upstream]; h != nil {
 		h.session.Stop(now, m.Run)
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -58,6 +58,7 @@
 	c.send(peer, kindAnnouncement, announcement{
 		Self:            c.self,
 		DocumentVersion: c.published.Version,
+		Evacuations:     c.evacuations,
 	})
 	if !c.eligible() {
 		c.send(peer, kindEligibility, eligibility{})
@@ -168,6 +169,7 @@
 	kindTenureAnswer:     decode[tenureAnswer],
 	kindClaimRequest:     decode[claimRequest],
 	kindClaimAnswer:      decode[claimAnswer],
+	kindEvacuations:      decode[evacuations],
 }
 
 // receiveEncoded decodes a message and passes it to its handler.
@@ -221,6 +223,8 @@
 		c.receiveForwardResult(now, from, m)
 	case cancelForward:
 		c.receiveCancelForward(now, from, m)
+	case evacuations:
+		c.applyEvacuations(now, from, m)
 	case superseded:
 		c.receiveSuperseded(now, from, m)
 	case announcement:
@@ -275,6 +279,7 @@
 		c.hostChanged(now, m.Self)
 	}
 	c.announceDocument(now, from, m.DocumentVersion)
+	c.applyEvacuations(now, from, m.Evacuations)
 }
 
 // applySnapshot merges the hosts, the upstreams and the document, if there is one, of a peer or a
@@ -292,6 +297,7 @@
 	for _, u := range s.Upstreams {
 		if c.upstreams.Put(now, u) {
 			changed = true
+			c.recordColdTime(now, u)
 			c.upstreamChanged(now, u)
 		}
 	}
@@ -325,6 +331,11 @@
 // HandleUpdates applies updates from the control host with the address.
 func (c *Core) HandleUpdates(now time.Time, from string, updates poller.Updates) {
 	c.noticePause(now)
+	news := evacuations{Known: updates.EvacuationsKnown}
+	if updates.Evacuations != nil {
+		news.State = *updates.Evacuations
+	}
+	c.applyEvacuations(now, from, news)
 	c.applySnapshot(now, snapshot{
 		Hosts:     updates.Hosts,
 		Upstreams: updates.Upstreams,
--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -6,6 +6,7 @@
 	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/courier"
 	"sesamedrift.example/sesamedrift/discoverer"
+	"sesamedrift.example/sesamedrift/evacuator"
 	"sesamedrift.example/sesamedrift/leaseholder"
 	"sesamedrift.example/sesamedrift/placer"
 	"sesamedrift.example/sesamedrift/poller"
@@ -47,6 +48,7 @@
 	kindTenureAnswer     courier.Kind = 30
 	kindClaimRequest     courier.Kind = 31
 	kindClaimAnswer      courier.Kind = 32
+	kindEvacuations      courier.Kind = 33
 )
 
 // snapshot carries the hosts and upstreams that concern the domain to a host that has just started.
@@ -58,11 +60,22 @@
 	Document poller.Document `msgpack:"document"`
 }
 
-// announcement carries the report of the sender about itself, and the version of its document, to a
-// peer at the start of a session. The peer may not be able to reach a control host.
+// announcement carries the report of the sender about itself, the version of its document and the
+// evacuations that it knows to a peer at the start of a session. The peer may not be able to reach a control
+// host.
 type announcement struct {
 	Self            discoverer.Host `msgpack:"self"`
 	DocumentVersion uint64          `msgpack:"document-version"`
+	// Evacuations is left out by hosts of earlier releases.
+	Evacuations evacuations `msgpack:"evacuations,omitempty"`
+}
+
+// evacuations notifies the other hosts of the domain of a newer state of evacuations, or that the sender
+// knows the state.
+type evacuations struct {
+	State evacuator.State `msgpack:"state"`
+	// Known is set if a control host that knows the state has told the sender, directly or over other hosts.
+	Known bool `msgpack:"known,omitempty"`
 }
 
 // snapshotRequest asks a peer for a snapshot, because the sender has not reached a control host yet.
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -33,6 +33,7 @@
 	c.redirects = map[string]redirection{}
 	c.homesNotified = map[string]string{}
 	c.readyReporter = map[string]string{}
+	c.placer.SetClosed(now, c.closedFor())
 	c.setIsPlacer(now, true)
 	for _, u := range c.upstreams.All() {
 		c.updatePlacerUpstream(now, u)
@@ -59,6 +60,7 @@
 		WorkerType: u.WorkerType,
 		Rack:       u.Rack,
 		Capacity:   u.Capacity,
+		ColdUntil:  c.coldUntil[u.ID],
 	})
 	c.updateUsable(now, u.ID)
 }
--- a/dispatcher/stats.go
+++ b/dispatcher/stats.go
@@ -33,6 +33,11 @@
 	Pauses int64
 	// Orphans counts the runs that this host has found and stopped because they are of no host of the domain.
 	Orphans int64
+	// EvacuationRejections counts the starts that this host has rejected because its domain was evacuated, or
+	// because it did not know the evacuations yet.
+	EvacuationRejections int64
+	// EvacuatedDomains is the number of evacuated domains. EvacuationsKnown is 1 if this host knows them, else 0.
+	EvacuatedDomains, EvacuationsKnown int
 	// JobTimes holds the times from arrival to end of the jobs that have ended since the last call
 	// of Core.Stats, PlacementWaits the times from the arrival of a job to a placement of its tasks.
 	JobTimes       []time.Duration
@@ -94,6 +99,10 @@
 	s.Shards = len(c.assigned.Placers)
 	s.Sessions = len(c.peers)
 	s.DocumentVersion = c.published.Version
+	s.EvacuatedDomains = len(c.evacuations.State.Domains)
+	if c.evacuations.Known {
+		s.EvacuationsKnown = 1
+	}
 	return s
 }
 
@@ -147,6 +156,7 @@
 	scope.Counter("tenure_checks").Inc(s.TenureChecks - p.last.TenureChecks)
 	scope.Counter("upstream_restarts").Inc(s.UpstreamRestarts - p.last.UpstreamRestarts)
 	scope.Counter("undetermined_runs").Inc(s.UndeterminedRuns - p.last.UndeterminedRuns)
+	scope.Counter("evacuation_rejections").Inc(s.EvacuationRejections - p.last.EvacuationRejections)
 	for _, d := range s.JobTimes {
 		p.jobTime.RecordDuration(d)
 	}
@@ -162,5 +172,7 @@
 	scope.Gauge("shards").Update(float64(s.Shards))
 	scope.Gauge("sessions").Update(float64(s.Sessions))
 	scope.Gauge("document_version").Update(float64(s.DocumentVersion))
+	scope.Gauge("evacuated_domains").Update(float64(s.EvacuatedDomains))
+	scope.Gauge("evacuations_known").Update(float64(s.EvacuationsKnown))
 	p.last = s
 }
