emulator: evacuations as a disturbance

The bound of evacuations holds beside restarts, faults and late messages, which only simulations of many hosts show. Simulations evacuate domains, alone and beside the other disturbances, and check that no task starts in an evacuated domain later than 5 s after the order while its hosts reach control hosts.

--- a/emulator/disturbances.go
+++ b/emulator/disturbances.go
@@ -26,6 +26,9 @@
 	// MaxClockOffset bounds the difference of the wall clock of a host from the true time, in either direction. It
 	// changes when the host restarts.
 	MaxClockOffset time.Duration
+	// EvacuateEvery is the mean time between two orders to evacuate a domain, EvacuateTime the time until it is
+	// taken back.
+	EvacuateEvery, EvacuateTime time.Duration
 	// WideRunTimes makes tasks of short jobs run for 50 ms to 800 ms.
 	WideRunTimes bool
 }
@@ -45,6 +48,14 @@
 			w.After(w.drawDuration(d.UnhealthyTime), func() { n.setHealthy(true) })
 		})
 	}
+	w.schedulePoisson(d.EvacuateEvery, func() {
+		domain := w.Hosts[w.disturbanceRng.IntN(len(w.Hosts))].Domain
+		if w.evacuations.Evacuated(domain) {
+			return
+		}
+		w.SetEvacuated(domain, true)
+		w.After(d.EvacuateTime, func() { w.SetEvacuated(domain, false) })
+	})
 	if d.StopEvery > 0 {
 		at := 2 * time.Second
 		for _, i := range w.disturbanceRng.Perm(len(w.Hosts)) {
--- a/emulator/invariants.go
+++ b/emulator/invariants.go
@@ -13,6 +13,9 @@
 	// drainGrace is how long runs may still start on a draining upstream after all hosts have
 	// received its report.
 	drainGrace = 2 * time.Second
+	// evacuationGrace is how long after an order tasks may still start in an evacuated domain whose hosts reach
+	// control hosts.
+	evacuationGrace = 5 * time.Second
 	// orphanTimeout is how long after the deadline of an ended job a run of it may continue without
 	// having been stopped.
 	orphanTimeout = 4 * time.Second
@@ -34,17 +37,24 @@
 	refusedJobs map[string]bool
 	// drainingSince holds when all hosts had received the report of a draining upstream.
 	drainingSince map[*Upstream]time.Time
-	runs          int
+	// evacuatedSince holds when domains were evacuated or, if that is later, when a running host of the domain
+	// was last frozen or without contact to control hosts.
+	evacuatedSince map[string]time.Time
+	runs           int
+	// lastStart holds the time of the last start in each domain.
+	lastStart map[string]time.Duration
 }
 
 func newInvariantChecker(w *Simulation) *invariantChecker {
 	return &invariantChecker{
-		w:             w,
-		running:       map[sesamedrift.TaskID]*Upstream{},
-		completed:     map[sesamedrift.TaskID]bool{},
-		startedJobs:   map[string]bool{},
-		refusedJobs:   map[string]bool{},
-		drainingSince: map[*Upstream]time.Time{},
+		w:              w,
+		running:        map[sesamedrift.TaskID]*Upstream{},
+		completed:      map[sesamedrift.TaskID]bool{},
+		startedJobs:    map[string]bool{},
+		refusedJobs:    map[string]bool{},
+		drainingSince:  map[*Upstream]time.Time{},
+		evacuatedSince: map[string]time.Time{},
+		lastStart:      map[string]time.Duration{},
 	}
 }
 
@@ -65,6 +75,10 @@
 	if c.refusedJobs[run.Task.Job] {
 		c.recordViolation("task %s started after its job was answered as not run", run.Task)
 	}
+	c.lastStart[u.Report.Domain] = c.w.Now()
+	if since, evacuated := c.evacuatedSince[u.Report.Domain]; evacuated && now.Sub(since) > evacuationGrace {
+		c.recordViolation("task %s started on %s, %s after the evacuation of its domain", run.Task, u.Report.ID, now.Sub(since))
+	}
 	if since, draining := c.drainingSince[u]; draining && now.Sub(since) > drainGrace {
 		c.recordViolation("task %s started on %s, %s after all hosts received its draining report", run.Task, u.Report.ID, now.Sub(since))
 	}
@@ -106,10 +120,16 @@
 	}
 }
 
-// checkPeriodic records when the report of a draining upstream has reached all hosts, and checks
+// checkPeriodic records which hosts may not know of an evacuation and when the report of a draining upstream has reached all hosts, and checks
 // that no run continues for more than orphanTimeout after the deadline of a job that has ended.
 // Upstreams that delay orders are exempt, because they also delay stops.
 func (c *invariantChecker) checkPeriodic() {
+	for _, n := range c.w.Hosts {
+		if _, evacuated := c.evacuatedSince[n.Domain]; evacuated && n.core != nil &&
+			(c.w.ControlDown || !c.w.linkUp(n.Name, controlName) || n.frozenUntil > c.w.Now()) {
+			c.evacuatedSince[n.Domain] = c.w.wallTime()
+		}
+	}
 	for _, s := range c.w.Upstreams {
 		if s.current == nil {
 			continue
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -23,6 +23,7 @@
 	"sesamedrift.example/sesamedrift/courier"
 	"sesamedrift.example/sesamedrift/discoverer"
 	"sesamedrift.example/sesamedrift/dispatcher"
+	"sesamedrift.example/sesamedrift/evacuator"
 	"sesamedrift.example/sesamedrift/leaseholder"
 	"sesamedrift.example/sesamedrift/poller"
 	"sesamedrift.example/sesamedrift/router"
@@ -67,6 +68,8 @@
 	// MaxReportDelay bounds the time until control hosts receive the first report of an upstream that has
 	// restarted.
 	MaxReportDelay time.Duration
+	// EvacuateWithin is that of dispatcher.CoreConfig.
+	EvacuateWithin time.Duration
 	// Disturbances are faults that go on through the whole simulation.
 	Disturbances Disturbances
 	// Duration is the simulated time at which jobs stop arriving.
@@ -94,6 +97,8 @@
 	upstreams      *discoverer.List[discoverer.Upstream]
 	document       poller.Document
 	parsedDocument *router.Document
+	// evacuations is the state that control hosts publish. They always know it.
+	evacuations evacuator.State
 	// ControlDown makes all control hosts unreachable while it is set.
 	ControlDown bool
 	// lastArrival is when the last batch between two hosts arrives.
@@ -243,6 +248,25 @@
 	return base + time.Duration(w.rng.Int64N(int64(200*time.Microsecond)))
 }
 
+// SetEvacuated begins or finishes the evacuation of a domain. The order is acknowledged at once.
+func (w *Simulation) SetEvacuated(domain string, evacuated bool) {
+	if w.evacuations.Evacuated(domain) == evacuated {
+		return
+	}
+	domains := slices.DeleteFunc(slices.Clone(w.evacuations.Domains), func(d string) bool { return d == domain })
+	delete(w.invariants.evacuatedSince, domain)
+	if evacuated {
+		domains = append(domains, domain)
+		w.invariants.evacuatedSince[domain] = w.wallTime()
+	}
+	slices.Sort(domains)
+	w.evacuations = evacuator.State{
+		Version: w.evacuations.Version + 1,
+		Domains: domains,
+	}
+	w.logger("world").Info("evacuation", "domain", domain, "evacuated", evacuated)
+}
+
 // logger returns the logger of a host or upstream, which prints simulated times.
 func (w *Simulation) logger(name string) *slog.Logger {
 	if w.cfg.Log == nil {
@@ -288,6 +312,7 @@
 		},
 		LeaseConfig:       LeaseConfig,
 		UpstreamsPerShard: w.cfg.UpstreamsPerShard,
+		EvacuateWithin:    w.cfg.EvacuateWithin,
 		Parse:             func([]byte) (*router.Document, error) { return w.parsedDocument, nil },
 		Log:               w.logger(n.Name),
 	}, dispatcher.Effects{
@@ -556,6 +581,9 @@
 			Hosts:           w.hosts.Since(n.seenSeqs[0]),
 			Upstreams:       w.upstreams.Since(n.seenSeqs[1]),
 			DocumentVersion: w.document.Version,
+
+			Evacuations:      &w.evacuations,
+			EvacuationsKnown: true,
 		}
 		n.seenSeqs[0], n.seenSeqs[1] = w.hosts.Seq(), w.upstreams.Seq()
 		n.core.HandleUpdates(n.wallTime(), controlName, updates)
