--- a/placer/placer.go
+++ b/placer/placer.go
@@ -27,6 +27,7 @@
 //     or slow runs are rescheduled (health.go).
 //   - Jobs for which there is no free capacity are forwarded to a placer that has some (forward.go).
 //     That levels the load between shards and between failure domains.
+//   - In an evacuated failure domain nothing is placed, and waiting jobs go to other domains (closed.go).
 package placer
 
 import (
@@ -106,6 +107,9 @@
 	WorkerType string
 	Rack       string
 	Capacity   sesamedrift.Resources
+	// ColdUntil is the time until which the upstream is slow after its failure domain was taken back into
+	// service; zero for one that is not. It gets one task at a time, and warm upstreams come first.
+	ColdUntil time.Time
 }
 
 // Job is a job with tasks to be placed.
@@ -209,6 +213,11 @@
 	// ReasonTooLarge means that a task of the job needs more than the whole capacity of any
 	// upstream of its service.
 	ReasonTooLarge Reason = "no upstream is large enough for a task of the job"
+	// ReasonEvacuated means that no task may start in the failure domain.
+	ReasonEvacuated Reason = "the failure domain is evacuated"
+	// ReasonEvacuationsUnknown means that the host has just started and does not know yet whether its
+	// failure domain is evacuated.
+	ReasonEvacuationsUnknown Reason = "it is not known yet whether the failure domain is evacuated"
 )
 
 // jobKey identifies a job by the address of its entry host and its identifier.
@@ -233,16 +242,21 @@
 	meanCPU float64
 	// overhead is the moving mean of the time that a run takes from its placement to the report of its
 	// end, less its run time.
-	overhead  time.Duration
-	decisions []Decision
-	lastTick  time.Time
-	nextSweep time.Time
+	overhead time.Duration
+	// closed is why the shard is closed since closedSince; empty if it is open.
+	closed      Reason
+	closedSince time.Time
+	decisions   []Decision
+	lastTick    time.Time
+	nextSweep   time.Time
 }
 
 // upstream is an upstream with its open runs.
 type upstream struct {
 	Upstream
 	usable bool
+	// isCold is set until the first tick after ColdUntil.
+	isCold bool
 	free   sesamedrift.Resources
 	runs   map[sesamedrift.Run]*placedRun
 	health health
@@ -287,6 +301,7 @@
 		p.sorted = slices.Insert(p.sorted, i, known)
 	}
 	known.Upstream = u
+	known.isCold = !u.ColdUntil.IsZero()
 	known.recomputeFree()
 }
 
@@ -337,7 +352,7 @@
 	w := p.newWaitingJob(j)
 	p.supersede(w)
 	p.recordDemand(j)
-	if !p.feasible(w) {
+	if p.closed == "" && !p.feasible(w) {
 		_, releases := p.predictReleases(now)
 		p.refuse(w, ReasonTooLarge, 0, releases)
 		return
@@ -445,7 +460,10 @@
 // upstreams whose cooldown has ended, and forwards or refuses jobs that can no longer begin in time.
 func (p *Placer) Tick(now time.Time) {
 	p.decayUsage(now)
-	p.checkRuns(now)
+	p.updateCold(now)
+	if p.closed == "" {
+		p.checkRuns(now)
+	}
 	p.place(now)
 	p.shed(now)
 	p.expireHistories(now)
@@ -498,7 +516,7 @@
 
 // place searches upstreams for the waiting tasks, in the order of their jobs.
 func (p *Placer) place(now time.Time) {
-	if len(p.order) == 0 {
+	if len(p.order) == 0 || p.closed != "" {
 		return
 	}
 	// Under load hundreds of jobs wait, and after an event few of them fit. Jobs whose tasks all
--- a/placer/runs.go
+++ b/placer/runs.go
@@ -15,6 +15,8 @@
 	queue    string
 	placedAt time.Time
 	expected time.Duration
+	// cold is set if the upstream was cold when the run was placed; the run time then does not show its speed.
+	cold bool
 	// reported is set once the leaseholder has listed the run.
 	reported     bool
 	progress     progress
@@ -117,12 +119,17 @@
 
 // reserve adds a run of a task to an upstream.
 func (p *Placer) reserve(now time.Time, w *waitingJob, t Task, u *upstream) {
+	expected := u.health.expected(p.estimate(now, &w.Job, t))
+	if u.isCold {
+		expected = time.Duration(coldFactor * float64(expected))
+	}
 	p.addRun(u, t.Run, &placedRun{
 		demand:   t.Demand,
 		key:      w.key,
 		queue:    w.Queue,
 		placedAt: now,
-		expected: u.health.expected(p.estimate(now, &w.Job, t)),
+		expected: expected,
+		cold:     u.isCold,
 	})
 	u.free = u.free.Minus(t.Demand)
 }
