client: orders to evacuate and restore a failure domain

Operators could not evacuate a failure domain of the product's own hosts. Evacuate and Restore send the order to one host after another until one answers, also after a lost answer, since a repeated order has the same effect.

--- a/client/client.go
+++ b/client/client.go
@@ -30,7 +30,7 @@
 	// HTTPClient sends the requests. If it is nil, a client with its own connection pool is
 	// used. Redirects are never followed.
 	HTTPClient *http.Client
-	// OperatorToken authorises Apply and Promote.
+	// OperatorToken authorises Apply, Promote, Evacuate and Restore.
 	OperatorToken string
 	// Environment is the environment of the submissions, validator.Trial or
 	// validator.Production. Empty means production.
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -480,3 +480,32 @@
 	g.Expect(expectError[*sesamedrift.InvalidError](g, err).Field).To(Equal("environment"))
 	g.Expect(h.submissions.Load()).To(BeZero())
 }
+
+// Guards against an order that is given up, although it may be sent again, when the connection to one
+// host breaks, against a wrong method or path, and against an answer that is taken for an
+// acknowledgement although the host has stored nothing.
+func TestOrdersAreSentToTheNextHost(t *testing.T) {
+	g := NewWithT(t)
+	broken := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer broken.Close()
+	var seen []string
+	status := http.StatusOK
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen = append(seen, r.Method+" "+r.URL.EscapedPath()+" "+r.Header.Get("Authorization")+" "+r.Header.Get(ChangedByHeader))
+		w.Header().Set(HostHeader, "ikeja-1")
+		reply(w, status, EvacuationResult{Domain: "lekki", Evacuated: r.Method == http.MethodPut, Version: 4})
+	}))
+	defer h.Close()
+	c, err := New(Config{Hosts: []string{broken.URL, h.URL}, OperatorToken: "secret"})
+	g.Expect(err).NotTo(HaveOccurred())
+	result, err := c.Evacuate(t.Context(), "lekki", "ada")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(result).To(Equal(EvacuationResult{Domain: "lekki", Evacuated: true, Version: 4}))
+	status = http.StatusAccepted
+	_, err = c.Restore(t.Context(), "a/b", "ada")
+	_ = expectError[*LostError](g, err)
+	g.Expect(seen).To(Equal([]string{
+		"PUT /v1/domains/lekki/evacuation Bearer secret ada",
+		"DELETE /v1/domains/a%2Fb/evacuation Bearer secret ada",
+	}))
+}
--- a/client/environment.go
+++ b/client/environment.go
@@ -164,6 +164,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return c.history(ctx, path, after, limit)
+}
+
+// history returns entries of the audit trail at path + "/history".
+func (c *Client) history(ctx context.Context, path string, after uint64, limit int) ([]AuditEntry, error) {
 	query := url.Values{"after": {strconv.FormatUint(after, 10)}}
 	if limit > 0 {
 		query.Set("limit", strconv.Itoa(limit))
--- a/client/exchange.go
+++ b/client/exchange.go
@@ -180,13 +180,19 @@
 // fetch sends a GET request to the hosts in turn until one answers. The id is that of
 // LostError and may be empty.
 func (c *Client) fetch(ctx context.Context, path, id string) (response, error) {
+	return c.deliverToAny(ctx, exchange{
+		method: http.MethodGet,
+		path:   path,
+		id:     id,
+	})
+}
+
+// deliverToAny sends a request to the hosts in turn until one answers. Unlike deliver, it also goes on
+// after a *LostError, so that the request must have the same effect if it is delivered several times.
+func (c *Client) deliverToAny(ctx context.Context, x exchange) (response, error) {
 	var last error
 	for _, host := range c.hosts("") {
-		r, err := c.deliver(ctx, []string{host}, exchange{
-			method: http.MethodGet,
-			path:   path,
-			id:     id,
-		})
+		r, err := c.deliver(ctx, []string{host}, x)
 		if err == nil || ctx.Err() != nil {
 			return r, err
 		}
