server, commander: evacuate a failure domain and restore it

An operator of the product's own hosts could not stop the start of tasks in a failure domain without stopping each executor. Orders are stored in the register `evacuations`, and hosts pass its entries on as they do documents. In an evacuated domain all upstreams count as leaving, an attempt that was placed before and not sent yet is answered "not started", and queued tasks go to other domains, also to their queues. If no other domain reports slots of the service, jobs of which nothing has started are refused at once; without this they were held until their deadline.

A host that has started is not ready and starts nothing before it knows the evacuations: by a majority read of its own, or from a peer that knows them and has no newer version. The presence of the register in the versions that hosts exchange says that the sender knows the state, so that no message has a new field.

The events are those of the provider's hosts.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -129,6 +129,7 @@
 			c.hostCommand(),
 			c.executorCommand(),
 			c.configCommand(),
+			c.domainCommand(),
 			c.submitCommand(),
 			c.waitCommand(),
 			c.cancelCommand(),
@@ -237,6 +238,13 @@
 	Sources: cli.EnvVars("SESAMEDRIFT_HOST"),
 }
 
+var whoFlag = &cli.StringFlag{
+	Name:    "who",
+	Usage:   "`NAME` of the operator, for the audit trail",
+	Sources: cli.EnvVars("SESAMEDRIFT_OPERATOR", "USER"),
+	Value:   "unknown",
+}
+
 var tokenFlag = &cli.StringFlag{
 	Name:    "token",
 	Usage:   "operator `TOKEN`",
--- a/commander/config.go
+++ b/commander/config.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/urfave/cli/v3"
@@ -93,12 +95,7 @@
 		Usage:    "`VERSION` that the change replaces, 0 for the first",
 		Required: true,
 	},
-	&cli.StringFlag{
-		Name:    "who",
-		Usage:   "`NAME` of the operator, for the audit trail",
-		Sources: cli.EnvVars("SESAMEDRIFT_OPERATOR", "USER"),
-		Value:   "unknown",
-	},
+	whoFlag,
 }
 
 func (c *commandLine) configApply() *cli.Command {
@@ -258,19 +255,7 @@
 		Usage:       "print the audit trail of an environment",
 		ArgsUsage:   "trial|production",
 		Description: "Example:\n   sesamedrift config history production --after 100",
-		Flags: []cli.Flag{
-			hostsFlag,
-			jsonFlag,
-			&cli.Uint64Flag{
-				Name:  "after",
-				Usage: "begin after `VERSION`",
-			},
-			&cli.IntFlag{
-				Name:  "limit",
-				Usage: "print at most `N` entries",
-				Value: historyLimit,
-			},
-		},
+		Flags:       historyFlags,
 		Action: c.withClient(func(ctx context.Context, cmd *cli.Command, api *client.Client) error {
 			name, err := singleArgument(cmd)
 			if err != nil {
@@ -280,17 +265,36 @@
 			if err != nil {
 				return err
 			}
-			if cmd.Bool("json") {
-				return c.printJSON(entries)
-			}
-			for _, e := range entries {
-				c.printf("%d %s %s %s %s %s\n", e.Version, e.At.Format("2006-01-02T15:04:05Z07:00"), e.Who, e.ID, e.Outcome, e.Digest)
-			}
-			return nil
+			return c.printHistory(cmd, entries)
 		}),
 	}
 }
 
+// historyFlags are the flags of the commands that print an audit trail.
+var historyFlags = []cli.Flag{
+	hostsFlag,
+	jsonFlag,
+	&cli.Uint64Flag{
+		Name:  "after",
+		Usage: "begin after `VERSION`",
+	},
+	&cli.IntFlag{
+		Name:  "limit",
+		Usage: "print at most `N` entries",
+		Value: historyLimit,
+	},
+}
+
+func (c *commandLine) printHistory(cmd *cli.Command, entries []client.AuditEntry) error {
+	if cmd.Bool("json") {
+		return c.printJSON(entries)
+	}
+	for _, e := range entries {
+		c.printf("%d %s %s %s %s %s\n", e.Version, e.At.Format("2006-01-02T15:04:05Z07:00"), e.Who, e.ID, e.Outcome, e.Digest)
+	}
+	return nil
+}
+
 func (c *commandLine) statusCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "status",
@@ -319,6 +323,7 @@
 	Lease     bool              `json:"lease"`
 	Votes     bool              `json:"votes"`
 	Journal   string            `json:"journal-error"`
+	Evacuated []string          `json:"evacuated"`
 	Versions  map[string]uint64 `json:"versions"`
 	Queued    int               `json:"queued"`
 	Running   int               `json:"running"`
@@ -350,6 +355,16 @@
 			c.printf("%s does not vote: %s\n", h.Host, h.Journal)
 		}
 	}
+	hostsByDomain := map[string][]string{}
+	for _, h := range append([]hostStatus{s.hostStatus}, s.Hosts...) {
+		for _, domain := range h.Evacuated {
+			hostsByDomain[domain] = append(hostsByDomain[domain], h.Host)
+		}
+	}
+	for _, domain := range slices.Sorted(maps.Keys(hostsByDomain)) {
+		slices.Sort(hostsByDomain[domain])
+		c.printf("evacuated: %s, in force on %s\n", domain, strings.Join(hostsByDomain[domain], ", "))
+	}
 	if len(s.Unreachable) > 0 {
 		c.printf("unreachable: %s\n", strings.Join(s.Unreachable, ", "))
 	}
--- a/reporter/events.go
+++ b/reporter/events.go
@@ -180,6 +180,36 @@
 		Level:       slog.LevelWarn,
 		Description: "A newer document could not be fetched from the host named in the attributes; the next host that has it is asked.",
 	}
+	EvacuationBegun = Event{
+		ID:          3006,
+		Name:        "evacuation-begun",
+		Level:       slog.LevelInfo,
+		Description: "A majority of the replicas has stored an operator's order to start no further task in a failure domain; the attributes hold the operator, the domain and the version.",
+	}
+	EvacuationFinished = Event{
+		ID:          3007,
+		Name:        "evacuation-finished",
+		Level:       slog.LevelInfo,
+		Description: "A majority of the replicas has stored an operator's order to take a failure domain back into service; the attributes hold the operator, the domain and the version.",
+	}
+	EvacuationNotStored = Event{
+		ID:          3008,
+		Name:        "evacuation-not-stored",
+		Level:       slog.LevelError,
+		Description: "An order to begin or finish an evacuation was not acknowledged: the domain is not known, or a majority of the replicas did not answer. In the second case it may be in force; send it again.",
+	}
+	EvacuationsLearned = Event{
+		ID:          3009,
+		Name:        "evacuations-learned",
+		Level:       slog.LevelInfo,
+		Description: "The host knows the evacuated failure domains since its start. On a control host, an error says that no majority of the replicas answered, so that the stored state counts.",
+	}
+	EvacuationsInForce = Event{
+		ID:          3010,
+		Name:        "evacuations-in-force",
+		Level:       slog.LevelInfo,
+		Description: "The host has applied a newer state of the evacuated failure domains; the attributes hold the version, the domains and whether that of the host is one of them.",
+	}
 )
 
 // Events 4xxx: claims of request keys.
@@ -442,6 +472,11 @@
 	ConfigurationChanged,
 	DocumentRejected,
 	DocumentFetchFailed,
+	EvacuationBegun,
+	EvacuationFinished,
+	EvacuationNotStored,
+	EvacuationsLearned,
+	EvacuationsInForce,
 	OutcomeNotRecorded,
 	UpstreamAnnounced,
 	UpstreamExpired,
--- a/server/admission.go
+++ b/server/admission.go
@@ -46,6 +46,9 @@
 	if d.tooLarge(j) {
 		return refuse(limiter.DeadlineCheck{}, "no upstream of the failure domain has the capacity that a task needs")
 	}
+	if d.evacuated && wait >= scheduler.MaxWait {
+		return refuse(limiter.DeadlineCheck{}, errNoDomain.Error())
+	}
 	forecast := limiter.Forecast{
 		Wait:    wait + d.waitUncertainty(now, j, wait),
 		P50:     e.P50,
--- a/server/capacity_test.go
+++ b/server/capacity_test.go
@@ -161,6 +161,7 @@
 		metrics:   newMetrics(),
 		entries:   &registrar.Cache{},
 	}
+	h.evacuations.markKnown(0)
 	b.Cleanup(h.metrics.Close)
 	h.members = newMembership(cfg, h.self)
 	h.members.leaser.Install(now, leaser.View{Domain: "ikeja", Number: 1, Members: []leaser.Member{h.self}})
--- a/server/configuration.go
+++ b/server/configuration.go
@@ -7,6 +7,7 @@
 
 	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/client"
+	"sesamedrift.example/sesamedrift/evacuator"
 	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/registrar"
 	"sesamedrift.example/sesamedrift/reporter"
@@ -31,6 +32,14 @@
 	Since    time.Time
 }
 
+// exchangedRegisters are the registers whose entries hosts pass on to each other. Views are not among
+// them, since hosts read them from the replicas.
+var exchangedRegisters = []string{
+	environmentPrefix + validator.Trial,
+	environmentPrefix + validator.Production,
+	evacuator.Register,
+}
+
 // documentStore holds the active documents. It is safe for concurrent use.
 type documentStore struct {
 	mu            sync.RWMutex
@@ -55,7 +64,7 @@
 	return true
 }
 
-// exchange is the request and the reply of an exchange between two hosts: the slots and the document
+// exchange is the request and the reply of an exchange between two hosts: the slots and the register
 // versions of the sender, and entries that the receiver may not have.
 type exchange struct {
 	Host     string            `msgpack:"host"`
@@ -101,6 +110,8 @@
 	switch e.Register {
 	case environmentPrefix + validator.Trial, environmentPrefix + validator.Production:
 		h.activateDocument(ctx, e)
+	case evacuator.Register:
+		h.applyEvacuations(ctx, e)
 	case viewPrefix + h.cfg.Settings.Domain:
 		h.background.Go(func() { h.installEntry(ctx, e) })
 	}
@@ -130,12 +141,12 @@
 	h.dispatcher.post(func(now time.Time) { h.dispatcher.configure(now, document, h.cfg.Settings.Domain, h.peerDomains()) })
 }
 
-// receivePeerState applies the slots that a peer reported, and fetches its documents if one of the
+// receivePeerState applies the slots that a peer reported, and fetches its entries if one of the
 // reported versions is newer than that of this host.
 func (h *Host) receivePeerState(host string, r slotReport, versions map[string]uint64) {
 	h.receiveSlotReport(host, r)
-	for _, name := range []string{validator.Trial, validator.Production} {
-		register := environmentPrefix + name
+	h.receiveEvacuationVersion(versions)
+	for _, register := range exchangedRegisters {
 		if versions[register] > h.entries.Get(register).Version {
 			h.pullEntries(host)
 			return
@@ -143,15 +154,27 @@
 	}
 }
 
-// documentVersions returns the versions of the documents that this host has, by register. Views are
-// omitted, since hosts read them from the replicas.
-func (h *Host) documentVersions() map[string]uint64 {
+// receiveEvacuationVersion marks the evacuations as known if a peer that knows them has no newer
+// version of them than this host. The versions of a peer that does not know them lack the register.
+func (h *Host) receiveEvacuationVersion(versions map[string]uint64) {
+	if v, ok := versions[evacuator.Register]; ok {
+		h.confirmEvacuations(v)
+	}
+}
+
+// exchangedVersions returns the versions of the exchanged registers that this host has. The register
+// of the evacuations is included only if this host knows the evacuations, and then also with the
+// version 0.
+func (h *Host) exchangedVersions() map[string]uint64 {
 	versions := map[string]uint64{}
 	for _, name := range []string{validator.Trial, validator.Production} {
 		if e := h.entries.Get(environmentPrefix + name); e.Version > 0 {
 			versions[e.Register] = e.Version
 		}
 	}
+	if _, version, known := h.evacuations.get(); known {
+		versions[evacuator.Register] = version
+	}
 	return versions
 }
 
@@ -169,14 +192,14 @@
 }
 
 // exchangeWith sends this host's versions and the entries in push to a peer, applies the entries of
-// the reply, and returns the document versions of the peer.
+// the reply, and returns the versions of the peer.
 func (h *Host) exchangeWith(ctx context.Context, host string, push []registrar.Entry) (map[string]uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	reply, err := callPeer[exchange](ctx, h, host, messenger.KindRegisterEntries, exchange{
 		Host:     h.cfg.Settings.Host,
 		Slots:    h.slots.report(host),
-		Versions: h.documentVersions(),
+		Versions: h.exchangedVersions(),
 		Entries:  push,
 	})
 	if err != nil {
@@ -186,6 +209,7 @@
 		h.applyEntry(e)
 	}
 	h.receiveSlotReport(host, reply.Slots)
+	h.receiveEvacuationVersion(reply.Versions)
 	return reply.Versions, nil
 }
 
@@ -205,25 +229,24 @@
 	return exchange{
 		Host:     h.cfg.Settings.Host,
 		Slots:    h.slots.report(in.Host),
-		Versions: h.documentVersions(),
+		Versions: h.exchangedVersions(),
 		Entries:  h.entriesNewerThan(in.Versions),
 	}, nil
 }
 
-// entriesNewerThan returns the entries of the documents that are newer here than the given versions.
-// Views are omitted, since hosts read them from the replicas.
+// entriesNewerThan returns the entries of the exchanged registers that are newer here than the given
+// versions.
 func (h *Host) entriesNewerThan(versions map[string]uint64) []registrar.Entry {
 	var newer []registrar.Entry
-	for _, name := range []string{validator.Trial, validator.Production} {
-		e := h.entries.Get(environmentPrefix + name)
-		if e.Version > versions[environmentPrefix+name] {
+	for _, register := range exchangedRegisters {
+		if e := h.entries.Get(register); e.Version > versions[register] {
 			newer = append(newer, e)
 		}
 	}
 	return newer
 }
 
-// exchangeLoop exchanges document versions and slot reports with the hosts of other failure domains
+// exchangeLoop exchanges register versions and slot reports with the hosts of other failure domains
 // until ctx is done. Hosts of the own domain are included until a production document is active;
 // later their heartbeats carry the same.
 func (h *Host) exchangeLoop(ctx context.Context) {
--- a/server/directory.go
+++ b/server/directory.go
@@ -306,7 +306,7 @@
 	clear(d.announcedCapacities)
 	for _, a := range all {
 		announced[a.Upstream] = true
-		if a.State == leaser.Serving {
+		if a.State == leaser.Serving && !d.evacuated {
 			if d.announcedCapacities[a.Service] == nil {
 				d.announcedCapacities[a.Service] = map[sesamedrift.Resources]bool{}
 			}
@@ -459,9 +459,9 @@
 }
 
 // upstreamState combines the announced state of an upstream with its health: a leaving upstream is
-// leaving whatever its health.
+// leaving whatever its health, and so is every upstream of an evacuated failure domain.
 func (d *dispatcher) upstreamState(now time.Time, u *ownedUpstream) scheduler.State {
-	if u.State == leaser.Leaving {
+	if u.State == leaser.Leaving || d.evacuated {
 		return scheduler.Leaving
 	}
 	switch s := d.health.State(now, u.Upstream); s {
--- a/server/dispatcher.go
+++ b/server/dispatcher.go
@@ -69,7 +69,11 @@
 	orphans    map[string]*job // jobs for which no caller waits, by identity
 	// takeovers holds when the pending request for the running tasks of an upstream times out, by
 	// upstream.
-	takeovers          map[string]time.Time
+	takeovers map[string]time.Time
+	// evacuated says that no task may be started on the upstreams of this host, because its failure
+	// domain is evacuated or because it does not know the evacuations yet. The upstreams then count as
+	// leaving.
+	evacuated          bool
 	weights            map[string]float64         // weights of the teams, by scheduler name
 	teams              map[string]map[string]bool // scheduler names of the teams, by environment
 	configuredServices map[string]bool            // services of the active documents
--- a/server/environments.go
+++ b/server/environments.go
@@ -211,6 +211,11 @@
 		writeError(w, e)
 		return
 	}
+	h.writeHistory(w, r, environmentPrefix+name)
+}
+
+// writeHistory writes the entries of a register's audit trail for which the request asks.
+func (h *Host) writeHistory(w http.ResponseWriter, r *http.Request, register string) {
 	after, e := queryNumber(r, "after", 0)
 	if e != nil {
 		writeError(w, e)
@@ -221,7 +226,7 @@
 		writeError(w, e)
 		return
 	}
-	entries, err := h.registerHistory(r.Context(), environmentPrefix+name, after, int(min(limit, maxHistory)))
+	entries, err := h.registerHistory(r.Context(), register, after, int(min(limit, maxHistory)))
 	if err != nil {
 		writeError(w, notReady(err.Error()))
 		return
--- /dev/null
+++ b/server/evacuation_state_test.go
@@ -0,0 +1,60 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift/evacuator"
+	"sesamedrift.example/sesamedrift/registrar"
+)
+
+// Guards against a host that has just started and starts tasks before it knows the evacuations: with
+// the state of its own journal, with that of a peer that does not know them either, or with one that
+// is older than that of a peer.
+func TestHostStartsNothingBeforeItKnowsTheEvacuations(t *testing.T) {
+	g := NewWithT(t)
+	var e evacuations
+	e.apply(registrar.Entry{Version: 2, Value: evacuator.Encode(evacuator.State{})})
+	g.Expect(e.allowStarts("ikeja")).To(BeFalse())
+
+	h := newIsolatedHost(t, 1)
+	h.exchanges = newExchanges()
+	h.evacuations.known = false
+	h.receivePeerState("ikeja-2", slotReport{}, map[string]uint64{"env-trial": 0})
+	g.Expect(h.exchangedVersions()).NotTo(HaveKey(evacuator.Register))
+	h.pullingEntries.Store(true) // as if a fetch were under way
+	h.receivePeerState("ikeja-2", slotReport{}, map[string]uint64{evacuator.Register: 1})
+	g.Expect(h.evacuations.allowStarts("ikeja")).To(BeFalse())
+	a := h.attemptOn(t.Context(), *h.dispatcher.upstreams["worker-0"], taskRun{})
+	g.Expect(a).To(Equal(notStarted(errEvacuated)))
+
+	value := evacuator.Encode(evacuator.State{Version: 1, Domains: []string{"lekki"}})
+	_, err := h.serveEntries(exchange{
+		Versions: map[string]uint64{evacuator.Register: 1},
+		Entries: []registrar.Entry{{
+			Register: evacuator.Register,
+			Version:  1,
+			Value:    value,
+			Digest:   registrar.Digest(value),
+		}},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(h.evacuations.allowStarts("ikeja")).To(BeTrue())
+	g.Expect(h.evacuations.allowStarts("lekki")).To(BeFalse())
+	g.Expect(h.exchangedVersions()).To(HaveKeyWithValue(evacuator.Register, uint64(1)))
+}
+
+// Guards against a host without slots that keeps its tasks, since its domain is evacuated, while the
+// hosts of other domains have queued tasks as well, and against one that otherwise moves tasks there.
+func TestEvacuatedHostUsesQueuesOfOtherDomains(t *testing.T) {
+	g := NewWithT(t)
+	p := newPeerSlots()
+	p.get(peerName).distance = time.Millisecond
+	p.update(start, peerName, reportOf(1, 0, 0, 30))
+	host, _ := p.shortestQueue(start, testService, true)
+	g.Expect(host).To(Equal(peerName))
+	host, _ = p.shortestQueue(start, testService, false)
+	g.Expect(host).To(BeEmpty())
+}
--- a/server/host.go
+++ b/server/host.go
@@ -85,13 +85,15 @@
 	replica    *replicator.Replica // nil if this host is not a replica
 	entries    *registrar.Cache
 	documents  documentStore
-	directory  directory
-	peers      map[string]*peer
-	exchanges  *exchanges
-	releases   *releases
-	trials     trials
-	slots      slotPublisher
-	metrics    *metrics
+	// evacuations is applied to the upstreams of the own failure domain by the dispatcher.
+	evacuations evacuations
+	directory   directory
+	peers       map[string]*peer
+	exchanges   *exchanges
+	releases    *releases
+	trials      trials
+	slots       slotPublisher
+	metrics     *metrics
 
 	syncingClaims      atomic.Bool
 	heartbeatRequested chan struct{} // triggers a heartbeat before the next tick
@@ -108,8 +110,8 @@
 }
 
 // New starts a host. The listening addresses are open when it returns. The host accepts submissions
-// once it is ready, that is, has an active document, is a member of the view of its failure domain
-// and has synced its claims.
+// once it is ready, that is, has an active document, is a member of the view of its failure domain,
+// has synced its claims and knows the evacuations.
 func New(cfg Config) (*Host, error) {
 	if cfg.Policy == "" {
 		cfg.Policy = scheduler.FairShare
@@ -145,6 +147,7 @@
 	h.metrics = newMetrics()
 	h.members = newMembership(cfg, h.self)
 	h.dispatcher = newDispatcher(cfg, h)
+	h.dispatcher.evacuated = true // until the evacuations are known
 	h.claimTable, h.claims = newClaims(h)
 	h.peers = newPeers(cfg, h.hello())
 	if err := h.open(ctx); err != nil {
@@ -184,6 +187,7 @@
 	}
 	h.loops.Go(func() { h.heartbeatLoop(ctx) })
 	h.loops.Go(func() { h.viewChangeLoop(ctx) })
+	h.loops.Go(func() { h.readEvacuations(ctx) })
 	h.loops.Go(func() { h.exchangeLoop(ctx) })
 	h.loops.Go(func() { h.expireLoop(ctx) })
 	h.loops.Go(func() { h.recheckLoop(ctx) })
@@ -234,6 +238,7 @@
 // checkReady returns an error while this host does not accept submissions. It logs when the host is
 // ready for the first time.
 func (h *Host) checkReady() *Error {
+	_, _, knowsEvacuations := h.evacuations.get()
 	switch {
 	case h.stopping.Load():
 		return notReady("the host is stopping")
@@ -245,6 +250,8 @@
 		return notReady("the host is not yet a member of its failure domain's view")
 	case !h.claimsSynced():
 		return notReady("the host is still reading the claims of its failure domain")
+	case !knowsEvacuations:
+		return notReady("the host does not know the evacuations yet")
 	}
 	if !h.ready.Swap(true) {
 		reporter.Log(context.Background(), h.log, reporter.HostReady)
--- a/server/membership.go
+++ b/server/membership.go
@@ -121,7 +121,7 @@
 		h.members.unacked[host] = true
 	}
 	h.members.mu.Unlock()
-	heartbeat.ConfigVersions = h.documentVersions()
+	heartbeat.ConfigVersions = h.exchangedVersions()
 	heartbeat.DirectorySeq = h.directorySeq()
 	for host := range recipients {
 		h.background.Go(func() { h.sendHeartbeat(ctx, host, heartbeat) })
@@ -165,7 +165,7 @@
 		// the lease.
 		h.requestHeartbeat()
 	}
-	ack.ConfigVersions = h.documentVersions()
+	ack.ConfigVersions = h.exchangedVersions()
 	ack.DirectorySeq = h.directorySeq()
 	h.receivePeerState(heartbeat.From.Host, in.Slots, heartbeat.ConfigVersions)
 	h.pullDirectory(heartbeat.From.Host, heartbeat.DirectorySeq)
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -12,9 +12,9 @@
 
 func newMetrics() *metrics { return &metrics{Metrics: reporter.NewMetrics()} }
 
-// update publishes the totals and the present numbers of queued tasks, running attempts and owned
-// upstreams. It is called by the dispatcher only.
-func (m *metrics) update(c Counters, queued, running, upstreams int) {
+// update publishes the totals and the present numbers of queued tasks, running attempts, owned
+// upstreams and evacuated failure domains. It is called by the dispatcher only.
+func (m *metrics) update(c Counters, queued, running, upstreams, evacuated int) {
 	// A counter is exported only after its first use. Unchanged ones are therefore incremented by 0,
 	// so that all of them are exported from the start.
 	for _, f := range counterMetrics {
@@ -28,4 +28,5 @@
 	m.Scope.Gauge("tasks_queued").Update(float64(queued))
 	m.Scope.Gauge("tasks_running").Update(float64(running))
 	m.Scope.Gauge("upstreams_owned").Update(float64(upstreams))
+	m.Scope.Gauge("domains_evacuated").Update(float64(evacuated))
 }
--- a/server/registers.go
+++ b/server/registers.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"sesamedrift.example/sesamedrift/evacuator"
 	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/registrar"
 	"sesamedrift.example/sesamedrift/replicator"
@@ -127,7 +128,7 @@
 // validRegister reports whether hosts use registers of this name. Changes of other names are rejected,
 // so that a faulty peer cannot fill the journal.
 func validRegister(name string) bool {
-	return strings.HasPrefix(name, environmentPrefix) || strings.HasPrefix(name, viewPrefix)
+	return name == evacuator.Register || strings.HasPrefix(name, environmentPrefix) || strings.HasPrefix(name, viewPrefix)
 }
 
 func (h *Host) serveRegisterRead(ctx context.Context, in registerRead) (registerEntry, error) {
--- a/server/remote.go
+++ b/server/remote.go
@@ -119,13 +119,17 @@
 }
 
 // balance forwards queued tasks to the peer of the own failure domain with the fewest queued tasks
-// per slot.
+// per slot. In an evacuated domain, no peer has slots, and the tasks go to the queues of other domains.
 func (d *dispatcher) balance(now time.Time, service string) {
-	host, r := d.peers.shortestQueue(now, service)
+	host, r := d.peers.shortestQueue(now, service, d.evacuated)
 	if host == "" {
 		return
 	}
 	n := tasksToMove(d.queue.Stats(now, service), r)
+	if d.evacuated {
+		// The rest is forwarded in the next steps, by then perhaps to another peer.
+		n = min(n, r.Slots)
+	}
 	if n == 0 {
 		return
 	}
@@ -336,8 +340,27 @@
 			d.withdraw(now, id, v, errNoSlots)
 		}
 	}
+	if d.evacuated && d.peers.shortestWait(now, service) >= scheduler.MaxWait {
+		d.refuseQueued(now, service)
+	}
 }
 
+// refuseQueued refuses the jobs of this host with queued tasks of a service of which nothing has
+// started. The other jobs stay queued until they can no longer meet their deadlines, since the end of
+// a job would stop its running tasks.
+func (d *dispatcher) refuseQueued(now time.Time, service string) {
+	for _, t := range d.queue.Take(now, service, d.queued(now, service)) {
+		if j, ok := d.jobs[t.Job]; ok && j.nothingStarted() {
+			d.concludeUnplaced(now, j, t.Index, errNoDomain.Error())
+			continue
+		}
+		d.queue.Requeue(now, t)
+	}
+}
+
+// errNoDomain is the reason for which a job of an evacuated failure domain is refused.
+var errNoDomain = errors.New("the failure domain is evacuated, and no other one reports slots of the service")
+
 // peerTaskEnded frees the slot of a peer's task, answers the peer and records the attempt.
 func (d *dispatcher) peerTaskEnded(now time.Time, v *peerTask, a taskAnswer) {
 	d.queue.Done(now, v.run.TaskID)
@@ -396,15 +419,22 @@
 	}
 }
 
-var errNotOwner = errors.New("the upstream has another owner")
+var (
+	errNotOwner  = errors.New("the upstream has another owner")
+	errEvacuated = errors.New("the failure domain is evacuated")
+)
 
 // attemptOn runs an attempt on an upstream until it ends, or until ctx or the context of the upstream
-// is done. It checks first that this host still owns the upstream: the ownership may have ended after
-// the dispatcher placed the task, for example while the claim was marked as started.
+// is done. It checks first that this host still owns the upstream and that its failure domain is not
+// evacuated: either may have changed after the dispatcher placed the task, for example while the claim
+// was marked as started.
 func (h *Host) attemptOn(ctx context.Context, u ownedUpstream, run taskRun) taskAnswer {
 	if !h.members.owns(h.now(), u.Upstream) {
 		return notStarted(errNotOwner)
 	}
+	if !h.evacuations.allowStarts(h.cfg.Settings.Domain) {
+		return notStarted(errEvacuated)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := context.AfterFunc(u.ctx, func() { cancel(context.Cause(u.ctx)) })
--- a/server/slots.go
+++ b/server/slots.go
@@ -209,14 +209,14 @@
 	return n
 }
 
-// shortestQueue returns the peer of the own failure domain with the fewest queued tasks per slot.
-// The name is empty if there is none.
-func (p *peerSlots) shortestQueue(now time.Time, service string) (string, serviceReport) {
+// shortestQueue returns the peer with the fewest queued tasks per slot: of the own failure domain, or
+// of any if anyDomain is set. The name is empty if there is none.
+func (p *peerSlots) shortestQueue(now time.Time, service string, anyDomain bool) (string, serviceReport) {
 	var best string
 	var least serviceReport
 	for host, s := range p.byHost {
 		r, ok := p.report(now, host, service)
-		if !ok || s.distance > 0 || s.refused[service] {
+		if !ok || s.distance > 0 && !anyDomain || s.refused[service] {
 			continue
 		}
 		// The ratios of queued tasks to slots, both multiplied by the slots of both peers.
@@ -280,6 +280,7 @@
 	h.slots.state.Store(state)
 	if now.Sub(d.lastMetricsUpdate) >= reporter.PublishEvery {
 		d.lastMetricsUpdate = now
-		h.metrics.update(d.stats, d.queue.Len(), d.runningAttempts, len(d.upstreams))
+		evacuated, _, _ := h.evacuations.get()
+		h.metrics.update(d.stats, d.queue.Len(), d.runningAttempts, len(d.upstreams), len(evacuated.Domains))
 	}
 }
--- a/server/status.go
+++ b/server/status.go
@@ -29,8 +29,12 @@
 	Running      int               `json:"running" msgpack:"running"`
 	Free         map[string]int    `json:"free" msgpack:"free"`
 	Upstreams    []upstreamStatus  `json:"upstreams" msgpack:"upstreams"`
-	Trial        trialCount        `json:"trial" msgpack:"trial"`
-	Counters     Counters          `json:"counters" msgpack:"counters"`
+	// Evacuated lists the evacuated failure domains that the host applies. A host that does not know
+	// the evacuations starts no tasks.
+	Evacuated        []string   `json:"evacuated" msgpack:"evacuated"`
+	EvacuationsKnown bool       `json:"evacuations-known" msgpack:"evacuations-known"`
+	Trial            trialCount `json:"trial" msgpack:"trial"`
+	Counters         Counters   `json:"counters" msgpack:"counters"`
 }
 
 // upstreamStatus is the status of one upstream that a host owns.
@@ -96,20 +100,23 @@
 		view = l.View()
 		lease = l.HoldsLease(now)
 	})
+	evacuated, _, known := h.evacuations.get()
 	s := hostStatus{
-		Host:        h.cfg.Settings.Host,
-		Domain:      h.cfg.Settings.Domain,
-		Incarnation: h.cfg.Incarnation,
-		Ready:       h.checkReady() == nil,
-		View:        view.Number,
-		Members:     []string{},
-		Horizon:     view.Horizon,
-		Lease:       lease,
-		Replica:     h.replica != nil,
-		Votes:       h.votes(),
-		Versions:    h.entries.Versions(),
-		Free:        h.slots.freeByService(),
-		Upstreams:   []upstreamStatus{},
+		Host:             h.cfg.Settings.Host,
+		Domain:           h.cfg.Settings.Domain,
+		Incarnation:      h.cfg.Incarnation,
+		Ready:            h.checkReady() == nil,
+		View:             view.Number,
+		Members:          []string{},
+		Horizon:          view.Horizon,
+		Lease:            lease,
+		Replica:          h.replica != nil,
+		Votes:            h.votes(),
+		Versions:         h.entries.Versions(),
+		Free:             h.slots.freeByService(),
+		Upstreams:        []upstreamStatus{},
+		Evacuated:        append([]string{}, evacuated.Domains...),
+		EvacuationsKnown: known,
 	}
 	if h.replica != nil && h.replica.Registers().Err() != nil {
 		s.JournalError = h.replica.Registers().Err().Error()
--- a/server/status_test.go
+++ b/server/status_test.go
@@ -18,6 +18,7 @@
 	Host      string         `json:"host"`
 	Votes     bool           `json:"votes"`
 	Journal   string         `json:"journal-error"`
+	Evacuated []string       `json:"evacuated"`
 	Hosts     []hostState    `json:"hosts"`
 	CutOff    bool           `json:"cut-off"`
 	Members   []string       `json:"members"`
