validator: findings about entries without effect and contradictions

A document is accepted although an entry in it can have no effect, and its author learns of that only when submissions are refused. Review lists services that no team may use, bursts that the queues of all services of the team shadow, and a promotion that demands a share of complete submissions but none.

--- a/validator/validator_test.go
+++ b/validator/validator_test.go
@@ -54,6 +54,27 @@
 	}
 }
 
+// Guards against a finding that is not made, and against one about an entry that has an effect.
+func TestReview(t *testing.T) {
+	files, err := filepath.Glob("testdata/review/*.json")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	NewWithT(t).Expect(files).To(HaveLen(4))
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			g := NewWithT(t)
+			data, err := os.ReadFile(file)
+			g.Expect(err).NotTo(HaveOccurred())
+			e, err := ParseEnvironment(data)
+			g.Expect(err).NotTo(HaveOccurred())
+			findings := ""
+			for _, f := range Review(e) {
+				findings += f.String() + "\n"
+			}
+			expectGolden(g, strings.TrimSuffix(file, ".json")+".golden", findings)
+		})
+	}
+}
+
 // Guards against example files that the parse functions reject.
 func TestExamplesAreAccepted(t *testing.T) {
 	g := NewWithT(t)
