commander: config review

config check lists errors and config diff differences, so that an author needed two commands and saw no entry without effect. config review prints the findings of the validator and the differences from the document in force, and ends with exit code 7 if there are findings.

--- a/commander/config.go
+++ b/commander/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"os"
@@ -29,6 +30,7 @@
 			"Example:\n   sesamedrift config check examples/ajara.json",
 		Commands: []*cli.Command{
 			c.configCheck(),
+			c.configReview(),
 			c.configApply(),
 			c.configShow(),
 			c.configDiff(),
@@ -232,15 +234,84 @@
 			if cmd.Bool("json") {
 				return c.printJSON(changes)
 			}
-			c.printf("%d differences from version %d\n", len(changes), state.Version)
-			for _, d := range changes {
-				c.printf("%s: %s -> %s\n", d.Path, orNone(d.Before), orNone(d.After))
+			c.printChanges(changes, state.Version)
+			return nil
+		}),
+	}
+}
+
+// review is the JSON output of the review of a document.
+type review struct {
+	// Version is that of the document in force, 0 if there is none.
+	Version  uint64              `json:"version"`
+	Findings []validator.Problem `json:"findings"`
+	Changes  []validator.Change  `json:"changes"`
+}
+
+func (c *commandLine) configReview() *cli.Command {
+	return &cli.Command{
+		Name:      "review",
+		Usage:     "list entries without effect, contradictions, and differences from the document in force",
+		ArgsUsage: "FILE",
+		Description: "Ends with exit code 7 if there are findings. Hosts accept such a document nevertheless.\n\n" +
+			"Example:\n   sesamedrift config review examples/ajara.json",
+		Flags: []cli.Flag{hostsFlag, jsonFlag},
+		Action: c.withClient(func(ctx context.Context, cmd *cli.Command, api *client.Client) error {
+			document, data, err := c.readDocument(cmd)
+			if err != nil {
+				return err
+			}
+			r := review{
+				Findings: append([]validator.Problem{}, validator.Review(document)...),
+				Changes:  []validator.Change{},
+			}
+			state, err := api.Environment(ctx, document.Name)
+			var missing *client.APIError
+			switch {
+			case errors.As(err, &missing) && missing.Code == client.CodeNotFound:
+			case err != nil:
+				return err
+			default:
+				r.Version = state.Version
+				if r.Changes, err = validator.Diff(state.Document, data); err != nil {
+					return err
+				}
+			}
+			if err := c.printReview(cmd, r); err != nil {
+				return err
+			}
+			if len(r.Findings) > 0 {
+				return &exitError{code: sesamedrift.ExitConflict}
 			}
 			return nil
 		}),
 	}
 }
 
+func (c *commandLine) printReview(cmd *cli.Command, r review) error {
+	if cmd.Bool("json") {
+		return c.printJSON(r)
+	}
+	c.printf("%d findings\n", len(r.Findings))
+	for _, f := range r.Findings {
+		c.printf("%s\n", f)
+	}
+	if r.Version == 0 {
+		c.printf("no document is in force\n")
+		return nil
+	}
+	c.printChanges(r.Changes, r.Version)
+	return nil
+}
+
+// printChanges prints the differences of a document from the version in force.
+func (c *commandLine) printChanges(changes []validator.Change, version uint64) {
+	c.printf("%d differences from version %d\n", len(changes), version)
+	for _, d := range changes {
+		c.printf("%s: %s -> %s\n", d.Path, orNone(d.Before), orNone(d.After))
+	}
+}
+
 // orNone returns the value, or "none" for a field that is missing in one document.
 func orNone(value string) string {
 	if value == "" {
