--- a/commander/config.go
+++ b/commander/config.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/urfave/cli/v3"
@@ -27,6 +30,7 @@
 			"Example:\n   sesamedrift config check examples/ajara.json",
 		Commands: []*cli.Command{
 			c.configCheck(),
+			c.configReview(),
 			c.configApply(),
 			c.configShow(),
 			c.configDiff(),
@@ -93,12 +97,7 @@
 		Usage:    "`VERSION` that the change replaces, 0 for the first",
 		Required: true,
 	},
-	&cli.StringFlag{
-		Name:    "who",
-		Usage:   "`NAME` of the operator, for the audit trail",
-		Sources: cli.EnvVars("SESAMEDRIFT_OPERATOR", "USER"),
-		Value:   "unknown",
-	},
+	whoFlag,
 }
 
 func (c *commandLine) configApply() *cli.Command {
@@ -235,15 +234,84 @@
 			if cmd.Bool("json") {
 				return c.printJSON(changes)
 			}
-			c.printf("%d differences from version %d\n", len(changes), state.Version)
-			for _, d := range changes {
-				c.printf("%s: %s -> %s\n", d.Path, orNone(d.Before), orNone(d.After))
+			c.printChanges(changes, state.Version)
+			return nil
+		}),
+	}
+}
+
+// review is the JSON output of the review of a document.
+type review struct {
+	// Version is that of the document in force, 0 if there is none.
+	Version  uint64              `json:"version"`
+	Findings []validator.Problem `json:"findings"`
+	Changes  []validator.Change  `json:"changes"`
+}
+
+func (c *commandLine) configReview() *cli.Command {
+	return &cli.Command{
+		Name:      "review",
+		Usage:     "list entries without effect, contradictions, and differences from the document in force",
+		ArgsUsage: "FILE",
+		Description: "Ends with exit code 7 if there are findings. Hosts accept such a document nevertheless.\n\n" +
+			"Example:\n   sesamedrift config review examples/ajara.json",
+		Flags: []cli.Flag{hostsFlag, jsonFlag},
+		Action: c.withClient(func(ctx context.Context, cmd *cli.Command, api *client.Client) error {
+			document, data, err := c.readDocument(cmd)
+			if err != nil {
+				return err
+			}
+			r := review{
+				Findings: append([]validator.Problem{}, validator.Review(document)...),
+				Changes:  []validator.Change{},
+			}
+			state, err := api.Environment(ctx, document.Name)
+			var missing *client.APIError
+			switch {
+			case errors.As(err, &missing) && missing.Code == client.CodeNotFound:
+			case err != nil:
+				return err
+			default:
+				r.Version = state.Version
+				if r.Changes, err = validator.Diff(state.Document, data); err != nil {
+					return err
+				}
+			}
+			if err := c.printReview(cmd, r); err != nil {
+				return err
+			}
+			if len(r.Findings) > 0 {
+				return &exitError{code: sesamedrift.ExitConflict}
 			}
 			return nil
 		}),
 	}
 }
 
+func (c *commandLine) printReview(cmd *cli.Command, r review) error {
+	if cmd.Bool("json") {
+		return c.printJSON(r)
+	}
+	c.printf("%d findings\n", len(r.Findings))
+	for _, f := range r.Findings {
+		c.printf("%s\n", f)
+	}
+	if r.Version == 0 {
+		c.printf("no document is in force\n")
+		return nil
+	}
+	c.printChanges(r.Changes, r.Version)
+	return nil
+}
+
+// printChanges prints the differences of a document from the version in force.
+func (c *commandLine) printChanges(changes []validator.Change, version uint64) {
+	c.printf("%d differences from version %d\n", len(changes), version)
+	for _, d := range changes {
+		c.printf("%s: %s -> %s\n", d.Path, orNone(d.Before), orNone(d.After))
+	}
+}
+
 // orNone returns the value, or "none" for a field that is missing in one document.
 func orNone(value string) string {
 	if value == "" {
@@ -258,19 +326,7 @@
 		Usage:       "print the audit trail of an environment",
 		ArgsUsage:   "trial|production",
 		Description: "Example:\n   sesamedrift config history production --after 100",
-		Flags: []cli.Flag{
-			hostsFlag,
-			jsonFlag,
-			&cli.Uint64Flag{
-				Name:  "after",
-				Usage: "begin after `VERSION`",
-			},
-			&cli.IntFlag{
-				Name:  "limit",
-				Usage: "print at most `N` entries",
-				Value: historyLimit,
-			},
-		},
+		Flags:       historyFlags,
 		Action: c.withClient(func(ctx context.Context, cmd *cli.Command, api *client.Client) error {
 			name, err := singleArgument(cmd)
 			if err != nil {
@@ -280,17 +336,36 @@
 			if err != nil {
 				return err
 			}
-			if cmd.Bool("json") {
-				return c.printJSON(entries)
-			}
-			for _, e := range entries {
-				c.printf("%d %s %s %s %s %s\n", e.Version, e.At.Format("2006-01-02T15:04:05Z07:00"), e.Who, e.ID, e.Outcome, e.Digest)
-			}
-			return nil
+			return c.printHistory(cmd, entries)
 		}),
 	}
 }
 
+// historyFlags are the flags of the commands that print an audit trail.
+var historyFlags = []cli.Flag{
+	hostsFlag,
+	jsonFlag,
+	&cli.Uint64Flag{
+		Name:  "after",
+		Usage: "begin after `VERSION`",
+	},
+	&cli.IntFlag{
+		Name:  "limit",
+		Usage: "print at most `N` entries",
+		Value: historyLimit,
+	},
+}
+
+func (c *commandLine) printHistory(cmd *cli.Command, entries []client.AuditEntry) error {
+	if cmd.Bool("json") {
+		return c.printJSON(entries)
+	}
+	for _, e := range entries {
+		c.printf("%d %s %s %s %s %s\n", e.Version, e.At.Format("2006-01-02T15:04:05Z07:00"), e.Who, e.ID, e.Outcome, e.Digest)
+	}
+	return nil
+}
+
 func (c *commandLine) statusCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "status",
@@ -319,6 +394,7 @@
 	Lease     bool              `json:"lease"`
 	Votes     bool              `json:"votes"`
 	Journal   string            `json:"journal-error"`
+	Evacuated []string          `json:"evacuated"`
 	Versions  map[string]uint64 `json:"versions"`
 	Queued    int               `json:"queued"`
 	Running   int               `json:"running"`
@@ -350,6 +426,16 @@
 			c.printf("%s does not vote: %s\n", h.Host, h.Journal)
 		}
 	}
+	hostsByDomain := map[string][]string{}
+	for _, h := range append([]hostStatus{s.hostStatus}, s.Hosts...) {
+		for _, domain := range h.Evacuated {
+			hostsByDomain[domain] = append(hostsByDomain[domain], h.Host)
+		}
+	}
+	for _, domain := range slices.Sorted(maps.Keys(hostsByDomain)) {
+		slices.Sort(hostsByDomain[domain])
+		c.printf("evacuated: %s, in force on %s\n", domain, strings.Join(hostsByDomain[domain], ", "))
+	}
 	if len(s.Unreachable) > 0 {
 		c.printf("unreachable: %s\n", strings.Join(s.Unreachable, ", "))
 	}
