controller: store the last reports of upstreams as hints

After a loss of power of all hosts, control hosts knew no upstream and received them with the heartbeats of the next 1,500 ms, so that capacity came back only as these arrived. Control hosts now write the last reports to their disks and distribute them, marked as stored, after a restart. Entry hosts acquire such an upstream and place tasks there only once it has answered.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -86,6 +86,7 @@
 	wg        sync.WaitGroup
 
 	startedAt time.Time
+	stored    upstreamStore
 
 	mu        sync.Mutex
 	self      discoverer.Host
@@ -117,6 +118,7 @@
 		ctx:               ctx,
 		cancel:            cancel,
 		startedAt:         cfg.Now(),
+		stored:            newUpstreamStore(cfg.Folder),
 		self:              cfg.Self,
 		hosts:             discoverer.NewList[discoverer.Host](),
 		upstreams:         discoverer.NewList[discoverer.Upstream](),
@@ -135,6 +137,9 @@
 		Log:                 cfg.Log,
 	}
 	h.hosts.Put(cfg.Now(), cfg.Self)
+	for _, u := range readUpstreams(h.stored.path) {
+		h.upstreams.Put(cfg.Now(), u)
+	}
 	var err error
 	h.replica, err = replicator.Open(replicator.Config{
 		ID:          cfg.Self.Address,
@@ -173,6 +178,7 @@
 	}
 	h.wg.Go(func() { h.replica.Run(ctx) })
 	h.wg.Go(func() { h.maintainReplicas(ctx) })
+	h.wg.Go(func() { h.storeUpstreams(ctx) })
 	h.mu.Lock()
 	for _, seed := range cfg.Seeds {
 		h.startPolling(seed)
@@ -250,18 +256,36 @@
 	return h.publisher.Newest(ctx, h.cfg.Now())
 }
 
-// ReportUpstream records the report of an upstream and distributes it if it changes anything.
+// ReportUpstream records the report of an upstream and distributes it if it changes anything. It returns after a
+// report of an upstream that is leaving is stored, unless that takes too long: hosts that restart must not
+// place tasks there.
 func (h *Host) ReportUpstream(u discoverer.Upstream) {
+	if written := h.recordUpstream(u); written != nil {
+		select {
+		case <-written:
+		case <-time.After(storeTimeout):
+		case <-h.ctx.Done():
+		}
+	}
+}
+
+// recordUpstream returns a channel that is closed after the report is stored, or nil if it need not be awaited.
+func (h *Host) recordUpstream(u discoverer.Upstream) <-chan struct{} {
 	now := h.cfg.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.cfg.Metrics.Scope.Counter("upstream_reports").Inc(1)
 	if !h.upstreams.Put(now, u) {
-		return
+		return nil
 	}
 	reporter.Log(context.Background(), h.log, reporter.UpstreamAnnounced, "upstream", u.ID, "state", u.State, "life", u.Incarnation,
 		"report", u.ReportSeq, "address", u.Address)
 	h.notifyPollers()
+	if u.State != discoverer.Serving {
+		return h.storeNow()
+	}
+	h.storeSoon()
+	return nil
 }
 
 // Upstream returns the newest report of the upstream with the identifier, or false if there is none.
--- a/controller/updates.go
+++ b/controller/updates.go
@@ -32,7 +32,10 @@
 		changed = h.putHost(now, host) || changed
 	}
 	for _, u := range updates.Upstreams {
-		changed = h.upstreams.Put(now, u) || changed
+		if h.upstreams.Put(now, u) {
+			changed = true
+			h.storeSoon()
+		}
 	}
 	if changed {
 		h.notifyPollers()
--- a/discoverer/discoverer.go
+++ b/discoverer/discoverer.go
@@ -89,6 +89,9 @@
 	Rack       string `msgpack:"rack"`
 	// Worker names the machine. Upstreams that are started on it later have other identifiers.
 	Worker string `msgpack:"worker"`
+	// Stored is set if control hosts have read the report from their disks and the upstream has not reported
+	// since they started. The upstream may not exist any more.
+	Stored bool `msgpack:"stored,omitempty"`
 }
 
 // Key returns the address, which identifies a host.
@@ -106,7 +109,8 @@
 }
 
 // merge returns the newer of two reports of one upstream, and whether it differs from u in more than
-// ReportSeq. Within an incarnation, u.State is kept if n.State comes before it.
+// ReportSeq. Within an incarnation, u.State is kept if n.State comes before it, and a report that was received does
+// not become a stored one.
 func (u Upstream) merge(n Upstream) (Upstream, bool) {
 	if n.Incarnation < u.Incarnation || n.Incarnation == u.Incarnation && n.ReportSeq < u.ReportSeq {
 		return u, false
@@ -114,6 +118,9 @@
 	if n.Incarnation == u.Incarnation && stateOrder[n.State] < stateOrder[u.State] {
 		n.State = u.State
 	}
+	if n.Incarnation == u.Incarnation {
+		n.Stored = n.Stored && u.Stored
+	}
 	old := u
 	old.ReportSeq = n.ReportSeq
 	return n, n != old
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -133,6 +133,8 @@
 	// firstUpdateAt is when this host received the first update about others; zero before.
 	firstUpdateAt     time.Time
 	discoveryComplete bool
+	// storedReportsChecked is set once the upstreams were assigned again after stored reports have expired.
+	storedReportsChecked bool
 
 	// upstreamsLost is set if other hosts have acquired upstreams of this host while it was
 	// isolated.
@@ -291,6 +293,7 @@
 	c.fetchDocument(now)
 	c.tickJobs(now)
 	c.tickHeld(now)
+	c.tickStoredReports(now)
 	c.tickTenure(now)
 	c.requestClaims(now)
 	c.reportProgress(now)
--- a/leaseholder/restart.go
+++ b/leaseholder/restart.go
@@ -19,7 +19,7 @@
 		s.restart(now, u.Incarnation, u.Address)
 	case u.Incarnation != 0 && u.Incarnation < s.incarnation:
 	default:
-		if u.Incarnation != s.upstream.Incarnation && !s.ready {
+		if (u.Incarnation != s.upstream.Incarnation || s.upstream.Stored && !u.Stored) && !s.ready {
 			s.failures = 0
 			s.nextRenewalAt = now
 		}
--- a/reporter/events.go
+++ b/reporter/events.go
@@ -302,6 +302,12 @@
 		Level:       slog.LevelInfo,
 		Description: "The upstream has a new incarnation. The runs that the previous one has listed have ended; the new one is asked for the others, whose number is in the attributes.",
 	}
+	ReportsNotStored = Event{
+		ID:          5019,
+		Name:        "reports-not-stored",
+		Level:       slog.LevelWarn,
+		Description: "The control host cannot store the reports of upstreams on its disk. After a loss of all hosts, entry hosts find upstreams only as these report again. Check the disk.",
+	}
 )
 
 // Events 6xxx: connections and messages between hosts.
@@ -461,6 +467,7 @@
 	LeaseExpired,
 	OrphansStopped,
 	UpstreamRestarted,
+	ReportsNotStored,
 	PeerRejected,
 	MessageRejected,
 	JournalTornTail,
