poller: short backoffs in the first seconds without a response

After a loss of all hosts, an entry host that starts before the control hosts reached them late: the backoff of poller grew to 400 ms, and below it that of messenger to 1 s, so that some polls failed without a dial. The first 100 failed polls now follow each other after 50 ms, and the backoff of a peer can be bounded. Calls between replicas use the interval of repairs as their bound.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -370,6 +370,7 @@
 		p = messenger.NewPeer(address, messenger.Config{
 			Local:        h.hello(),
 			DialTimeout:  callTimeout,
+			MaxBackoff:   repairEvery,
 			WriteTimeout: time.Second,
 		})
 		h.peers[address] = p
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -55,7 +55,7 @@
 	// minBackoff is the backoff after the first failed dial.
 	minBackoff = 20 * time.Millisecond
 	// maxBackoff bounds the backoff, and thereby the time for which a host that has become
-	// reachable again receives no messages.
+	// reachable again receives no messages, unless Config.MaxBackoff is set.
 	maxBackoff = time.Second
 )
 
@@ -107,6 +107,8 @@
 	MaxConnections int
 	// DialTimeout bounds the TCP dial, and separately the exchange of hellos.
 	DialTimeout time.Duration
+	// MaxBackoff bounds the time after a failed dial until a Peer dials again; 1 s if it is zero.
+	MaxBackoff time.Duration
 	// WriteTimeout bounds each write and, on Linux, the time for which data that was sent may
 	// remain unacknowledged at the TCP level.
 	WriteTimeout time.Duration
@@ -134,6 +136,7 @@
 	setDefault(&c.MaxConnections, DefaultMaxConnections)
 	setDefault(&c.DialTimeout, DefaultDialTimeout)
 	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&c.MaxBackoff, maxBackoff)
 	return c
 }
 
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -405,7 +405,7 @@
 // each failure and is randomised between half of it and all of it, so that hosts do not dial
 // at the same time.
 func (p *Peer) backOff(err error) {
-	backoff := min(minBackoff<<min(p.failures, 10), maxBackoff)
+	backoff := min(minBackoff<<min(p.failures, 10), p.cfg.MaxBackoff)
 	p.failures++
 	p.lastErr = err
 	spread := time.Duration(p.cfg.Jitter() * float64(backoff/2))
--- a/poller/poller.go
+++ b/poller/poller.go
@@ -26,13 +26,22 @@
 	// dialTimeout bounds the time to connect. The SYN packets sent to a host that has lost power
 	// are lost, so that waiting longer does not help.
 	dialTimeout = 100 * time.Millisecond
-	// minBackoff is the first backoff after a failed poll. It bounds the delay of the first
-	// successful poll once both hosts have started. The backoff doubles up to maxBackoff, since
-	// the control host may never return.
-	minBackoff = 50 * time.Millisecond
-	maxBackoff = 400 * time.Millisecond
+	// minBackoff is the backoff after the first shortRetries failed polls. It bounds the delay of the first
+	// successful poll once both hosts have started, which may be some seconds apart after a loss of all
+	// hosts. Then the backoff doubles up to maxBackoff, since the control host may never return.
+	minBackoff   = 50 * time.Millisecond
+	shortRetries = 100
+	maxBackoff   = 400 * time.Millisecond
 )
 
+// backoff returns the time until the next poll after a number of polls that have failed since the last response.
+func backoff(failures int) time.Duration {
+	if failures <= shortRetries {
+		return minBackoff
+	}
+	return min(minBackoff<<min(failures-shortRetries, 10), maxBackoff)
+}
+
 // Request is a poll for the changes after its sequence numbers and version.
 type Request struct {
 	// Self is the report of the polling host.
@@ -96,7 +105,9 @@
 			Domain:      self.Domain,
 			Incarnation: self.Incarnation,
 		},
-		DialTimeout:  dialTimeout,
+		DialTimeout: dialTimeout,
+		// The time between two polls bounds the number of dials.
+		MaxBackoff:   minBackoff,
 		WriteTimeout: time.Second,
 	})
 	defer func() { _ = peer.Close() }()
@@ -105,7 +116,7 @@
 		AnnounceOnly: true,
 	}
 	reachable := false
-	backoff := minBackoff
+	failures := 0
 	for ctx.Err() == nil {
 		updates, err := poll(ctx, peer, req)
 		if (err == nil) != reachable && ctx.Err() == nil {
@@ -114,14 +125,11 @@
 			reporter.Log(ctx, p.Log, reporter.ControlContact, "address", address, "answers", reachable, "error", err)
 		}
 		if err != nil {
-			select {
-			case <-ctx.Done():
-			case <-time.After(backoff):
-			}
-			backoff = min(2*backoff, maxBackoff)
+			failures++
+			messenger.Sleep(ctx, backoff(failures))
 			continue
 		}
-		backoff = minBackoff
+		failures = 0
 		p.Apply(ctx, address, updates)
 		req.Self = p.Self()
 		if updates.Incarnation != req.Incarnation {
