dispatcher: refuse jobs at once while they cannot be placed

A job that arrived before the first assignment was sent to no placer and waited for one until its deadline; a placer without any upstream held it for its grace period. An entry host without a placer now refuses it as not run if no upstream of its domain and no placer of another domain is known, and otherwise after 500 ms without an assignment, with a Retry-After of 1 s. A placer that knows neither refuses it on arrival.

TestJobsBeforeFirstAssignment fails without the change in its three cases of refusal (no result after up to 520 ms).

--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -99,7 +99,9 @@
 		j.shard = c.shard
 	}
 	c.jobs[submitted.ID] = j
-	c.requestPlacement(now, j)
+	if !c.refuseUnplaceable(now, j) {
+		c.requestPlacement(now, j)
+	}
 }
 
 // CallerGone removes a caller that no longer waits. The job ends with its last caller.
@@ -325,6 +327,7 @@
 			c.requestPlacement(now, j)
 		case !j.watchAt.IsZero() && !now.Before(j.watchAt):
 			c.watchRuns(now, j)
+		case len(c.assigned.Placers) == 0 && c.refuseUnplaceable(now, j):
 		}
 		if !j.requestedAt.IsZero() && now.Sub(j.requestedAt) >= placementRetryInterval {
 			c.requestPlacement(now, j)
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -278,6 +278,14 @@
 		// The sender repeats the request once it has detected the change of the placer.
 		return
 	}
+	if !m.Started && !c.knowsCapacity() {
+		c.send(from, kindRefused, refused{
+			Job:        m.Job,
+			Reason:     noUpstreamReason,
+			RetryAfter: unplacedRetryAfter,
+		})
+		return
+	}
 	if c.cancelEarlierForward(now, from, m.Job) {
 		// The sender repeats the request after placementRetryInterval.
 		return
