platform: hosts report the processor time that they may use

The hosts of the new deployments have 0.144 or 0.48 of a core, and roles are given without regard to that. Nothing uses the figure yet.

--- a/discoverer/discoverer.go
+++ b/discoverer/discoverer.go
@@ -66,6 +66,8 @@
 	// Shards reports whether the host can work in a domain with several shards. Hosts of earlier
 	// releases cannot.
 	Shards bool `msgpack:"shards,omitempty"`
+	// Strength is the processor time that the host may use, in thousandths of a core; 0 if it is not known.
+	Strength int64 `msgpack:"strength,omitempty"`
 	// ReplicaReady reports whether the host is a replica, or can become one at once.
 	ReplicaReady bool `msgpack:"stores"`
 }
