dispatcher: roles in proportion to the strength of hosts

Placers were the oldest members, and leaseholders had equally many upstreams, so that a host of 0.144 cores could place for a shard while one of 0.48 did not. Where a member is at least twice as strong as another one, placers are the strong ones; a placer stays unless another member is at least twice as strong. Leaseholders get upstreams in proportion to their strength. With equal or unknown strengths the assignments are the former ones.

--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -711,10 +711,10 @@
 func TestBalance(t *testing.T) {
 	g := NewWithT(t)
 	upstreams := map[string]int{"a": 0, "b": 0, "c": 0, "d": 0, "e": 0, "f": 0, "g": 0}
-	first := balance(upstreams, nil, []string{"x", "y"})
+	first := balance(upstreams, nil, []string{"x", "y"}, nil)
 	g.Expect(countByHolder(first)).To(Equal(map[string]int{"x": 4, "y": 3}))
-	g.Expect(balance(upstreams, first, []string{"x", "y"})).To(Equal(first))
-	third := balance(upstreams, first, []string{"x", "y", "z"})
+	g.Expect(balance(upstreams, first, []string{"x", "y"}, nil)).To(Equal(first))
+	third := balance(upstreams, first, []string{"x", "y", "z"}, nil)
 	g.Expect(countByHolder(third)).To(Equal(map[string]int{"x": 3, "y": 3, "z": 1}))
 	reassigned := 0
 	for id, holder := range third {
@@ -723,7 +723,7 @@
 		}
 	}
 	g.Expect(reassigned).To(Equal(1))
-	g.Expect(countByHolder(balance(upstreams, third, []string{"z"}))).To(Equal(map[string]int{"z": 7}))
+	g.Expect(countByHolder(balance(upstreams, third, []string{"z"}, nil))).To(Equal(map[string]int{"z": 7}))
 }
 
 // countByHolder returns the number of upstreams of each leaseholder.
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -133,7 +133,7 @@
 	if len(members) == 0 || c.postpones(now) {
 		return
 	}
-	next := planAssignment(c.assigned, c.domainUpstreams(now), members, c.allHandleShards(), c.cfg.UpstreamsPerShard)
+	next := planAssignment(c.assigned, c.domainUpstreams(now), members, c.memberStrengths(members), c.allHandleShards(), c.cfg.UpstreamsPerShard)
 	if c.isolated(now) {
 		// The lost hosts may be up and still hold their upstreams.
 		for id, holder := range c.assigned.Leaseholders {
--- a/dispatcher/shards.go
+++ b/dispatcher/shards.go
@@ -68,15 +68,20 @@
 
 // planAssignment returns the assignment that follows the current one, from which it differs as little
 // as possible. The members are in the order of their starts; the first one is the leader. If not all
-// hosts of the domain can handle shards, there is one, whose placer is the leader.
-func planAssignment(current assignment, upstreams []discoverer.Upstream, members []string, sharding bool, perShard int) assignment {
+// hosts of the domain can handle shards, there is one, whose placer is the leader. Members of unequal strengths get roles
+// and upstreams accordingly.
+func planAssignment(
+	current assignment, upstreams []discoverer.Upstream, members []string, strength strengths, sharding bool, perShard int,
+) assignment {
 	count := 1
 	if sharding {
 		count = shardCount(len(current.Placers), len(upstreams), len(members), perShard)
+	} else {
+		strength = nil
 	}
 	next := assignment{
 		Number:  current.Number + 1,
-		Placers: choosePlacers(current.Placers, members, count),
+		Placers: choosePlacers(current.Placers, members, count, strength),
 		Shards:  divide(upstreams, current.Shards, count),
 	}
 	holders := members
@@ -84,7 +89,7 @@
 		// Placers hold no upstreams: orders would take the processor time that placing needs.
 		holders = slices.DeleteFunc(slices.Clone(members), func(m string) bool { return slices.Contains(next.Placers, m) })
 	}
-	next.Leaseholders = balance(next.Shards, current.Leaseholders, holders)
+	next.Leaseholders = balance(next.Shards, current.Leaseholders, holders, strength)
 	return next
 }
 
@@ -101,8 +106,12 @@
 
 // choosePlacers returns the placers of a number of shards. Placers that are members stay. Others are
 // replaced by the oldest members that are no placers, the leader last, since it has work of its own.
-// The placer of a single shard is the leader, as hosts of earlier releases expect.
-func choosePlacers(current, members []string, count int) []string {
+// The placer of a single shard is the leader, as hosts of earlier releases expect. Members of unequal strengths
+// are chosen by these.
+func choosePlacers(current, members []string, count int, strength strengths) []string {
+	if strength.unequal(members) {
+		return chooseStrongPlacers(current, members, count, strength)
+	}
 	if count == 1 {
 		return members[:1]
 	}
@@ -166,12 +175,12 @@
 	return shards
 }
 
-// balance assigns upstreams to holders, none of which gets more than an even share, rounded up. It
+// balance assigns upstreams to holders, none of which gets more than its share by strength, rounded up. It
 // reassigns as few upstreams as possible. The other upstreams of a shard go to holders that have some of
 // it, so that the leaseholders of a shard are few and the messages between them and its placer, and
 // to the entry hosts, carry the ends of several runs.
-func balance(shards map[string]int, current map[string]string, holders []string) map[string]string {
-	maxLoad := (len(shards) + len(holders) - 1) / len(holders)
+func balance(shards map[string]int, current map[string]string, holders []string, strength strengths) map[string]string {
+	limit := loadLimits(len(shards), holders, strength)
 	load := make(map[string]int, len(holders))
 	ofShard := make(map[string]map[int]int, len(holders))
 	for _, h := range holders {
@@ -189,7 +198,7 @@
 	})
 	var unassigned []string
 	for _, id := range ids {
-		if n, member := load[current[id]]; member && n < maxLoad {
+		if n, member := load[current[id]]; member && n < limit[current[id]] {
 			hold(id, current[id])
 			continue
 		}
@@ -198,14 +207,14 @@
 	for _, id := range unassigned {
 		shard := shards[id]
 		hold(id, slices.MinFunc(holders, func(a, b string) int {
-			aFull, bFull := load[a] >= maxLoad, load[b] >= maxLoad
+			aFull, bFull := load[a] >= limit[a], load[b] >= limit[b]
 			if aFull != bFull {
 				if aFull {
 					return 1
 				}
 				return -1
 			}
-			return cmp.Or(cmp.Compare(ofShard[b][shard], ofShard[a][shard]), cmp.Compare(load[a], load[b]))
+			return cmp.Or(cmp.Compare(ofShard[b][shard], ofShard[a][shard]), cmp.Compare(load[a]*limit[b], load[b]*limit[a]))
 		}))
 	}
 	return leaseholders
--- a/dispatcher/shards_test.go
+++ b/dispatcher/shards_test.go
@@ -52,7 +52,7 @@
 func TestShardsOfLargeDomain(t *testing.T) {
 	g := NewWithT(t)
 	upstreams, members := shardUpstreams(108), shardMembers(20)
-	a := planAssignment(assignment{}, upstreams, members, true, upstreamsPerShard)
+	a := planAssignment(assignment{}, upstreams, members, nil, true, upstreamsPerShard)
 	g.Expect(a.Placers).To(HaveLen(3))
 	g.Expect(a.Placers).NotTo(ContainElement(members[0]))
 	capacity := make([]int64, 3)
@@ -83,28 +83,28 @@
 func TestAssignmentIsStable(t *testing.T) {
 	g := NewWithT(t)
 	upstreams, members := shardUpstreams(108), shardMembers(20)
-	a := planAssignment(assignment{}, upstreams, members, true, upstreamsPerShard)
-	again := planAssignment(a, upstreams, members, true, upstreamsPerShard)
+	a := planAssignment(assignment{}, upstreams, members, nil, true, upstreamsPerShard)
+	again := planAssignment(a, upstreams, members, nil, true, upstreamsPerShard)
 	g.Expect(again.equal(&a)).To(BeTrue())
 
-	withoutLeader := planAssignment(a, upstreams, members[1:], true, upstreamsPerShard)
+	withoutLeader := planAssignment(a, upstreams, members[1:], nil, true, upstreamsPerShard)
 	g.Expect(withoutLeader.Placers).To(Equal(a.Placers))
 
 	lost := a.Placers[1]
-	withoutPlacer := planAssignment(a, upstreams, slices.DeleteFunc(slices.Clone(members), func(m string) bool { return m == lost }), true, upstreamsPerShard)
+	withoutPlacer := planAssignment(a, upstreams, slices.DeleteFunc(slices.Clone(members), func(m string) bool { return m == lost }), nil, true, upstreamsPerShard)
 	g.Expect(withoutPlacer.Placers[0]).To(Equal(a.Placers[0]))
 	g.Expect(withoutPlacer.Placers[2]).To(Equal(a.Placers[2]))
 	g.Expect(withoutPlacer.Shards).To(Equal(a.Shards))
 	g.Expect(changes(a, withoutPlacer)).To(BeNumerically("<=", 7), "only the upstreams of the new placer are reassigned")
 
-	fewer := planAssignment(a, upstreams[:90], members, true, upstreamsPerShard)
+	fewer := planAssignment(a, upstreams[:90], members, nil, true, upstreamsPerShard)
 	g.Expect(fewer.Placers).To(Equal(a.Placers))
 	g.Expect(changes(a, fewer)).To(BeNumerically("<=", 17))
 
 	// Half of the hosts are lost at once; shards remain as long as there is a member for each.
-	half := planAssignment(a, upstreams, members[10:], true, upstreamsPerShard)
+	half := planAssignment(a, upstreams, members[10:], nil, true, upstreamsPerShard)
 	g.Expect(half.Placers).To(HaveLen(3))
-	g.Expect(planAssignment(a, upstreams, members[18:], true, upstreamsPerShard).Placers).To(HaveLen(1))
+	g.Expect(planAssignment(a, upstreams, members[18:], nil, true, upstreamsPerShard).Placers).To(HaveLen(1))
 }
 
 // Guards against shards in domains that are too small for them, and in those with hosts of earlier
@@ -113,9 +113,9 @@
 	g := NewWithT(t)
 	members := shardMembers(20)
 	for _, a := range []assignment{
-		planAssignment(assignment{}, shardUpstreams(16), members[:3], true, upstreamsPerShard),
-		planAssignment(assignment{}, shardUpstreams(108), members[:4], true, upstreamsPerShard),
-		planAssignment(assignment{}, shardUpstreams(108), members, false, upstreamsPerShard),
+		planAssignment(assignment{}, shardUpstreams(16), members[:3], nil, true, upstreamsPerShard),
+		planAssignment(assignment{}, shardUpstreams(108), members[:4], nil, true, upstreamsPerShard),
+		planAssignment(assignment{}, shardUpstreams(108), members, nil, false, upstreamsPerShard),
 	} {
 		g.Expect(a.Placers).To(Equal(members[:1]))
 		g.Expect(a.homeShard("5c0e7a21d94b36f8")).To(BeZero())
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -54,6 +54,8 @@
 	Seed uint64
 	// Domains is the number of failure domains; Hosts and Upstreams are the numbers in each of them.
 	Domains, Hosts, Upstreams int
+	// Strengths holds the strengths of the hosts of each domain in thousandths of a core; nil if they are not known.
+	Strengths []int64
 	// JobsPerSecond is the mean arrival rate of jobs in each domain.
 	JobsPerSecond float64
 	// LongJobShare is the share of jobs, from 0 to 1, whose tasks run for longRunTime.
@@ -121,6 +123,7 @@
 	Domain      string
 	Address     string
 	incarnation uint64
+	strength    int64            // as in discoverer.Host
 	core        *dispatcher.Core // nil while the process is down
 	// frozenUntil is the simulated time until which the process is suspended.
 	frozenUntil time.Duration
@@ -199,6 +202,9 @@
 				Domain:  domain,
 				Address: fmt.Sprintf("10.%d.0.%d:1", d, i),
 			}
+			if len(cfg.Strengths) > 0 {
+				n.strength = cfg.Strengths[i]
+			}
 			w.Hosts = append(w.Hosts, n)
 			w.After(time.Duration(w.rng.Int64N(int64(300*time.Millisecond))), n.Start)
 		}
@@ -285,6 +291,7 @@
 			Address:     n.Address,
 			Incarnation: incarnation,
 			State:       discoverer.Serving,
+			Strength:    n.strength,
 		},
 		LeaseConfig:       LeaseConfig,
 		UpstreamsPerShard: w.cfg.UpstreamsPerShard,
