dispatcher: wait for the first assignment for one lost batch longer

A job that arrived with the first update was refused 500 ms later, when the longest time of discovery ends and the assignment is just under way. The wait is now 700 ms: maxDiscoveryTime and one batch that is sent again.

--- a/dispatcher/unplaced.go
+++ b/dispatcher/unplaced.go
@@ -11,8 +11,8 @@
 
 const (
 	// assignmentWait is how long a job waits for the first assignment: the longest time until a host that has received
-	// updates chooses the leader.
-	assignmentWait = maxDiscoveryTime
+	// updates chooses the leader, and one batch to or from it that is lost.
+	assignmentWait = maxDiscoveryTime + ResendAfter
 	// unplacedRetryAfter is the time after which callers of refused jobs may send them again. Hosts that start together
 	// place jobs before that.
 	unplacedRetryAfter = time.Second
