--- a/discoverer/discoverer.go
+++ b/discoverer/discoverer.go
@@ -66,6 +66,8 @@
 	// Shards reports whether the host can work in a domain with several shards. Hosts of earlier
 	// releases cannot.
 	Shards bool `msgpack:"shards,omitempty"`
+	// Strength is the processor time that the host may use, in thousandths of a core; 0 if it is not known.
+	Strength int64 `msgpack:"strength,omitempty"`
 	// ReplicaReady reports whether the host is a replica, or can become one at once.
 	ReplicaReady bool `msgpack:"stores"`
 }
@@ -92,6 +94,9 @@
 	// ColdRemaining is the time from the report for which the upstream remains slow after its failure domain
 	// was taken back into service.
 	ColdRemaining time.Duration `msgpack:"cold,omitempty"`
+	// Stored is set if control hosts have read the report from their disks and the upstream has not reported
+	// since they started. The upstream may not exist any more.
+	Stored bool `msgpack:"stored,omitempty"`
 }
 
 // Key returns the address, which identifies a host.
@@ -109,8 +114,9 @@
 }
 
 // merge returns the newer of two reports of one upstream, and whether it differs from u in more than
-// ReportSeq. Within an incarnation, u.State is kept if n.State comes before it. ColdRemaining differs when
-// the cold time begins, ends or is extended, and not while it passes.
+// ReportSeq. Within an incarnation, u.State is kept if n.State comes before it, and a report that was received does
+// not become a stored one. ColdRemaining differs when the cold time begins, ends or is extended, and not while it
+// passes.
 func (u Upstream) merge(n Upstream) (Upstream, bool) {
 	if n.Incarnation < u.Incarnation || n.Incarnation == u.Incarnation && n.ReportSeq < u.ReportSeq {
 		return u, false
@@ -118,6 +124,9 @@
 	if n.Incarnation == u.Incarnation && stateOrder[n.State] < stateOrder[u.State] {
 		n.State = u.State
 	}
+	if n.Incarnation == u.Incarnation {
+		n.Stored = n.Stored && u.Stored
+	}
 	old := u
 	old.ReportSeq = n.ReportSeq
 	if 0 < n.ColdRemaining && n.ColdRemaining <= u.ColdRemaining {
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -135,7 +135,7 @@
 	if len(members) == 0 || c.postpones(now) {
 		return
 	}
-	next := planAssignment(c.assigned, c.domainUpstreams(), members, c.allHandleShards(), c.cfg.UpstreamsPerShard)
+	next := planAssignment(c.assigned, c.domainUpstreams(now), members, c.memberStrengths(members), c.allHandleShards(), c.cfg.UpstreamsPerShard)
 	if c.isolated(now) {
 		// The lost hosts may be up and still hold their upstreams.
 		for id, holder := range c.assigned.Leaseholders {
@@ -188,11 +188,13 @@
 	return true
 }
 
-// domainUpstreams returns the upstreams of the domain.
-func (c *Core) domainUpstreams() []discoverer.Upstream {
+// domainUpstreams returns the upstreams of the domain. Those of which only a stored report is known count for a limited
+// time.
+func (c *Core) domainUpstreams(now time.Time) []discoverer.Upstream {
 	var upstreams []discoverer.Upstream
+	storedExpired := c.storedReportsExpired(now)
 	for _, u := range c.upstreams.All() {
-		if u.Domain == c.cfg.Self.Domain && u.State != discoverer.Gone {
+		if u.Domain == c.cfg.Self.Domain && u.State != discoverer.Gone && (!u.Stored || !storedExpired) {
 			upstreams = append(upstreams, u)
 		}
 	}
@@ -278,6 +280,14 @@
 		// The sender repeats the request once it has detected the change of the placer.
 		return
 	}
+	if !m.Started && !c.knowsCapacity() {
+		c.send(from, kindRefused, refused{
+			Job:        m.Job,
+			Reason:     noUpstreamReason,
+			RetryAfter: unplacedRetryAfter,
+		})
+		return
+	}
 	if c.cancelEarlierForward(now, from, m.Job) {
 		// The sender repeats the request after placementRetryInterval.
 		return
