replayer: count the outcomes of the largest jobs of each queue

Wide and long jobs must not always be the ones that are refused. Results now hold the counts of the tenth of the jobs of each queue with the most work, and of the fifth below it.

--- a/replayer/jobs.go
+++ b/replayer/jobs.go
@@ -24,6 +24,18 @@
 	// caller waits.
 	objective time.Duration
 	value     float64
+	// largest is set for the tenth of the jobs of the queue with the most work, large for the fifth
+	// with the most work below these.
+	large, largest bool
+}
+
+// work returns the work of the job in thousandths of a core times duration.
+func (j *job) work() int64 {
+	work := int64(0)
+	for _, runTime := range j.runTimes {
+		work += j.cpu * int64(runTime)
+	}
+	return work
 }
 
 // sample draws a value from the distribution.
@@ -51,9 +63,27 @@
 		}
 	}
 	slices.SortStableFunc(all, func(a, b *job) int { return cmp.Compare(a.arrival, b.arrival) })
+	for i := range s.Queues {
+		markLarge(all, &s.Queues[i])
+	}
 	return all
 }
 
+// markLarge sets large and largest for the jobs of a queue.
+func markLarge(all []*job, q *Queue) {
+	var jobs []*job
+	for _, j := range all {
+		if j.queue == q {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortStableFunc(jobs, func(a, b *job) int { return cmp.Compare(a.work(), b.work()) })
+	for i, j := range jobs {
+		j.largest = i >= len(jobs)*9/10
+		j.large = !j.largest && i >= len(jobs)*7/10
+	}
+}
+
 // generateArrivals draws the jobs of one domain and queue as a Poisson process with a varying rate:
 // it draws arrivals at the maximum rate and keeps each with the probability of the current rate
 // over the maximum. Dropped arrivals draw a job too, so that later jobs do not depend on what was
--- a/replayer/result.go
+++ b/replayer/result.go
@@ -46,10 +46,13 @@
 // Result is the result of one replay. Its maps are keyed by the names of queues and domains; a job
 // counts in the window in which it arrived.
 type Result struct {
-	Total   Count
-	Queues  map[string]*Count
-	Domains map[string]*Count
-	Windows []*Count
+	Total  Count
+	Queues map[string]*Count
+	// Largest counts the tenth of the jobs of each queue with the most work, Large the fifth with the
+	// most work below these.
+	Large, Largest map[string]*Count
+	Domains        map[string]*Count
+	Windows        []*Count
 	// Starts is the number of runs that have started.
 	Starts int
 	// Rejected is the number of starts for which the upstream had too little free capacity,
@@ -67,11 +70,15 @@
 func newResult(s *Script) *Result {
 	r := &Result{
 		Queues:  map[string]*Count{},
+		Large:   map[string]*Count{},
+		Largest: map[string]*Count{},
 		Domains: map[string]*Count{},
 		script:  s,
 	}
 	for i := range s.Queues {
 		r.Queues[s.Queues[i].Name] = &Count{}
+		r.Large[s.Queues[i].Name] = &Count{}
+		r.Largest[s.Queues[i].Name] = &Count{}
 	}
 	for i := range s.Domains {
 		r.Domains[s.Domains[i].Name] = &Count{}
@@ -91,6 +98,12 @@
 	} {
 		c.count(j, outcome, took)
 	}
+	switch {
+	case j.largest:
+		r.Largest[j.queue.Name].count(j, outcome, took)
+	case j.large:
+		r.Large[j.queue.Name].count(j, outcome, took)
+	}
 }
 
 func (c *Count) count(j *job, outcome jobOutcome, took time.Duration) {
