placer: refuse jobs by burst, priority and floor

Jobs of the queue with the highest usage were refused, the one with the most slack first. The priorities of the queues had no influence on who is refused, so that under overload a third of the jobs of the first priority were refused.

The new rule priority refuses jobs of a queue with a burst first, then those of the last priority that is above its floor, then those of the queue with the highest usage. Within a queue, the job with the least slack for its work is refused; sizes of which too large a share was refused are spared. The decision and the event of a refusal hold the choice.

--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -397,7 +397,7 @@
 		case d.Refused:
 			c.stats.Refused[string(d.Reason)]++
 			c.logEvent(reporter.JobRefused, "job", d.Job, "entry", d.Entry, "reason", d.Reason, "late", d.Lateness, "waiting", d.WaitingJobs,
-				"usage", d.UsageShare, "retry-after", d.RetryAfter)
+				"usage", d.UsageShare, "choice", d.Choice, "retry-after", d.RetryAfter)
 			c.send(d.Entry, kindRefused, refused{
 				Job:        d.Job,
 				Reason:     string(d.Reason),
--- a/placer/order.go
+++ b/placer/order.go
@@ -16,6 +16,8 @@
 	latestUsefulStart time.Time
 	// estimate is the expected run time of the longest waiting task.
 	estimate time.Duration
+	// choice is set by selectVictim.
+	choice Choice
 }
 
 // lateFactor is the multiple of its objective up to which the latency of a job is still of use.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -16,9 +16,10 @@
 //     served after those that cannot. Jobs that have begun go first, since a job ends with its
 //     last task.
 //   - A job is refused as soon as the work ahead of it shows that it cannot begin in time
-//     (shed.go). Under overload, waiting would make all jobs late. Jobs of the queue that has
-//     used the most capacity lately are refused first, so that a burst on one queue takes no
-//     capacity from the others.
+//     (shed.go). Under overload, waiting would make all jobs late. Jobs of a queue with a burst are
+//     refused first, then those of the last priority above its floor, then those of the queue that
+//     has used the most capacity lately (victim.go), so that a burst on one queue takes no capacity
+//     from the others.
 //   - Tasks go to the upstream with the least free capacity that fits them, best fit (fit.go), so
 //     that at peak load free capacity for large tasks is not fragmented. While much capacity is
 //     free, they go to the fastest upstream instead. Where slow upstreams would make jobs late, tasks
@@ -80,11 +81,15 @@
 	// jobs whose slack factor is less than the run time factor of the slowest upstream: other jobs are
 	// in time on any upstream if they begin at once.
 	RuleSpeed Rule = "speed"
+	// RulePriority refuses jobs of queues with a burst first and then of those with the last priority,
+	// down to a floor. It has effect if the queues have different priorities. Without it, jobs of the
+	// queue with the highest usage are refused.
+	RulePriority Rule = "priority"
 )
 
 // Rules returns all rules in the order of their declaration.
 func Rules() []Rule {
-	return []Rule{RuleShed, RuleForward, RuleReschedule, RuleEject, RuleCorrectEstimates, RuleBinPack, RuleLeastLaxity, RuleSpeed}
+	return []Rule{RuleShed, RuleForward, RuleReschedule, RuleEject, RuleCorrectEstimates, RuleBinPack, RuleLeastLaxity, RuleSpeed, RulePriority}
 }
 
 // Config holds the settings of a Placer.
@@ -177,6 +182,8 @@
 	Lateness    time.Duration
 	WaitingJobs int
 	UsageShare  float64
+	// Choice is why a job of this queue was refused and not one of another; empty if there was no choice.
+	Choice Choice
 	// RetryAfter is the time after which the caller of a refused job may send it again.
 	RetryAfter time.Duration
 	// Stop is a run to be stopped, and its upstream. The entry host then enqueues the task again.
@@ -235,6 +242,7 @@
 	// end, less its run time.
 	overhead  time.Duration
 	decisions []Decision
+	firstTick time.Time
 	lastTick  time.Time
 	nextSweep time.Time
 }
@@ -327,6 +335,11 @@
 // host is superseded. Runs that are placed already are not enqueued: the entry host has sent the
 // request before it received their placement.
 func (p *Placer) Enqueue(now time.Time, j Job) {
+	key := jobKey{
+		entry: j.Entry,
+		id:    j.ID,
+	}
+	isNew := p.jobs[key] == nil && !j.Started
 	p.Withdraw(j.Entry, j.ID)
 	waiting := slices.DeleteFunc(slices.Clone(j.Tasks), func(t Task) bool { return p.isPlaced(j.Entry, t.Run) })
 	j.Started = j.Started || len(waiting) < len(j.Tasks)
@@ -337,6 +350,9 @@
 	w := p.newWaitingJob(j)
 	p.supersede(w)
 	p.recordDemand(j)
+	if isNew && !j.Started {
+		p.recordArrival(w)
+	}
 	if !p.feasible(w) {
 		_, releases := p.predictReleases(now)
 		p.refuse(w, ReasonTooLarge, 0, releases)
@@ -455,6 +471,9 @@
 func (p *Placer) refuse(w *waitingJob, reason Reason, lateness time.Duration, releases []capacityRelease) {
 	waiting := len(p.order)
 	p.Withdraw(w.Entry, w.ID)
+	if reason != ReasonTooLarge && !w.Started {
+		p.recordRefusal(w)
+	}
 	p.decisions = append(p.decisions, Decision{
 		Job:         w.ID,
 		Entry:       w.Entry,
@@ -463,6 +482,7 @@
 		Lateness:    lateness,
 		WaitingJobs: waiting,
 		UsageShare:  p.usageShare(w.Queue),
+		Choice:      w.choice,
 		RetryAfter:  retryAfter(releases),
 	})
 }
--- a/replayer/replayer_test.go
+++ b/replayer/replayer_test.go
@@ -143,6 +143,36 @@
 	}
 }
 
+// Guards against overload in which less value is earned than at capacity, the queue with the first priority
+// is served worse than the others, or the largest jobs bear the cost.
+func TestOverload(t *testing.T) {
+	earned := map[float64]float64{}
+	for _, load := range []float64{1, 2, 5} {
+		s := readScript(t, "contended")
+		s.DurationSeconds, s.Bursts = 8, nil
+		for i := range s.Domains {
+			s.Domains[i].JobsPerSecond *= load
+		}
+		r := s.Replay(productOptions)
+		earned[load] = r.Total.EarnedValue
+		g := NewWithT(t)
+		g.Expect(earned[load]).To(BeNumerically(">=", 0.95*earned[1]), "load %v", load)
+		served := func(c *Count) float64 { return share(c.InTime+c.Late, c) }
+		for name, c := range r.Queues {
+			g.Expect(served(r.Largest[name])).To(BeNumerically(">=", served(c)/2), "largest of %s, load %v", name, load)
+			g.Expect(served(r.Large[name])).To(BeNumerically(">=", served(c)/2), "large of %s, load %v", name, load)
+			if load > 1 {
+				g.Expect(r.Queues["short"].ValueShare()).To(BeNumerically(">=", c.ValueShare()), "short against %s, load %v", name, load)
+			}
+		}
+		if load > 1 {
+			without := productOptions
+			without.DisabledRule = placer.RulePriority
+			g.Expect(r.Queues["short"].ValueShare()).To(BeNumerically(">", s.Replay(without).Queues["short"].ValueShare()), "load %v", load)
+		}
+	}
+}
+
 // Guards against replays that are not deterministic, because a decision depends on the iteration
 // order of a map or on the wall clock.
 func TestReplayIsDeterministic(t *testing.T) {
