placer: reserve capacity for the first waiting jobs that cannot begin (rule reserve)

Change: when jobs wait that cannot begin, and a later one could, the planned room of the first 4 of them is taken from a plan of the runs. A later task is placed only where it is expected to end, with a margin of 1.25, before that room is used, or leaves it.

--- a/placer/fit.go
+++ b/placer/fit.go
@@ -83,7 +83,7 @@
 	if t.MaxPerUpstream > 0 && u.runsOfStep(t.Run.Task) >= t.MaxPerUpstream {
 		return false
 	}
-	return p.available(now, u)
+	return p.available(now, u) && p.leavesReservations(now, u, w, t)
 }
 
 // runsOfStep returns the number of runs on the upstream that belong to the step of a task.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -64,6 +64,9 @@
 	// RulePlan predicts when jobs begin from a plan of each upstream (package forecaster). Without it
 	// RuleShed uses the sum of the free CPU of all upstreams, which large tasks cannot use.
 	RulePlan Rule = "plan"
+	// RuleReserve reserves capacity for the first waiting jobs that cannot begin. Jobs behind them are
+	// placed only where they do not delay them. Without it small tasks take the room for large ones.
+	RuleReserve Rule = "reserve"
 	// RuleForward forwards jobs to placers with free capacity.
 	RuleForward Rule = "pass"
 	// RuleReschedule stops runs that are stalled or slow and places them again elsewhere.
@@ -82,7 +85,7 @@
 
 // Rules returns all rules in the order of their declaration.
 func Rules() []Rule {
-	return []Rule{RuleShed, RulePlan, RuleForward, RuleReschedule, RuleEject, RuleCorrectEstimates, RuleBinPack, RuleLeastLaxity}
+	return []Rule{RuleShed, RulePlan, RuleReserve, RuleForward, RuleReschedule, RuleEject, RuleCorrectEstimates, RuleBinPack, RuleLeastLaxity}
 }
 
 // Config holds the settings of a Placer.
@@ -214,12 +217,16 @@
 
 // Placer holds the upstreams, runs and waiting jobs of one shard. Use New.
 type Placer struct {
-	cfg          Config
-	upstreams    map[string]*upstream
-	sorted       []*upstream // the upstreams by identifier
-	jobs         map[jobKey]*waitingJob
-	order        []*waitingJob // the waiting jobs in the order of compareJobs
-	plan         waitingPlan
+	cfg       Config
+	upstreams map[string]*upstream
+	sorted    []*upstream // the upstreams by identifier
+	jobs      map[jobKey]*waitingJob
+	order     []*waitingJob // the waiting jobs in the order of compareJobs
+	plan      waitingPlan
+	// reservations is the plan of the runs and the reserved starts. It is valid while reserving is set,
+	// which is during a call of place.
+	reservations waitingPlan
+	reserving    bool
 	queues       map[string]*queue
 	histories    map[jobKey]*jobHistory
 	runTimes     *estimator.Estimator
@@ -242,6 +249,8 @@
 	free   sesamedrift.Resources
 	runs   map[sesamedrift.Run]*placedRun
 	health health
+	// planIndex is the index in the plan that was made last.
+	planIndex int
 }
 
 // placedRun is a run that was placed on an upstream and has not ended.
@@ -607,16 +616,24 @@
 	// Under load hundreds of jobs wait, and after an event few of them fit. Jobs whose tasks all
 	// need more than the largest free capacity are skipped without a search.
 	maxFree := p.maxFreeCPU(now)
-	for _, w := range slices.Clone(p.order) {
-		if !w.anyTaskFits(maxFree) {
-			continue
+	reserved := 0
+	order := slices.Clone(p.order)
+	for i, w := range order {
+		if w.anyTaskFits(maxFree) {
+			p.placeJob(now, w)
+			if len(w.Tasks) == 0 {
+				p.Withdraw(w.Entry, w.ID)
+			}
+			maxFree = p.maxFreeCPU(now)
 		}
-		p.placeJob(now, w)
-		if len(w.Tasks) == 0 {
-			p.Withdraw(w.Entry, w.ID)
+		// A reservation matters only to jobs that could be placed now.
+		if reserved < maxReservations && p.jobs[w.key] == w && p.enabled(RuleReserve) &&
+			slices.ContainsFunc(order[i+1:], func(w *waitingJob) bool { return w.anyTaskFits(maxFree) }) {
+			p.reserveLater(now, w)
+			reserved++
 		}
-		maxFree = p.maxFreeCPU(now)
 	}
+	p.reserving = false
 }
 
 // anyTaskFits reports whether a task of the job needs at most the given CPU capacity.
@@ -690,21 +707,29 @@
 
 // reserve adds a run of a task to an upstream.
 func (p *Placer) reserve(now time.Time, w *waitingJob, t Task, u *upstream) {
+	expected := u.health.expected(p.estimate(now, &w.Job, t))
 	p.addRun(u, t.Run, &placedRun{
 		demand:   t.Demand,
 		key:      w.key,
 		queue:    w.Queue,
 		placedAt: now,
-		expected: u.health.expected(p.estimate(now, &w.Job, t)),
+		expected: expected,
 	})
 	u.free = u.free.Minus(t.Demand)
+	if p.reserving {
+		p.reservations.Take(u.planIndex, t.Demand, expected)
+	}
 }
 
 // unreserve removes the runs that reserve has added for the tasks of a job.
 func (p *Placer) unreserve(w *waitingJob, selected []*upstream) {
 	for i, u := range selected {
-		if u != nil {
-			p.freeRun(u.ID, w.Tasks[i].Run)
+		if u == nil {
+			continue
+		}
+		r := p.freeRun(u.ID, w.Tasks[i].Run)
+		if p.reserving {
+			p.reservations.Take(u.planIndex, sesamedrift.Resources{}.Minus(r.demand), r.expected)
 		}
 	}
 }
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -24,19 +24,20 @@
 	job       forecaster.Job
 }
 
-// newPlan begins a plan from the runs on the usable upstreams that accept tasks, without waiting jobs.
-func (p *Placer) newPlan(now time.Time) {
-	p.plan.madeAt = now
-	p.plan.number++
+// beginPlan begins a plan from the runs on the usable upstreams that accept tasks, without waiting jobs.
+func (p *Placer) beginPlan(now time.Time, l *waitingPlan) {
+	l.madeAt = now
+	l.number++
 	n := 0
 	for _, u := range p.sorted {
 		if !u.usable || !u.health.acceptsTasks(now) {
 			continue
 		}
-		if n == len(p.plan.upstreams) {
-			p.plan.upstreams = append(p.plan.upstreams, forecaster.Upstream{})
+		if n == len(l.upstreams) {
+			l.upstreams = append(l.upstreams, forecaster.Upstream{})
 		}
-		planned := &p.plan.upstreams[n]
+		planned := &l.upstreams[n]
+		u.planIndex = n
 		n++
 		*planned = forecaster.Upstream{
 			Service:    u.Service,
@@ -54,15 +55,15 @@
 			})
 		}
 	}
-	p.plan.upstreams = p.plan.upstreams[:n]
-	p.plan.Reset(p.plan.upstreams)
+	l.upstreams = l.upstreams[:n]
+	l.Reset(l.upstreams)
 }
 
 // addToPlan plans the waiting tasks of a job behind the jobs in the plan.
-func (p *Placer) addToPlan(now time.Time, w *waitingJob) forecaster.Forecast {
-	j := &p.plan.job
+func (p *Placer) addToPlan(now time.Time, l *waitingPlan, w *waitingJob) forecaster.Forecast {
+	j := &l.job
 	j.Service = w.Service
-	j.NotBefore = now.Sub(p.plan.madeAt)
+	j.NotBefore = now.Sub(l.madeAt)
 	j.Tasks = j.Tasks[:0]
 	for i, t := range w.Tasks {
 		planned := forecaster.Task{
@@ -79,7 +80,7 @@
 		}
 		j.Tasks = append(j.Tasks, planned)
 	}
-	return p.plan.Add(j)
+	return l.Add(j)
 }
 
 // shedByPlan plans the waiting jobs in their order. For each job that would end after its objective, it
@@ -91,14 +92,14 @@
 func (p *Placer) shedByPlan(now time.Time) {
 	extended := p.plan.number > 0 && now.Sub(p.plan.madeAt) < time.Duration(len(p.order))*planReusePerJob
 	if !extended {
-		p.newPlan(now)
+		p.beginPlan(now, &p.plan)
 	}
 	for i := 0; i < len(p.order); i++ {
 		w := p.order[i]
 		if w.planNumber == p.plan.number {
 			continue
 		}
-		w.forecast = p.addToPlan(now, w)
+		w.forecast = p.addToPlan(now, &p.plan, w)
 		w.planNumber = p.plan.number
 		lateness := p.plan.lateness(w)
 		if w.Started || lateness <= 0 {
@@ -125,7 +126,7 @@
 		}
 		similar := w.forecast
 		if victim != w {
-			similar = p.addToPlan(now, victim)
+			similar = p.addToPlan(now, &p.plan, victim)
 			p.plan.Remove(similar)
 		}
 		p.refuse(victim, refusalReason(now, victim), lateness, p.plan.retryAfter(now, similar))
--- a/placer/plan_test.go
+++ b/placer/plan_test.go
@@ -51,6 +51,28 @@
 	h.g.Expect(h.placedOn).To(HaveKey(runOf("urgent", 0).String()))
 }
 
+// Guards against a large task that never begins because small ones that came later take each gap, and
+// against capacity that stays unused although a small task would end before the large one can begin.
+func TestSmallTasksLeaveTheReservation(t *testing.T) {
+	h := newHarness(t, 16000)
+	h.enqueue(h.job("running", "q", 1, 10000, 100*time.Millisecond))
+	h.enqueue(h.job("large", "large", 1, 16000, 100*time.Millisecond))
+	for name, runTime := range map[string]time.Duration{
+		"ends-later": 300 * time.Millisecond,
+		"ends-first": 50 * time.Millisecond,
+	} {
+		j := h.job(name, "small", 1, 6000, runTime)
+		j.TargetLatency = 500 * time.Millisecond
+		h.enqueue(j)
+	}
+	h.g.Expect(h.placedOn).To(HaveKey(runOf("ends-first", 0).String()))
+	h.g.Expect(h.placedOn).NotTo(HaveKey(runOf("ends-later", 0).String()))
+	h.advance(100 * time.Millisecond)
+	h.endRun("ends-first", 0, leaseholder.Done, 50*time.Millisecond)
+	h.endRun("running", 0, leaseholder.Done, 100*time.Millisecond)
+	h.g.Expect(h.placedOn).To(HaveKey(runOf("large", 0).String()))
+}
+
 // BenchmarkTick measures Tick with 500 waiting jobs of 4 tasks on the 36 busy upstreams of a shard.
 func BenchmarkTick(b *testing.B) {
 	h := &harness{
--- a/replayer/replayer_test.go
+++ b/replayer/replayer_test.go
@@ -110,6 +110,7 @@
 	}{
 		{placer.RuleShed, []string{"burst", "burst-quote", "crest", "slow"}, value},
 		{placer.RulePlan, []string{"burst-quote", "crest", "gaps", "swing"}, fewerLate},
+		{placer.RuleReserve, []string{"gaps"}, value},
 		{placer.RuleForward, []string{"burst", "crest", "dark", "swing"}, value},
 		{placer.RuleEject, []string{"failing", "hanging", "slow"}, savedWork},
 		{placer.RuleReschedule, []string{"hanging"}, savedWork},
