placer, dispatcher: the error of the plan as a histogram metric

Cause: admission and reservations depend on planned starts, and nothing shows how far off these are.

Change: with the first placements of a job that had been planned, the placer reports the time from the actual start to the one that was planned first; the host publishes it as plan_error. No event is logged for each placement, so the error is not in an event; refusals log by how much the job was planned to be late.

--- a/dispatcher/stats.go
+++ b/dispatcher/stats.go
@@ -37,6 +37,9 @@
 	// of Core.Stats, PlacementWaits the times from the arrival of a job to a placement of its tasks.
 	JobTimes       []time.Duration
 	PlacementWaits []time.Duration
+	// PlanErrors holds the times from the actual starts of planned jobs to the planned ones, since the
+	// last call of Core.Stats.
+	PlanErrors []time.Duration
 	// OpenJobs is the number of jobs that this host tracks, WaitingJobs that of jobs that wait at
 	// this placer.
 	OpenJobs, WaitingJobs int
@@ -52,7 +55,7 @@
 	DocumentVersion uint64
 }
 
-// maxSamples bounds the length of JobTimes and PlacementWaits.
+// maxSamples bounds the length of JobTimes, PlacementWaits and PlanErrors.
 const maxSamples = 4096
 
 func newStats() Stats {
@@ -76,7 +79,7 @@
 	s.Jobs = maps.Clone(s.Jobs)
 	s.Runs = maps.Clone(s.Runs)
 	s.Refused = maps.Clone(s.Refused)
-	c.stats.JobTimes, c.stats.PlacementWaits = nil, nil
+	c.stats.JobTimes, c.stats.PlacementWaits, c.stats.PlanErrors = nil, nil, nil
 	s.OpenJobs = len(c.jobs)
 	s.HeldUpstreams = len(c.held)
 	for _, h := range c.held {
@@ -99,21 +102,29 @@
 
 // metricsPublisher publishes statistics as metrics.
 type metricsPublisher struct {
-	metrics *reporter.Metrics
-	last    Stats
-	jobTime tally.Histogram
-	jobWait tally.Histogram
+	metrics   *reporter.Metrics
+	last      Stats
+	jobTime   tally.Histogram
+	jobWait   tally.Histogram
+	planError tally.Histogram
 }
 
 // latencyBuckets reach from 5 ms, below the time of the shortest jobs, up to the longest deadlines.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 1.6, 16)
 
+// planErrorBuckets are negative for jobs that begin later than planned.
+var planErrorBuckets = tally.DurationBuckets{
+	-500 * time.Millisecond, -200 * time.Millisecond, -100 * time.Millisecond, -50 * time.Millisecond, -20 * time.Millisecond, -10 * time.Millisecond, 0,
+	10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond,
+}
+
 func newMetricsPublisher(m *reporter.Metrics) *metricsPublisher {
 	return &metricsPublisher{
-		metrics: m,
-		last:    newStats(),
-		jobTime: m.Scope.Histogram("job_time", latencyBuckets),
-		jobWait: m.Scope.Histogram("job_wait", latencyBuckets),
+		metrics:   m,
+		last:      newStats(),
+		jobTime:   m.Scope.Histogram("job_time", latencyBuckets),
+		jobWait:   m.Scope.Histogram("job_wait", latencyBuckets),
+		planError: m.Scope.Histogram("plan_error", planErrorBuckets),
 	}
 }
 
@@ -153,6 +164,9 @@
 	for _, d := range s.PlacementWaits {
 		p.jobWait.RecordDuration(d)
 	}
+	for _, d := range s.PlanErrors {
+		p.planError.RecordDuration(d)
+	}
 	scope.Gauge("jobs_open").Update(float64(s.OpenJobs))
 	scope.Gauge("jobs_waiting").Update(float64(s.WaitingJobs))
 	scope.Gauge("upstreams_kept").Update(float64(s.HeldUpstreams))
--- a/placer/order.go
+++ b/placer/order.go
@@ -21,6 +21,9 @@
 	// forecast is the plan for the job in the plan with the number planNumber.
 	forecast   forecaster.Forecast
 	planNumber uint64
+	// plannedStart is the start of the first task in the first plan that contained the job; zero if there
+	// was none.
+	plannedStart time.Time
 }
 
 // lateFactor is the multiple of its objective up to which the latency of a job is still of use.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -168,6 +168,10 @@
 	// They are set with Placements.
 	Waited         time.Duration
 	RemainingTasks int
+	// Planned is set with the first Placements of a job that had been planned before. PlanError is the
+	// time from its actual start to the planned one; it is negative if the job begins later than planned.
+	Planned   bool
+	PlanError time.Duration
 	// ForwardTo is the address of the placer to which the job should be forwarded, or empty.
 	ForwardTo string
 	// Refused is set if the waiting tasks of the job will not be placed, for Reason.
@@ -691,6 +695,11 @@
 		})
 	}
 	w.Tasks = remaining
+	planned := !w.Started && !w.plannedStart.IsZero()
+	planError := time.Duration(0)
+	if planned {
+		planError = w.plannedStart.Sub(now)
+	}
 	if !w.Started {
 		w.Started = true
 		p.remove(w)
@@ -702,6 +711,8 @@
 		Placements:     placements,
 		Waited:         now.Sub(w.Arrived),
 		RemainingTasks: len(remaining),
+		Planned:        planned,
+		PlanError:      planError,
 	})
 }
 
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -103,6 +103,9 @@
 		w.planNumber = p.plan.number
 		lateness := p.plan.lateness(w)
 		if w.Started || lateness <= 0 {
+			if w.plannedStart.IsZero() {
+				w.plannedStart = p.plan.madeAt.Add(w.forecast.Begin)
+			}
 			continue
 		}
 		if extended && i+1 < len(p.order) {
--- a/placer/plan_test.go
+++ b/placer/plan_test.go
@@ -51,6 +51,16 @@
 	h.g.Expect(h.placedOn).To(HaveKey(runOf("urgent", 0).String()))
 }
 
+// Guards against a plan whose error nobody sees: a job that waits reports how far off its planned start was.
+func TestPlanErrorIsReported(t *testing.T) {
+	h := newHarness(t, 10000)
+	h.enqueue(h.job("running", "q", 1, 10000, 100*time.Millisecond))
+	h.enqueue(h.job("waits", "q", 1, 10000, 400*time.Millisecond))
+	h.now = h.now.Add(80 * time.Millisecond)
+	h.p.RunEnded(h.now, "u0", runOf("running", 0), leaseholder.Done, "", 80*time.Millisecond)
+	h.g.Expect(h.p.TakeDecisions()).To(ConsistOf(And(HaveField("Planned", true), HaveField("PlanError", 20*time.Millisecond))))
+}
+
 // Guards against a large task that never begins because small ones that came later take each gap, and
 // against capacity that stays unused although a small task would end before the large one can begin.
 func TestSmallTasksLeaveTheReservation(t *testing.T) {
