--- a/placer/placer.go
+++ b/placer/placer.go
@@ -64,7 +64,7 @@
 	// RulePlan predicts when jobs begin from a plan of each upstream (package forecaster). Without it
 	// RuleShed uses the sum of the free CPU of all upstreams, which large tasks cannot use.
 	RulePlan Rule = "plan"
-	// RuleReserve reserves capacity for the first waiting jobs that cannot begin. Jobs behind them are
+	// RuleReserve reserves capacity for the first waiting jobs with large tasks that cannot begin. Jobs behind them are
 	// placed only where they do not delay them. Without it small tasks take the room for large ones.
 	RuleReserve Rule = "reserve"
 	// RuleForward forwards jobs to placers with free capacity.
@@ -631,7 +631,7 @@
 			maxFree = p.maxFreeCPU(now)
 		}
 		// A reservation matters only to jobs that could be placed now.
-		if reserved < maxReservations && p.jobs[w.key] == w && p.enabled(RuleReserve) &&
+		if reserved < maxReservations && p.jobs[w.key] == w && p.enabled(RuleReserve) && p.needsReservation(w) &&
 			slices.ContainsFunc(order[i+1:], func(w *waitingJob) bool { return w.anyTaskFits(maxFree) }) {
 			p.reserveLater(now, w)
 			reserved++
