placer: forward jobs to a busy placer of the domain before they are refused

Cause: a placer with waiting jobs accepts none, so a shard refuses jobs that another shard of the domain could still serve in time.

Change: a report also says when a task of mean CPU demand is planned to begin behind the waiting jobs. A job that would be refused goes to the nearby placer that begins it first, if that is in time, at most 16 tasks for each report. A forwarded job is not forwarded again. Earlier releases leave the field out and get no such jobs.

--- a/placer/forward.go
+++ b/placer/forward.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"time"
+
+	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/forecaster"
 )
 
 const (
@@ -15,6 +18,9 @@
 	// capacity when the job arrived but has some now. A delay of 0 or 60 ms earns less value than
 	// 20 ms in the mean of six load scripts.
 	forwardDelay = 20 * time.Millisecond
+	// maxForwardedBusy is the number of tasks that are forwarded to a placer with waiting jobs for each of
+	// its reports.
+	maxForwardedBusy = 16
 )
 
 // FreeCapacity is the report that placers send to each other.
@@ -23,6 +29,10 @@
 	Tasks int `msgpack:"places"`
 	// WaitingJobs is the number of jobs with tasks that wait for placement.
 	WaitingJobs int `msgpack:"waiting"`
+	// StartsAfter is the time after which a task of mean CPU demand, of the service of the first waiting
+	// job, is planned to be able to begin behind the waiting jobs. It is 0 if no job waits or nothing is
+	// planned, and in reports of earlier releases.
+	StartsAfter time.Duration `msgpack:"starts,omitempty"`
 }
 
 // accepting reports whether jobs may be forwarded to a placer with the free capacity.
@@ -77,9 +87,31 @@
 			capacity.Tasks += int(float64(u.free.CPU) / p.meanCPU)
 		}
 	}
+	capacity.StartsAfter = p.startsAfter(now)
 	return capacity
 }
 
+// startsAfter returns the value for FreeCapacity.StartsAfter.
+func (p *Placer) startsAfter(now time.Time) time.Duration {
+	if len(p.order) == 0 || p.plan.number == 0 || !p.enabled(RulePlan) {
+		return 0
+	}
+	first := p.order[0]
+	f := p.plan.Add(&forecaster.Job{
+		Service:   first.Service,
+		NotBefore: now.Sub(p.plan.madeAt),
+		Tasks: []forecaster.Task{{
+			Demand:  sesamedrift.Resources{CPU: int64(p.meanCPU)},
+			RunTime: first.estimate,
+		}},
+	})
+	p.plan.Remove(f)
+	if !f.Fits {
+		return 0
+	}
+	return max(f.Begin-now.Sub(p.plan.madeAt), time.Millisecond)
+}
+
 // forwardTarget returns the address of the placer with the most free capacity for a job that has not
 // begun, or "" if none has enough. Nearby placers come first: a job that is forwarded to another
 // domain is sent there whole. It returns "" during the grace period: a new placer does not know yet
@@ -105,6 +137,30 @@
 	return best
 }
 
+// forwardBusy forwards a job that would be refused here to a nearby placer that has waiting jobs but expects
+// to begin it in time. It reports false if there is none.
+func (p *Placer) forwardBusy(now time.Time, w *waitingJob) bool {
+	if w.Forwarded || w.Started || !p.enabled(RuleForward) || p.runsLocally(w) {
+		return false
+	}
+	best, earliest := "", time.Duration(0)
+	for address, other := range p.otherPlacers {
+		after := other.capacity.StartsAfter
+		if !other.nearby || now.Sub(other.receivedAt) > capacityTTL || after == 0 || other.forwardedTasks+len(w.Tasks) > maxForwardedBusy ||
+			now.Add(after).After(w.latestStart) {
+			continue
+		}
+		if best == "" || after < earliest || after == earliest && address < best {
+			best, earliest = address, after
+		}
+	}
+	if best == "" {
+		return false
+	}
+	p.sendForward(w, best)
+	return true
+}
+
 // runsLocally reports whether a task of the job has a run on the upstreams of this placer. That is the case when
 // the caller has sent the job again and runs of the earlier try have not ended.
 func (p *Placer) runsLocally(w *waitingJob) bool {
@@ -123,6 +179,12 @@
 	if address == "" {
 		return false
 	}
+	p.sendForward(w, address)
+	return true
+}
+
+// sendForward withdraws a job and adds the decision to forward it.
+func (p *Placer) sendForward(w *waitingJob, address string) {
 	p.otherPlacers[address].forwardedTasks += len(w.Tasks)
 	p.Withdraw(w.Entry, w.ID)
 	p.decisions = append(p.decisions, Decision{
@@ -130,7 +192,6 @@
 		Entry:     w.Entry,
 		ForwardTo: address,
 	})
-	return true
 }
 
 // forwardWaiting forwards jobs that have waited for forwardDelay to placers that can start them
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -318,6 +318,30 @@
 	h.g.Expect(h.forwarded).NotTo(HaveKey("from"), "a forwarded job must not be forwarded again")
 }
 
+// Guards against jobs that are refused although a placer of the domain can begin them in time behind its own
+// waiting jobs, and against more of them than it has room for.
+func TestLateJobIsForwardedToBusyPlacer(t *testing.T) {
+	h := newHarness(t, 10000)
+	h.enqueue(h.job("here", "q", 1, 10000, time.Second))
+	report := FreeCapacity{
+		WaitingJobs: 1,
+		StartsAfter: 100 * time.Millisecond,
+	}
+	h.p.SetOtherCapacity(h.now, "remote", false, report)
+	h.enqueue(h.job("first", "q", 1, 10000, 100*time.Millisecond))
+	h.g.Expect(h.refused).To(HaveKey("first"), "the placer is not nearby")
+	h.p.SetOtherCapacity(h.now, "near", true, report)
+	h.enqueue(h.job("second", "q", maxForwardedBusy, 10000, 100*time.Millisecond))
+	h.enqueue(h.job("third", "q", 1, 10000, 100*time.Millisecond))
+	received := h.job("received", "q", 1, 10000, 100*time.Millisecond)
+	received.Forwarded = true
+	h.p.SetOtherCapacity(h.now, "near", true, report)
+	h.enqueue(received)
+	h.enqueue(h.job("urgent", "q", 1, 10000, 50*time.Millisecond))
+	h.g.Expect(h.forwarded).To(Equal(map[string]string{"second": "near"}))
+	h.g.Expect(h.refused).To(And(HaveLen(4), HaveKey("third"), HaveKey("received"), HaveKey("urgent")))
+}
+
 // Guards against jobs that keep waiting after a remote domain gets free capacity that it did not
 // have when they arrived.
 func TestWaitingJobIsForwarded(t *testing.T) {
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -124,7 +124,7 @@
 			p.plan.Remove(victim.forecast)
 		}
 		i = slices.Index(p.order, victim) - 1
-		if p.forward(now, victim) {
+		if p.forward(now, victim) || p.forwardBusy(now, victim) {
 			continue
 		}
 		similar := w.forecast
