--- a/placer/closed.go
+++ b/placer/closed.go
@@ -46,8 +46,7 @@
 	}
 	for _, w := range slices.Clone(p.order) {
 		if !p.forward(now, w) && p.hopeless(now, w, running[w.key]) {
-			p.refuse(w, p.closed, 0, nil)
-			p.decisions[len(p.decisions)-1].RetryAfter = closedRetryAfter
+			p.refuse(w, p.closed, 0, closedRetryAfter)
 		}
 	}
 }
--- a/placer/fit.go
+++ b/placer/fit.go
@@ -127,7 +127,7 @@
 	if t.MaxPerUpstream > 0 && u.runsOfStep(t.Run.Task) >= t.MaxPerUpstream {
 		return false
 	}
-	return p.available(now, u)
+	return p.available(now, u) && p.leavesReservations(now, u, w, t)
 }
 
 // suits reports whether a task may run on the upstream when no other run uses its capacity.
--- a/placer/order.go
+++ b/placer/order.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"sesamedrift.example/sesamedrift/forecaster"
 )
 
 // waitingJob is a job with tasks that wait for placement.
@@ -18,6 +20,12 @@
 	estimate time.Duration
 	// choice is set by selectVictim.
 	choice Choice
+	// forecast is the plan for the job in the plan with the number planNumber.
+	forecast   forecaster.Forecast
+	planNumber uint64
+	// plannedStart is the start of the first task in the first plan that contained the job; zero if there
+	// was none.
+	plannedStart time.Time
 }
 
 // lateFactor is the multiple of its objective up to which the latency of a job is still of use.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -15,8 +15,8 @@
 //     objective, least laxity first (order.go). While demand varies, jobs that can wait are
 //     served after those that cannot. Jobs that have begun go first, since a job ends with its
 //     last task.
-//   - A job is refused as soon as the work ahead of it shows that it cannot begin in time
-//     (shed.go). Under overload, waiting would make all jobs late. Jobs of a queue with a burst are
+//   - A job is refused as soon as a plan of the runs and of the jobs ahead of it shows that it cannot
+//     end in time (shed.go, plan.go). Under overload, waiting would make all jobs late. Jobs of a queue with a burst are
 //     refused first, then those of the last priority above its floor, then those of the queue that
 //     has used the most capacity lately (victim.go), so that a burst on one queue takes no capacity
 //     from the others.
@@ -63,6 +63,12 @@
 	// callers can still send them elsewhere. Without it they are refused when their deadline can
 	// no longer be met.
 	RuleShed Rule = "shed"
+	// RulePlan predicts when jobs begin from a plan of each upstream (package forecaster). Without it
+	// RuleShed uses the sum of the free CPU of all upstreams, which large tasks cannot use.
+	RulePlan Rule = "plan"
+	// RuleReserve reserves capacity for the first waiting jobs with large tasks that cannot begin. Jobs behind them are
+	// placed only where they do not delay them. Without it small tasks take the room for large ones.
+	RuleReserve Rule = "reserve"
 	// RuleForward forwards jobs to placers with free capacity.
 	RuleForward Rule = "pass"
 	// RuleReschedule stops runs that are stalled or slow and places them again elsewhere.
@@ -90,7 +96,7 @@
 
 // Rules returns all rules in the order of their declaration.
 func Rules() []Rule {
-	return []Rule{RuleShed, RuleForward, RuleReschedule, RuleEject, RuleCorrectEstimates, RuleBinPack, RuleLeastLaxity, RuleSpeed, RulePriority}
+	return []Rule{RuleShed, RulePlan, RuleReserve, RuleForward, RuleReschedule, RuleEject, RuleCorrectEstimates, RuleBinPack, RuleLeastLaxity, RuleSpeed, RulePriority}
 }
 
 // Config holds the settings of a Placer.
@@ -176,6 +182,10 @@
 	// They are set with Placements.
 	Waited         time.Duration
 	RemainingTasks int
+	// Planned is set with the first Placements of a job that had been planned before. PlanError is the
+	// time from its actual start to the planned one; it is negative if the job begins later than planned.
+	Planned   bool
+	PlanError time.Duration
 	// ForwardTo is the address of the placer to which the job should be forwarded, or empty.
 	ForwardTo string
 	// Refused is set if the waiting tasks of the job will not be placed, for Reason.
@@ -232,11 +242,16 @@
 
 // Placer holds the upstreams, runs and waiting jobs of one shard. Use New.
 type Placer struct {
-	cfg          Config
-	upstreams    map[string]*upstream
-	sorted       []*upstream // the upstreams by identifier
-	jobs         map[jobKey]*waitingJob
-	order        []*waitingJob // the waiting jobs in the order of compareJobs
+	cfg       Config
+	upstreams map[string]*upstream
+	sorted    []*upstream // the upstreams by identifier
+	jobs      map[jobKey]*waitingJob
+	order     []*waitingJob // the waiting jobs in the order of compareJobs
+	plan      waitingPlan
+	// reservations is the plan of the runs and the reserved starts. It is valid while reserving is set,
+	// which is during a call of place.
+	reservations waitingPlan
+	reserving    bool
 	queues       map[string]*queue
 	histories    map[jobKey]*jobHistory
 	runTimes     *estimator.Estimator
@@ -268,6 +283,8 @@
 	free   sesamedrift.Resources
 	runs   map[sesamedrift.Run]*placedRun
 	health health
+	// planIndex is the index in the plan that was made last.
+	planIndex int
 }
 
 // New returns a Placer without upstreams or jobs.
@@ -370,7 +387,7 @@
 	}
 	if p.closed == "" && !p.feasible(w) {
 		_, releases := p.predictReleases(now)
-		p.refuse(w, ReasonTooLarge, 0, releases)
+		p.refuse(w, ReasonTooLarge, 0, retryAfter(releases))
 		return
 	}
 	p.jobs[w.key] = w
@@ -486,7 +503,7 @@
 }
 
 // refuse withdraws a job and adds the decision to refuse it.
-func (p *Placer) refuse(w *waitingJob, reason Reason, lateness time.Duration, releases []capacityRelease) {
+func (p *Placer) refuse(w *waitingJob, reason Reason, lateness, retryAfter time.Duration) {
 	waiting := len(p.order)
 	p.Withdraw(w.Entry, w.ID)
 	if reason != ReasonTooLarge && !w.Started {
@@ -501,7 +518,7 @@
 		WaitingJobs: waiting,
 		UsageShare:  p.usageShare(w.Queue),
 		Choice:      w.choice,
-		RetryAfter:  retryAfter(releases),
+		RetryAfter:  retryAfter,
 	})
 }
 
@@ -542,16 +559,24 @@
 	// Under load hundreds of jobs wait, and after an event few of them fit. Jobs whose tasks all
 	// need more than the largest free capacity are skipped without a search.
 	maxFree := p.maxFreeCPU(now)
-	for _, w := range slices.Clone(p.order) {
-		if !w.anyTaskFits(maxFree) {
-			continue
+	reserved := 0
+	order := slices.Clone(p.order)
+	for i, w := range order {
+		if w.anyTaskFits(maxFree) {
+			p.placeJob(now, w)
+			if len(w.Tasks) == 0 {
+				p.Withdraw(w.Entry, w.ID)
+			}
+			maxFree = p.maxFreeCPU(now)
 		}
-		p.placeJob(now, w)
-		if len(w.Tasks) == 0 {
-			p.Withdraw(w.Entry, w.ID)
+		// A reservation matters only to jobs that could be placed now.
+		if reserved < maxReservations && p.jobs[w.key] == w && p.enabled(RuleReserve) && p.needsReservation(w) &&
+			slices.ContainsFunc(order[i+1:], func(w *waitingJob) bool { return w.anyTaskFits(maxFree) }) {
+			p.reserveLater(now, w)
+			reserved++
 		}
-		maxFree = p.maxFreeCPU(now)
 	}
+	p.reserving = false
 }
 
 // anyTaskFits reports whether a task of the job needs at most the given CPU capacity.
@@ -609,6 +634,11 @@
 		})
 	}
 	w.Tasks = remaining
+	planned := !w.Started && !w.plannedStart.IsZero()
+	planError := time.Duration(0)
+	if planned {
+		planError = w.plannedStart.Sub(now)
+	}
 	if !w.Started {
 		w.Started = true
 		p.remove(w)
@@ -620,5 +650,7 @@
 		Placements:     placements,
 		Waited:         now.Sub(w.Arrived),
 		RemainingTasks: len(remaining),
+		Planned:        planned,
+		PlanError:      planError,
 	})
 }
--- a/placer/runs.go
+++ b/placer/runs.go
@@ -132,13 +132,20 @@
 		cold:     u.isCold,
 	})
 	u.free = u.free.Minus(t.Demand)
+	if p.reserving {
+		p.reservations.Take(u.planIndex, t.Demand, expected)
+	}
 }
 
 // unreserve removes the runs that reserve has added for the tasks of a job.
 func (p *Placer) unreserve(w *waitingJob, selected []*upstream) {
 	for i, u := range selected {
-		if u != nil {
-			p.freeRun(u.ID, w.Tasks[i].Run)
+		if u == nil {
+			continue
+		}
+		r := p.freeRun(u.ID, w.Tasks[i].Run)
+		if p.reserving {
+			p.reservations.Take(u.planIndex, sesamedrift.Resources{}.Minus(r.demand), r.expected)
 		}
 	}
 }
