placer: count the observed overhead of runs in the plan

The plan expected runs to end their expected run time after their placement, and planned tasks to take room for their run time only. The time that messages take to and from the upstream, 10 to 30 ms on weak hosts, was only in the latest start, so that each planned release came too early: jobs of 51 ms were accepted and late.

--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -48,7 +48,9 @@
 	Service string
 	// NotBefore is the earliest time at which a task may begin.
 	NotBefore time.Duration
-	Tasks     []Task
+	// Overhead is the time for which a task takes its room beyond its run time, on any upstream.
+	Overhead time.Duration
+	Tasks    []Task
 }
 
 // Start is the planned start of a task.
@@ -204,7 +206,7 @@
 	if t.MaxPerUpstream > 0 {
 		notBefore = max(notBefore, stepFreeAfter(j, t, upstream, planned))
 	}
-	d := time.Duration(float64(t.RunTime) * u.Slowness)
+	d := time.Duration(float64(t.RunTime)*u.Slowness) + j.Overhead
 	after, ok := p.profiles[upstream].earliest(t.Demand, notBefore, d)
 	if !ok {
 		return candidate{end: never}
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -50,7 +50,7 @@
 		}
 		for _, r := range u.runs {
 			planned.Releases = append(planned.Releases, forecaster.Release{
-				After:  r.remaining(now),
+				After:  r.remaining(now, p.overhead),
 				Demand: r.demand,
 			})
 		}
@@ -64,6 +64,7 @@
 	j := &l.job
 	j.Service = w.Service
 	j.NotBefore = now.Sub(l.madeAt)
+	j.Overhead = p.overhead
 	j.Tasks = j.Tasks[:0]
 	for i, t := range w.Tasks {
 		planned := forecaster.Task{
@@ -101,7 +102,7 @@
 		}
 		w.forecast = p.addToPlan(now, &p.plan, w)
 		w.planNumber = p.plan.number
-		lateness := p.plan.lateness(w)
+		lateness := p.plan.lateness(w, p.overhead)
 		if w.Started || lateness <= 0 {
 			if w.plannedStart.IsZero() {
 				w.plannedStart = p.plan.madeAt.Add(w.forecast.Begin)
@@ -137,12 +138,12 @@
 }
 
 // lateness returns by how much a planned job would end after its objective, or unboundedLateness if
-// there is no room for one of its tasks.
-func (l *waitingPlan) lateness(w *waitingJob) time.Duration {
+// there is no room for one of its tasks. Planned ends include the overhead, the latest start excludes it.
+func (l *waitingPlan) lateness(w *waitingJob, overhead time.Duration) time.Duration {
 	if !w.forecast.Fits {
 		return unboundedLateness
 	}
-	return l.madeAt.Add(w.forecast.End).Sub(w.latestStart.Add(w.estimate))
+	return l.madeAt.Add(w.forecast.End).Sub(w.latestStart.Add(w.estimate + overhead))
 }
 
 // retryAfter returns the time after which all tasks of a job with the forecast can have begun.
--- a/placer/runs.go
+++ b/placer/runs.go
@@ -133,7 +133,7 @@
 	})
 	u.free = u.free.Minus(t.Demand)
 	if p.reserving {
-		p.reservations.Take(u.planIndex, t.Demand, expected)
+		p.reservations.Take(u.planIndex, t.Demand, expected+p.overhead)
 	}
 }
 
@@ -145,7 +145,7 @@
 		}
 		r := p.freeRun(u.ID, w.Tasks[i].Run)
 		if p.reserving {
-			p.reservations.Take(u.planIndex, sesamedrift.Resources{}.Minus(r.demand), r.expected)
+			p.reservations.Take(u.planIndex, sesamedrift.Resources{}.Minus(r.demand), r.expected+p.overhead)
 		}
 	}
 }
--- a/placer/shed.go
+++ b/placer/shed.go
@@ -121,9 +121,10 @@
 	return cmp.Or(cmp.Compare(a.after, b.after), cmp.Compare(a.cpu, b.cpu))
 }
 
-// remaining returns the expected time until the run ends.
-func (r *placedRun) remaining(now time.Time) time.Duration {
-	if after := r.expected - now.Sub(r.placedAt); after >= 0 {
+// remaining returns the expected time until the end of the run is reported. The overhead is that of
+// Placer.overhead.
+func (r *placedRun) remaining(now time.Time, overhead time.Duration) time.Duration {
+	if after := r.expected + overhead - now.Sub(r.placedAt); after >= 0 {
 		return after
 	}
 	return time.Duration(overrunShare * float64(r.expected))
@@ -144,7 +145,7 @@
 		free += u.free.CPU
 		for _, r := range u.runs {
 			releases = append(releases, capacityRelease{
-				after: r.remaining(now),
+				after: r.remaining(now, p.overhead),
 				cpu:   r.demand.CPU,
 			})
 		}
