controller: the test of surviving evacuations waits for the replica's own copy

It had it from the polls of the others when they stopped, and its own replica, which is not in the majority that stored the order, had not been synchronised. What it has stored counts only after 2 s without a majority, as designed. The test now waits until the replica has the order; its other checks are unchanged.

--- a/controller/evacuations_test.go
+++ b/controller/evacuations_test.go
@@ -10,6 +10,7 @@
 	"sesamedrift.example/sesamedrift/discoverer"
 	"sesamedrift.example/sesamedrift/evacuator"
 	"sesamedrift.example/sesamedrift/poller"
+	"sesamedrift.example/sesamedrift/registrar"
 )
 
 // pollEvacuations returns the reply of a control host to the first poll of an entry host.
@@ -54,6 +55,10 @@
 		eventuallyKnown(i, "d", "e")
 	}
 
+	// A host may know an order from the polls of the others before its own replica has it, and is alone below.
+	c.g.Eventually(func() []registrar.Entry { return c.hosts[0].replica.Registers().Entries(nil) }).WithTimeout(waitLimit).Should(ContainElement(And(
+		HaveField("Register", evacuator.Register),
+		HaveField("Value", WithTransform(evacuator.Decode, HaveField("Domains", ConsistOf("d", "e")))))))
 	for i := range 3 {
 		c.stop(i)
 	}
