controller: sync the folder of the stored reports; plainer names and comments

A renamed file may be back to its former content after a loss of power unless its folder is synced, so that a leaving upstream whose report was acknowledged could be found as serving. Found by reading; no test brings it about. The rest renames an argument and drops notes on how two constants were chosen, which the design page has.

--- a/controller/stored.go
+++ b/controller/stored.go
@@ -82,7 +82,15 @@
 	if err := errors.Join(err, file.Close()); err != nil {
 		return err
 	}
-	return os.Rename(next, path)
+	if err := os.Rename(next, path); err != nil {
+		return err
+	}
+	// Without this, the former file may be back after a loss of power, in which a leaving upstream is serving.
+	folder, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return err
+	}
+	return errors.Join(folder.Sync(), folder.Close())
 }
 
 // storeSoon has the reports of upstreams written. The caller holds h.mu.
--- a/dispatcher/evacuations.go
+++ b/dispatcher/evacuations.go
@@ -32,16 +32,16 @@
 }
 
 // applyEvacuations applies what another host says about the evacuations, and passes on to the peers what is new.
-func (c *Core) applyEvacuations(now time.Time, from string, news evacuations) {
-	newer := news.State.Version > c.evacuations.State.Version
-	learned := news.Known && !c.evacuations.Known
+func (c *Core) applyEvacuations(now time.Time, from string, update evacuations) {
+	newer := update.State.Version > c.evacuations.State.Version
+	learned := update.Known && !c.evacuations.Known
 	if !newer && !learned {
 		return
 	}
 	if newer {
-		c.evacuations.State = news.State
-		c.logEvent(reporter.EvacuationsInForce, "from", from, "version", news.State.Version, "domains", news.State.Domains,
-			"evacuated", news.State.Evacuated(c.cfg.Self.Domain))
+		c.evacuations.State = update.State
+		c.logEvent(reporter.EvacuationsInForce, "from", from, "version", update.State.Version, "domains", update.State.Domains,
+			"evacuated", update.State.Evacuated(c.cfg.Self.Domain))
 	}
 	if learned {
 		c.evacuations.Known = true
--- a/dispatcher/evacuations_test.go
+++ b/dispatcher/evacuations_test.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// Guards against starts in an evacuated domain that a placer without the news has placed, against an older state
+// Guards against starts in an evacuated domain that a placer that has not learned the evacuation has placed, against an older state
 // that replaces a newer one, and against hosts without contact to control hosts that do not learn the state.
 func TestStartsInEvacuatedDomain(t *testing.T) {
 	h := newLeaseholder(t, 0)
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -331,11 +331,11 @@
 // HandleUpdates applies updates from the control host with the address.
 func (c *Core) HandleUpdates(now time.Time, from string, updates poller.Updates) {
 	c.noticePause(now)
-	news := evacuations{Known: updates.EvacuationsKnown}
+	evacuated := evacuations{Known: updates.EvacuationsKnown}
 	if updates.Evacuations != nil {
-		news.State = *updates.Evacuations
+		evacuated.State = *updates.Evacuations
 	}
-	c.applyEvacuations(now, from, news)
+	c.applyEvacuations(now, from, evacuated)
 	c.applySnapshot(now, snapshot{
 		Hosts:     updates.Hosts,
 		Upstreams: updates.Upstreams,
--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -6,12 +6,11 @@
 )
 
 const (
-	// maxReservations is the number of waiting jobs for which capacity is reserved. In load scripts with
-	// large tasks, reservations for 1, 2 or 8 jobs or for all of them earn less.
+	// maxReservations is the number of waiting jobs for which capacity is reserved. Each one keeps later tasks
+	// from upstreams that are free now.
 	maxReservations = 4
 	// reservedDemandShare is the share of the CPU capacity of the largest upstream above which capacity is
-	// reserved for a task. Smaller tasks find room without it, and scripts that have only these earn up to
-	// 0.003 less with reservations.
+	// reserved for a task. Smaller tasks find room without it.
 	reservedDemandShare = 0.5
 	// backfillMargin is the factor on the expected run time of a task that is placed before a reserved
 	// start, for the error of estimates.
