server: await slot reports of other domains before refusing evacuated jobs

Callers of an evacuated domain were refused although other domains had free slots, if the host learned the evacuation from a peer of its own domain before it had a slot report of another one.

For this time after an evacuation has come into force, such jobs stay queued, and are refused afterwards or forwarded with the first report. A host without peers of other domains refuses at once, as before. Services without slots are now checked also if this host has never owned an upstream of theirs, so that their jobs are not held until the deadline.

--- a/server/admission.go
+++ b/server/admission.go
@@ -46,7 +46,7 @@
 	if d.tooLarge(j) {
 		return refuse(limiter.DeadlineCheck{}, "no upstream of the failure domain has the capacity that a task needs")
 	}
-	if d.evacuated && wait >= scheduler.MaxWait {
+	if d.noDomainLeft(now, j.service) {
 		return refuse(limiter.DeadlineCheck{}, errNoDomain.Error())
 	}
 	forecast := limiter.Forecast{
@@ -90,8 +90,8 @@
 	if wait >= scheduler.MaxWait {
 		wait = d.peers.shortestWait(now, j.service)
 	}
-	if wait >= scheduler.MaxWait && len(d.announcedCapacities[j.service]) > 0 {
-		// The owners of the announced upstreams have not reported their slots yet.
+	if wait >= scheduler.MaxWait && (len(d.announcedCapacities[j.service]) > 0 || d.awaitsOtherDomains(now)) {
+		// The owners of the announced upstreams, or the other domains, have not reported their slots yet.
 		return 0
 	}
 	if host, free := d.peers.mostFree(now, j.service, anyDistance); host != "" && free >= len(j.tasks) {
--- a/server/dispatcher.go
+++ b/server/dispatcher.go
@@ -74,6 +74,7 @@
 	// domain is evacuated or because it does not know the evacuations yet. The upstreams then count as
 	// leaving.
 	evacuated          bool
+	evacuatedAt        time.Time                  // when evacuated became true
 	weights            map[string]float64         // weights of the teams, by scheduler name
 	teams              map[string]map[string]bool // scheduler names of the teams, by environment
 	configuredServices map[string]bool            // services of the active documents
@@ -486,6 +487,11 @@
 	for service := range d.ownedServices {
 		d.checkSlots(now, service)
 	}
+	for service := range d.configuredServices {
+		if !d.ownedServices[service] {
+			d.checkSlots(now, service)
+		}
+	}
 	d.dropEarlyStops(now)
 }
 
--- a/server/evacuation_state_test.go
+++ b/server/evacuation_state_test.go
@@ -6,8 +6,11 @@
 
 	. "github.com/onsi/gomega"
 
+	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/evacuator"
 	"sesamedrift.example/sesamedrift/registrar"
+	"sesamedrift.example/sesamedrift/scheduler"
+	"sesamedrift.example/sesamedrift/validator"
 )
 
 // Guards against a host that has just started and starts tasks before it knows the evacuations: with
@@ -58,3 +61,23 @@
 	host, _ = p.shortestQueue(start, testService, false)
 	g.Expect(host).To(BeEmpty())
 }
+
+// Guards against a host that refuses a job because no other domain has reported slots yet: it may have
+// learned the evacuation from a peer of its domain, before the first exchange after a cut.
+func TestEvacuatedHostAwaitsReportsOfOtherDomains(t *testing.T) {
+	g := NewWithT(t)
+	d := newTestDispatcher()
+	d.peers = newPeerSlots()
+	d.evacuated, d.evacuatedAt = true, start
+	j := newJob(sesamedrift.Submission{Payloads: make([][]byte, 2)}, testService, validator.Kind{Name: "check"}, start.Add(time.Minute))
+	g.Expect(d.noDomainLeft(start, testService)).To(BeTrue(), "there is no other domain")
+
+	d.peers.get(peerName).distance = time.Millisecond
+	g.Expect(d.noDomainLeft(start, testService)).To(BeFalse())
+	g.Expect(d.estimateWait(start, j)).To(BeZero())
+	late := start.Add(otherDomainGracePeriod)
+	g.Expect(d.noDomainLeft(late, testService)).To(BeTrue(), "no domain has reported slots")
+	g.Expect(d.estimateWait(late, j)).To(Equal(scheduler.MaxWait))
+	d.peers.update(late, peerName, reportOf(1, 0, 0, 30))
+	g.Expect(d.noDomainLeft(late, testService)).To(BeFalse())
+}
--- a/server/evacuations.go
+++ b/server/evacuations.go
@@ -92,7 +92,11 @@
 // command of the dispatcher.
 func (h *Host) syncEvacuation(now time.Time) {
 	d := h.dispatcher
-	d.evacuated = !h.evacuations.allowStarts(h.cfg.Settings.Domain)
+	evacuated := !h.evacuations.allowStarts(h.cfg.Settings.Domain)
+	if evacuated && !d.evacuated {
+		d.evacuatedAt = now
+	}
+	d.evacuated = evacuated
 	for name := range d.upstreams {
 		d.refreshUpstream(now, name)
 	}
--- a/server/remote.go
+++ b/server/remote.go
@@ -47,6 +47,12 @@
 // their service.
 const noSlotsGracePeriod = 100 * time.Millisecond
 
+// otherDomainGracePeriod is how long after an evacuation came into force jobs stay queued although no
+// other domain reports slots. A host may learn the evacuation from a peer of its domain first. By the end
+// of the period, every host of another domain that can be reached has answered an exchange, even if the
+// one before was lost.
+const otherDomainGracePeriod = exchangeEvery + exchangeTimeout
+
 // peerTaskReturnDelay is how long a task of a peer stays queued here before it is returned to its
 // host because another host has free slots. Without the delay, 9 % of the starts of the scenario
 // counter were preceded by a rejected dispatch.
@@ -340,11 +346,22 @@
 			d.withdraw(now, id, v, errNoSlots)
 		}
 	}
-	if d.evacuated && d.peers.shortestWait(now, service) >= scheduler.MaxWait {
+	if d.noDomainLeft(now, service) {
 		d.refuseQueued(now, service)
 	}
 }
 
+// noDomainLeft reports whether the failure domain is evacuated and no other one has slots of a service.
+func (d *dispatcher) noDomainLeft(now time.Time, service string) bool {
+	return d.evacuated && !d.awaitsOtherDomains(now) && d.peers.shortestWait(now, service) >= scheduler.MaxWait
+}
+
+// awaitsOtherDomains reports whether the evacuation has come into force so recently that other domains
+// may have slots although none has reported them.
+func (d *dispatcher) awaitsOtherDomains(now time.Time) bool {
+	return d.evacuated && now.Sub(d.evacuatedAt) < otherDomainGracePeriod && d.peers.anyOtherDomain()
+}
+
 // refuseQueued refuses the jobs of this host with queued tasks of a service of which nothing has
 // started. The other jobs stay queued until they can no longer meet their deadlines, since the end of
 // a job would stop its running tasks.
--- a/server/slots.go
+++ b/server/slots.go
@@ -239,6 +239,16 @@
 	return shortest
 }
 
+// anyOtherDomain reports whether there is a peer of another failure domain.
+func (p *peerSlots) anyOtherDomain() bool {
+	for _, s := range p.byHost {
+		if s.distance > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // tasksToMove returns how many queued tasks to forward to a peer so that the numbers of queued tasks
 // per slot converge. A host without slots forwards all of them.
 func tasksToMove(own scheduler.Stats, peer serviceReport) int {
