evacuator: report an unreadable state as an error

Cause: Decode returned the empty state for a value that it could not read. Hosts then started tasks in evacuated domains, and the next order overwrote the evacuations.

Change: Decode takes the entry and returns an *UnreadableError, which names the register and the version. It also rejects an empty value of a version above 0, a value without a version or with a later one than that of the register, and bytes after the value. Begin and Finish return the error and change nothing; both interfaces answer 503 with it. Control hosts and the daemon log the event 3011 and keep the newest state that they were able to read. A host that has started while the state is unreadable does not know the evacuations: a control host also if no majority answers and what its replica has stored is unreadable, a daemon also if a peer confirms an older state. The daemon repeats its first read until it knows the evacuations; before, a read that another goroutine was applying at the same time was not confirmed.

Tests: TestUnreadableState, TestUnreadableEvacuations (controller, server). All fail if Decode returns the empty state; the case without a majority also if only the check of the stored value is left out.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -103,6 +103,8 @@
 	// once it may have missed none that was acknowledged; see learnEvacuations.
 	evacuations      evacuator.State
 	evacuationsKnown bool
+	// evacuationsUnreadable is set while the newest entry of the evacuations on this replica cannot be read.
+	evacuationsUnreadable bool
 	// updated is closed and replaced when a list, the document or the evacuations change.
 	updated chan struct{}
 	// polling holds the addresses of the control hosts that this one polls.
@@ -324,7 +326,7 @@
 	case documentRegister:
 		h.applyDocument(publisher.Decode(e.Value))
 	case evacuator.Register:
-		h.applyEvacuations(evacuator.Decode(e.Value))
+		h.applyEvacuations(e)
 	}
 }
 
--- a/controller/evacuations.go
+++ b/controller/evacuations.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"sesamedrift.example/sesamedrift/evacuator"
 	"sesamedrift.example/sesamedrift/messenger"
+	"sesamedrift.example/sesamedrift/registrar"
 	"sesamedrift.example/sesamedrift/reporter"
 )
 
@@ -20,8 +22,8 @@
 	evacuationReadLimit = 2 * time.Second
 )
 
-// BeginEvacuation stores the order that no task starts in a domain. After ErrNotReady nothing was changed;
-// after any other error the order may or may not be in force. The argument who names the operator in the
+// BeginEvacuation stores the order that no task starts in a domain. After ErrNotReady and an
+// *evacuator.UnreadableError nothing was changed; after any other error the order may or may not be in force. The argument who names the operator in the
 // audit trail.
 func (h *Host) BeginEvacuation(ctx context.Context, who, domain string) error {
 	return h.orderEvacuation(ctx, reporter.EvacuationBegun, h.evacuator.Begin, who, domain)
@@ -64,11 +66,17 @@
 	return h.evacuator.Newest(ctx, h.cfg.Now())
 }
 
-// applyEvacuations distributes a state of evacuations if it is newer than the known one.
-func (h *Host) applyEvacuations(s evacuator.State) {
+// applyEvacuations distributes the state of an entry of the evacuations if it is newer than the known one. If the
+// entry cannot be read, this host keeps the state that it has.
+func (h *Host) applyEvacuations(e registrar.Entry) {
+	state, err := evacuator.Decode(e)
+	if err != nil {
+		reporter.Log(context.Background(), h.log, reporter.EvacuationsUnreadable, "version", e.Version, "error", err)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.putEvacuations(s) {
+	h.evacuationsUnreadable = err != nil
+	if err == nil && h.putEvacuations(state) {
 		h.notifyPollers()
 	}
 }
@@ -85,7 +93,8 @@
 
 // learnEvacuations reads the evacuations from a majority until that succeeds, and then tells polling hosts
 // that this host knows them. A replica that has just recovered may have missed the last orders. If no
-// majority answers for evacuationReadLimit, what this replica has stored counts.
+// majority answers for evacuationReadLimit, what this replica has stored counts. As long as the state is unreadable,
+// this host does not know the evacuations: the newest readable state may lack orders that were acknowledged.
 func (h *Host) learnEvacuations(ctx context.Context) {
 	var votesSince time.Time
 	for ; ctx.Err() == nil; messenger.Sleep(ctx, evacuationRetryInterval) {
@@ -99,10 +108,21 @@
 		readCtx, cancel := context.WithTimeout(ctx, evacuationReadTimeout)
 		state, err := h.evacuator.Newest(readCtx, h.cfg.Now())
 		cancel()
+		var unreadable *evacuator.UnreadableError
+		if errors.As(err, &unreadable) {
+			// applyEvacuations has logged the error, as the read has stored the entry on this replica. It may last,
+			// so that the next read is delayed for longer.
+			messenger.Sleep(ctx, evacuationReadTimeout)
+			continue
+		}
 		if err != nil && h.cfg.Now().Sub(votesSince) < evacuationReadLimit {
 			continue
 		}
 		h.mu.Lock()
+		if err != nil && h.evacuationsUnreadable {
+			h.mu.Unlock()
+			continue
+		}
 		h.putEvacuations(state)
 		h.evacuationsKnown = true
 		version := h.evacuations.Version
--- a/controller/evacuations_test.go
+++ b/controller/evacuations_test.go
@@ -58,7 +58,7 @@
 	// A host may know an order from the polls of the others before its own replica has it, and is alone below.
 	c.g.Eventually(func() []registrar.Entry { return c.hosts[0].replica.Registers().Entries(nil) }).WithTimeout(waitLimit).Should(ContainElement(And(
 		HaveField("Register", evacuator.Register),
-		HaveField("Value", WithTransform(evacuator.Decode, HaveField("Domains", ConsistOf("d", "e")))))))
+		WithTransform(evacuator.Decode, HaveField("Domains", ConsistOf("d", "e"))))))
 	for i := range 3 {
 		c.stop(i)
 	}
@@ -74,6 +74,50 @@
 	eventuallyKnown(1, "e")
 }
 
+// Guards against an unreadable state that counts as empty on a control host, on one that has restarted and after an
+// order, with a majority of the replicas or without, and against an order that overwrites it.
+func TestUnreadableEvacuations(t *testing.T) {
+	t.Run("majority", func(t *testing.T) { testUnreadableEvacuations(t, 1) })
+	t.Run("no majority", func(t *testing.T) { testUnreadableEvacuations(t, 3) })
+}
+
+func testUnreadableEvacuations(t *testing.T, replicas int) {
+	c := newCluster(t, replicas)
+	defer c.close()
+	for i := range replicas {
+		c.start(i, true)
+	}
+	c.g.Eventually(func() error { return c.hosts[0].BeginEvacuation(t.Context(), "ana", "d") }).WithTimeout(waitLimit).Should(Succeed())
+	c.g.Eventually(func() poller.Updates { return c.pollEvacuations(0) }).WithTimeout(waitLimit).Should(HaveField("EvacuationsKnown", true))
+	result, err := c.hosts[0].changeRegister(t.Context(), time.Now(), registrar.Change{
+		Register: evacuator.Register,
+		ID:       "damage",
+		Who:      "ana",
+		Expected: 1,
+		Value:    []byte("unreadable"),
+	})
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(result.Status).To(Equal(registrar.Accepted))
+	c.g.Expect(c.pollEvacuations(0)).To(And(HaveField("EvacuationsKnown", true), HaveField("Evacuations", HaveField("Domains", ConsistOf("d")))))
+	refused := func() {
+		for _, order := range []func(ctx context.Context, who, domain string) error{c.hosts[0].BeginEvacuation, c.hosts[0].FinishEvacuation} {
+			c.g.Expect(order(t.Context(), "ana", "d")).To(MatchError(ContainSubstring(evacuator.Register)))
+		}
+		c.g.Expect(c.hosts[0].replica.Registers().ReadLocal(evacuator.Register).Version).To(Equal(uint64(2)))
+	}
+	refused()
+	for i := range replicas {
+		c.stop(i)
+	}
+	c.start(0, false)
+	c.g.Eventually(func() bool { return c.hosts[0].replica.Votes() }).WithTimeout(waitLimit).Should(BeTrue())
+	if replicas == 1 {
+		refused()
+	}
+	c.g.Consistently(func() poller.Updates { return c.pollEvacuations(0) }).WithTimeout(evacuationReadLimit + evacuationReadTimeout).
+		Should(And(HaveField("EvacuationsKnown", false), HaveField("Evacuations", BeNil())))
+}
+
 // Guards against polls that are answered at once again and again: hosts of earlier releases do not say
 // which evacuations they have.
 func TestEvacuationsAreSentOnce(t *testing.T) {
--- a/evacuator/evacuator.go
+++ b/evacuator/evacuator.go
@@ -4,12 +4,14 @@
 // Operators may send an order again, to any replica, and several orders at the same time. Begin and
 // Finish return nil once a majority of the replicas has stored a state in which the order is in
 // force. The last order that returned nil counts for a domain; after an error, the order may or may
-// not be in force.
+// not be in force. A register value that cannot be read is an error and never counts as the empty state,
+// with which tasks would start in evacuated domains.
 //
 // An Evacuator is safe for concurrent use.
 package evacuator
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -73,17 +75,58 @@
 	return value
 }
 
-// Decode returns the state of a register value. A value that cannot be read holds no state.
-func Decode(value []byte) State {
-	var s State
-	if len(value) == 0 || msgpack.Unmarshal(value, &s) != nil {
-		return State{}
+// Decode returns the state of an entry of the register, or an *UnreadableError. An entry of version 0 has no
+// value and holds the empty state.
+func Decode(e registrar.Entry) (State, error) {
+	if e.Version == 0 && len(e.Value) == 0 {
+		return State{}, nil
 	}
-	slices.Sort(s.Domains)
-	s.Domains = slices.Compact(s.Domains)
-	return s
+	var stored struct {
+		Version *uint64  `msgpack:"version"`
+		Domains []string `msgpack:"domains"`
+	}
+	reader := bytes.NewReader(e.Value)
+	err := msgpack.NewDecoder(reader).Decode(&stored)
+	switch {
+	case err != nil:
+	case stored.Version == nil:
+		err = errNoVersion
+	case *stored.Version > e.Version:
+		err = fmt.Errorf("the state has the later version %d", *stored.Version)
+	case reader.Len() > 0:
+		err = fmt.Errorf("%d bytes follow the state", reader.Len())
+	}
+	if err != nil {
+		return State{}, &UnreadableError{
+			Register: e.Register,
+			Version:  e.Version,
+			Err:      err,
+		}
+	}
+	slices.Sort(stored.Domains)
+	return State{
+		Version: *stored.Version,
+		Domains: slices.Compact(stored.Domains),
+	}, nil
+}
+
+// UnreadableError reports that the value of the register holds no state. An order that returns it has
+// changed nothing: a new state would revoke the evacuations that cannot be read.
+type UnreadableError struct {
+	Register string
+	// Version is that of the register.
+	Version uint64
+	Err     error
+}
+
+// Error returns a text with the register, its version and the cause.
+func (e *UnreadableError) Error() string {
+	return fmt.Sprintf("version %d of the register %q is unreadable: %v", e.Version, e.Register, e.Err)
 }
 
+// Unwrap returns the cause.
+func (e *UnreadableError) Unwrap() error { return e.Err }
+
 // Evacuator changes the evacuated domains in one register. All fields are required.
 type Evacuator struct {
 	// Register is the name of the register.
@@ -116,16 +159,17 @@
 var (
 	errNoMajority = errors.New("no majority of the replicas answered")
 	errConflict   = errors.New("other orders were stored at the same time")
+	errNoVersion  = errors.New("the state has no version")
 )
 
 // Begin evacuates a domain. The operator is named in the audit trail. It returns the stored state.
-// Errors are of type *UnavailableError.
+// Errors are of type *UnavailableError, or *UnreadableError if nothing was changed.
 func (e *Evacuator) Begin(ctx context.Context, now time.Time, who, domain string) (State, error) {
 	return e.order(ctx, now, who, domain, true)
 }
 
 // Finish takes a domain back into service. The operator is named in the audit trail. It returns the
-// stored state. Errors are of type *UnavailableError.
+// stored state. Errors are those of Begin.
 func (e *Evacuator) Finish(ctx context.Context, now time.Time, who, domain string) (State, error) {
 	return e.order(ctx, now, who, domain, false)
 }
@@ -141,7 +185,11 @@
 		if err != nil {
 			return State{}, unavailable(domain, err)
 		}
-		next := Decode(entry.Value).with(domain, evacuated, entry.Version+1)
+		current, err := Decode(entry)
+		if err != nil {
+			return State{}, err
+		}
+		next := current.with(domain, evacuated, entry.Version+1)
 		result, err := e.Change(ctx, now, registrar.Change{
 			Register: e.Register,
 			ID:       uuid.NewString(),
@@ -169,11 +217,11 @@
 	}
 }
 
-// Newest returns the stored state by a majority read. Errors are of type *UnavailableError.
+// Newest returns the stored state by a majority read. Errors are of type *UnavailableError or *UnreadableError.
 func (e *Evacuator) Newest(ctx context.Context, now time.Time) (State, error) {
 	entry, err := e.Read(ctx, now, e.Register)
 	if err != nil {
 		return State{}, unavailable("", err)
 	}
-	return Decode(entry.Value), nil
+	return Decode(entry)
 }
--- a/evacuator/evacuator_test.go
+++ b/evacuator/evacuator_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"sesamedrift.example/sesamedrift/registrar"
 )
@@ -141,6 +142,34 @@
 		})
 	}
 	wg.Wait()
-	g.Expect(Decode(r.entry.Value).Domains).To(HaveLen(8))
-	g.Expect(Decode([]byte("unreadable"))).To(Equal(State{}))
+	s, err := r.evacuator().Newest(t.Context(), now)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Domains).To(HaveLen(8))
+}
+
+// Guards against a register value that cannot be read and counts as the empty state, and against an order
+// that overwrites it.
+func TestUnreadableState(t *testing.T) {
+	g := NewWithT(t)
+	stored := Encode(State{Version: 3, Domains: []string{"a"}})
+	g.Expect(Decode(registrar.Entry{Version: 3, Value: stored})).To(HaveField("Domains", ConsistOf("a")))
+	g.Expect(Decode(registrar.Entry{})).To(Equal(State{}))
+	nothing, err := msgpack.Marshal(nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	other, err := msgpack.Marshal(map[string]int{"other": 1})
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, value := range [][]byte{nil, []byte("unreadable"), nothing, other, stored[:len(stored)-1], append(stored, 0), Encode(State{Version: 4})} {
+		r := &fakeRegister{entry: registrar.Entry{Register: Register, Version: 3, Value: value}}
+		e := r.evacuator()
+		_, beginErr := e.Begin(t.Context(), now, "ana", "b")
+		_, finishErr := e.Finish(t.Context(), now, "ana", "a")
+		_, readErr := e.Newest(t.Context(), now)
+		for _, err := range []error{beginErr, finishErr, readErr} {
+			var unreadable *UnreadableError
+			g.Expect(errors.As(err, &unreadable)).To(BeTrue(), "%q: %v", value, err)
+			g.Expect(err).To(MatchError(ContainSubstring(Register)))
+		}
+		g.Expect(r.entry.Value).To(Equal(value))
+		g.Expect(r.entry.Version).To(Equal(uint64(3)))
+	}
 }
--- a/reporter/events.go
+++ b/reporter/events.go
@@ -196,7 +196,7 @@
 		ID:          3008,
 		Name:        "evacuation-not-stored",
 		Level:       slog.LevelError,
-		Description: "An order to begin or finish an evacuation was not acknowledged: the domain is not known, or a majority of the replicas did not answer. In the second case it may be in force; send it again.",
+		Description: "An order to begin or finish an evacuation was not acknowledged: the domain is not known, or the stored evacuations are unreadable, or a majority of the replicas did not answer. In the last case it may be in force; send it again.",
 	}
 	EvacuationsLearned = Event{
 		ID:          3009,
@@ -210,6 +210,12 @@
 		Level:       slog.LevelInfo,
 		Description: "The host has applied a newer state of the evacuated failure domains; the attributes hold the version, the domains and whether that of the host is one of them.",
 	}
+	EvacuationsUnreadable = Event{
+		ID:          3011,
+		Name:        "evacuations-unreadable",
+		Level:       slog.LevelError,
+		Description: "The stored evacuations cannot be read. The host keeps the newest state that it was able to read; a host that has read none starts no task where evacuations are in use. Orders are refused and change nothing. Check whether a host of another release has stored them, and the disks of the replicas.",
+	}
 )
 
 // Events 4xxx: claims of request keys.
@@ -483,6 +489,7 @@
 	EvacuationNotStored,
 	EvacuationsLearned,
 	EvacuationsInForce,
+	EvacuationsUnreadable,
 	OutcomeNotRecorded,
 	UpstreamAnnounced,
 	UpstreamExpired,
--- a/server/evacuation_state_test.go
+++ b/server/evacuation_state_test.go
@@ -19,7 +19,7 @@
 func TestHostStartsNothingBeforeItKnowsTheEvacuations(t *testing.T) {
 	g := NewWithT(t)
 	var e evacuations
-	e.apply(registrar.Entry{Version: 2, Value: evacuator.Encode(evacuator.State{})})
+	g.Expect(e.apply(registrar.Entry{Version: 2, Value: evacuator.Encode(evacuator.State{})})).To(BeTrue())
 	g.Expect(e.allowStarts("ikeja")).To(BeFalse())
 
 	h := newIsolatedHost(t, 1)
@@ -49,6 +49,26 @@
 	g.Expect(h.exchangedVersions()).To(HaveKeyWithValue(evacuator.Register, uint64(1)))
 }
 
+// Guards against an unreadable state that counts as empty: a host that knows the evacuations drops them, or one that
+// has read none knows them.
+func TestUnreadableEvacuations(t *testing.T) {
+	g := NewWithT(t)
+	unreadable := registrar.Entry{Version: 2, Value: []byte("unreadable")}
+	var read, started evacuations
+	g.Expect(read.apply(registrar.Entry{Version: 1, Value: evacuator.Encode(evacuator.State{Version: 1, Domains: []string{"ikeja"}})})).To(BeTrue())
+	g.Expect(read.markKnown(1)).To(BeTrue())
+	for _, e := range []*evacuations{&read, &started} {
+		_, err := e.apply(unreadable)
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(e.markKnown(0)).To(BeFalse(), "a peer that knows an older state does not suffice")
+		g.Expect(e.markKnown(2)).To(BeFalse())
+		g.Expect(e.allowStarts("ikeja")).To(BeFalse())
+	}
+	g.Expect(read.allowStarts("lekki")).To(BeTrue())
+	g.Expect(started.apply(registrar.Entry{Version: 3, Value: evacuator.Encode(evacuator.State{Version: 1})})).To(BeTrue())
+	g.Expect(started.markKnown(3)).To(BeTrue())
+}
+
 // Guards against a host without slots that keeps its tasks, since its domain is evacuated, while the
 // hosts of other domains have queued tasks as well, and against one that otherwise moves tasks there.
 func TestEvacuatedHostUsesQueuesOfOtherDomains(t *testing.T) {
--- a/server/evacuations.go
+++ b/server/evacuations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"sync"
@@ -25,30 +26,38 @@
 	// version is the version of the register from which state was decoded, 0 if there is none.
 	version uint64
 	state   evacuator.State
+	// unreadable is the version of the newest entry that could not be read, 0 if there is none.
+	unreadable uint64
 	// known is set once state was at least as new as a majority read of the register since the start
 	// of this host, either its own or that of a peer. A replica that has just started may have missed
 	// the last orders, so that the state in its journal does not suffice.
 	known bool
 }
 
-// apply replaces the state by that of a newer entry. It reports whether the entry was newer.
-func (e *evacuations) apply(entry registrar.Entry) bool {
+// apply replaces the state by that of a newer entry. It reports whether the entry was newer. If a newer
+// entry cannot be read, apply returns an error and the state remains as it is.
+func (e *evacuations) apply(entry registrar.Entry) (bool, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if entry.Version <= e.version {
-		return false
+		return false, nil
+	}
+	state, err := evacuator.Decode(entry)
+	if err != nil {
+		e.unreadable = max(e.unreadable, entry.Version)
+		return false, err
 	}
 	e.version = entry.Version
-	e.state = evacuator.Decode(entry.Value)
-	return true
+	e.state = state
+	return true, nil
 }
 
 // markKnown marks the evacuations as known if the state has the given version of the register or a
-// newer one. It reports whether they were not known before.
+// newer one, and if no newer entry was unreadable. It reports whether they were not known before.
 func (e *evacuations) markKnown(version uint64) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.known || e.version < version {
+	if e.known || e.version < version || e.version < e.unreadable {
 		return false
 	}
 	e.known = true
@@ -70,7 +79,11 @@
 
 // applyEvacuations applies an entry of the register of the evacuations.
 func (h *Host) applyEvacuations(ctx context.Context, e registrar.Entry) {
-	if !h.evacuations.apply(e) {
+	newer, err := h.evacuations.apply(e)
+	if err != nil {
+		reporter.Log(ctx, h.log, reporter.EvacuationsUnreadable, "version", e.Version, "error", err)
+	}
+	if !newer {
 		return
 	}
 	state, version, _ := h.evacuations.get()
@@ -103,14 +116,16 @@
 	h.syncUpstreams(now)
 }
 
-// readEvacuations reads the register of the evacuations once, and repeats the read until it succeeds or
+// readEvacuations reads the register of the evacuations, and repeats the read until this host knows them or
 // ctx is done. Later orders arrive with the exchanges and heartbeats of peers.
 func (h *Host) readEvacuations(ctx context.Context) {
 	for {
 		if entry, err := h.readRegister(ctx, evacuator.Register); err == nil {
 			h.applyEntry(entry)
 			h.confirmEvacuations(entry.Version)
-			return
+			if _, _, known := h.evacuations.get(); known {
+				return
+			}
 		}
 		if !messenger.Sleep(ctx, h.cfg.Settings.HeartbeatEvery.Std()) {
 			return
@@ -202,7 +217,12 @@
 	state, err := order.store(e, ctx, h.now(), who, domain)
 	if err != nil {
 		reporter.Log(ctx, h.log, reporter.EvacuationNotStored, "order", order.name, "who", who, "domain", domain, "error", err)
-		writeError(w, notReady(err.Error()+"; send it again"))
+		message := err.Error()
+		var unreadable *evacuator.UnreadableError
+		if !errors.As(err, &unreadable) {
+			message += "; send it again"
+		}
+		writeError(w, notReady(message))
 		return
 	}
 	reporter.Log(ctx, h.log, order.event, "who", who, "domain", domain, "version", stored.Version)
