controller: log stored reports that cannot be read

Cause: readUpstreams ignored a failed read and a damaged file, so that a control host started without the stored reports and nobody learned why.

Change: a missing file is normal; any other error is logged once at the start as event 5020 with the path and the error, and the host continues without stored reports.

Tests: TestReportsNotRead replaces the check of a damaged file in TestStoredReports and also covers an empty, a truncated and an unreadable file and the first start. It fails if nothing is logged.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -145,9 +145,7 @@
 		Log:                 cfg.Log,
 	}
 	h.hosts.Put(cfg.Now(), cfg.Self)
-	for _, u := range readUpstreams(h.stored.path) {
-		h.upstreams.Put(cfg.Now(), u)
-	}
+	h.loadUpstreams(cfg.Now())
 	var err error
 	h.replica, err = replicator.Open(replicator.Config{
 		ID:          cfg.Self.Address,
--- a/controller/stored.go
+++ b/controller/stored.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"time"
@@ -48,20 +49,36 @@
 	}
 }
 
-// readUpstreams returns the stored reports, marked as stored. There are none if the file is missing or damaged.
-func readUpstreams(path string) []discoverer.Upstream {
+// loadUpstreams puts the stored reports into the list. If they cannot be read, the host continues without them: they
+// only say where upstreams were.
+func (h *Host) loadUpstreams(now time.Time) {
+	upstreams, err := readUpstreams(h.stored.path)
+	if err != nil {
+		reporter.Log(context.Background(), h.log, reporter.ReportsNotRead, "path", h.stored.path, "error", err)
+	}
+	for _, u := range upstreams {
+		h.upstreams.Put(now, u)
+	}
+}
+
+// readUpstreams returns the stored reports, marked as stored. There are none if the file is missing, as on the first
+// start. The error reports a failed read or a damaged file.
+func readUpstreams(path string) ([]discoverer.Upstream, error) {
 	body, err := os.ReadFile(path) //nolint:gosec // the path is in the data folder
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
 	if err != nil {
-		return nil
+		return nil, err
 	}
 	var upstreams []discoverer.Upstream
-	if messenger.Decode(body, &upstreams) != nil {
-		return nil
+	if err := messenger.Decode(body, &upstreams); err != nil {
+		return nil, fmt.Errorf("decode reports of upstreams: %w", err)
 	}
 	for i := range upstreams {
 		upstreams[i].Stored = true
 	}
-	return upstreams
+	return upstreams, nil
 }
 
 // writeUpstreams replaces the stored reports. After a crash the file has the former or the new content.
--- a/controller/stored_test.go
+++ b/controller/stored_test.go
@@ -1,14 +1,17 @@
 package controller
 
 import (
+	"log/slog"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"sesamedrift.example/sesamedrift/discoverer"
+	"sesamedrift.example/sesamedrift/reporter"
 )
 
 func reportedUpstream(id string, state discoverer.State) discoverer.Upstream {
@@ -37,8 +40,10 @@
 	} {
 		c.hosts[0].ReportUpstream(u)
 	}
-	c.g.Eventually(func() int { return len(readUpstreams(filepath.Join(c.folders[0], upstreamsFile))) }).
-		WithTimeout(waitLimit).Should(Equal(2))
+	c.g.Eventually(func() ([]discoverer.Upstream, error) {
+		return readUpstreams(filepath.Join(c.folders[0], upstreamsFile))
+	}).
+		WithTimeout(waitLimit).Should(HaveLen(2))
 	c.stop(0)
 	c.start(0, false)
 	h := c.hosts[0]
@@ -57,8 +62,7 @@
 	c.g.Expect(h.upstreams.Seq()).To(Equal(seq+1), "other hosts learn that the upstream has reported")
 }
 
-// Guards against a file that grows with upstreams which do not exist any more, and against a damaged file that keeps the
-// host from starting.
+// Guards against a file that grows with upstreams which do not exist any more.
 func TestStoredReports(t *testing.T) {
 	g := NewWithT(t)
 	stored := reportedUpstream("stored", discoverer.Serving)
@@ -69,9 +73,41 @@
 	all := []discoverer.Upstream{received, stored, unnumbered, reportedUpstream("gone", discoverer.Gone)}
 	g.Expect(upstreamsToStore(all, time.Second)).To(Equal([]discoverer.Upstream{received, stored}))
 	g.Expect(upstreamsToStore(all, storedLifetime)).To(Equal([]discoverer.Upstream{received}))
+}
 
+// Guards against stored reports that cannot be read and are left out without notice, or that keep the host from
+// starting, and against a warning at the first start.
+func TestReportsNotRead(t *testing.T) {
+	g := NewWithT(t)
 	path := filepath.Join(t.TempDir(), upstreamsFile)
-	g.Expect(readUpstreams(path)).To(BeEmpty())
-	g.Expect(os.WriteFile(path, []byte("damaged"), 0o600)).To(Succeed())
-	g.Expect(readUpstreams(path)).To(BeEmpty())
+	load := func() (count int, lines string) {
+		var log strings.Builder
+		h := &Host{
+			log:       slog.New(slog.NewTextHandler(&log, nil)),
+			stored:    upstreamStore{path: path},
+			upstreams: discoverer.NewList[discoverer.Upstream](),
+		}
+		h.loadUpstreams(time.Now())
+		return len(h.upstreams.All()), log.String()
+	}
+	unread := And(ContainSubstring("event=%d", reporter.ReportsNotRead.ID), ContainSubstring(path))
+	count, lines := load()
+	g.Expect(count).To(BeZero())
+	g.Expect(lines).To(BeEmpty())
+	g.Expect(writeUpstreams(path, []discoverer.Upstream{reportedUpstream("a", discoverer.Serving)})).To(Succeed())
+	count, lines = load()
+	g.Expect(count).To(Equal(1))
+	g.Expect(lines).To(BeEmpty())
+	written, err := os.ReadFile(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, damaged := range [][]byte{{}, []byte("damaged"), written[:len(written)-1]} {
+		g.Expect(os.WriteFile(path, damaged, 0o600)).To(Succeed())
+		count, lines = load()
+		g.Expect(count).To(BeZero())
+		g.Expect(lines).To(unread)
+	}
+	g.Expect(os.Remove(path)).To(Succeed())
+	g.Expect(os.Mkdir(path, 0o700)).To(Succeed())
+	_, lines = load()
+	g.Expect(lines).To(unread)
 }
--- a/reporter/events.go
+++ b/reporter/events.go
@@ -344,6 +344,12 @@
 		Level:       slog.LevelWarn,
 		Description: "The control host cannot store the reports of upstreams on its disk. After a loss of all hosts, entry hosts find upstreams only as these report again. Check the disk.",
 	}
+	ReportsNotRead = Event{
+		ID:          5020,
+		Name:        "reports-not-read",
+		Level:       slog.LevelWarn,
+		Description: "The control host cannot read the stored reports of upstreams, because the read has failed or the file is damaged; the attributes hold the path and the error. It continues without them, and the next report of an upstream replaces the file. Check the disk.",
+	}
 )
 
 // Events 6xxx: connections and messages between hosts.
@@ -510,6 +516,7 @@
 	OrphansStopped,
 	UpstreamRestarted,
 	ReportsNotStored,
+	ReportsNotRead,
 	PeerRejected,
 	MessageRejected,
 	JournalTornTail,
