journaler, controller: store reports of upstreams as a checked file

Cause: writeUpstreams repeated the replacement of a file that journaler has in createFile and syncFolder. Its file had no checksum, so that a changed byte could give a report with a later incarnation, for which the upstream's own reports count as old.

Tests: TestWriteFile; TestReportsNotRead covers a changed byte and fails with the former functions.

--- a/controller/stored.go
+++ b/controller/stored.go
@@ -5,11 +5,11 @@
 	"errors"
 	"fmt"
 	"io/fs"
-	"os"
 	"path/filepath"
 	"time"
 
 	"sesamedrift.example/sesamedrift/discoverer"
+	"sesamedrift.example/sesamedrift/journaler"
 	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/reporter"
 )
@@ -64,7 +64,7 @@
 // readUpstreams returns the stored reports, marked as stored. There are none if the file is missing, as on the first
 // start. The error reports a failed read or a damaged file.
 func readUpstreams(path string) ([]discoverer.Upstream, error) {
-	body, err := os.ReadFile(path) //nolint:gosec // the path is in the data folder
+	body, err := journaler.ReadFile(path)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
@@ -87,27 +87,7 @@
 	if err != nil {
 		return fmt.Errorf("encode reports of upstreams: %w", err)
 	}
-	next := path + ".next"
-	file, err := os.OpenFile(next, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600) //nolint:gosec // the path is in the data folder
-	if err != nil {
-		return err
-	}
-	_, err = file.Write(body)
-	if err == nil {
-		err = file.Sync()
-	}
-	if err := errors.Join(err, file.Close()); err != nil {
-		return err
-	}
-	if err := os.Rename(next, path); err != nil {
-		return err
-	}
-	// Without this, the former file may be back after a loss of power, in which a leaving upstream is serving.
-	folder, err := os.Open(filepath.Dir(path))
-	if err != nil {
-		return err
-	}
-	return errors.Join(folder.Sync(), folder.Close())
+	return journaler.WriteFile(path, body)
 }
 
 // storeSoon has the reports of upstreams written. The caller holds h.mu.
--- a/controller/stored_test.go
+++ b/controller/stored_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"bytes"
 	"log/slog"
 	"os"
 	"path/filepath"
@@ -100,7 +101,9 @@
 	g.Expect(lines).To(BeEmpty())
 	written, err := os.ReadFile(path)
 	g.Expect(err).NotTo(HaveOccurred())
-	for _, damaged := range [][]byte{{}, []byte("damaged"), written[:len(written)-1]} {
+	changed := bytes.Clone(written)
+	changed[len(changed)/2] ^= 1
+	for _, damaged := range [][]byte{{}, []byte("damaged"), written[:len(written)-1], changed} {
 		g.Expect(os.WriteFile(path, damaged, 0o600)).To(Succeed())
 		count, lines = load()
 		g.Expect(count).To(BeZero())
--- a/journaler/format.go
+++ b/journaler/format.go
@@ -31,15 +31,14 @@
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-// appendFileHeader appends the magic and the snapshot record.
-func appendFileHeader(b, state []byte, hasSnapshot bool) []byte {
-	b = append(b, magic...)
+// fileHeader returns the magic and the snapshot record.
+func fileHeader(state []byte, hasSnapshot bool) []byte {
 	payload := make([]byte, 1, 1+len(state))
 	payload[0] = noSnapshot
 	if hasSnapshot {
 		payload[0] = withSnapshot
 	}
-	return appendRecord(b, append(payload, state...))
+	return appendRecord([]byte(magic), append(payload, state...))
 }
 
 func appendRecord(b, payload []byte) []byte {
--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -59,6 +59,21 @@
 	Write func(*os.File, []byte) (int, error)
 }
 
+// withDefaults sets the fields that are not set.
+func (cfg Config) withDefaults() Config {
+	if cfg.MaxRecord <= 0 {
+		cfg.MaxRecord = DefaultMaxRecord
+	}
+	cfg.MaxRecord = min(cfg.MaxRecord, maxSnapshot)
+	if cfg.Sync == nil {
+		cfg.Sync = (*os.File).Sync
+	}
+	if cfg.Write == nil {
+		cfg.Write = (*os.File).Write
+	}
+	return cfg
+}
+
 // Recovery is the state that Open read from the folder.
 type Recovery struct {
 	// Snapshot is the last snapshot, or nil if there is none.
@@ -142,16 +157,7 @@
 // *CorruptionError if the journal is corrupted other than by a torn tail; the file is then
 // unchanged. It returns a *FailedError if a write or sync fails.
 func Open(cfg Config) (*Journal, Recovery, error) {
-	if cfg.MaxRecord <= 0 {
-		cfg.MaxRecord = DefaultMaxRecord
-	}
-	cfg.MaxRecord = min(cfg.MaxRecord, maxSnapshot)
-	if cfg.Sync == nil {
-		cfg.Sync = (*os.File).Sync
-	}
-	if cfg.Write == nil {
-		cfg.Write = (*os.File).Write
-	}
+	cfg = cfg.withDefaults()
 	if err := createFolder(cfg); err != nil {
 		return nil, Recovery{}, err
 	}
@@ -231,15 +237,6 @@
 	return nil
 }
 
-func syncFolder(cfg Config, dir string) error {
-	folder, err := os.Open(filepath.Clean(dir))
-	if err != nil {
-		return err
-	}
-	defer func() { _ = folder.Close() }()
-	return cfg.Sync(folder)
-}
-
 // recoverFile reads the journal file, truncates a torn tail and opens the file for appending. It
 // creates an empty journal if there is no file.
 func recoverFile(cfg Config) (*os.File, Recovery, error) {
@@ -282,29 +279,10 @@
 }
 
 // createFile replaces the journal file by one that holds no records and, if hasSnapshot is set,
-// the state as its snapshot. The rename is atomic: a crash leaves either the old file or the
-// complete new one.
+// the state as its snapshot. A crash leaves either the old file or the complete new one.
 func createFile(cfg Config, state []byte, hasSnapshot bool) (*os.File, error) {
-	path := filepath.Join(cfg.Dir, newFileName)
-	file, err := os.OpenFile(filepath.Clean(path), os.O_WRONLY|os.O_CREATE|os.O_TRUNC|os.O_APPEND, filePerm)
-	if err != nil {
-		return nil, err
-	}
-	err = writeAll(cfg, file, appendFileHeader(nil, state, hasSnapshot))
-	if err == nil {
-		err = cfg.Sync(file)
-	}
-	if err == nil {
-		err = os.Rename(path, filepath.Join(cfg.Dir, fileName))
-	}
-	if err == nil {
-		err = syncFolder(cfg, cfg.Dir)
-	}
-	if err != nil {
-		_ = file.Close()
-		return nil, err
-	}
-	return file, nil
+	return replaceFile(cfg, filepath.Join(cfg.Dir, newFileName), filepath.Join(cfg.Dir, fileName),
+		fileHeader(state, hasSnapshot))
 }
 
 func writeAll(cfg Config, file *os.File, data []byte) error {
--- a/journaler/journaler_test.go
+++ b/journaler/journaler_test.go
@@ -1,8 +1,10 @@
 package journaler
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"sync"
@@ -224,7 +226,7 @@
 // written, but before the rename, leaves the old records and no snapshot.
 func TestCrashWhileSnapshotIsWritten(t *testing.T) {
 	data, _ := writeRecords(t, t.TempDir(), 2)
-	snapshot := appendFileHeader(nil, []byte("state"), true)
+	snapshot := fileHeader([]byte("state"), true)
 	for cut := range len(snapshot) + 1 {
 		g := NewWithT(t)
 		dir := t.TempDir()
@@ -340,3 +342,27 @@
 		_ = j.Close()
 	}
 }
+
+// Guards against a file of WriteFile that is read although it differs from what was written, or that a failed write
+// replaces.
+func TestWriteFile(t *testing.T) {
+	g := NewWithT(t)
+	path := filepath.Join(t.TempDir(), "state")
+	_, err := ReadFile(path)
+	g.Expect(err).To(MatchError(fs.ErrNotExist))
+	for _, content := range []string{"first", ""} {
+		g.Expect(WriteFile(path, []byte(content))).To(Succeed())
+		g.Expect(ReadFile(path)).To(BeEquivalentTo(content))
+	}
+	_, err = replaceFile(Config{Sync: func(*os.File) error { return errDisk }}.withDefaults(), path+".new", path, nil)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(ReadFile(path)).To(BeEmpty())
+	written, err := os.ReadFile(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, damaged := range [][]byte{nil, written[:len(written)-1], append(bytes.Clone(written), 0), appendRecord(bytes.Clone(written), nil), fileHeader(nil, false)} {
+		g.Expect(os.WriteFile(path, damaged, filePerm)).To(Succeed())
+		_, err = ReadFile(path)
+		var corruption *CorruptionError
+		g.Expect(errors.As(err, &corruption)).To(BeTrue(), "%q", damaged)
+	}
+}
