registrar: one loop to change a register, for documents and evacuations

Change: evacuator.order and publisher.Publish use registrar.Store.Update and one error type, registrar.UncertainError, with the former texts. emulator.SetEvacuated uses evacuator.State.With, and dispatcher the constant placer.ClosedRetryAfter. The unused method controller.Host.Evacuations is removed. No change of behaviour is intended.

Tests: the tests of evacuator, publisher, controller, placer and dispatcher, and those of evacuations in server, pass.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -163,16 +163,8 @@
 		cancel()
 		return nil, err
 	}
-	h.publisher = &publisher.Publisher{
-		Register: documentRegister,
-		Read:     h.readRegister,
-		Change:   h.changeRegister,
-	}
-	h.evacuator = &evacuator.Evacuator{
-		Register: evacuator.Register,
-		Read:     h.readRegister,
-		Change:   h.changeRegister,
-	}
+	h.publisher = &publisher.Publisher{Store: h.registerStore(documentRegister)}
+	h.evacuator = &evacuator.Evacuator{Store: h.registerStore(evacuator.Register)}
 	h.listener, err = messenger.Listen(cfg.Self.Address, messenger.Config{
 		Local:        h.hello(),
 		Handle:       h.handle,
@@ -195,12 +187,17 @@
 	return h, nil
 }
 
-func (h *Host) readRegister(ctx context.Context, now time.Time, register string) (registrar.Entry, error) {
-	return h.replica.Registers().Read(ctx, now, register)
-}
-
-func (h *Host) changeRegister(ctx context.Context, now time.Time, c registrar.Change) (registrar.Result, error) {
-	return h.replica.Registers().Change(ctx, now, c)
+// registerStore returns the register with the name. The replica creates its registers anew after a failed write.
+func (h *Host) registerStore(name string) registrar.Store {
+	return registrar.Store{
+		Register: name,
+		Read: func(ctx context.Context, now time.Time, register string) (registrar.Entry, error) {
+			return h.replica.Registers().Read(ctx, now, register)
+		},
+		Change: func(ctx context.Context, now time.Time, c registrar.Change) (registrar.Result, error) {
+			return h.replica.Registers().Change(ctx, now, c)
+		},
+	}
 }
 
 func (h *Host) hello() messenger.Hello {
--- a/controller/evacuations.go
+++ b/controller/evacuations.go
@@ -23,8 +23,8 @@
 )
 
 // BeginEvacuation stores the order that no task starts in a domain. After ErrNotReady and an
-// *evacuator.UnreadableError nothing was changed; after any other error the order may or may not be in force. The argument who names the operator in the
-// audit trail.
+// *evacuator.UnreadableError nothing was changed; after any other error the order may or may not be in force.
+// The argument who names the operator in the audit trail.
 func (h *Host) BeginEvacuation(ctx context.Context, who, domain string) error {
 	return h.orderEvacuation(ctx, reporter.EvacuationBegun, h.evacuator.Begin, who, domain)
 }
@@ -57,15 +57,6 @@
 	return err
 }
 
-// Evacuations returns the newest state of evacuations by a majority read, or an error if no majority of the
-// replicas answers.
-func (h *Host) Evacuations(ctx context.Context) (evacuator.State, error) {
-	if !h.replica.Votes() {
-		return evacuator.State{}, ErrNotReady
-	}
-	return h.evacuator.Newest(ctx, h.cfg.Now())
-}
-
 // applyEvacuations distributes the state of an entry of the evacuations if it is newer than the known one. If the
 // entry cannot be read, this host keeps the state that it has.
 func (h *Host) applyEvacuations(e registrar.Entry) {
--- a/controller/evacuations_test.go
+++ b/controller/evacuations_test.go
@@ -89,7 +89,7 @@
 	}
 	c.g.Eventually(func() error { return c.hosts[0].BeginEvacuation(t.Context(), "ana", "d") }).WithTimeout(waitLimit).Should(Succeed())
 	c.g.Eventually(func() poller.Updates { return c.pollEvacuations(0) }).WithTimeout(waitLimit).Should(HaveField("EvacuationsKnown", true))
-	result, err := c.hosts[0].changeRegister(t.Context(), time.Now(), registrar.Change{
+	result, err := c.hosts[0].evacuator.Change(t.Context(), time.Now(), registrar.Change{
 		Register: evacuator.Register,
 		ID:       "damage",
 		Who:      "ana",
--- a/dispatcher/evacuations.go
+++ b/dispatcher/evacuations.go
@@ -15,10 +15,6 @@
 // the placer and the leaseholders obey them: the placer places nothing, and a leaseholder rejects what was
 // placed by a host that has learned them later.
 
-// closedRetryAfter is the time after which a job that an evacuated domain has refused may be sent again. It is
-// that of the placer.
-const closedRetryAfter = time.Second
-
 // closedFor returns why no task may start in the domain, or "" if tasks may start.
 func (c *Core) closedFor() placer.Reason {
 	switch {
--- a/dispatcher/evacuations_test.go
+++ b/dispatcher/evacuations_test.go
@@ -151,7 +151,7 @@
 	h.g.Expect(results).To(HaveKeyWithValue("refused", Result{
 		Outcome:    tracker.NotRun,
 		Reason:     string(placer.ReasonEvacuated),
-		RetryAfter: closedRetryAfter,
+		RetryAfter: placer.ClosedRetryAfter,
 	}))
 
 	h.deliverFrom(remote.Address, kindFreeCapacity, freeCapacity{
--- a/dispatcher/forwarding.go
+++ b/dispatcher/forwarding.go
@@ -318,7 +318,7 @@
 			Job:        m.ID,
 			Outcome:    tracker.NotRun,
 			Reason:     string(reason),
-			RetryAfter: closedRetryAfter,
+			RetryAfter: placer.ClosedRetryAfter,
 		})
 		return
 	}
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -259,17 +259,11 @@
 	if w.evacuations.Evacuated(domain) == evacuated {
 		return
 	}
-	domains := slices.DeleteFunc(slices.Clone(w.evacuations.Domains), func(d string) bool { return d == domain })
 	delete(w.invariants.evacuatedSince, domain)
 	if evacuated {
-		domains = append(domains, domain)
 		w.invariants.evacuatedSince[domain] = w.wallTime()
 	}
-	slices.Sort(domains)
-	w.evacuations = evacuator.State{
-		Version: w.evacuations.Version + 1,
-		Domains: domains,
-	}
+	w.evacuations = w.evacuations.With(domain, evacuated, w.evacuations.Version+1)
 	w.logger("world").Info("evacuation", "domain", domain, "evacuated", evacuated)
 }
 
--- a/evacuator/evacuator.go
+++ b/evacuator/evacuator.go
@@ -18,16 +18,11 @@
 	"slices"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"sesamedrift.example/sesamedrift/registrar"
 )
 
-// maxAttempts bounds how often an order reads the register and proposes its change, which is
-// repeated when a concurrent change was accepted first.
-const maxAttempts = 32
-
 // Register is the name of the register that holds the evacuated domains.
 const Register = "evacuations"
 
@@ -47,9 +42,9 @@
 	return found
 }
 
-// with returns the state in which the domain is evacuated, or is not, and its version if that
+// With returns the state in which the domain is evacuated, or is not. It has the given version if that
 // changes anything.
-func (s State) with(domain string, evacuated bool, version uint64) State {
+func (s State) With(domain string, evacuated bool, version uint64) State {
 	i, found := slices.BinarySearch(s.Domains, domain)
 	if found == evacuated {
 		return s
@@ -127,43 +122,15 @@
 // Unwrap returns the cause.
 func (e *UnreadableError) Unwrap() error { return e.Err }
 
-// Evacuator changes the evacuated domains in one register. All fields are required.
+// Evacuator changes the evacuated domains in one register.
 type Evacuator struct {
-	// Register is the name of the register.
-	Register string
-	// Read performs a majority read of the register, and Change proposes a change of it; see
-	// package registrar.
-	Read   func(ctx context.Context, now time.Time, register string) (registrar.Entry, error)
-	Change func(ctx context.Context, now time.Time, c registrar.Change) (registrar.Result, error)
+	registrar.Store
 }
 
-// UnavailableError reports that the register could not be read or changed, for example because no
-// majority of the replicas answered. The order may be in force nevertheless.
-type UnavailableError struct {
-	// Domain is the domain of the order, or empty for Newest.
-	Domain string
-	Err    error
-}
-
-// Error returns a text with the domain and the cause.
-func (e *UnavailableError) Error() string {
-	if e.Domain == "" {
-		return fmt.Sprintf("the evacuated domains are not known: %v", e.Err)
-	}
-	return fmt.Sprintf("the order for domain %q is not known to be stored: %v", e.Domain, e.Err)
-}
-
-// Unwrap returns the cause.
-func (e *UnavailableError) Unwrap() error { return e.Err }
-
-var (
-	errNoMajority = errors.New("no majority of the replicas answered")
-	errConflict   = errors.New("other orders were stored at the same time")
-	errNoVersion  = errors.New("the state has no version")
-)
+var errNoVersion = errors.New("the state has no version")
 
 // Begin evacuates a domain. The operator is named in the audit trail. It returns the stored state.
-// Errors are of type *UnavailableError, or *UnreadableError if nothing was changed.
+// Errors are of type *registrar.UncertainError, or *UnreadableError if nothing was changed.
 func (e *Evacuator) Begin(ctx context.Context, now time.Time, who, domain string) (State, error) {
 	return e.order(ctx, now, who, domain, true)
 }
@@ -180,48 +147,28 @@
 // opposite order that got no clear answer and has votes of a minority could still be decided after
 // this order was acknowledged.
 func (e *Evacuator) order(ctx context.Context, now time.Time, who, domain string, evacuated bool) (State, error) {
-	for range maxAttempts {
-		entry, err := e.Read(ctx, now, e.Register)
-		if err != nil {
-			return State{}, unavailable(domain, err)
-		}
+	var next State
+	what := fmt.Sprintf("the order for domain %q is not known to be stored", domain)
+	err := e.Update(ctx, now, who, what, func(entry registrar.Entry) ([]byte, error) {
 		current, err := Decode(entry)
 		if err != nil {
-			return State{}, err
-		}
-		next := current.with(domain, evacuated, entry.Version+1)
-		result, err := e.Change(ctx, now, registrar.Change{
-			Register: e.Register,
-			ID:       uuid.NewString(),
-			Who:      who,
-			Expected: entry.Version,
-			Value:    Encode(next),
-		})
-		switch {
-		case err != nil:
-			return State{}, unavailable(domain, err)
-		case result.Status == registrar.Accepted:
-			return next, nil
-		case result.Status == registrar.Unavailable:
-			return State{}, unavailable(domain, errNoMajority)
+			return nil, err
 		}
-		// Another change was accepted first.
-	}
-	return State{}, unavailable(domain, errConflict)
-}
-
-func unavailable(domain string, err error) error {
-	return &UnavailableError{
-		Domain: domain,
-		Err:    err,
+		next = current.With(domain, evacuated, entry.Version+1)
+		return Encode(next), nil
+	})
+	if err != nil {
+		return State{}, err
 	}
+	return next, nil
 }
 
-// Newest returns the stored state by a majority read. Errors are of type *UnavailableError or *UnreadableError.
+// Newest returns the stored state by a majority read. Errors are of type *registrar.UncertainError or
+// *UnreadableError.
 func (e *Evacuator) Newest(ctx context.Context, now time.Time) (State, error) {
-	entry, err := e.Read(ctx, now, e.Register)
+	entry, err := e.Store.Newest(ctx, now, "the evacuated domains are not known")
 	if err != nil {
-		return State{}, unavailable("", err)
+		return State{}, err
 	}
 	return Decode(entry)
 }
--- a/evacuator/evacuator_test.go
+++ b/evacuator/evacuator_test.go
@@ -66,11 +66,11 @@
 }
 
 func (r *fakeRegister) evacuator() *Evacuator {
-	return &Evacuator{
+	return &Evacuator{Store: registrar.Store{
 		Register: Register,
 		Read:     r.read,
 		Change:   r.change,
-	}
+	}}
 }
 
 // TestOrders guards against a repeated order that is rejected or takes a new version, and against a
@@ -109,7 +109,7 @@
 		for _, r := range []*fakeRegister{{loseReply: true}, {loseVote: true}} {
 			g := NewWithT(t)
 			_, err := r.evacuator().Begin(t.Context(), now, "ana", "a")
-			var unavailable *UnavailableError
+			var unavailable *registrar.UncertainError
 			g.Expect(errors.As(err, &unavailable)).To(BeTrue())
 			if repeated {
 				s, err := r.evacuator().Begin(t.Context(), now, "ana", "a")
--- a/placer/closed.go
+++ b/placer/closed.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// closedRetryAfter is the time after which a job that a closed shard has refused may be sent again. The
+	// ClosedRetryAfter is the time after which a job that a closed shard has refused may be sent again. The
 	// callers of one host then find another domain's report, which comes every 100 ms.
-	closedRetryAfter = time.Second
+	ClosedRetryAfter = time.Second
 	// startedRefusalDelay is the time from the evacuation until jobs that have begun are refused. Within it,
 	// their entry hosts learn that starts which were under way were rejected, and request the placement of
 	// jobs of which nothing has started again.
@@ -46,7 +46,7 @@
 	}
 	for _, w := range slices.Clone(p.order) {
 		if !p.forward(now, w) && p.hopeless(now, w, running[w.key]) {
-			p.refuse(w, p.closed, 0, closedRetryAfter)
+			p.refuse(w, p.closed, 0, ClosedRetryAfter)
 		}
 	}
 }
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -13,30 +13,18 @@
 import (
 	"context"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"time"
 
-	"github.com/google/uuid"
-
 	"sesamedrift.example/sesamedrift/registrar"
 )
 
 // versionBytes is the length of the version that precedes the content in a register value.
 const versionBytes = 8
 
-// maxAttempts bounds how often Publish reads the register and proposes its change, which is
-// repeated when a concurrent change was accepted first.
-const maxAttempts = 32
-
-// Publisher publishes documents in one register. All fields are required.
+// Publisher publishes documents in one register.
 type Publisher struct {
-	// Register is the name of the register.
-	Register string
-	// Read performs a majority read of the register, and Change proposes a change of it; see
-	// package registrar.
-	Read   func(ctx context.Context, now time.Time, register string) (registrar.Entry, error)
-	Change func(ctx context.Context, now time.Time, c registrar.Change) (registrar.Result, error)
+	registrar.Store
 }
 
 // Document is a versioned document. The zero value stands for no document.
@@ -46,74 +34,29 @@
 	Content []byte
 }
 
-// UnavailableError reports that the register could not be read or changed, for example because no
-// majority of the replicas answered. The document may have been stored nevertheless.
-type UnavailableError struct {
-	Version uint64
-	Err     error
-}
-
-// Error returns a text with the version and the cause.
-func (e *UnavailableError) Error() string {
-	return fmt.Sprintf("document version %d is not known to be stored: %v", e.Version, e.Err)
-}
-
-// Unwrap returns the cause.
-func (e *UnavailableError) Unwrap() error { return e.Err }
-
-var (
-	errNoMajority = errors.New("no majority of the replicas answered")
-	errConflict   = errors.New("other versions were stored at the same time")
-)
-
 // Publish stores a document unless the same or a higher version is stored. The author is named in
 // the audit trail. Publish returns the version that is stored afterwards. Errors are of type
-// *UnavailableError.
+// *registrar.UncertainError.
 func (p *Publisher) Publish(ctx context.Context, now time.Time, author string, d Document) (stored uint64, err error) {
-	value := Encode(d)
-	id := uuid.NewString()
-	for range maxAttempts {
-		entry, err := p.Read(ctx, now, p.Register)
-		if err != nil {
-			return 0, unavailable(d.Version, err)
-		}
-		if stored := Decode(entry.Value).Version; stored >= d.Version {
-			return stored, nil
-		}
-		result, err := p.Change(ctx, now, registrar.Change{
-			Register: p.Register,
-			ID:       id,
-			Who:      author,
-			Expected: entry.Version,
-			Value:    value,
-		})
-		switch {
-		case err != nil:
-			return 0, unavailable(d.Version, err)
-		case result.Status == registrar.Accepted:
-			return d.Version, nil
-		case result.Status == registrar.Unavailable:
-			return 0, unavailable(d.Version, errNoMajority)
+	what := fmt.Sprintf("document version %d is not known to be stored", d.Version)
+	err = p.Update(ctx, now, author, what, func(entry registrar.Entry) ([]byte, error) {
+		if stored = Decode(entry.Value).Version; stored >= d.Version {
+			return nil, nil
 		}
-		// Another change was accepted first. The next attempt needs a new identifier, because the
-		// rejected change can no longer be accepted.
-		id = uuid.NewString()
-	}
-	return 0, unavailable(d.Version, errConflict)
-}
-
-func unavailable(version uint64, err error) error {
-	return &UnavailableError{
-		Version: version,
-		Err:     err,
+		stored = d.Version
+		return Encode(d), nil
+	})
+	if err != nil {
+		return 0, err
 	}
+	return stored, nil
 }
 
-// Newest returns the stored document by a majority read. Errors are of type *UnavailableError.
+// Newest returns the stored document by a majority read. Errors are of type *registrar.UncertainError.
 func (p *Publisher) Newest(ctx context.Context, now time.Time) (Document, error) {
-	entry, err := p.Read(ctx, now, p.Register)
+	entry, err := p.Store.Newest(ctx, now, "the newest document is not known")
 	if err != nil {
-		return Document{}, unavailable(0, err)
+		return Document{}, err
 	}
 	return Decode(entry.Value), nil
 }
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -53,11 +53,11 @@
 }
 
 func (r *fakeRegister) publisher() *Publisher {
-	return &Publisher{
+	return &Publisher{Store: registrar.Store{
 		Register: "document",
 		Read:     r.read,
 		Change:   r.change,
-	}
+	}}
 }
 
 func doc(version uint64, content string) Document {
@@ -101,7 +101,7 @@
 	r := &fakeRegister{loseReply: true}
 	p := r.publisher()
 	_, err := p.Publish(t.Context(), now, "ana", doc(1, "one"))
-	var unavailable *UnavailableError
+	var unavailable *registrar.UncertainError
 	g.Expect(errors.As(err, &unavailable)).To(BeTrue())
 	stored, err := p.Publish(t.Context(), now, "ana", doc(1, "one"))
 	g.Expect(err).NotTo(HaveOccurred())
--- a/server/evacuations.go
+++ b/server/evacuations.go
@@ -195,7 +195,7 @@
 		return
 	}
 	var stored registrar.Entry
-	e := &evacuator.Evacuator{
+	e := &evacuator.Evacuator{Store: registrar.Store{
 		Register: evacuator.Register,
 		Read: func(ctx context.Context, _ time.Time, register string) (registrar.Entry, error) {
 			return h.readRegister(ctx, register)
@@ -211,7 +211,7 @@
 			}
 			return result, err
 		},
-	}
+	}}
 	ctx, cancel := context.WithTimeout(r.Context(), registerChangeTimeout)
 	defer cancel()
 	state, err := order.store(e, ctx, h.now(), who, domain)
