controller: do not claim to know the evacuations without a vote

Orders that others stored meanwhile may be missing there, so that an entry host that has just started and reaches only this control host could start tasks in an evacuated domain.

Change: a control host knows the evacuations only while its replica votes, and reads them from a majority again after that.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -23,6 +23,7 @@
 
 	"sesamedrift.example/sesamedrift/discoverer"
 	"sesamedrift.example/sesamedrift/evacuator"
+	"sesamedrift.example/sesamedrift/journaler"
 	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/poller"
 	"sesamedrift.example/sesamedrift/publisher"
@@ -67,7 +68,9 @@
 	Replicas int
 	// Bootstrap says that the whole system starts for the first time.
 	Bootstrap bool
-	Log       *slog.Logger
+	// Journal, if set, may change how the journal of the registers writes and syncs.
+	Journal func(cfg *journaler.Config)
+	Log     *slog.Logger
 	// Metrics receives the metrics of the host.
 	Metrics *reporter.Metrics
 	// Now returns the current time.
@@ -100,7 +103,7 @@
 	// documents serves the document to other hosts.
 	documents poller.DocumentSource
 	// evacuations is the newest state of evacuations that this host has learned. evacuationsKnown is set
-	// once it may have missed none that was acknowledged; see learnEvacuations.
+	// while it may have missed none that was acknowledged; see learnEvacuations.
 	evacuations      evacuator.State
 	evacuationsKnown bool
 	// evacuationsUnreadable is set while the newest entry of the evacuations on this replica cannot be read.
@@ -148,16 +151,17 @@
 	h.loadUpstreams(cfg.Now())
 	var err error
 	h.replica, err = replicator.Open(replicator.Config{
-		ID:          cfg.Self.Address,
-		Replicas:    h.initialReplicas(),
-		Bootstrap:   cfg.Bootstrap && h.isSeed(),
-		Call:        h.callReplica,
-		OnDecided:   h.applyDecided,
-		Folder:      filepath.Join(cfg.Folder, registerFolder),
-		RepairEvery: repairEvery,
-		SyncEvery:   syncEvery,
-		Log:         cfg.Log,
-		Now:         cfg.Now,
+		ID:               cfg.Self.Address,
+		Replicas:         h.initialReplicas(),
+		Bootstrap:        cfg.Bootstrap && h.isSeed(),
+		Call:             h.callReplica,
+		OnDecided:        h.applyDecided,
+		Folder:           filepath.Join(cfg.Folder, registerFolder),
+		ConfigureJournal: cfg.Journal,
+		RepairEvery:      repairEvery,
+		SyncEvery:        syncEvery,
+		Log:              cfg.Log,
+		Now:              cfg.Now,
 	})
 	if err != nil {
 		cancel()
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -13,6 +15,7 @@
 	"go.uber.org/goleak"
 
 	"sesamedrift.example/sesamedrift/discoverer"
+	"sesamedrift.example/sesamedrift/journaler"
 	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/poller"
 	"sesamedrift.example/sesamedrift/publisher"
@@ -34,6 +37,8 @@
 	hosts           []*Host
 	metrics         *reporter.Metrics
 	lastIncarnation uint64
+	// diskFails makes the syncs of the journals of all hosts fail.
+	diskFails atomic.Bool
 }
 
 func newCluster(t *testing.T, n int) *cluster {
@@ -71,10 +76,18 @@
 		Token:     "token",
 		Folder:    c.folders[i],
 		Bootstrap: bootstrap,
-		Replicas:  3,
-		Log:       slog.New(slog.DiscardHandler),
-		Metrics:   c.metrics,
-		Now:       time.Now,
+		Journal: func(cfg *journaler.Config) {
+			cfg.Sync = func(f *os.File) error {
+				if c.diskFails.Load() {
+					return syscall.EIO
+				}
+				return f.Sync()
+			}
+		},
+		Replicas: 3,
+		Log:      slog.New(slog.DiscardHandler),
+		Metrics:  c.metrics,
+		Now:      time.Now,
 	})
 	c.g.Expect(err).NotTo(HaveOccurred())
 	c.hosts[i] = h
--- a/controller/evacuations.go
+++ b/controller/evacuations.go
@@ -83,13 +83,18 @@
 }
 
 // learnEvacuations reads the evacuations from a majority until that succeeds, and then tells polling hosts
-// that this host knows them. A replica that has just recovered may have missed the last orders. If no
+// that this host knows them. It does so again after the replica has not voted, for example because its journal has
+// failed: orders that others have stored meanwhile may be missing here. A replica that has just recovered may have missed the last orders. If no
 // majority answers for evacuationReadLimit, what this replica has stored counts. As long as the state is unreadable,
 // this host does not know the evacuations: the newest readable state may lack orders that were acknowledged.
 func (h *Host) learnEvacuations(ctx context.Context) {
 	var votesSince time.Time
 	for ; ctx.Err() == nil; messenger.Sleep(ctx, evacuationRetryInterval) {
-		if !h.replica.Votes() {
+		votes := h.replica.Votes()
+		if h.knowsEvacuations(votes) {
+			continue
+		}
+		if !votes {
 			votesSince = time.Time{}
 			continue
 		}
@@ -120,6 +125,13 @@
 		h.notifyPollers()
 		h.mu.Unlock()
 		reporter.Log(ctx, h.log, reporter.EvacuationsLearned, "version", version, "after", h.cfg.Now().Sub(votesSince), "error", err)
-		return
 	}
 }
+
+// knowsEvacuations reports whether this host knows the evacuations, which it does no more once its replica does not vote.
+func (h *Host) knowsEvacuations(votes bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.evacuationsKnown = h.evacuationsKnown && votes
+	return h.evacuationsKnown
+}
--- a/controller/evacuations_test.go
+++ b/controller/evacuations_test.go
@@ -118,6 +118,22 @@
 		Should(And(HaveField("EvacuationsKnown", false), HaveField("Evacuations", BeNil())))
 }
 
+// Guards against a control host that claims to know the evacuations while its replica does not vote, and may lack orders
+// that others have stored, and against one that never knows them again.
+func TestEvacuationsUnknownWithoutVote(t *testing.T) {
+	c := newCluster(t, 1)
+	defer c.close()
+	c.start(0, true)
+	c.g.Eventually(func() error { return c.hosts[0].BeginEvacuation(t.Context(), "ana", "d") }).WithTimeout(waitLimit).Should(Succeed())
+	known := func() bool { return c.pollEvacuations(0).EvacuationsKnown }
+	c.g.Eventually(known).WithTimeout(waitLimit).Should(BeTrue())
+	c.diskFails.Store(true)
+	c.g.Expect(c.hosts[0].FinishEvacuation(t.Context(), "ana", "d")).NotTo(Succeed())
+	c.g.Eventually(known).WithTimeout(waitLimit).Should(BeFalse())
+	c.diskFails.Store(false)
+	c.g.Eventually(known).WithTimeout(waitLimit).Should(BeTrue())
+}
+
 // Guards against polls that are answered at once again and again: hosts of earlier releases do not say
 // which evacuations they have.
 func TestEvacuationsAreSentOnce(t *testing.T) {
--- a/reporter/events.go
+++ b/reporter/events.go
@@ -202,7 +202,7 @@
 		ID:          3009,
 		Name:        "evacuations-learned",
 		Level:       slog.LevelInfo,
-		Description: "The host knows the evacuated failure domains since its start. On a control host, an error says that no majority of the replicas answered, so that the stored state counts.",
+		Description: "The host knows the evacuated failure domains since its start; a control host also since its replica votes again. On a control host, an error says that no majority of the replicas answered, so that the stored state counts.",
 	}
 	EvacuationsInForce = Event{
 		ID:          3010,
