--- a/controller/controller.go
+++ b/controller/controller.go
@@ -23,6 +23,7 @@
 
 	"sesamedrift.example/sesamedrift/discoverer"
 	"sesamedrift.example/sesamedrift/evacuator"
+	"sesamedrift.example/sesamedrift/journaler"
 	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/poller"
 	"sesamedrift.example/sesamedrift/publisher"
@@ -67,7 +68,9 @@
 	Replicas int
 	// Bootstrap says that the whole system starts for the first time.
 	Bootstrap bool
-	Log       *slog.Logger
+	// Journal, if set, may change how the journal of the registers writes and syncs.
+	Journal func(cfg *journaler.Config)
+	Log     *slog.Logger
 	// Metrics receives the metrics of the host.
 	Metrics *reporter.Metrics
 	// Now returns the current time.
@@ -100,9 +103,11 @@
 	// documents serves the document to other hosts.
 	documents poller.DocumentSource
 	// evacuations is the newest state of evacuations that this host has learned. evacuationsKnown is set
-	// once it may have missed none that was acknowledged; see learnEvacuations.
+	// while it may have missed none that was acknowledged; see learnEvacuations.
 	evacuations      evacuator.State
 	evacuationsKnown bool
+	// evacuationsUnreadable is set while the newest entry of the evacuations on this replica cannot be read.
+	evacuationsUnreadable bool
 	// updated is closed and replaced when a list, the document or the evacuations change.
 	updated chan struct{}
 	// polling holds the addresses of the control hosts that this one polls.
@@ -143,36 +148,27 @@
 		Log:                 cfg.Log,
 	}
 	h.hosts.Put(cfg.Now(), cfg.Self)
-	for _, u := range readUpstreams(h.stored.path) {
-		h.upstreams.Put(cfg.Now(), u)
-	}
+	h.loadUpstreams(cfg.Now())
 	var err error
 	h.replica, err = replicator.Open(replicator.Config{
-		ID:          cfg.Self.Address,
-		Replicas:    h.initialReplicas(),
-		Bootstrap:   cfg.Bootstrap && h.isSeed(),
-		Call:        h.callReplica,
-		OnDecided:   h.applyDecided,
-		Folder:      filepath.Join(cfg.Folder, registerFolder),
-		RepairEvery: repairEvery,
-		SyncEvery:   syncEvery,
-		Log:         cfg.Log,
-		Now:         cfg.Now,
+		ID:               cfg.Self.Address,
+		Replicas:         h.initialReplicas(),
+		Bootstrap:        cfg.Bootstrap && h.isSeed(),
+		Call:             h.callReplica,
+		OnDecided:        h.applyDecided,
+		Folder:           filepath.Join(cfg.Folder, registerFolder),
+		ConfigureJournal: cfg.Journal,
+		RepairEvery:      repairEvery,
+		SyncEvery:        syncEvery,
+		Log:              cfg.Log,
+		Now:              cfg.Now,
 	})
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	h.publisher = &publisher.Publisher{
-		Register: documentRegister,
-		Read:     h.readRegister,
-		Change:   h.changeRegister,
-	}
-	h.evacuator = &evacuator.Evacuator{
-		Register: evacuator.Register,
-		Read:     h.readRegister,
-		Change:   h.changeRegister,
-	}
+	h.publisher = &publisher.Publisher{Store: h.registerStore(documentRegister)}
+	h.evacuator = &evacuator.Evacuator{Store: h.registerStore(evacuator.Register)}
 	h.listener, err = messenger.Listen(cfg.Self.Address, messenger.Config{
 		Local:        h.hello(),
 		Handle:       h.handle,
@@ -195,12 +191,17 @@
 	return h, nil
 }
 
-func (h *Host) readRegister(ctx context.Context, now time.Time, register string) (registrar.Entry, error) {
-	return h.replica.Registers().Read(ctx, now, register)
-}
-
-func (h *Host) changeRegister(ctx context.Context, now time.Time, c registrar.Change) (registrar.Result, error) {
-	return h.replica.Registers().Change(ctx, now, c)
+// registerStore returns the register with the name. The replica creates its registers anew after a failed write.
+func (h *Host) registerStore(name string) registrar.Store {
+	return registrar.Store{
+		Register: name,
+		Read: func(ctx context.Context, now time.Time, register string) (registrar.Entry, error) {
+			return h.replica.Registers().Read(ctx, now, register)
+		},
+		Change: func(ctx context.Context, now time.Time, c registrar.Change) (registrar.Result, error) {
+			return h.replica.Registers().Change(ctx, now, c)
+		},
+	}
 }
 
 func (h *Host) hello() messenger.Hello {
@@ -324,7 +325,7 @@
 	case documentRegister:
 		h.applyDocument(publisher.Decode(e.Value))
 	case evacuator.Register:
-		h.applyEvacuations(evacuator.Decode(e.Value))
+		h.applyEvacuations(e)
 	}
 }
 
--- a/controller/stored.go
+++ b/controller/stored.go
@@ -4,11 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"os"
+	"io/fs"
 	"path/filepath"
 	"time"
 
 	"sesamedrift.example/sesamedrift/discoverer"
+	"sesamedrift.example/sesamedrift/journaler"
 	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/reporter"
 )
@@ -48,20 +49,36 @@
 	}
 }
 
-// readUpstreams returns the stored reports, marked as stored. There are none if the file is missing or damaged.
-func readUpstreams(path string) []discoverer.Upstream {
-	body, err := os.ReadFile(path) //nolint:gosec // the path is in the data folder
+// loadUpstreams puts the stored reports into the list. If they cannot be read, the host continues without them: they
+// only say where upstreams were.
+func (h *Host) loadUpstreams(now time.Time) {
+	upstreams, err := readUpstreams(h.stored.path)
 	if err != nil {
-		return nil
+		reporter.Log(context.Background(), h.log, reporter.ReportsNotRead, "path", h.stored.path, "error", err)
+	}
+	for _, u := range upstreams {
+		h.upstreams.Put(now, u)
+	}
+}
+
+// readUpstreams returns the stored reports, marked as stored. There are none if the file is missing, as on the first
+// start. The error reports a failed read or a damaged file.
+func readUpstreams(path string) ([]discoverer.Upstream, error) {
+	body, err := journaler.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
 	}
 	var upstreams []discoverer.Upstream
-	if messenger.Decode(body, &upstreams) != nil {
-		return nil
+	if err := messenger.Decode(body, &upstreams); err != nil {
+		return nil, fmt.Errorf("decode reports of upstreams: %w", err)
 	}
 	for i := range upstreams {
 		upstreams[i].Stored = true
 	}
-	return upstreams
+	return upstreams, nil
 }
 
 // writeUpstreams replaces the stored reports. After a crash the file has the former or the new content.
@@ -70,27 +87,7 @@
 	if err != nil {
 		return fmt.Errorf("encode reports of upstreams: %w", err)
 	}
-	next := path + ".next"
-	file, err := os.OpenFile(next, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600) //nolint:gosec // the path is in the data folder
-	if err != nil {
-		return err
-	}
-	_, err = file.Write(body)
-	if err == nil {
-		err = file.Sync()
-	}
-	if err := errors.Join(err, file.Close()); err != nil {
-		return err
-	}
-	if err := os.Rename(next, path); err != nil {
-		return err
-	}
-	// Without this, the former file may be back after a loss of power, in which a leaving upstream is serving.
-	folder, err := os.Open(filepath.Dir(path))
-	if err != nil {
-		return err
-	}
-	return errors.Join(folder.Sync(), folder.Close())
+	return journaler.WriteFile(path, body)
 }
 
 // storeSoon has the reports of upstreams written. The caller holds h.mu.
--- a/reporter/events.go
+++ b/reporter/events.go
@@ -196,13 +196,13 @@
 		ID:          3008,
 		Name:        "evacuation-not-stored",
 		Level:       slog.LevelError,
-		Description: "An order to begin or finish an evacuation was not acknowledged: the domain is not known, or a majority of the replicas did not answer. In the second case it may be in force; send it again.",
+		Description: "An order to begin or finish an evacuation was not acknowledged: the domain is not known, or the stored evacuations are unreadable, or a majority of the replicas did not answer. In the last case it may be in force; send it again.",
 	}
 	EvacuationsLearned = Event{
 		ID:          3009,
 		Name:        "evacuations-learned",
 		Level:       slog.LevelInfo,
-		Description: "The host knows the evacuated failure domains since its start. On a control host, an error says that no majority of the replicas answered, so that the stored state counts.",
+		Description: "The host knows the evacuated failure domains since its start; a control host also since its replica votes again. On a control host, an error says that no majority of the replicas answered, so that the stored state counts.",
 	}
 	EvacuationsInForce = Event{
 		ID:          3010,
@@ -210,6 +210,12 @@
 		Level:       slog.LevelInfo,
 		Description: "The host has applied a newer state of the evacuated failure domains; the attributes hold the version, the domains and whether that of the host is one of them.",
 	}
+	EvacuationsUnreadable = Event{
+		ID:          3011,
+		Name:        "evacuations-unreadable",
+		Level:       slog.LevelError,
+		Description: "The stored evacuations cannot be read. The host keeps the newest state that it was able to read; a host that has read none starts no task where evacuations are in use. Orders are refused and change nothing. Check whether a host of another release has stored them, and the disks of the replicas.",
+	}
 )
 
 // Events 4xxx: claims of request keys.
@@ -338,6 +344,12 @@
 		Level:       slog.LevelWarn,
 		Description: "The control host cannot store the reports of upstreams on its disk. After a loss of all hosts, entry hosts find upstreams only as these report again. Check the disk.",
 	}
+	ReportsNotRead = Event{
+		ID:          5020,
+		Name:        "reports-not-read",
+		Level:       slog.LevelWarn,
+		Description: "The control host cannot read the stored reports of upstreams, because the read has failed or the file is damaged; the attributes hold the path and the error. It continues without them, and the next report of an upstream replaces the file. Check the disk.",
+	}
 )
 
 // Events 6xxx: connections and messages between hosts.
@@ -483,6 +495,7 @@
 	EvacuationNotStored,
 	EvacuationsLearned,
 	EvacuationsInForce,
+	EvacuationsUnreadable,
 	OutcomeNotRecorded,
 	UpstreamAnnounced,
 	UpstreamExpired,
@@ -503,6 +516,7 @@
 	OrphansStopped,
 	UpstreamRestarted,
 	ReportsNotStored,
+	ReportsNotRead,
 	PeerRejected,
 	MessageRejected,
 	JournalTornTail,
