limiter: the retry share 0 means no retries

A document with limits.retry-share 0 therefore still allowed retries. A share from 0 to 1 now applies as it is, and 0 allows none. Until a document is in force, the share is 0.05 as before.

TestNoRetries fails without the change.

--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -6,13 +6,14 @@
 )
 
 const (
-	defaultRetryShare = 0.05
+	// DefaultRetryShare is the share until a document sets one.
+	DefaultRetryShare = 0.05
 	// budgetWindow is the time constant of the decay of the counted starts and retries. It is
 	// longer than the disruption by the loss of a host, so that the retries after the loss are
 	// compared with the starts before it.
 	budgetWindow = 10 * time.Second
 	// minRetries is the number of retries per window that are allowed regardless of the starts.
-	// Without it a host with few starts could not retry at all.
+	// Without it a host with few starts could not retry at all. It does not apply to the share 0.
 	minRetries = 3
 )
 
@@ -27,18 +28,17 @@
 
 // NewRetryBudget returns a RetryBudget without starts. See SetShare for the share.
 func NewRetryBudget(share float64) *RetryBudget {
-	b := &RetryBudget{}
+	b := &RetryBudget{share: DefaultRetryShare}
 	b.SetShare(share)
 	return b
 }
 
-// SetShare sets the share of the starts that may be retried, above 0 and at most 1. Any other value
-// stands for 0.05.
+// SetShare sets the share of the starts that may be retried, from 0 to 1. With 0 there are no retries. Any other
+// value changes nothing.
 func (b *RetryBudget) SetShare(share float64) {
-	if !(share > 0 && share <= 1) {
-		share = defaultRetryShare
+	if share >= 0 && share <= 1 {
+		b.share = share
 	}
-	b.share = share
 }
 
 // RecordStart counts the first start of a task.
@@ -50,7 +50,7 @@
 // AllowRetry reports whether a task may be retried, and counts the retry if so.
 func (b *RetryBudget) AllowRetry(now time.Time) bool {
 	b.decay(now)
-	if b.retries+1 > b.share*b.starts+minRetries {
+	if b.share == 0 || b.retries+1 > b.share*b.starts+minRetries {
 		return false
 	}
 	b.retries++
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -125,6 +125,16 @@
 	g.Expect(allowed(start.Add(10 * time.Minute))).To(Equal(3))
 }
 
+// Guards against retries although the document sets the share 0.
+func TestNoRetries(t *testing.T) {
+	g := NewWithT(t)
+	b := NewRetryBudget(0.1)
+	b.RecordStart(start)
+	g.Expect(b.AllowRetry(start)).To(BeTrue())
+	b.SetShare(0)
+	g.Expect(b.AllowRetry(start.Add(time.Minute))).To(BeFalse())
+}
+
 // Guards against times outside [wait, 2*wait], and against refused callers that retry at the same
 // time.
 func TestJitter(t *testing.T) {
--- a/server/setup.go
+++ b/server/setup.go
@@ -46,7 +46,7 @@
 		stopped:             make(chan struct{}),
 		runTimes:            estimator.New(estimator.Config{}),
 		quotas:              limiter.NewQuotas(),
-		budget:              limiter.NewRetryBudget(0),
+		budget:              limiter.NewRetryBudget(limiter.DefaultRetryShare),
 		retryHints:          limiter.NewJitter(cfg.Seed, minRetryAfter, maxRetryAfter),
 		health:              detector.New(detector.Config{}),
 		spillMargin:         spillMargin,
