placer: no scans per waiting job in place

place called needsReservation for each waiting job, which scanned all upstreams, and searched the rest of the order for a job that fits until four reservations were made. While only large jobs wait and none fits, that was quadratic in the waiting jobs. The largest capacities are now found once per call, the last job that may fit is tracked from the end of the order, and the loop ends behind it. selectUpstream computes the estimate and the limit of the speed only where the speed rule or a reservation uses them; canRun computed the estimate for each upstream.

--- a/placer/fit.go
+++ b/placer/fit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"sesamedrift.example/sesamedrift"
@@ -31,10 +32,17 @@
 		return nil
 	}
 	p.searches++
-	limit := p.maxSlownessInTime(now, w, t)
+	// The estimate needs the quantiles of a histogram, so it is computed once and only where it is used.
+	choosesSpeed := p.choosesSpeed(w)
+	estimate, limit := time.Duration(0), math.Inf(-1)
+	if choosesSpeed || p.reserving {
+		estimate = p.estimate(now, &w.Job, t)
+	}
+	if choosesSpeed {
+		limit = maxSlownessInTime(now, w, estimate)
+	}
 	var fullest, fastest, emptiest, inTime *upstream
 	var freeCPU, totalCPU int64
-	slowest := 0.0
 	inTimeLater := false // on an upstream that has too little free capacity now
 	for _, u := range p.sorted {
 		if !u.usable || u.Service != w.Service {
@@ -42,9 +50,8 @@
 		}
 		freeCPU += u.free.CPU
 		totalCPU += u.Capacity.CPU
-		slowest = max(slowest, u.health.slowness)
-		inTimeLater = inTimeLater || u.health.slowness <= limit && u.suits(t) && p.available(now, u)
-		if !p.canRun(now, u, w, t) {
+		inTimeLater = inTimeLater || choosesSpeed && u.health.slowness <= limit && u.suits(t) && p.available(now, u)
+		if !p.canRun(now, u, t, estimate) {
 			continue
 		}
 		if fullest == nil || lessFree(u, fullest) {
@@ -56,11 +63,10 @@
 		if emptiest == nil || moreFree(u, emptiest) {
 			emptiest = u
 		}
-		if u.health.slowness <= limit && (inTime == nil || lessFree(u, inTime)) {
+		if choosesSpeed && u.health.slowness <= limit && (inTime == nil || lessFree(u, inTime)) {
 			inTime = u
 		}
 	}
-	choosesSpeed := p.enabled(RuleSpeed) && math.Exp(slowest) > max(w.SlackFactor, minSlowFactor)
 	switch {
 	case !p.enabled(RuleBinPack):
 		return emptiest
@@ -77,11 +83,22 @@
 	}
 }
 
-// maxSlownessInTime returns the slowness up to which an upstream is expected to end a task within the
-// objective of its job if the task is placed there now.
-func (p *Placer) maxSlownessInTime(now time.Time, w *waitingJob, t Task) float64 {
+// choosesSpeed reports whether RuleSpeed has effect for a job: some usable upstream of its service is so slow
+// that the job is late there even if it begins at once.
+func (p *Placer) choosesSpeed(w *waitingJob) bool {
+	if !p.enabled(RuleSpeed) || !p.enabled(RuleBinPack) {
+		return false
+	}
+	limit := math.Log(max(w.SlackFactor, minSlowFactor))
+	return slices.ContainsFunc(p.sorted, func(u *upstream) bool {
+		return u.health.slowness > limit && u.usable && u.Service == w.Service
+	})
+}
+
+// maxSlownessInTime returns the slowness up to which an upstream is expected to end a task with the estimate
+// within the objective of its job if the task is placed there now.
+func maxSlownessInTime(now time.Time, w *waitingJob, expected time.Duration) float64 {
 	remaining := w.latestStart.Add(w.estimate).Sub(now)
-	expected := p.estimate(now, &w.Job, t)
 	if remaining <= 0 || expected <= 0 {
 		return math.Inf(-1)
 	}
@@ -119,15 +136,16 @@
 		t.Run.Task.Step == other.Run.Task.Step
 }
 
-// canRun reports whether a task may be placed on an upstream now.
-func (p *Placer) canRun(now time.Time, u *upstream, w *waitingJob, t Task) bool {
-	if u.Service != w.Service || !t.Demand.Fits(u.free) || !u.suits(t) {
+// canRun reports whether a task may be placed on an upstream of its service now. The estimate is used while
+// capacity is reserved.
+func (p *Placer) canRun(now time.Time, u *upstream, t Task, estimate time.Duration) bool {
+	if !t.Demand.Fits(u.free) || !u.suits(t) {
 		return false
 	}
 	if t.MaxPerUpstream > 0 && u.runsOfStep(t.Run.Task) >= t.MaxPerUpstream {
 		return false
 	}
-	return p.available(now, u) && p.leavesReservations(now, u, w, t)
+	return p.available(now, u) && p.leavesReservations(u, t, estimate)
 }
 
 // suits reports whether a task may run on the upstream when no other run uses its capacity.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -561,6 +561,9 @@
 	maxFree := p.maxFreeCPU(now)
 	reserved := 0
 	order := slices.Clone(p.order)
+	// Free capacity only shrinks here, so the index of the last job that may fit only decreases.
+	lastFit := len(order) - 1
+	var largest largestCapacities
 	for i, w := range order {
 		if w.anyTaskFits(maxFree) {
 			p.placeJob(now, w)
@@ -570,8 +573,13 @@
 			maxFree = p.maxFreeCPU(now)
 		}
 		// A reservation matters only to jobs that could be placed now.
-		if reserved < maxReservations && p.jobs[w.key] == w && p.enabled(RuleReserve) && p.needsReservation(w) &&
-			slices.ContainsFunc(order[i+1:], func(w *waitingJob) bool { return w.anyTaskFits(maxFree) }) {
+		for lastFit > i && !order[lastFit].anyTaskFits(maxFree) {
+			lastFit--
+		}
+		if lastFit <= i {
+			break
+		}
+		if reserved < maxReservations && p.enabled(RuleReserve) && p.jobs[w.key] == w && needsReservation(w, largest.of(p, w.Service)) {
 			p.reserveLater(now, w)
 			reserved++
 		}
@@ -581,8 +589,8 @@
 
 // anyTaskFits reports whether a task of the job needs at most the given CPU capacity.
 func (w *waitingJob) anyTaskFits(cpu int64) bool {
-	for _, t := range w.Tasks {
-		if t.Demand.CPU <= cpu {
+	for i := range w.Tasks {
+		if w.Tasks[i].Demand.CPU <= cpu {
 			return true
 		}
 	}
--- a/placer/plan_test.go
+++ b/placer/plan_test.go
@@ -83,8 +83,8 @@
 	h.g.Expect(h.placedOn).To(HaveKey(runOf("large", 0).String()))
 }
 
-// BenchmarkTick measures Tick with 500 waiting jobs of 4 tasks on the 36 busy upstreams of a shard.
-func BenchmarkTick(b *testing.B) {
+// newBusyShard returns a harness with 500 waiting jobs of 4 tasks on the 36 busy upstreams of a shard.
+func newBusyShard(demand int64) *harness {
 	h := &harness{
 		p:   New(Config{}),
 		now: start,
@@ -98,11 +98,17 @@
 		})
 		h.p.SetUsable(start, id, true)
 	}
-	for i := range 518 {
-		j := h.job(fmt.Sprint("j", i), "q", 4, 7000, time.Duration(50+i%400)*time.Millisecond)
+	for i := 0; h.p.WaitingJobs() < 500; i++ {
+		j := h.job(fmt.Sprint("j", i), "q", 4, demand, time.Duration(50+i%400)*time.Millisecond)
 		j.TargetLatency = time.Hour
 		h.p.Enqueue(start, j)
 	}
+	return h
+}
+
+// BenchmarkTick measures Tick with 500 waiting jobs.
+func BenchmarkTick(b *testing.B) {
+	h := newBusyShard(7000)
 	b.ReportAllocs()
 	b.ResetTimer()
 	for b.Loop() {
@@ -110,3 +116,17 @@
 		h.p.Tick(h.now)
 	}
 }
+
+// BenchmarkPlace measures the part of each event that looks for jobs to place, with 500 waiting jobs of
+// which none fits, by the demand of their tasks. Those of 9000 are large enough for reservations.
+func BenchmarkPlace(b *testing.B) {
+	for _, demand := range []int64{7000, 9000} {
+		b.Run(fmt.Sprint(demand), func(b *testing.B) {
+			h := newBusyShard(demand)
+			b.ReportAllocs()
+			for b.Loop() {
+				h.p.place(h.now)
+			}
+		})
+	}
+}
--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -17,15 +17,24 @@
 	backfillMargin = 1.25
 )
 
-// needsReservation reports whether a task of the job needs so much of any upstream that smaller tasks can
-// take its room for long.
-func (p *Placer) needsReservation(w *waitingJob) bool {
-	largest := int64(0)
-	for _, u := range p.sorted {
-		if u.Service == w.Service {
-			largest = max(largest, u.Capacity.CPU)
+// largestCapacities holds the largest CPU capacity of an upstream by service. It is filled on first use
+// during a call of place.
+type largestCapacities map[string]int64
+
+// of returns the largest CPU capacity of an upstream of a service.
+func (l *largestCapacities) of(p *Placer, service string) int64 {
+	if *l == nil {
+		*l = largestCapacities{}
+		for _, u := range p.sorted {
+			(*l)[u.Service] = max((*l)[u.Service], u.Capacity.CPU)
 		}
 	}
+	return (*l)[service]
+}
+
+// needsReservation reports whether a task of the job needs so much of any upstream that smaller tasks can
+// take its room for long. The argument is the largest CPU capacity of an upstream of its service.
+func needsReservation(w *waitingJob, largest int64) bool {
 	return slices.ContainsFunc(w.Tasks, func(t Task) bool { return float64(t.Demand.CPU) > reservedDemandShare*float64(largest) })
 }
 
@@ -40,11 +49,12 @@
 }
 
 // leavesReservations reports whether a task that is placed on an upstream now is expected to end before
-// the starts that are reserved there, or leaves enough capacity for them.
-func (p *Placer) leavesReservations(now time.Time, u *upstream, w *waitingJob, t Task) bool {
+// the starts that are reserved there, or leaves enough capacity for them. The estimate is that of the task on
+// an upstream of average speed.
+func (p *Placer) leavesReservations(u *upstream, t Task, estimate time.Duration) bool {
 	if !p.reserving {
 		return true
 	}
-	d := u.health.expected(p.estimate(now, &w.Job, t))
+	d := u.health.expected(estimate)
 	return p.reservations.HasRoom(u.planIndex, t.Demand, time.Duration(backfillMargin*float64(d)))
 }
