placer: include the overhead in startsAfter and in backfilling

The plan takes room for the run time and the observed overhead of a run, but the start reported to other placers and the check that a task ends before a reserved start counted the run time only. Jobs were forwarded to gaps that were too short for them, and small tasks delayed the large one ahead of them by the overhead.

Both tests fail without the change.

--- a/placer/forward.go
+++ b/placer/forward.go
@@ -108,6 +108,7 @@
 	f := p.plan.Add(&forecaster.Job{
 		Service:   first.Service,
 		NotBefore: now.Sub(p.plan.madeAt),
+		Overhead:  p.overhead,
 		Tasks: []forecaster.Task{{
 			Demand:  sesamedrift.Resources{CPU: int64(p.meanCPU)},
 			RunTime: first.estimate,
--- a/placer/plan_test.go
+++ b/placer/plan_test.go
@@ -83,6 +83,34 @@
 	h.g.Expect(h.placedOn).To(HaveKey(runOf("large", 0).String()))
 }
 
+// Guards against a report that promises a gap that is only as long as the run time: until the end of a run is
+// reported, the overhead passes as well.
+func TestReportedStartIncludesTheOverhead(t *testing.T) {
+	h := newHarness(t, 10000)
+	h.p.overhead = 20 * time.Millisecond
+	h.enqueue(h.job("running", "q", 1, 4000, 100*time.Millisecond))
+	for _, id := range []string{"large", "long"} {
+		j := h.job(id, "q", 1, 8000, 110*time.Millisecond)
+		j.TargetLatency = time.Second
+		h.enqueue(j)
+	}
+	h.g.Expect(h.p.WaitingJobs()).To(Equal(2))
+	// Tasks of mean demand and 110 ms fit beside the running one for 120 ms, and beside the large ones not at all.
+	h.g.Expect(h.p.FreeCapacity(h.now).StartsAfter).To(BeNumerically(">=", 370*time.Millisecond))
+}
+
+// Guards against a task that is placed ahead of a reserved start although the report of its end comes later.
+func TestOverheadDoesNotDelayReservations(t *testing.T) {
+	h := newHarness(t, 16000)
+	h.p.overhead = 50 * time.Millisecond
+	h.enqueue(h.job("running", "q", 1, 10000, 50*time.Millisecond))
+	for _, j := range []Job{h.job("a-large", "q", 1, 16000, 60*time.Millisecond), h.job("small", "q", 1, 6000, 60*time.Millisecond)} {
+		j.TargetLatency = 500 * time.Millisecond
+		h.enqueue(j)
+	}
+	h.g.Expect(h.placedOn).NotTo(HaveKey(runOf("small", 0).String()))
+}
+
 // newBusyShard returns a harness with 500 waiting jobs of 4 tasks on the 36 busy upstreams of a shard.
 func newBusyShard(demand int64) *harness {
 	h := &harness{
--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -48,7 +48,7 @@
 	p.addToPlan(now, &p.reservations, w)
 }
 
-// leavesReservations reports whether a task that is placed on an upstream now is expected to end before
+// leavesReservations reports whether the end of a task that is placed on an upstream now is expected to be reported before
 // the starts that are reserved there, or leaves enough capacity for them. The estimate is that of the task on
 // an upstream of average speed.
 func (p *Placer) leavesReservations(u *upstream, t Task, estimate time.Duration) bool {
@@ -56,5 +56,5 @@
 		return true
 	}
 	d := u.health.expected(estimate)
-	return p.reservations.HasRoom(u.planIndex, t.Demand, time.Duration(backfillMargin*float64(d)))
+	return p.reservations.HasRoom(u.planIndex, t.Demand, time.Duration(backfillMargin*float64(d))+p.overhead)
 }
