placer, forecaster: cold upstreams in the plan and the predictions

Placement gives a cold upstream one task at a time, which takes longer by coldFactor, but the plan and predictReleases counted its whole capacity at full speed. After a domain was taken back, jobs were kept until they were late.

forecaster.Upstream has ColdFor and ColdFactor: a task that begins before ColdFor takes ColdFactor times as long and keeps others away until then. Releases and the sum of free CPU count a cold upstream with one task of mean demand, divided by coldFactor. Backfilling ahead of a reservation uses the longer run time as well.

The placer test fails without the changes in plan.go and shed.go (both cases).

--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -20,6 +20,10 @@
 	Free       sesamedrift.Resources
 	// Slowness is the ratio of run times here to those on an upstream of average speed.
 	Slowness float64
+	// Until ColdFor, the upstream runs one task at a time, and tasks that begin take ColdFactor times as
+	// long. ColdFor is 0 for a warm upstream.
+	ColdFor    time.Duration
+	ColdFactor float64
 	// Releases are the expected ends of the runs on the upstream, in any order.
 	Releases []Release
 }
@@ -141,7 +145,7 @@
 			continue
 		}
 		c := p.candidates[last]
-		p.profiles[last].add(c.after, c.end, sesamedrift.Resources{}.Minus(t.Demand))
+		p.take(last, c.after, c.end, t.Demand)
 		p.starts = append(p.starts, Start{
 			Upstream: last,
 			After:    c.after,
@@ -161,11 +165,31 @@
 func (p *Planner) Remove(f Forecast) {
 	for _, s := range f.Starts {
 		if s.Upstream >= 0 {
-			p.profiles[s.Upstream].add(s.After, s.End, s.Demand)
+			p.giveBack(s.Upstream, s.After, s.End, s.Demand)
 		}
 	}
 }
 
+// exclusive is taken in addition to the demand of a task while it runs on a cold upstream. It exceeds every
+// capacity, so that no other task fits.
+var exclusive = sesamedrift.Resources{CPU: math.MaxInt64 / 4}
+
+// take takes room for a task on an upstream.
+func (p *Planner) take(upstream int, from, to time.Duration, demand sesamedrift.Resources) {
+	p.profiles[upstream].add(from, to, sesamedrift.Resources{}.Minus(demand))
+	if cold := p.upstreams[upstream].ColdFor; from < cold {
+		p.profiles[upstream].add(from, min(to, cold), sesamedrift.Resources{}.Minus(exclusive))
+	}
+}
+
+// giveBack undoes take.
+func (p *Planner) giveBack(upstream int, from, to time.Duration, demand sesamedrift.Resources) {
+	p.profiles[upstream].add(from, to, demand)
+	if cold := p.upstreams[upstream].ColdFor; from < cold {
+		p.profiles[upstream].add(from, min(to, cold), exclusive)
+	}
+}
+
 // HasRoom reports whether an upstream has room for a demand from now on for a duration.
 func (p *Planner) HasRoom(upstream int, demand sesamedrift.Resources, d time.Duration) bool {
 	for _, s := range p.profiles[upstream] {
@@ -181,7 +205,12 @@
 
 // Take takes room on an upstream from now on for a duration, for a task that has begun there.
 func (p *Planner) Take(upstream int, demand sesamedrift.Resources, d time.Duration) {
-	p.profiles[upstream].add(0, d, sesamedrift.Resources{}.Minus(demand))
+	p.take(upstream, 0, d, demand)
+}
+
+// GiveBack undoes Take.
+func (p *Planner) GiveBack(upstream int, demand sesamedrift.Resources, d time.Duration) {
+	p.giveBack(upstream, 0, d, demand)
 }
 
 // earliest returns the index of the candidate with the earliest end, or -1 if there is none.
@@ -206,8 +235,21 @@
 	if t.MaxPerUpstream > 0 {
 		notBefore = max(notBefore, stepFreeAfter(j, t, upstream, planned))
 	}
-	d := time.Duration(float64(t.RunTime)*u.Slowness) + j.Overhead
-	after, ok := p.profiles[upstream].earliest(t.Demand, notBefore, d)
+	runTime := float64(t.RunTime) * u.Slowness
+	best := p.profiles[upstream].candidate(t.Demand, max(notBefore, u.ColdFor), time.Duration(runTime)+j.Overhead)
+	if notBefore >= u.ColdFor {
+		return best
+	}
+	cold := p.profiles[upstream].candidate(t.Demand, notBefore, time.Duration(runTime*u.ColdFactor)+j.Overhead)
+	if cold.after < u.ColdFor && cold.end < best.end {
+		return cold
+	}
+	return best
+}
+
+// candidate returns the earliest start and end of a task that takes the time d, not before a given time.
+func (s profile) candidate(demand sesamedrift.Resources, notBefore, d time.Duration) candidate {
+	after, ok := s.earliest(demand, notBefore, d)
 	if !ok {
 		return candidate{end: never}
 	}
@@ -270,6 +312,9 @@
 		}
 	}
 	*s = steps[:n+1]
+	if len(u.Releases) > 0 && u.ColdFor > 0 {
+		s.add(0, min(steps[n].at, u.ColdFor), sesamedrift.Resources{}.Minus(exclusive))
+	}
 }
 
 // earliest returns the earliest time, not before a given one, from which on the demand is free for the
--- a/forecaster/forecaster_test.go
+++ b/forecaster/forecaster_test.go
@@ -85,6 +85,30 @@
 	g.Expect(p.Add(&second).Begin).To(Equal(30 * ms))
 }
 
+// Guards against a plan that counts on the whole capacity and the usual speed of an upstream that is cold.
+func TestColdUpstream(t *testing.T) {
+	g := NewWithT(t)
+	cold := idle("a", 10, 1)
+	cold.ColdFor, cold.ColdFactor = 250*ms, 1.5
+	f := Plan([]Upstream{cold}, []Job{tasks(4, 2, 100*ms)})
+	starts := []time.Duration{f[0].Starts[0].After, f[0].Starts[1].After, f[0].Starts[2].After, f[0].Starts[3].After}
+	g.Expect(starts).To(Equal([]time.Duration{0, 150 * ms, 250 * ms, 250 * ms}))
+	g.Expect(f[0].Starts[0].End).To(Equal(150 * ms))
+	cold.Releases = []Release{{After: 200 * ms, Demand: sesamedrift.Resources{CPU: 2}}}
+	g.Expect(Plan([]Upstream{cold}, []Job{tasks(1, 2, 10*ms)})[0].Begin).To(Equal(200 * ms))
+
+	// The room is the same again after the jobs are removed.
+	var p Planner
+	cold.Releases = nil
+	p.Reset([]Upstream{cold})
+	j := tasks(3, 2, 100*ms)
+	p.Remove(p.Add(&j))
+	p.Take(0, cold.Free, 90*ms)
+	g.Expect(p.HasRoom(0, sesamedrift.Resources{}, ms)).To(BeFalse())
+	p.GiveBack(0, cold.Free, 90*ms)
+	g.Expect(p.HasRoom(0, cold.Free, time.Hour)).To(BeTrue())
+}
+
 // BenchmarkPlan measures a plan of 500 waiting jobs of 4 tasks for the upstreams of one shard.
 func BenchmarkPlan(b *testing.B) {
 	upstreams := make([]Upstream, 36)
--- a/placer/closed.go
+++ b/placer/closed.go
@@ -104,6 +104,15 @@
 // long an upstream remains slow, but not how slow it is.
 const coldFactor = 1.5
 
+// expected returns the run time of a task with an estimate if it is placed on the upstream now.
+func (u *upstream) expected(estimate time.Duration) time.Duration {
+	d := u.health.expected(estimate)
+	if u.isCold {
+		d = time.Duration(coldFactor * float64(d))
+	}
+	return d
+}
+
 // updateCold ends the cold state of upstreams whose time has passed.
 func (p *Placer) updateCold(now time.Time) {
 	for _, u := range p.sorted {
--- a/placer/closed_test.go
+++ b/placer/closed_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -89,3 +90,32 @@
 	h.advance(time.Second)
 	h.g.Expect(h.placedOn).To(HaveLen(4))
 }
+
+// Guards against jobs that are kept until they are late because the prediction counts on the whole capacity of
+// cold upstreams, and against a warm one that stays counted as cold.
+func TestPredictionsCountColdUpstreamsAsSlow(t *testing.T) {
+	for _, rule := range []Rule{"", RulePlan} { // without RulePlan, the sum of the free CPU predicts
+		t.Run(string(rule), func(t *testing.T) {
+			h := newHarness(t)
+			h.p.cfg.DisabledRule = rule
+			h.p.SetUpstream(Upstream{
+				ID:        "u0",
+				Service:   "s",
+				Capacity:  cpu(40000),
+				ColdUntil: h.now.Add(time.Second),
+			})
+			h.p.SetUsable(h.now, "u0", true)
+			for i := range 4 {
+				h.enqueue(h.job(fmt.Sprint("j", i), "q", 1, 10000, 200*time.Millisecond))
+			}
+			h.g.Expect(h.placedOn).To(HaveLen(1))
+			h.g.Expect(h.refused).To(HaveLen(3))
+			h.advance(time.Second)
+			h.endRun("j0", 0, leaseholder.Done, 300*time.Millisecond)
+			for i := range 4 {
+				h.enqueue(h.job(fmt.Sprint("warm", i), "q", 1, 10000, 200*time.Millisecond))
+			}
+			h.g.Expect(h.placedOn).To(HaveLen(5))
+		})
+	}
+}
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -48,6 +48,9 @@
 			Slowness:   math.Exp(u.health.slowness),
 			Releases:   planned.Releases[:0],
 		}
+		if u.isCold {
+			planned.ColdFor, planned.ColdFactor = max(0, u.ColdUntil.Sub(now)), coldFactor
+		}
 		for _, r := range u.runs {
 			planned.Releases = append(planned.Releases, forecaster.Release{
 				After:  r.remaining(now, p.overhead),
--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -55,6 +55,6 @@
 	if !p.reserving {
 		return true
 	}
-	d := u.health.expected(estimate)
+	d := u.expected(estimate)
 	return p.reservations.HasRoom(u.planIndex, t.Demand, time.Duration(backfillMargin*float64(d))+p.overhead)
 }
--- a/placer/runs.go
+++ b/placer/runs.go
@@ -119,10 +119,7 @@
 
 // reserve adds a run of a task to an upstream.
 func (p *Placer) reserve(now time.Time, w *waitingJob, t Task, u *upstream) {
-	expected := u.health.expected(p.estimate(now, &w.Job, t))
-	if u.isCold {
-		expected = time.Duration(coldFactor * float64(expected))
-	}
+	expected := u.expected(p.estimate(now, &w.Job, t))
 	p.addRun(u, t.Run, &placedRun{
 		demand:   t.Demand,
 		key:      w.key,
@@ -145,7 +142,7 @@
 		}
 		r := p.freeRun(u.ID, w.Tasks[i].Run)
 		if p.reserving {
-			p.reservations.Take(u.planIndex, sesamedrift.Resources{}.Minus(r.demand), r.expected+p.overhead)
+			p.reservations.GiveBack(u.planIndex, r.demand, r.expected+p.overhead)
 		}
 	}
 }
--- a/placer/shed.go
+++ b/placer/shed.go
@@ -131,18 +131,30 @@
 }
 
 // predictReleases returns the CPU capacity that is free now on the usable upstreams that accept
-// tasks, and the expected releases by the runs there, the earliest first.
+// tasks, and the expected releases by the runs there, the earliest first. A cold upstream counts with the
+// part of its capacity that one task of mean demand uses, less by coldFactor, until it is warm.
 func (p *Placer) predictReleases(now time.Time) (free int64, releases []capacityRelease) {
 	runs := 0
 	for _, u := range p.sorted {
 		runs += len(u.runs)
 	}
-	releases = make([]capacityRelease, 0, runs)
+	releases = make([]capacityRelease, 0, runs+len(p.sorted))
 	for _, u := range p.sorted {
 		if !u.usable || !u.health.acceptsTasks(now) {
 			continue
 		}
 		free += u.free.CPU
+		if u.isCold {
+			unused := max(u.free.CPU, 0)
+			if len(u.runs) == 0 {
+				unused -= int64(min(p.meanCPU, float64(unused)) / coldFactor)
+			}
+			free -= unused
+			releases = append(releases, capacityRelease{
+				after: max(0, u.ColdUntil.Sub(now)),
+				cpu:   unused,
+			})
+		}
 		for _, r := range u.runs {
 			releases = append(releases, capacityRelease{
 				after: r.remaining(now, p.overhead),
