placer: refuse only jobs that are in the way of the late one

If a job fits no usable upstream, because of the worker type or the rack that it requires or because the fitting ones cool down, no other job can make room for it. Likewise jobs of other services, which use other upstreams. Such a job is now refused itself, and victims are of its service.

Both cases of the test fail without the change.

--- a/placer/plan.go
+++ b/placer/plan.go
@@ -117,7 +117,11 @@
 			w.planNumber = 0
 			continue
 		}
-		victim := p.selectVictim(now, i)
+		// For a task that fits no upstream, no other job can make room.
+		victim := w
+		if w.forecast.Fits {
+			victim = p.selectVictim(now, i)
+		}
 		if victim == nil {
 			continue
 		}
--- a/placer/plan_test.go
+++ b/placer/plan_test.go
@@ -111,6 +111,40 @@
 	h.g.Expect(h.placedOn).NotTo(HaveKey(runOf("small", 0).String()))
 }
 
+// Guards against jobs that are refused in favour of one that they do not hinder: it fits no usable upstream, or it
+// is of another service.
+func TestOnlyJobsInTheWayAreRefused(t *testing.T) {
+	for _, name := range []string{"fits nowhere", "other service"} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 10000)
+			h.p.SetUpstream(Upstream{
+				ID:       "v0",
+				Service:  "other",
+				Capacity: cpu(10000),
+			})
+			h.p.SetUsable(h.now, "v0", true)
+			h.enqueue(h.job("running", "busy", 1, 10000, time.Second))
+			for i := range 3 {
+				j := h.job(fmt.Sprint("waits-", i), "busy", 1, 3000, 100*time.Millisecond)
+				j.TargetLatency = 1500 * time.Millisecond
+				h.enqueue(j)
+			}
+			late := h.job("late", "idle", 1, 3000, 3*time.Second)
+			if name == "fits nowhere" {
+				late.Tasks[0].Requires = "unknown"
+			} else {
+				late.Service = "other"
+				first := late
+				first.ID, first.Queue, first.Tasks = "first", "first", []Task{{Run: runOf("first", 0), Demand: cpu(10000), Estimate: 3 * time.Second}}
+				h.enqueue(first)
+			}
+			h.enqueue(late)
+			h.advance(time.Millisecond)
+			h.g.Expect(h.refused).To(And(HaveLen(1), HaveKey("late")))
+		})
+	}
+}
+
 // newBusyShard returns a harness with 500 waiting jobs of 4 tasks on the 36 busy upstreams of a shard.
 func newBusyShard(demand int64) *harness {
 	h := &harness{
--- a/placer/victim.go
+++ b/placer/victim.go
@@ -304,13 +304,13 @@
 	return age > 0 && q.recentArrivals > burstRise*usual+math.Sqrt(usual) && p.usageShare(name) > q.usualWork/usualWork
 }
 
-// selectVictim returns the job to forward or refuse among those up to an index of the order, or nil if all
-// of them have begun. It is of the first queue by compareStandings, and of the jobs of this queue the one
-// with the least slack for its work.
-func (p *Placer) selectVictim(now time.Time, lastIndex int) *waitingJob {
+// selectVictim returns the job to forward or refuse for the late one at an index of the order, among it and
+// those ahead of it that use the same upstreams, or nil if all of them have begun. It is of the first queue by
+// compareStandings, and of the jobs of this queue the one with the least slack for its work.
+func (p *Placer) selectVictim(now time.Time, lateIndex int) *waitingJob {
 	candidates := map[string][]*waitingJob{}
-	for _, w := range p.order[:lastIndex+1] {
-		if !w.Started {
+	for _, w := range p.order[:lateIndex+1] {
+		if !w.Started && w.Service == p.order[lateIndex].Service {
 			candidates[w.Queue] = append(candidates[w.Queue], w)
 		}
 	}
