placer: let jobs wait for upstreams that cool down briefly

Upstreams in a cooldown are not in the plan. A job whose tasks fit only such ones, for instance in a rack with one upstream that cools down for 20 ms after a rejection for lack of capacity, was refused at once. It now waits if the cooldown ends before its latest start, and is refused once that has passed.

The test fails without the change.

--- a/placer/plan.go
+++ b/placer/plan.go
@@ -117,6 +117,9 @@
 			w.planNumber = 0
 			continue
 		}
+		if !w.forecast.Fits && p.waitsForCooldown(now, w) {
+			continue
+		}
 		// For a task that fits no upstream, no other job can make room.
 		victim := w
 		if w.forecast.Fits {
@@ -144,6 +147,22 @@
 	}
 }
 
+// waitsForCooldown reports whether each waiting task of a job may still begin in time on some upstream once that
+// accepts tasks again. Upstreams that do not are not in the plan.
+func (p *Placer) waitsForCooldown(now time.Time, w *waitingJob) bool {
+	if !now.Before(w.latestStart) {
+		return false
+	}
+	for _, t := range w.Tasks {
+		if !slices.ContainsFunc(p.sorted, func(u *upstream) bool {
+			return u.usable && u.Service == w.Service && u.suits(t) && !u.health.cooldownUntil.After(w.latestStart)
+		}) {
+			return false
+		}
+	}
+	return true
+}
+
 // lateness returns by how much a planned job would end after its objective, or unboundedLateness if
 // there is no room for one of its tasks. Planned ends include the overhead, the latest start excludes it.
 func (l *waitingPlan) lateness(w *waitingJob, overhead time.Duration) time.Duration {
--- a/placer/plan_test.go
+++ b/placer/plan_test.go
@@ -145,6 +145,21 @@
 	}
 }
 
+// Guards against a job that is refused at once because the only upstream that fits it cools down for some
+// milliseconds, and against one that waits although that will be too late.
+func TestJobWaitsForShortCooldown(t *testing.T) {
+	h := newHarness(t, 10000)
+	h.enqueue(h.job("rejected", "q", 1, 10000, 50*time.Millisecond))
+	h.p.RunEnded(h.now, "u0", runOf("rejected", 0), leaseholder.Rejected, leaseholder.NoCapacity, 0)
+	h.enqueue(h.job("waits", "q", 1, 10000, 100*time.Millisecond))
+	h.g.Expect(h.refused).To(BeEmpty())
+	h.advance(noCapacityCooldown)
+	h.g.Expect(h.placedOn).To(HaveKey(runOf("waits", 0).String()))
+	h.p.upstreams["u0"].health.cooldownUntil = h.now.Add(100 * time.Millisecond)
+	h.enqueue(h.job("hopeless", "q", 1, 10000, 10*time.Millisecond))
+	h.g.Expect(h.refused).To(HaveKey("hopeless"))
+}
+
 // newBusyShard returns a harness with 500 waiting jobs of 4 tasks on the 36 busy upstreams of a shard.
 func newBusyShard(demand int64) *harness {
 	h := &harness{
