placer: give the room of a postponed job back once

While a plan is extended, a late job that precedes others is taken out of the plan and decided on later. If it was then chosen as the victim for another late job, its room was given back again, or, if a new plan had been made since, that of the jobs whose starts were stored in the same memory. The plan showed more capacity than there is. withdraw gives room back only if the plan contains the job.

The test fails without the change.

--- a/placer/plan.go
+++ b/placer/plan.go
@@ -87,6 +87,14 @@
 	return l.Add(j)
 }
 
+// withdraw gives the room of a job back if the plan contains it. Forecasts of earlier plans are invalid.
+func (l *waitingPlan) withdraw(w *waitingJob) {
+	if l.number > 0 && w.planNumber == l.number {
+		l.Remove(w.forecast)
+		w.planNumber = 0
+	}
+}
+
 // shedByPlan plans the waiting jobs in their order. For each job that would end after its objective, it
 // forwards or refuses a job, until the plan has room for the others. The room of a job that is removed is
 // used by the late job and those behind it; the jobs between the two keep their planned starts.
@@ -113,8 +121,7 @@
 			continue
 		}
 		if extended && i+1 < len(p.order) {
-			p.plan.Remove(w.forecast)
-			w.planNumber = 0
+			p.plan.withdraw(w)
 			continue
 		}
 		if !w.forecast.Fits && p.waitsForCooldown(now, w) {
@@ -129,11 +136,8 @@
 			continue
 		}
 		// The late job is planned again with the room of the victim, unless it is the victim.
-		p.plan.Remove(w.forecast)
-		w.planNumber = 0
-		if victim != w {
-			p.plan.Remove(victim.forecast)
-		}
+		p.plan.withdraw(w)
+		p.plan.withdraw(victim)
 		i = slices.Index(p.order, victim) - 1
 		if p.forward(now, victim) || p.forwardBusy(now, victim) {
 			continue
--- a/placer/plan_test.go
+++ b/placer/plan_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"sesamedrift.example/sesamedrift/forecaster"
 	"sesamedrift.example/sesamedrift/leaseholder"
 )
 
@@ -160,6 +161,29 @@
 	h.g.Expect(h.refused).To(HaveKey("hopeless"))
 }
 
+// Guards against room that is given back twice: the job to refuse has been left out of the extended plan already.
+func TestPostponedJobLeavesThePlanOnce(t *testing.T) {
+	h := newHarness(t, 10000)
+	h.enqueue(h.job("running", "q", 1, 10000, 100*time.Millisecond))
+	for i := range 50 { // planned until 2.6 s
+		j := h.job(fmt.Sprint("waits-", i), "q", 1, 5000, 100*time.Millisecond)
+		j.TargetLatency = 2500 * time.Millisecond
+		h.enqueue(j)
+	}
+	h.advance(5 * time.Millisecond)
+	h.enqueue(h.job("postponed", "q", 1, 10000, 100*time.Millisecond))
+	h.g.Expect(h.refused).To(BeEmpty())
+	last := h.job("last", "q", 1, 10000, 100*time.Millisecond)
+	last.TargetLatency = 2510 * time.Millisecond
+	h.enqueue(last)
+	h.g.Expect(h.refused).To(HaveKey("postponed"))
+	tooLarge := forecaster.Job{
+		Service: "s",
+		Tasks:   []forecaster.Task{{Demand: cpu(10001)}},
+	}
+	h.g.Expect(h.p.plan.Add(&tooLarge).Fits).To(BeFalse())
+}
+
 // newBusyShard returns a harness with 500 waiting jobs of 4 tasks on the 36 busy upstreams of a shard.
 func newBusyShard(demand int64) *harness {
 	h := &harness{
