placer: take withdrawn jobs out of the extended plan

An entry host repeats the request of a job that still waits. The job is replaced, but its room in the plan, which is extended for up to 0.1 ms per waiting job, stayed taken. The job was planned behind itself and could be refused as too late. The same held for the room of cancelled and forwarded jobs. Placed jobs keep theirs, for their runs.

The test fails without the change.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -465,11 +465,19 @@
 		id:    id,
 	}
 	if w := p.jobs[key]; w != nil {
-		delete(p.jobs, key)
-		p.remove(w)
+		if !w.Started {
+			p.plan.withdraw(w)
+		}
+		p.drop(w)
 	}
 }
 
+// drop removes a job from the waiting ones. Its room in the plan stays taken, for the runs of its tasks.
+func (p *Placer) drop(w *waitingJob) {
+	delete(p.jobs, w.key)
+	p.remove(w)
+}
+
 // RemoveEntry removes the waiting jobs of an entry host that is lost, and its placements that no
 // leaseholder has reported as running.
 func (p *Placer) RemoveEntry(now time.Time, entry string) {
@@ -568,7 +576,7 @@
 		if w.anyTaskFits(maxFree) {
 			p.placeJob(now, w)
 			if len(w.Tasks) == 0 {
-				p.Withdraw(w.Entry, w.ID)
+				p.drop(w)
 			}
 			maxFree = p.maxFreeCPU(now)
 		}
--- a/placer/plan_test.go
+++ b/placer/plan_test.go
@@ -184,6 +184,23 @@
 	h.g.Expect(h.p.plan.Add(&tooLarge).Fits).To(BeFalse())
 }
 
+// Guards against a job that is refused because it is planned behind its own earlier request.
+func TestRepeatedRequestReplacesThePlannedJob(t *testing.T) {
+	h := newHarness(t, 10000)
+	h.enqueue(h.job("running", "q", 1, 10000, 100*time.Millisecond))
+	for i := range 50 {
+		j := h.job(fmt.Sprint("waits-", i), "q", 1, 5000, 100*time.Millisecond)
+		j.TargetLatency = 2500 * time.Millisecond
+		h.enqueue(j)
+	}
+	repeated := h.job("repeated", "q", 1, 10000, 100*time.Millisecond)
+	repeated.TargetLatency = 2600 * time.Millisecond // 60 ms more than needed
+	h.enqueue(repeated)
+	h.advance(5 * time.Millisecond)
+	h.enqueue(repeated)
+	h.g.Expect(h.refused).To(BeEmpty())
+}
+
 // newBusyShard returns a harness with 500 waiting jobs of 4 tasks on the 36 busy upstreams of a shard.
 func newBusyShard(demand int64) *harness {
 	h := &harness{
