--- a/placer/placer.go
+++ b/placer/placer.go
@@ -465,11 +465,19 @@
 		id:    id,
 	}
 	if w := p.jobs[key]; w != nil {
-		delete(p.jobs, key)
-		p.remove(w)
+		if !w.Started {
+			p.plan.withdraw(w)
+		}
+		p.drop(w)
 	}
 }
 
+// drop removes a job from the waiting ones. Its room in the plan stays taken, for the runs of its tasks.
+func (p *Placer) drop(w *waitingJob) {
+	delete(p.jobs, w.key)
+	p.remove(w)
+}
+
 // RemoveEntry removes the waiting jobs of an entry host that is lost, and its placements that no
 // leaseholder has reported as running.
 func (p *Placer) RemoveEntry(now time.Time, entry string) {
@@ -561,17 +569,25 @@
 	maxFree := p.maxFreeCPU(now)
 	reserved := 0
 	order := slices.Clone(p.order)
+	// Free capacity only shrinks here, so the index of the last job that may fit only decreases.
+	lastFit := len(order) - 1
+	var largest largestCapacities
 	for i, w := range order {
 		if w.anyTaskFits(maxFree) {
 			p.placeJob(now, w)
 			if len(w.Tasks) == 0 {
-				p.Withdraw(w.Entry, w.ID)
+				p.drop(w)
 			}
 			maxFree = p.maxFreeCPU(now)
 		}
 		// A reservation matters only to jobs that could be placed now.
-		if reserved < maxReservations && p.jobs[w.key] == w && p.enabled(RuleReserve) && p.needsReservation(w) &&
-			slices.ContainsFunc(order[i+1:], func(w *waitingJob) bool { return w.anyTaskFits(maxFree) }) {
+		for lastFit > i && !order[lastFit].anyTaskFits(maxFree) {
+			lastFit--
+		}
+		if lastFit <= i {
+			break
+		}
+		if reserved < maxReservations && p.enabled(RuleReserve) && p.jobs[w.key] == w && needsReservation(w, largest.of(p, w.Service)) {
 			p.reserveLater(now, w)
 			reserved++
 		}
@@ -581,8 +597,8 @@
 
 // anyTaskFits reports whether a task of the job needs at most the given CPU capacity.
 func (w *waitingJob) anyTaskFits(cpu int64) bool {
-	for _, t := range w.Tasks {
-		if t.Demand.CPU <= cpu {
+	for i := range w.Tasks {
+		if w.Tasks[i].Demand.CPU <= cpu {
 			return true
 		}
 	}
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -48,6 +48,9 @@
 			Slowness:   math.Exp(u.health.slowness),
 			Releases:   planned.Releases[:0],
 		}
+		if u.isCold {
+			planned.ColdFor, planned.ColdFactor = max(0, u.ColdUntil.Sub(now)), coldFactor
+		}
 		for _, r := range u.runs {
 			planned.Releases = append(planned.Releases, forecaster.Release{
 				After:  r.remaining(now, p.overhead),
@@ -84,6 +87,14 @@
 	return l.Add(j)
 }
 
+// withdraw gives the room of a job back if the plan contains it. Forecasts of earlier plans are invalid.
+func (l *waitingPlan) withdraw(w *waitingJob) {
+	if l.number > 0 && w.planNumber == l.number {
+		l.Remove(w.forecast)
+		w.planNumber = 0
+	}
+}
+
 // shedByPlan plans the waiting jobs in their order. For each job that would end after its objective, it
 // forwards or refuses a job, until the plan has room for the others. The room of a job that is removed is
 // used by the late job and those behind it; the jobs between the two keep their planned starts.
@@ -110,20 +121,23 @@
 			continue
 		}
 		if extended && i+1 < len(p.order) {
-			p.plan.Remove(w.forecast)
-			w.planNumber = 0
+			p.plan.withdraw(w)
+			continue
+		}
+		if !w.forecast.Fits && p.waitsForCooldown(now, w) {
 			continue
 		}
-		victim := p.selectVictim(now, i)
+		// For a task that fits no upstream, no other job can make room.
+		victim := w
+		if w.forecast.Fits {
+			victim = p.selectVictim(now, i)
+		}
 		if victim == nil {
 			continue
 		}
 		// The late job is planned again with the room of the victim, unless it is the victim.
-		p.plan.Remove(w.forecast)
-		w.planNumber = 0
-		if victim != w {
-			p.plan.Remove(victim.forecast)
-		}
+		p.plan.withdraw(w)
+		p.plan.withdraw(victim)
 		i = slices.Index(p.order, victim) - 1
 		if p.forward(now, victim) || p.forwardBusy(now, victim) {
 			continue
@@ -137,6 +151,22 @@
 	}
 }
 
+// waitsForCooldown reports whether each waiting task of a job may still begin in time on some upstream once that
+// accepts tasks again. Upstreams that do not are not in the plan.
+func (p *Placer) waitsForCooldown(now time.Time, w *waitingJob) bool {
+	if !now.Before(w.latestStart) {
+		return false
+	}
+	for _, t := range w.Tasks {
+		if !slices.ContainsFunc(p.sorted, func(u *upstream) bool {
+			return u.usable && u.Service == w.Service && u.suits(t) && !u.health.cooldownUntil.After(w.latestStart)
+		}) {
+			return false
+		}
+	}
+	return true
+}
+
 // lateness returns by how much a planned job would end after its objective, or unboundedLateness if
 // there is no room for one of its tasks. Planned ends include the overhead, the latest start excludes it.
 func (l *waitingPlan) lateness(w *waitingJob, overhead time.Duration) time.Duration {
--- a/placer/plan_test.go
+++ b/placer/plan_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"sesamedrift.example/sesamedrift/forecaster"
 	"sesamedrift.example/sesamedrift/leaseholder"
 )
 
@@ -83,8 +84,125 @@
 	h.g.Expect(h.placedOn).To(HaveKey(runOf("large", 0).String()))
 }
 
-// BenchmarkTick measures Tick with 500 waiting jobs of 4 tasks on the 36 busy upstreams of a shard.
-func BenchmarkTick(b *testing.B) {
+// Guards against a report that promises a gap that is only as long as the run time: until the end of a run is
+// reported, the overhead passes as well.
+func TestReportedStartIncludesTheOverhead(t *testing.T) {
+	h := newHarness(t, 10000)
+	h.p.overhead = 20 * time.Millisecond
+	h.enqueue(h.job("running", "q", 1, 4000, 100*time.Millisecond))
+	for _, id := range []string{"large", "long"} {
+		j := h.job(id, "q", 1, 8000, 110*time.Millisecond)
+		j.TargetLatency = time.Second
+		h.enqueue(j)
+	}
+	h.g.Expect(h.p.WaitingJobs()).To(Equal(2))
+	// Tasks of mean demand and 110 ms fit beside the running one for 120 ms, and beside the large ones not at all.
+	h.g.Expect(h.p.FreeCapacity(h.now).StartsAfter).To(BeNumerically(">=", 370*time.Millisecond))
+}
+
+// Guards against a task that is placed ahead of a reserved start although the report of its end comes later.
+func TestOverheadDoesNotDelayReservations(t *testing.T) {
+	h := newHarness(t, 16000)
+	h.p.overhead = 50 * time.Millisecond
+	h.enqueue(h.job("running", "q", 1, 10000, 50*time.Millisecond))
+	for _, j := range []Job{h.job("a-large", "q", 1, 16000, 60*time.Millisecond), h.job("small", "q", 1, 6000, 60*time.Millisecond)} {
+		j.TargetLatency = 500 * time.Millisecond
+		h.enqueue(j)
+	}
+	h.g.Expect(h.placedOn).NotTo(HaveKey(runOf("small", 0).String()))
+}
+
+// Guards against jobs that are refused in favour of one that they do not hinder: it fits no usable upstream, or it
+// is of another service.
+func TestOnlyJobsInTheWayAreRefused(t *testing.T) {
+	for _, name := range []string{"fits nowhere", "other service"} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 10000)
+			h.p.SetUpstream(Upstream{
+				ID:       "v0",
+				Service:  "other",
+				Capacity: cpu(10000),
+			})
+			h.p.SetUsable(h.now, "v0", true)
+			h.enqueue(h.job("running", "busy", 1, 10000, time.Second))
+			for i := range 3 {
+				j := h.job(fmt.Sprint("waits-", i), "busy", 1, 3000, 100*time.Millisecond)
+				j.TargetLatency = 1500 * time.Millisecond
+				h.enqueue(j)
+			}
+			late := h.job("late", "idle", 1, 3000, 3*time.Second)
+			if name == "fits nowhere" {
+				late.Tasks[0].Requires = "unknown"
+			} else {
+				late.Service = "other"
+				first := late
+				first.ID, first.Queue, first.Tasks = "first", "first", []Task{{Run: runOf("first", 0), Demand: cpu(10000), Estimate: 3 * time.Second}}
+				h.enqueue(first)
+			}
+			h.enqueue(late)
+			h.advance(time.Millisecond)
+			h.g.Expect(h.refused).To(And(HaveLen(1), HaveKey("late")))
+		})
+	}
+}
+
+// Guards against a job that is refused at once because the only upstream that fits it cools down for some
+// milliseconds, and against one that waits although that will be too late.
+func TestJobWaitsForShortCooldown(t *testing.T) {
+	h := newHarness(t, 10000)
+	h.enqueue(h.job("rejected", "q", 1, 10000, 50*time.Millisecond))
+	h.p.RunEnded(h.now, "u0", runOf("rejected", 0), leaseholder.Rejected, leaseholder.NoCapacity, 0)
+	h.enqueue(h.job("waits", "q", 1, 10000, 100*time.Millisecond))
+	h.g.Expect(h.refused).To(BeEmpty())
+	h.advance(noCapacityCooldown)
+	h.g.Expect(h.placedOn).To(HaveKey(runOf("waits", 0).String()))
+	h.p.upstreams["u0"].health.cooldownUntil = h.now.Add(100 * time.Millisecond)
+	h.enqueue(h.job("hopeless", "q", 1, 10000, 10*time.Millisecond))
+	h.g.Expect(h.refused).To(HaveKey("hopeless"))
+}
+
+// Guards against room that is given back twice: the job to refuse has been left out of the extended plan already.
+func TestPostponedJobLeavesThePlanOnce(t *testing.T) {
+	h := newHarness(t, 10000)
+	h.enqueue(h.job("running", "q", 1, 10000, 100*time.Millisecond))
+	for i := range 50 { // planned until 2.6 s
+		j := h.job(fmt.Sprint("waits-", i), "q", 1, 5000, 100*time.Millisecond)
+		j.TargetLatency = 2500 * time.Millisecond
+		h.enqueue(j)
+	}
+	h.advance(5 * time.Millisecond)
+	h.enqueue(h.job("postponed", "q", 1, 10000, 100*time.Millisecond))
+	h.g.Expect(h.refused).To(BeEmpty())
+	last := h.job("last", "q", 1, 10000, 100*time.Millisecond)
+	last.TargetLatency = 2510 * time.Millisecond
+	h.enqueue(last)
+	h.g.Expect(h.refused).To(HaveKey("postponed"))
+	tooLarge := forecaster.Job{
+		Service: "s",
+		Tasks:   []forecaster.Task{{Demand: cpu(10001)}},
+	}
+	h.g.Expect(h.p.plan.Add(&tooLarge).Fits).To(BeFalse())
+}
+
+// Guards against a job that is refused because it is planned behind its own earlier request.
+func TestRepeatedRequestReplacesThePlannedJob(t *testing.T) {
+	h := newHarness(t, 10000)
+	h.enqueue(h.job("running", "q", 1, 10000, 100*time.Millisecond))
+	for i := range 50 {
+		j := h.job(fmt.Sprint("waits-", i), "q", 1, 5000, 100*time.Millisecond)
+		j.TargetLatency = 2500 * time.Millisecond
+		h.enqueue(j)
+	}
+	repeated := h.job("repeated", "q", 1, 10000, 100*time.Millisecond)
+	repeated.TargetLatency = 2600 * time.Millisecond // 60 ms more than needed
+	h.enqueue(repeated)
+	h.advance(5 * time.Millisecond)
+	h.enqueue(repeated)
+	h.g.Expect(h.refused).To(BeEmpty())
+}
+
+// newBusyShard returns a harness with 500 waiting jobs of 4 tasks on the 36 busy upstreams of a shard.
+func newBusyShard(demand int64) *harness {
 	h := &harness{
 		p:   New(Config{}),
 		now: start,
@@ -98,11 +216,17 @@
 		})
 		h.p.SetUsable(start, id, true)
 	}
-	for i := range 518 {
-		j := h.job(fmt.Sprint("j", i), "q", 4, 7000, time.Duration(50+i%400)*time.Millisecond)
+	for i := 0; h.p.WaitingJobs() < 500; i++ {
+		j := h.job(fmt.Sprint("j", i), "q", 4, demand, time.Duration(50+i%400)*time.Millisecond)
 		j.TargetLatency = time.Hour
 		h.p.Enqueue(start, j)
 	}
+	return h
+}
+
+// BenchmarkTick measures Tick with 500 waiting jobs.
+func BenchmarkTick(b *testing.B) {
+	h := newBusyShard(7000)
 	b.ReportAllocs()
 	b.ResetTimer()
 	for b.Loop() {
@@ -110,3 +234,17 @@
 		h.p.Tick(h.now)
 	}
 }
+
+// BenchmarkPlace measures the part of each event that looks for jobs to place, with 500 waiting jobs of
+// which none fits, by the demand of their tasks. Those of 9000 are large enough for reservations.
+func BenchmarkPlace(b *testing.B) {
+	for _, demand := range []int64{7000, 9000} {
+		b.Run(fmt.Sprint(demand), func(b *testing.B) {
+			h := newBusyShard(demand)
+			b.ReportAllocs()
+			for b.Loop() {
+				h.p.place(h.now)
+			}
+		})
+	}
+}
