--- a/registrar/recovery_test.go
+++ b/registrar/recovery_test.go
@@ -1,6 +1,7 @@
 package registrar_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -105,6 +106,22 @@
 	}
 }
 
+// Guards against a replica that votes with a snapshot of which one value is damaged.
+func TestDamagedValueIsFound(t *testing.T) {
+	g := NewWithT(t)
+	c := startCluster(t, "a", "b", "c")
+	c.mustChange(t, "b", "env-trial", 0, 3)
+	c.stop("a")
+	g.Expect(c.start("a", true, false)).To(Succeed())
+	g.Expect(c.replica("a").Repair(t.Context(), testTime)).To(Succeed())
+	c.stop("a")
+	d, value := c.disks["a"], change("env-trial", "c2", 2).Value
+	g.Expect(bytes.Contains(d.snapshot, value)).To(BeTrue())
+	d.snapshot = bytes.ReplaceAll(d.snapshot, value, []byte("other value"))
+	var corruption *registrar.CorruptionError
+	g.Expect(errors.As(c.start("a", false, false), &corruption)).To(BeTrue())
+}
+
 // Guards against a replica that votes although its data folder has no snapshot.
 func TestReplicaWithoutSnapshotIsEmpty(t *testing.T) {
 	g := NewWithT(t)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
 	"slices"
@@ -164,6 +165,15 @@
 			}
 		}
 	}
+	// A damaged value would decide the reads of this replica, as the others do not send a version that it has.
+	for name, r := range g.replica.State.Registers {
+		if e := r.entry(name); e.Digest != "" && e.Digest != Digest(e.Value) {
+			return &CorruptionError{
+				Record: -1,
+				Err:    fmt.Errorf("register %q: version %d does not match its digest", name, e.Version),
+			}
+		}
+	}
 	return nil
 }
 
--- a/registrar/types.go
+++ b/registrar/types.go
@@ -158,7 +158,7 @@
 // CorruptionError reports recovered state that cannot be decoded or applied. The replica must be
 // started with Config.Empty.
 type CorruptionError struct {
-	// Record is the index of the record, or -1 for the snapshot.
+	// Record is the index of the record, or -1 for the snapshot or the state as a whole.
 	Record int
 	Err    error
 }
@@ -166,7 +166,7 @@
 // Error returns a message with the record and the cause.
 func (e *CorruptionError) Error() string {
 	if e.Record < 0 {
-		return fmt.Sprintf("recovered snapshot cannot be read: %v", e.Err)
+		return fmt.Sprintf("recovered state cannot be read: %v", e.Err)
 	}
 	return fmt.Sprintf("recovered record %d cannot be read: %v", e.Record, e.Err)
 }
