--- a/controller/evacuations.go
+++ b/controller/evacuations.go
@@ -92,6 +92,8 @@
 	for ; ctx.Err() == nil; messenger.Sleep(ctx, evacuationRetryInterval) {
 		votes := h.replica.Votes()
 		if h.knowsEvacuations(votes) {
+			// After a failure, the replica votes again after repairEvery at the earliest.
+			messenger.Sleep(ctx, repairEvery/2)
 			continue
 		}
 		if !votes {
