dispatcher: recover the results of jobs whose forwarding host is lost

Cause of the job that TestHostsLostDuringEvacuation lost, from the trace of its messages: job-0-56 reaches host 10.0.0.2 at 7.949 s and is forwarded over the placer 10.0.0.1 to domain 1, where its tasks run until 8.078 s. The result is sent to 10.0.0.1, which was killed at 8.000 s. The entry host detects that at 8.506 s, holds the job for requeueDelay (2 s, the time until runs in another domain have certainly ended) and requests its placement. The placer of the evacuated domain refuses a job that may have begun, so that it is answered as lost at 10.506 s, too late for another try before 10.703 s. The only copy of the result was on its way to the lost host, so the same happens without an evacuation, and if only the session between two placers ends.

Now the host that has run a forwarded job keeps its end for 3 s: the result, or that the job was dropped before a task has started. The entry host asks for it through all placers of its domain while it holds the job. It answers with the result, or places the job again at once as one that has not begun. Forwards are numbered, so that the end of an earlier one is never taken for that of a later one.

A job that cannot be sent, because the session has ended and the event was not handled yet, does not count as forwarded any more: the entry host requests its placement again, and a relay answers it as not run.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -186,6 +186,8 @@
 	// cancelledForwards holds the forwarded jobs that were cancelled, with the time at which their
 	// runs have certainly ended.
 	cancelledForwards map[string]time.Time
+	// endedForwards holds the ends of jobs of other domains.
+	endedForwards map[string]endedForward
 }
 
 // NewCore returns the Core of an entry host that starts polling the control hosts in seeds.
@@ -223,6 +225,7 @@
 		homesNotified:     map[string]string{},
 		capacitySent:      map[string]sentCapacity{},
 		cancelledForwards: map[string]time.Time{},
+		endedForwards:     map[string]endedForward{},
 	}
 	c.hosts.Put(now, cfg.Self)
 	for _, seed := range seeds {
@@ -303,6 +306,7 @@
 	c.upstreamsLost = c.upstreamsLost && c.isolated(now)
 	c.fetchDocument(now)
 	c.tickJobs(now)
+	c.pruneEndedForwards(now)
 	c.tickHeld(now)
 	c.tickStoredReports(now)
 	c.tickTenure(now)
@@ -332,17 +336,17 @@
 }
 
 // send sends a message to a host, which may be this one. A message to a host without a session is
-// dropped; the handler of the session's end deals with the loss.
-func (c *Core) send(to string, kind courier.Kind, v any) {
+// dropped, and send then returns false; the handler of the session's end deals with the loss.
+func (c *Core) send(to string, kind courier.Kind, v any) bool {
 	if to == c.cfg.Self.Address {
 		c.localMessages = append(c.localMessages, func(now time.Time) { c.receive(now, to, v) })
-		return
+		return true
 	}
 	body, err := messenger.Encode(v)
 	if err != nil {
 		panic("dispatcher: encode message: " + err.Error())
 	}
-	c.effects.Post(to, courier.Message{
+	return c.effects.Post(to, courier.Message{
 		Kind: kind,
 		Body: body,
 	})
--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -47,6 +47,8 @@
 	// watches holds the last watch of each host, ended the incarnations of sessions that were ended.
 	watches map[string]courier.Watch
 	ended   map[string]uint64
+	// unsent makes posts fail, as without a session.
+	unsent bool
 }
 
 // pendingOrder is an order that the Core has sent.
@@ -87,6 +89,9 @@
 		Log:         slog.New(slog.DiscardHandler),
 	}, Effects{
 		Post: func(to string, m courier.Message) bool {
+			if h.unsent {
+				return false
+			}
 			h.sent = append(h.sent, sentMessage{
 				to:   to,
 				kind: m.Kind,
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -50,9 +50,17 @@
 	watchAt time.Time
 	// forwardedVia is the host that relays the job to another domain, or empty.
 	forwardedVia string
+	// forwardedTo is the domain that the job was last forwarded to, and forward the number of that forward, which
+	// differs from those of all others of the job.
+	forwardedTo string
+	forward     uint64
+	// received is the number of the forward by which the job came from another domain; 0 if it did not, or from a
+	// host of an earlier release.
+	received uint64
 	// requeueAt is when a job whose connection to the other domain was lost is placed here again;
-	// by then its runs have certainly ended. Zero for never.
-	requeueAt time.Time
+	// by then its runs have certainly ended. Until then its result is requested at requestResultAt. Zero for never.
+	requeueAt       time.Time
+	requestResultAt time.Time
 }
 
 // homeShard stands for the home shard of a job.
@@ -305,6 +313,7 @@
 	for caller := range j.callers {
 		c.sendResult(id, caller, j.result)
 	}
+	c.recordForwardEnd(now, j)
 	if j.forwardedVia != "" {
 		c.send(j.forwardedVia, kindCancelForward, cancelForward{Job: id})
 	}
@@ -314,7 +323,7 @@
 		"took", now.Sub(j.tracker.Job.Arrived), "runs", j.tracker.RunCount(), "callers", len(j.callers))
 }
 
-// tickJobs ends jobs whose deadline has passed, requeues jobs whose forward was lost, and resends
+// tickJobs ends jobs whose deadline has passed, handles jobs whose forward was lost, and resends
 // watch and placement requests that are due.
 func (c *Core) tickJobs(now time.Time) {
 	for _, j := range c.sortedJobs() {
@@ -322,9 +331,8 @@
 		case now.After(j.tracker.Job.Deadline):
 			j.tracker.Finish(tracker.Expired, "the deadline of the caller has passed")
 			c.advanceJob(now, j)
-		case !j.requeueAt.IsZero() && !now.Before(j.requeueAt):
-			j.requeueAt = time.Time{}
-			c.requestPlacement(now, j)
+		case !j.requeueAt.IsZero():
+			c.tickLostForward(now, j)
 		case !j.watchAt.IsZero() && !now.Before(j.watchAt):
 			c.watchRuns(now, j)
 		case len(c.assigned.Placers) == 0 && c.refuseUnplaceable(now, j):
--- a/dispatcher/forwarding.go
+++ b/dispatcher/forwarding.go
@@ -25,12 +25,6 @@
 	// changed, capacityMaxInterval the time if it has not.
 	capacityMinInterval = 20 * time.Millisecond
 	capacityMaxInterval = 100 * time.Millisecond
-	// requeueDelay is the time from the end of a session over which a job was forwarded until its
-	// runs have certainly ended. The other side detects the loss within SuspectAfter and stops the
-	// runs, or they end with a lease that is not renewed. If the other host has crashed, new
-	// leaseholders find the runs after SuspectAfter and stop them as orphans; the leaseholder may
-	// change once more meanwhile.
-	requeueDelay = 2*SuspectAfter + cancelForwardTime + 200*time.Millisecond
 	// cancelForwardTime is the time from the message that cancels a forwarded job until its runs
 	// have certainly ended: they are stopped at once, or end when their lease expires.
 	cancelForwardTime = 800 * time.Millisecond
@@ -268,19 +262,20 @@
 }
 
 // receiveForwardRequest sends a job to the placer, which relays it. It ignores a second request, for a
-// placement request that was sent twice: both domains would run the job.
+// placement request that was sent twice: both domains would run the job. A job that cannot be sent still waits for a
+// placement, which is requested again.
 func (c *Core) receiveForwardRequest(now time.Time, from string, m forwardRequest) {
 	j := c.jobs[m.Job]
 	if j == nil || from != j.requestedFrom || !j.isLocal() || j.tracker.Started() {
 		return
 	}
-	j.requestedAt = time.Time{}
-	j.forwardedVia = from
 	t := &j.tracker.Job
-	c.send(from, kindForwardedJob, forwardedJob{
+	forward := uint64(now.UnixNano())
+	sent := c.send(from, kindForwardedJob, forwardedJob{
 		Domain:    m.Domain,
 		To:        m.To,
 		ID:        t.ID,
+		Forward:   forward,
 		Queue:     t.Queue,
 		Service:   t.Service,
 		Priority:  t.Priority,
@@ -292,13 +287,19 @@
 		Age:       now.Sub(t.Arrived),
 		Remaining: t.Deadline.Sub(now),
 	})
+	if sent {
+		j.requestedAt = time.Time{}
+		j.forwardedVia = from
+		j.forwardedTo = m.Domain
+		j.forward = forward
+	}
 }
 
 // receiveForwardedJob relays a job of the own domain, or submits one of another domain.
 func (c *Core) receiveForwardedJob(now time.Time, from string, m forwardedJob) {
 	if m.Domain != c.cfg.Self.Domain {
 		to := c.remotePlacerOf(m.Domain, m.To)
-		if to == "" {
+		if to == "" || !c.send(to, kindForwardedJob, m) {
 			c.send(from, kindForwardResult, forwardResult{
 				Job:     m.ID,
 				Outcome: tracker.NotRun,
@@ -310,7 +311,6 @@
 			entry: from,
 			to:    to,
 		}
-		c.send(to, kindForwardedJob, m)
 		return
 	}
 	if reason := c.closedFor(); reason != "" && c.jobs[m.ID] == nil {
@@ -335,6 +335,9 @@
 		Arrived:       now.Add(-m.Age),
 		Deadline:      now.Add(m.Remaining),
 	}, &Caller{relay: from})
+	if j := c.jobs[m.ID]; j != nil {
+		j.received = m.Forward
+	}
 }
 
 // receiveForwardResult relays the result of a forwarded job, or ends the job if this is its entry
@@ -349,13 +352,11 @@
 	if j == nil || j.forwardedVia == "" || j.forwardedVia != from {
 		return
 	}
-	j.forwardedVia = ""
 	if m.Outcome == tracker.Lost {
-		// The other side may not have detected yet that the session is lost.
-		j.tracker.MarkStarted()
-		j.requeueAt = now.Add(requeueDelay)
+		c.forwardLost(now, j)
 		return
 	}
+	j.forwardedVia = ""
 	j.result.RetryAfter = m.RetryAfter
 	j.tracker.Finish(m.Outcome, m.Reason)
 	c.advanceJob(now, j)
@@ -406,9 +407,7 @@
 	}
 	for _, j := range c.sortedJobs() {
 		if j.forwardedVia == host {
-			j.forwardedVia = ""
-			j.tracker.MarkStarted()
-			j.requeueAt = now.Add(requeueDelay)
+			c.forwardLost(now, j)
 		}
 	}
 }
--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -49,6 +49,8 @@
 	kindClaimRequest     courier.Kind = 31
 	kindClaimAnswer      courier.Kind = 32
 	kindEvacuations      courier.Kind = 33
+	kindResultRequest    courier.Kind = 34
+	kindRecoveredResult  courier.Kind = 35
 )
 
 // snapshot carries the hosts and upstreams that concern the domain to a host that has just started.
@@ -255,9 +257,11 @@
 // forwardedJob carries a whole job to the placer of the entry host's domain, which relays it to the
 // placer of Domain.
 type forwardedJob struct {
-	Domain    string         `msgpack:"domain"`
-	To        string         `msgpack:"to,omitempty"`
-	ID        string         `msgpack:"id"`
+	Domain string `msgpack:"domain"`
+	To     string `msgpack:"to,omitempty"`
+	ID     string `msgpack:"id"`
+	// Forward is the number of this forward. Hosts of earlier releases leave it out.
+	Forward   uint64         `msgpack:"forward,omitempty"`
 	Queue     string         `msgpack:"queue"`
 	Service   string         `msgpack:"service"`
 	Priority  int            `msgpack:"priority"`
@@ -278,6 +282,26 @@
 	RetryAfter time.Duration   `msgpack:"retry-after"`
 }
 
+// resultRequest asks the other domain for the end of a job that was forwarded to it over a session that has ended.
+type resultRequest struct {
+	Job     string `msgpack:"job"`
+	Forward uint64 `msgpack:"forward"`
+	Domain  string `msgpack:"domain"`
+	// Entry is the address of the entry host, which the placer of its domain fills in.
+	Entry string `msgpack:"entry,omitempty"`
+}
+
+// recoveredResult answers a resultRequest, by the same relay. The outcome is Abandoned if the job was dropped before
+// any of its tasks has started.
+type recoveredResult struct {
+	Job        string          `msgpack:"job"`
+	Forward    uint64          `msgpack:"forward"`
+	Entry      string          `msgpack:"entry"`
+	Outcome    tracker.Outcome `msgpack:"outcome"`
+	Reason     string          `msgpack:"reason"`
+	RetryAfter time.Duration   `msgpack:"retry-after"`
+}
+
 // cancelForward cancels a forwarded job for which no caller waits any more.
 type cancelForward struct {
 	Job string `msgpack:"job"`
--- a/dispatcher/receive.go
+++ b/dispatcher/receive.go
@@ -43,6 +43,8 @@
 	kindClaimRequest:     decode[claimRequest],
 	kindClaimAnswer:      decode[claimAnswer],
 	kindEvacuations:      decode[evacuations],
+	kindResultRequest:    decode[resultRequest],
+	kindRecoveredResult:  decode[recoveredResult],
 }
 
 // receiveEncoded decodes a message and passes it to its handler.
@@ -96,6 +98,10 @@
 		c.receiveForwardResult(now, from, m)
 	case cancelForward:
 		c.receiveCancelForward(now, from, m)
+	case resultRequest:
+		c.receiveResultRequest(from, m)
+	case recoveredResult:
+		c.receiveRecoveredResult(now, m)
 	case evacuations:
 		c.applyEvacuations(now, from, m)
 	case superseded:
