placer: end a probe with its run, however that is removed

While an upstream probes after an ejection, an open run keeps other tasks away. Only reported ends of runs ended a probe: if its run was released unused, belonged to a lost entry host, or was never listed by the leaseholder, the upstream got no task from this placer any more. Conversely, the end of an earlier run ended the probe of another. removeRun now ends the probe of the run.

The test fails without the change in all three cases. Left as it is: all tasks of one job that fit may be the probe.

--- a/placer/estimate.go
+++ b/placer/estimate.go
@@ -112,7 +112,6 @@
 	u := p.upstreams[id]
 	h := p.historyOf(now, r.key)
 	h.openRuns--
-	u.health.recordEnd()
 	switch {
 	case result == leaseholder.Done && r.cold:
 		u.health.recordSuccess(now)
--- a/placer/health.go
+++ b/placer/health.go
@@ -42,7 +42,7 @@
 	probing bool
 	// consecutiveFailures counts ejections since the last success.
 	consecutiveFailures int
-	// probeRuns is the number of runs that were placed while probing and have not ended.
+	// probeRuns is the number of open runs that were placed while probing.
 	probeRuns int
 }
 
@@ -93,6 +93,9 @@
 		return
 	}
 	u.health.recordFailure(now)
+	for _, r := range u.runs {
+		r.probe = false
+	}
 	p.decisions = append(p.decisions, Decision{
 		Ejection: &Ejection{
 			Upstream:            u.ID,
@@ -121,16 +124,14 @@
 	return !now.Before(h.cooldownUntil) && (!h.probing || h.probeRuns == 0)
 }
 
-// recordPlacement records that a run was placed on the upstream.
-func (h *health) recordPlacement() {
-	if h.probing {
-		h.probeRuns++
+// recordProbe counts a run that was placed on the upstream while that is probing.
+func (u *upstream) recordProbe(run sesamedrift.Run) {
+	if u.health.probing {
+		u.health.probeRuns++
+		u.runs[run].probe = true
 	}
 }
 
-// recordEnd records that a run on the upstream has ended.
-func (h *health) recordEnd() { h.probeRuns = max(0, h.probeRuns-1) }
-
 // progress is the progress of a run as reported by the leaseholder.
 type progress struct {
 	// percent is the share of the work that is done. runTime is the run time at the latest report,
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -380,6 +380,29 @@
 	h.g.Expect(h.placedOn).NotTo(HaveKey(runOf("m", 0).String()))
 }
 
+// Guards against an upstream that gets no tasks any more because the end of its probe is never reported.
+func TestProbeEndsWithItsRun(t *testing.T) {
+	for name, lose := range map[string]func(*harness){
+		"released":   func(h *harness) { h.p.Release(h.now, "u0", runOf("probe", 0)) },
+		"entry lost": func(h *harness) { h.p.RemoveEntry(h.now, "e") },
+		"not listed": func(h *harness) {
+			h.now = h.now.Add(2 * unreportedTimeout)
+			h.p.Reconcile(h.now, "u0", nil)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 16000)
+			h.enqueue(h.job("fails", "q", 1, 1000, 50*time.Millisecond))
+			h.endRun("fails", 0, leaseholder.Failed, 50*time.Millisecond)
+			h.advance(minCooldown)
+			h.enqueue(h.job("probe", "q", 1, 1000, 50*time.Millisecond))
+			lose(h)
+			h.enqueue(h.job("next", "q", 1, 1000, 50*time.Millisecond))
+			h.g.Expect(h.placedOn).To(HaveKey(runOf("next", 0).String()))
+		})
+	}
+}
+
 // Guards against estimated speeds that drift although all upstreams are equal. They would if
 // upstreams were compared while a job has open runs, because its shorter tasks end first.
 func TestSpeedsDoNotDrift(t *testing.T) {
--- a/placer/runs.go
+++ b/placer/runs.go
@@ -17,6 +17,8 @@
 	expected time.Duration
 	// cold is set if the upstream was cold when the run was placed; the run time then does not show its speed.
 	cold bool
+	// probe is set if the run was placed while the upstream was probing, and counts in health.probeRuns.
+	probe bool
 	// reported is set once the leaseholder has listed the run.
 	reported     bool
 	progress     progress
@@ -64,6 +66,9 @@
 
 // removeRun removes an open run from an upstream. The caller updates the free capacity.
 func (p *Placer) removeRun(u *upstream, run sesamedrift.Run) {
+	if u.runs[run].probe {
+		u.health.probeRuns = max(0, u.health.probeRuns-1)
+	}
 	delete(u.runs, run)
 	if p.runCounts[run.Task]--; p.runCounts[run.Task] <= 0 {
 		delete(p.runCounts, run.Task)
