placer, forecaster: bound declared run times

The run time that a caller declares for a task has no upper bound. With one of 292 years, sums of the plan overflowed to negative times, and forecaster ended the process with an index out of range: the job then went to the next placer, and so on. Estimates are now bounded to 24 h in the placer, and the planner drops ends that are beyond the range of time.Duration.

Both tests panic without the change.

--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -105,6 +105,9 @@
 
 const never = time.Duration(math.MaxInt64)
 
+// maxRunTime bounds expected run times, so that they do not overflow with the overhead and the cold factor.
+const maxRunTime = float64(never / 64)
+
 // Reset begins a plan without jobs. It keeps the slice of upstreams until the next Reset.
 func (p *Planner) Reset(upstreams []Upstream) {
 	p.upstreams = upstreams
@@ -235,7 +238,7 @@
 	if t.MaxPerUpstream > 0 {
 		notBefore = max(notBefore, stepFreeAfter(j, t, upstream, planned))
 	}
-	runTime := float64(t.RunTime) * u.Slowness
+	runTime := min(float64(t.RunTime)*u.Slowness, maxRunTime)
 	best := p.profiles[upstream].candidate(t.Demand, max(notBefore, u.ColdFor), time.Duration(runTime)+j.Overhead)
 	if notBefore >= u.ColdFor {
 		return best
@@ -247,10 +250,11 @@
 	return best
 }
 
-// candidate returns the earliest start and end of a task that takes the time d, not before a given time.
+// candidate returns the earliest start and end of a task that takes the time d, not before a given time. It
+// returns none if the end is beyond the range of time.Duration.
 func (s profile) candidate(demand sesamedrift.Resources, notBefore, d time.Duration) candidate {
 	after, ok := s.earliest(demand, notBefore, d)
-	if !ok {
+	if !ok || after > never-d {
 		return candidate{end: never}
 	}
 	return candidate{
--- a/forecaster/forecaster_test.go
+++ b/forecaster/forecaster_test.go
@@ -109,6 +109,19 @@
 	g.Expect(p.HasRoom(0, cold.Free, time.Hour)).To(BeTrue())
 }
 
+// Guards against ends that overflow and are taken for the earliest ones, in a plan of very long tasks.
+func TestRunTimesBeyondTheRange(t *testing.T) {
+	g := NewWithT(t)
+	j := tasks(100, 10, never)
+	j.Overhead = ms
+	f := Plan([]Upstream{idle("a", 10, 2)}, []Job{tasks(1, 10, ms), j})[1]
+	g.Expect(f.Fits).To(BeFalse())
+	g.Expect(f.Begin).To(Equal(2 * ms))
+	for i := range f.Starts[1:] {
+		g.Expect(f.Starts[i+1].Upstream < 0 || f.Starts[i+1].After > f.Starts[i].After).To(BeTrue())
+	}
+}
+
 // BenchmarkPlan measures a plan of 500 waiting jobs of 4 tasks for the upstreams of one shard.
 func BenchmarkPlan(b *testing.B) {
 	upstreams := make([]Upstream, 36)
--- a/placer/estimate.go
+++ b/placer/estimate.go
@@ -16,25 +16,29 @@
 	// the queue, in either direction, for which the two are averaged. A larger difference means
 	// that the task is unusual for its queue, so that the caller's estimate is used as it is.
 	maxEstimateRatio = 3.0
+	// maxEstimate bounds the run times that callers declare, so that sums of them and times of plans do not
+	// overflow. No caller waits that long.
+	maxEstimate = 24 * time.Hour
 )
 
 // estimate returns the expected run time of a task on an upstream of average speed. It is the
 // geometric mean of the caller's estimate and the median run time of the queue: the two are about
 // equally inaccurate, in opposite directions.
 func (p *Placer) estimate(now time.Time, j *Job, t Task) time.Duration {
-	e := p.runTimes.EstimateDeclared(now, j.Service, j.Queue, t.Estimate)
+	declared := min(t.Estimate, maxEstimate)
+	e := p.runTimes.EstimateDeclared(now, j.Service, j.Queue, declared)
 	median := e.P50
-	if t.Estimate <= 0 {
+	if declared <= 0 {
 		return median
 	}
 	if p.cfg.DisabledRule == RuleCorrectEstimates {
-		return t.Estimate
+		return declared
 	}
-	ratio := float64(t.Estimate) / float64(median)
+	ratio := float64(declared) / float64(median)
 	if e.Samples == 0 || ratio > maxEstimateRatio || ratio < 1/maxEstimateRatio {
-		return t.Estimate
+		return declared
 	}
-	return time.Duration(math.Sqrt(float64(t.Estimate) * float64(median)))
+	return time.Duration(math.Sqrt(float64(declared) * float64(median)))
 }
 
 // jobHistory holds the results of the runs of one job, whose tasks have about the same size.
--- a/placer/order.go
+++ b/placer/order.go
@@ -46,7 +46,7 @@
 	for _, t := range j.Tasks {
 		w.estimate = max(w.estimate, p.estimate(j.Arrived, &j, t))
 	}
-	criticalPath := w.estimate + j.RemainingTime
+	criticalPath := w.estimate + max(0, min(j.RemainingTime, maxEstimate))
 	objective := time.Duration(j.SlackFactor*float64(criticalPath)) + j.TargetLatency
 	w.latestStart = j.Arrived.Add(objective - criticalPath - p.overhead)
 	w.latestUsefulStart = j.Arrived.Add(lateFactor*objective - criticalPath)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -403,6 +403,24 @@
 	}
 }
 
+// Guards against a job whose declared run time overflows the times of the plan, which ended the process.
+func TestAbsurdEstimate(t *testing.T) {
+	for _, demand := range []int64{1000, 10000} { // with and without room beside the runs
+		h := newHarness(t, 10000)
+		h.p.overhead = 20 * time.Millisecond
+		h.enqueue(h.job("running", "q", 1, 6000, 50*time.Millisecond))
+		for i, estimate := range []time.Duration{math.MaxInt64, math.MaxInt64 / 2, math.MaxInt64 / 3} {
+			j := h.job(fmt.Sprint("absurd", i), "q", 2, demand, estimate)
+			j.RemainingTime = math.MaxInt64 / 2
+			h.enqueue(j)
+		}
+		h.enqueue(h.job("usual", "q", 1, 1000, 50*time.Millisecond))
+		h.advance(50 * time.Millisecond)
+		h.endRun("running", 0, leaseholder.Done, 50*time.Millisecond)
+		h.g.Expect(h.placedOn).To(HaveKey(runOf("usual", 0).String()))
+	}
+}
+
 // Guards against estimated speeds that drift although all upstreams are equal. They would if
 // upstreams were compared while a job has open runs, because its shorter tasks end first.
 func TestSpeedsDoNotDrift(t *testing.T) {
