placer: expect runs of an earlier placer to take time

Runs that Reconcile finds have no expected run time. The predictions took that for 0: all their capacity counted as free at once, so that a new placer refused nothing until it was late, and reported early starts to other placers. Their ends also counted for the overhead as time since they were found, mostly 0. remaining now uses their progress or 200 ms, and the overhead leaves them out. A run that is found on a cold upstream no longer counts for its speed.

The test fails without the change.

--- a/placer/estimate.go
+++ b/placer/estimate.go
@@ -120,7 +120,9 @@
 	case result == leaseholder.Done && r.cold:
 		u.health.recordSuccess(now)
 	case result == leaseholder.Done && runTime > 0:
-		p.recordOverhead(now, r, runTime)
+		if r.expected > 0 { // otherwise placedAt is when the run was found
+			p.recordOverhead(now, r, runTime)
+		}
 		normalized := u.health.normalized(runTime)
 		h.samples = append(h.samples, sample{
 			upstream:   id,
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -421,6 +421,28 @@
 	}
 }
 
+// Guards against a new placer that expects the runs of its predecessor to end at once, so that no job is refused
+// until it is late, and against their ends taken for messages without any overhead.
+func TestRunsOfAnEarlierPlacer(t *testing.T) {
+	for _, percent := range []int{0, 10} {
+		h := newHarness(t, 10000)
+		h.p.overhead = 20 * time.Millisecond
+		h.p.Reconcile(h.now, "u0", []leaseholder.Task{{
+			Run:    runOf("found", 0),
+			Demand: cpu(10000),
+		}})
+		h.p.RecordProgress("u0", runOf("found", 0), percent, 40*time.Millisecond)
+		h.enqueue(h.job("late", "q", 1, 10000, 100*time.Millisecond))
+		h.g.Expect(h.refused).To(HaveKey("late"))
+		patient := h.job("patient", "q", 1, 10000, 100*time.Millisecond)
+		patient.TargetLatency = 400 * time.Millisecond
+		h.enqueue(patient)
+		h.g.Expect(h.refused).To(HaveLen(1))
+		h.p.RunEnded(h.now, "u0", runOf("found", 0), leaseholder.Done, "", 400*time.Millisecond)
+		h.g.Expect(h.p.overhead).To(Equal(20 * time.Millisecond))
+	}
+}
+
 // Guards against estimated speeds that drift although all upstreams are equal. They would if
 // upstreams were compared while a job has open runs, because its shorter tasks end first.
 func TestSpeedsDoNotDrift(t *testing.T) {
--- a/placer/runs.go
+++ b/placer/runs.go
@@ -43,6 +43,7 @@
 					id:    t.Run.Task.Job,
 				},
 				placedAt: now,
+				cold:     u.isCold,
 			}
 			p.addRun(u, t.Run, r)
 		}
--- a/placer/shed.go
+++ b/placer/shed.go
@@ -10,6 +10,9 @@
 	// overrunShare is the estimated remaining time of a run that has exceeded its expected run
 	// time, as a share of the expected run time.
 	overrunShare = 0.3
+	// foundRunTime is the expected run time, from when it was found, of a run that an earlier placer has
+	// placed, until its progress is known. It is the default estimate of package estimator.
+	foundRunTime = 200 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the time after which a refused job may be sent again.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
@@ -122,12 +125,20 @@
 }
 
 // remaining returns the expected time until the end of the run is reported. The overhead is that of
-// Placer.overhead.
+// Placer.overhead. A run that an earlier placer has placed has no expected run time; its progress is used
+// if it is known.
 func (r *placedRun) remaining(now time.Time, overhead time.Duration) time.Duration {
-	if after := r.expected + overhead - now.Sub(r.placedAt); after >= 0 {
+	expected, elapsed := r.expected, now.Sub(r.placedAt)
+	switch {
+	case expected == 0 && r.progress.percent > 0:
+		expected, elapsed = r.progress.projectedRunTime(), r.progress.runTime
+	case expected == 0:
+		expected = foundRunTime
+	}
+	if after := expected + overhead - elapsed; after >= 0 {
 		return after
 	}
-	return time.Duration(overrunShare * float64(r.expected))
+	return time.Duration(overrunShare * float64(expected))
 }
 
 // predictReleases returns the CPU capacity that is free now on the usable upstreams that accept
