placer: do not refuse jobs whose earlier try still runs

If the caller sends a job again to another host, the runs of the first try are stopped, and the tasks wait here until they have ended. The new entry host does not know these runs, so Started is not set, and the job could be refused for load. The entry host then answers "not run", and the caller may send it to another domain, which starts its tasks while the first runs go on. Such a job is now treated like one that has begun.

The test fails without the change.

--- a/placer/plan.go
+++ b/placer/plan.go
@@ -124,7 +124,7 @@
 			p.plan.withdraw(w)
 			continue
 		}
-		if !w.forecast.Fits && p.waitsForCooldown(now, w) {
+		if !w.forecast.Fits && (p.waitsForCooldown(now, w) || p.runsLocally(w)) {
 			continue
 		}
 		// For a task that fits no upstream, no other job can make room.
--- a/placer/victim.go
+++ b/placer/victim.go
@@ -306,11 +306,12 @@
 
 // selectVictim returns the job to forward or refuse for the late one at an index of the order, among it and
 // those ahead of it that use the same upstreams, or nil if all of them have begun. It is of the first queue by
-// compareStandings, and of the jobs of this queue the one with the least slack for its work.
+// compareStandings, and of the jobs of this queue the one with the least slack for its work. A job of which an
+// earlier try still runs here has begun: its caller would send it elsewhere while that goes on.
 func (p *Placer) selectVictim(now time.Time, lateIndex int) *waitingJob {
 	candidates := map[string][]*waitingJob{}
 	for _, w := range p.order[:lateIndex+1] {
-		if !w.Started && w.Service == p.order[lateIndex].Service {
+		if !w.Started && w.Service == p.order[lateIndex].Service && !p.runsLocally(w) {
 			candidates[w.Queue] = append(candidates[w.Queue], w)
 		}
 	}
--- a/placer/victim_test.go
+++ b/placer/victim_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"sesamedrift.example/sesamedrift/leaseholder"
 )
 
 // Guards against refusals that fall on a queue with the first priority, or on one that is starved already,
@@ -32,6 +34,20 @@
 	}
 }
 
+// Guards against a job that is refused, and sent elsewhere by its caller, while tasks of an earlier try run.
+func TestJobWithOpenRunsIsNotRefused(t *testing.T) {
+	h := newHarness(t, 10000)
+	h.enqueue(h.job("a", "q", 1, 10000, 500*time.Millisecond))
+	resent := h.job("a", "q", 1, 10000, 50*time.Millisecond)
+	resent.Entry = "other"
+	h.enqueue(resent)
+	h.g.Expect(h.superseded).To(Equal([]string{"a@e"}))
+	h.advance(100 * time.Millisecond)
+	h.g.Expect(h.refused).To(BeEmpty())
+	h.endRun("a", 0, leaseholder.Stopped, 100*time.Millisecond)
+	h.g.Expect(h.p.WaitingJobs()).To(BeZero())
+}
+
 // Guards against a burst that is not recognized, and against queues that pay for a burst of another or for
 // a rise of demand in which all take part.
 func TestBurstIsRecognized(t *testing.T) {
