placer: report free capacity beside a shrunk upstream

The free capacity of an upstream is negative while its runs use more than its reduced capacity. The report for other placers subtracted that from the tasks that fit on others. The test fails without the change.

--- a/placer/forward.go
+++ b/placer/forward.go
@@ -92,7 +92,8 @@
 			continue
 		}
 		if p.meanCPU > 0 {
-			capacity.Tasks += int(float64(u.free.CPU) / p.meanCPU)
+			// The free capacity is negative after an upstream has become smaller.
+			capacity.Tasks += int(float64(max(u.free.CPU, 0)) / p.meanCPU)
 		}
 	}
 	capacity.StartsAfter = p.startsAfter(now)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -443,6 +443,22 @@
 	}
 }
 
+// Guards against free capacity that other placers are not told of because one upstream has become smaller.
+func TestShrunkUpstreamDoesNotHideFreeCapacity(t *testing.T) {
+	h := newHarness(t, 10000, 8000)
+	h.enqueue(h.job("j", "q", 2, 8000, time.Second))
+	h.p.SetUpstream(Upstream{
+		ID:      "u0",
+		Service: "s",
+	})
+	for i := range 2 {
+		if h.placedOn[runOf("j", i).String()] == "u1" {
+			h.endRun("j", i, leaseholder.Done, time.Second)
+		}
+	}
+	h.g.Expect(h.p.FreeCapacity(h.now).Tasks).To(Equal(1))
+}
+
 // Guards against estimated speeds that drift although all upstreams are equal. They would if
 // upstreams were compared while a job has open runs, because its shorter tasks end first.
 func TestSpeedsDoNotDrift(t *testing.T) {
