placer: make a new plan when upstreams change

A plan is extended for up to 0.1 ms per waiting job. If an upstream joined, left or was ejected meanwhile, arriving jobs were planned on the earlier ones, and could be refused although there is room or kept although there is none.

The test fails without the change.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -325,6 +325,7 @@
 		i, _ := slices.BinarySearchFunc(p.sorted, u.ID, compareID)
 		p.sorted = slices.Insert(p.sorted, i, known)
 	}
+	p.plan.outdated = p.plan.outdated || known.Upstream != u
 	known.Upstream = u
 	known.isCold = !u.ColdUntil.IsZero()
 	known.recomputeFree()
@@ -346,6 +347,7 @@
 		}
 	}
 	delete(p.upstreams, id)
+	p.plan.outdated = true
 	if i, found := slices.BinarySearchFunc(p.sorted, id, compareID); found {
 		p.sorted = slices.Delete(p.sorted, i, i+1)
 	}
@@ -357,6 +359,7 @@
 func (p *Placer) SetUsable(now time.Time, id string, usable bool) {
 	if u := p.upstreams[id]; u != nil && u.usable != usable {
 		u.usable = usable
+		p.plan.outdated = true
 		p.place(now)
 	}
 }
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -17,6 +17,8 @@
 type waitingPlan struct {
 	forecaster.Planner
 	madeAt time.Time
+	// outdated is set if the usable upstreams have changed since.
+	outdated bool
 	// number is the number of plans made. The plan contains the jobs whose planNumber equals it.
 	number uint64
 	// upstreams and job are memory that is used again.
@@ -27,6 +29,7 @@
 // beginPlan begins a plan from the runs on the usable upstreams that accept tasks, without waiting jobs.
 func (p *Placer) beginPlan(now time.Time, l *waitingPlan) {
 	l.madeAt = now
+	l.outdated = false
 	l.number++
 	n := 0
 	for _, u := range p.sorted {
@@ -99,10 +102,10 @@
 // forwards or refuses a job, until the plan has room for the others. The room of a job that is removed is
 // used by the late job and those behind it; the jobs between the two keep their planned starts.
 //
-// A recent plan is extended by the jobs that are not in it, behind those that are. A job that is late there
+// A recent plan of the same upstreams is extended by the jobs that are not in it, behind those that are. A job that is late there
 // but precedes others is decided on with the next plan.
 func (p *Placer) shedByPlan(now time.Time) {
-	extended := p.plan.number > 0 && now.Sub(p.plan.madeAt) < time.Duration(len(p.order))*planReusePerJob
+	extended := p.plan.number > 0 && !p.plan.outdated && now.Sub(p.plan.madeAt) < time.Duration(len(p.order))*planReusePerJob
 	if !extended {
 		p.beginPlan(now, &p.plan)
 	}
--- a/placer/plan_test.go
+++ b/placer/plan_test.go
@@ -161,6 +161,28 @@
 	h.g.Expect(h.refused).To(HaveKey("hopeless"))
 }
 
+// Guards against jobs that are refused, or kept, by a plan of upstreams that have joined or left since.
+func TestPlanIsMadeAgainAfterUpstreamsChange(t *testing.T) {
+	h := newHarness(t, 10000, 10000)
+	h.p.SetUsable(h.now, "u1", false)
+	h.enqueue(h.job("running", "q", 1, 10000, 100*time.Millisecond))
+	for i := range 50 { // planned until 2.6 s
+		j := h.job(fmt.Sprint("waits-", i), "q", 1, 5000, 100*time.Millisecond)
+		j.TargetLatency = 2500 * time.Millisecond
+		h.enqueue(j)
+	}
+	h.advance(5 * time.Millisecond)
+	last := h.job("last", "q", 1, 10000, 100*time.Millisecond)
+	last.TargetLatency = 2510 * time.Millisecond
+	h.p.SetUsable(h.now, "u1", true)
+	h.enqueue(last)
+	h.g.Expect(h.refused).To(BeEmpty())
+	h.p.RemoveUpstream("u0")
+	h.p.RemoveUpstream("u1")
+	h.enqueue(h.job("kept", "q", 1, 10000, 100*time.Millisecond))
+	h.g.Expect(h.refused).To(HaveKey("kept"))
+}
+
 // Guards against room that is given back twice: the job to refuse has been left out of the extended plan already.
 func TestPostponedJobLeavesThePlanOnce(t *testing.T) {
 	h := newHarness(t, 10000)
