--- a/placer/health.go
+++ b/placer/health.go
@@ -93,7 +93,6 @@
 		return
 	}
 	u.health.recordFailure(now)
-	p.plan.outdated = true
 	for _, r := range u.runs {
 		r.probe = false
 	}
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -17,7 +17,7 @@
 type waitingPlan struct {
 	forecaster.Planner
 	madeAt time.Time
-	// outdated is set if the usable upstreams have changed since.
+	// outdated is set if upstreams have joined, left or changed since. Ejections are left to the next plan.
 	outdated bool
 	// number is the number of plans made. The plan contains the jobs whose planNumber equals it.
 	number uint64
