--- a/placer/placer.go
+++ b/placer/placer.go
@@ -32,9 +32,7 @@
 package placer
 
 import (
-	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"sesamedrift.example/sesamedrift"
@@ -110,133 +108,6 @@
 	GraceUntil time.Time
 }
 
-// Upstream describes an upstream. WorkerType and Rack are those of the worker on which it runs; a
-// task may require either.
-type Upstream struct {
-	ID         string
-	Service    string
-	WorkerType string
-	Rack       string
-	Capacity   sesamedrift.Resources
-	// ColdUntil is the time until which the upstream is slow after its failure domain was taken back into
-	// service; zero for one that is not. It gets one task at a time, and warm upstreams come first.
-	ColdUntil time.Time
-}
-
-// Job is a job with tasks to be placed.
-type Job struct {
-	ID string
-	// Entry is the address of the entry host that tracks the job. Jobs with the same identifier on
-	// two hosts are two jobs.
-	Entry   string
-	Queue   string
-	Service string
-	// Priority orders jobs with the same latest start, lower values first.
-	Priority int
-	// The objective is a latency of SlackFactor times the estimated run time of the job, plus
-	// TargetLatency.
-	SlackFactor   float64
-	TargetLatency time.Duration
-	Arrived       time.Time
-	// Deadline is when the caller stops waiting.
-	Deadline time.Time
-	// RemainingTime is the estimated run time of the steps that follow the waiting tasks.
-	RemainingTime time.Duration
-	// Started is set if other tasks of the job run or have run.
-	Started bool
-	// Forwarded is set if another placer has forwarded the job. It is not forwarded again.
-	Forwarded bool
-	Tasks     []Task
-}
-
-// Task is a task to be placed.
-type Task struct {
-	Run    sesamedrift.Run
-	Demand sesamedrift.Resources
-	// Estimate is the run time that the caller expects; 0 if it gives none.
-	Estimate time.Duration
-	// Requires is the worker type or the rack on which the task must run, or empty.
-	Requires string
-	// Rack is the rack with the data of the step, or empty. It does not affect the placement.
-	Rack string
-	// MaxPerUpstream bounds the number of tasks of the step on one upstream; 0 means no bound.
-	MaxPerUpstream int
-	// Avoid is an upstream on which the task is not placed again, or empty.
-	Avoid string
-}
-
-// Placement is a run and the upstream on which it is placed.
-type Placement struct {
-	Run      sesamedrift.Run
-	Upstream string
-}
-
-// Decision is a decision about a job, or an Ejection. Exactly one of Placements, ForwardTo,
-// Refused, Stop, Ejection and Superseded is set.
-type Decision struct {
-	Job   string
-	Entry string
-	// Placements are the placements of some or all of the waiting tasks.
-	Placements []Placement
-	// Waited is how long the job has waited, and RemainingTasks how many of its tasks still wait.
-	// They are set with Placements.
-	Waited         time.Duration
-	RemainingTasks int
-	// Planned is set with the first Placements of a job that had been planned before. PlanError is the
-	// time from its actual start to the planned one; it is negative if the job begins later than planned.
-	Planned   bool
-	PlanError time.Duration
-	// ForwardTo is the address of the placer to which the job should be forwarded, or empty.
-	ForwardTo string
-	// Refused is set if the waiting tasks of the job will not be placed, for Reason.
-	Refused bool
-	Reason  Reason
-	// Lateness is by how much a refused job was predicted to begin too late, WaitingJobs the number
-	// of jobs that waited, and UsageShare the share of its queue in the work that was placed lately.
-	Lateness    time.Duration
-	WaitingJobs int
-	UsageShare  float64
-	// Choice is why a job of this queue was refused and not one of another; empty if there was no choice.
-	Choice Choice
-	// RetryAfter is the time after which the caller of a refused job may send it again.
-	RetryAfter time.Duration
-	// Stop is a run to be stopped, and its upstream. The entry host then enqueues the task again.
-	Stop *Placement
-	// Ejection is the ejection of an upstream.
-	Ejection *Ejection
-	// Superseded is set if the caller has sent the job again to another entry host, which tracks
-	// it from now on.
-	Superseded bool
-}
-
-// Ejection reports that an upstream gets no tasks for Duration.
-type Ejection struct {
-	Upstream string
-	Duration time.Duration
-	Cause    string
-	// ConsecutiveFailures is the number of ejections since the last success on the upstream.
-	ConsecutiveFailures int
-}
-
-// Reason is why a job is refused. Callers receive its text.
-type Reason string
-
-// The reasons of refusals.
-const (
-	// ReasonDeadline means that the job cannot end before its caller stops waiting.
-	ReasonDeadline Reason = "the job cannot end before its deadline"
-	// ReasonOverload means that the job cannot begin in time because of the work ahead of it.
-	ReasonOverload Reason = "too much work waits"
-	// ReasonTooLarge means that a task of the job needs more than the whole capacity of any
-	// upstream of its service.
-	ReasonTooLarge Reason = "no upstream is large enough for a task of the job"
-	// ReasonEvacuated means that no task may start in the failure domain.
-	ReasonEvacuated Reason = "the failure domain is evacuated"
-	// ReasonEvacuationsUnknown means that the host has just started and does not know yet whether its
-	// failure domain is evacuated.
-	ReasonEvacuationsUnknown Reason = "it is not known yet whether the failure domain is evacuated"
-)
-
 // jobKey identifies a job by the address of its entry host and its identifier.
 type jobKey struct{ entry, id string }
 
@@ -274,19 +145,6 @@
 	nextSweep   time.Time
 }
 
-// upstream is an upstream with its open runs.
-type upstream struct {
-	Upstream
-	usable bool
-	// isCold is set until the first tick after ColdUntil.
-	isCold bool
-	free   sesamedrift.Resources
-	runs   map[sesamedrift.Run]*placedRun
-	health health
-	// planIndex is the index in the plan that was made last.
-	planIndex int
-}
-
 // New returns a Placer without upstreams or jobs.
 func New(cfg Config) *Placer {
 	if cfg.Policy == "" {
@@ -315,188 +173,6 @@
 	return d
 }
 
-// SetUpstream adds an upstream or replaces its description. A new upstream gets no tasks until
-// SetUsable is called.
-func (p *Placer) SetUpstream(u Upstream) {
-	known := p.upstreams[u.ID]
-	if known == nil {
-		known = &upstream{runs: map[sesamedrift.Run]*placedRun{}}
-		p.upstreams[u.ID] = known
-		i, _ := slices.BinarySearchFunc(p.sorted, u.ID, compareID)
-		p.sorted = slices.Insert(p.sorted, i, known)
-	}
-	known.Upstream = u
-	known.isCold = !u.ColdUntil.IsZero()
-	known.recomputeFree()
-}
-
-// recomputeFree sets the free capacity from the capacity and the open runs.
-func (u *upstream) recomputeFree() {
-	u.free = u.Capacity
-	for _, r := range u.runs {
-		u.free = u.free.Minus(r.demand)
-	}
-}
-
-// RemoveUpstream removes an upstream and its runs.
-func (p *Placer) RemoveUpstream(id string) {
-	if u := p.upstreams[id]; u != nil {
-		for run := range u.runs {
-			p.removeRun(u, run)
-		}
-	}
-	delete(p.upstreams, id)
-	if i, found := slices.BinarySearchFunc(p.sorted, id, compareID); found {
-		p.sorted = slices.Delete(p.sorted, i, i+1)
-	}
-}
-
-func compareID(u *upstream, id string) int { return strings.Compare(u.ID, id) }
-
-// SetUsable sets whether tasks may be placed on an upstream. Its runs are not affected.
-func (p *Placer) SetUsable(now time.Time, id string, usable bool) {
-	if u := p.upstreams[id]; u != nil && u.usable != usable {
-		u.usable = usable
-		p.place(now)
-	}
-}
-
-// Enqueue adds a job whose tasks wait for placement, and places, forwards or refuses what it can
-// immediately. It replaces the waiting tasks that the same entry host has sent for the job before;
-// if there are no tasks, it only removes these. A job of the same identifier from another entry
-// host is superseded. Runs that are placed already are not enqueued: the entry host has sent the
-// request before it received their placement.
-func (p *Placer) Enqueue(now time.Time, j Job) {
-	key := jobKey{
-		entry: j.Entry,
-		id:    j.ID,
-	}
-	isNew := p.jobs[key] == nil && !j.Started
-	p.Withdraw(j.Entry, j.ID)
-	waiting := slices.DeleteFunc(slices.Clone(j.Tasks), func(t Task) bool { return p.isPlaced(j.Entry, t.Run) })
-	j.Started = j.Started || len(waiting) < len(j.Tasks)
-	j.Tasks = waiting
-	if len(j.Tasks) == 0 {
-		return
-	}
-	w := p.newWaitingJob(j)
-	p.supersede(w)
-	p.recordDemand(j)
-	if isNew && !j.Started {
-		p.recordArrival(w)
-	}
-	if p.closed == "" && !p.feasible(w) {
-		_, releases := p.predictReleases(now)
-		p.refuse(w, ReasonTooLarge, 0, retryAfter(releases))
-		return
-	}
-	p.jobs[w.key] = w
-	p.insert(w)
-	p.place(now)
-	if p.jobs[w.key] == nil || p.forward(now, w) {
-		return
-	}
-	p.shed(now)
-}
-
-// supersede withdraws the job of the same identifier from other entry hosts, and adds a decision
-// for each of these hosts. Their runs must end before the tasks are placed again.
-func (p *Placer) supersede(w *waitingJob) {
-	otherEntries := map[string]bool{}
-	for key := range p.jobs {
-		if key.id == w.ID && key.entry != w.Entry {
-			otherEntries[key.entry] = true
-		}
-	}
-	for _, t := range w.Tasks {
-		if p.runCounts[t.Run.Task] == 0 {
-			continue
-		}
-		for _, u := range p.sorted {
-			for run, r := range u.runs {
-				if run.Task == t.Run.Task && r.key.entry != w.Entry && r.key.entry != "" {
-					otherEntries[r.key.entry] = true
-				}
-			}
-		}
-	}
-	for _, entry := range slices.Sorted(maps.Keys(otherEntries)) {
-		p.Withdraw(entry, w.ID)
-		p.decisions = append(p.decisions, Decision{
-			Job:        w.ID,
-			Entry:      entry,
-			Superseded: true,
-		})
-	}
-}
-
-// demandWeight is the weight of one job in the moving mean of the CPU demand.
-const demandWeight = 0.02
-
-// recordDemand adds the demand of the first task of a job to the moving mean.
-func (p *Placer) recordDemand(j Job) {
-	cpu := float64(j.Tasks[0].Demand.CPU)
-	if p.meanCPU == 0 {
-		p.meanCPU = cpu
-	}
-	p.meanCPU += demandWeight * (cpu - p.meanCPU)
-}
-
-// feasible reports whether for each task some upstream of the service has enough capacity when it
-// is empty. While no upstream of the service is known, it reports true.
-func (p *Placer) feasible(w *waitingJob) bool {
-	for _, t := range w.Tasks {
-		fits, known := false, false
-		for _, u := range p.sorted {
-			known = known || u.Service == w.Service
-			fits = fits || u.Service == w.Service && t.Demand.Fits(u.Capacity)
-		}
-		if known && !fits {
-			return false
-		}
-	}
-	return true
-}
-
-// Withdraw removes the waiting tasks of a job. Its runs are not affected.
-func (p *Placer) Withdraw(entry, id string) {
-	key := jobKey{
-		entry: entry,
-		id:    id,
-	}
-	if w := p.jobs[key]; w != nil {
-		if !w.Started {
-			p.plan.withdraw(w)
-		}
-		p.drop(w)
-	}
-}
-
-// drop removes a job from the waiting ones. Its room in the plan stays taken, for the runs of its tasks.
-func (p *Placer) drop(w *waitingJob) {
-	delete(p.jobs, w.key)
-	p.remove(w)
-}
-
-// RemoveEntry removes the waiting jobs of an entry host that is lost, and its placements that no
-// leaseholder has reported as running.
-func (p *Placer) RemoveEntry(now time.Time, entry string) {
-	for _, w := range slices.Clone(p.order) {
-		if w.Entry == entry {
-			p.Withdraw(entry, w.ID)
-		}
-	}
-	for _, u := range p.sorted {
-		for run, r := range u.runs {
-			if r.key.entry == entry && !r.reported {
-				p.removeRun(u, run)
-			}
-		}
-		u.recomputeFree()
-	}
-	p.place(now)
-}
-
 // Tick does the work that depends on time: it checks the progress of runs, places tasks on
 // upstreams whose cooldown has ended, and forwards or refuses jobs that can no longer begin in time.
 func (p *Placer) Tick(now time.Time) {
@@ -510,55 +186,6 @@
 	p.expireHistories(now)
 }
 
-// refuse withdraws a job and adds the decision to refuse it.
-func (p *Placer) refuse(w *waitingJob, reason Reason, lateness, retryAfter time.Duration) {
-	waiting := len(p.order)
-	p.Withdraw(w.Entry, w.ID)
-	if reason != ReasonTooLarge && !w.Started {
-		p.recordRefusal(w)
-	}
-	p.decisions = append(p.decisions, Decision{
-		Job:         w.ID,
-		Entry:       w.Entry,
-		Refused:     true,
-		Reason:      reason,
-		Lateness:    lateness,
-		WaitingJobs: waiting,
-		UsageShare:  p.usageShare(w.Queue),
-		Choice:      w.choice,
-		RetryAfter:  retryAfter,
-	})
-}
-
-// Jobs returns the identifiers of the jobs that wait or have open runs, without duplicates and in no
-// particular order.
-func (p *Placer) Jobs() []string {
-	ids := map[string]bool{}
-	for key := range p.jobs {
-		ids[key.id] = true
-	}
-	for task := range p.runCounts {
-		ids[task.Job] = true
-	}
-	return slices.Collect(maps.Keys(ids))
-}
-
-// WaitingEntries returns the entry hosts of which the job with the identifier waits, in the order of
-// their addresses.
-func (p *Placer) WaitingEntries(id string) []string {
-	var entries []string
-	for key := range p.jobs {
-		if key.id == id {
-			entries = append(entries, key.entry)
-		}
-	}
-	slices.Sort(entries)
-	return entries
-}
-
-// WaitingJobs returns the number of jobs with tasks that wait for placement.
-func (p *Placer) WaitingJobs() int { return len(p.order) }
-
 // place searches upstreams for the waiting tasks, in the order of their jobs.
 func (p *Placer) place(now time.Time) {
 	if len(p.order) == 0 || p.closed != "" {
@@ -641,7 +268,7 @@
 			continue
 		}
 		t := w.Tasks[i]
-		u.health.recordPlacement()
+		u.recordProbe(t.Run)
 		p.historyOf(now, w.key).openRuns++
 		p.recordUsage(w.Queue, t, u.runs[t.Run].expected)
 		placements = append(placements, Placement{
