dispatcher: wait for the runs of a forward that its entry host cancels

If the caller of a forwarded job disconnects and sends the job again to another entry host, the relaying placer had forgotten the forward when the new placement request arrived, and placed the job while the other domain still stopped its runs. Two runs of a task could be active at once.

The placer now refuses to place such a job for cancelForwardTime, as it does for a forward that it cancels itself.

TestCancelledForwardIsAwaited fails without the change.

--- a/dispatcher/forwarding.go
+++ b/dispatcher/forwarding.go
@@ -366,6 +366,7 @@
 func (c *Core) receiveCancelForward(now time.Time, from string, m cancelForward) {
 	if r, relayed := c.relays[m.Job]; relayed && r.entry == from {
 		delete(c.relays, m.Job)
+		c.cancelledForwards[m.Job] = now.Add(cancelForwardTime)
 		c.send(r.to, kindCancelForward, m)
 		return
 	}
@@ -378,7 +379,8 @@
 
 // cancelEarlierForward cancels the forward of a job for another entry host than the one that now
 // requests its placement, because the caller has then resent the job. It returns true until the
-// runs of a cancelled forward have certainly ended; the job must not be placed here before.
+// runs of a forward that was cancelled here, or by its entry host, have certainly ended; the job must
+// not be placed here before.
 func (c *Core) cancelEarlierForward(now time.Time, entry, id string) bool {
 	if r, relayed := c.relays[id]; relayed && r.entry != entry {
 		delete(c.relays, id)
