dispatcher: wait for the runs of a forward over a lost session

When a placer loses the session with the placer of another domain, it reports the forwarded jobs as lost to their entry hosts, which hold them for requeueDelay. The placer itself forgot the forwards at once. If the caller sent the job again to another entry host meanwhile, or to the same one after the deadline, the job was placed while its runs in the other domain could go on: two runs of a task at once.

The placer now places such a job only after requeueDelay. An entry host that has recovered the answer that no task has started names the forward in its placement request, and the job is then placed at once, as before.

TestLostForwardIsAwaited and TestRecoveredJobIsPlacedAtOnce fail without the change.

--- a/dispatcher/cancelledforwards_test.go
+++ b/dispatcher/cancelledforwards_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"sesamedrift.example/sesamedrift/courier"
+	"sesamedrift.example/sesamedrift/tracker"
 )
 
 const (
@@ -22,7 +23,7 @@
 	h.core.applyAssignment(h.now, assignment{Placers: []string{selfAddress}})
 	h.core.remotePlacers[remoteAddress] = &remotePlacer{domain: "far"}
 	h.core.HandleSessionEvent(h.now, courier.Event{Kind: courier.Up, Peer: remoteAddress})
-	h.deliverFrom(entryAddress, kindForwardedJob, forwardedJob{Domain: "far", ID: "j"})
+	h.deliverFrom(entryAddress, kindForwardedJob, forwardedJob{Domain: "far", ID: "j", Forward: 7})
 	h.g.Expect(h.core.relays).To(HaveKey("j"))
 	return h
 }
@@ -45,3 +46,27 @@
 	h.advance(TickEvery)
 	h.g.Expect(h.requestAgain(placementRequest{})).To(BeTrue())
 }
+
+// Guards against a job with runs in two domains: its caller has sent it again while its entry host waits for the end of
+// its runs, since the session with the other domain has ended. The entry host may place it at once if none has started.
+func TestLostForwardIsAwaited(t *testing.T) {
+	h := relayJob(t)
+	h.losePeer(remoteAddress, 0)
+	h.advance(requeueDelay - TickEvery)
+	h.g.Expect(h.requestAgain(placementRequest{})).To(BeFalse())
+	h.g.Expect(h.requestAgain(placementRequest{Recovered: 6})).To(BeFalse())
+	h.g.Expect(h.requestAgain(placementRequest{Recovered: 7})).To(BeTrue())
+}
+
+// Guards against another wait for the runs of a forward none of which has started, and against a job that counts as
+// recovered after it was forwarded again.
+func TestRecoveredJobIsPlacedAtOnce(t *testing.T) {
+	h := newHarness(t)
+	h.submitForwarded(time.Minute)
+	j := h.core.jobs["j"]
+	h.deliver(kindForwardResult, forwardResult{Job: "j", Outcome: tracker.Lost})
+	h.deliver(kindRecoveredResult, recoveredResult{Job: "j", Forward: j.forward, Entry: selfAddress, Outcome: tracker.Abandoned})
+	h.g.Expect(j.recovered).To(Equal(j.forward))
+	h.deliver(kindForwardRequest, forwardRequest{Job: "j", Domain: "far"})
+	h.g.Expect(j.recovered).To(BeZero())
+}
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -183,9 +183,8 @@
 	redirectsPrunedAt time.Time
 	// capacitySent holds the free capacity that was last sent to each other placer.
 	capacitySent map[string]sentCapacity
-	// cancelledForwards holds the forwarded jobs that were cancelled, with the time at which their
-	// runs have certainly ended.
-	cancelledForwards map[string]time.Time
+	// cancelledForwards holds the forwards of jobs that were cancelled or lost here.
+	cancelledForwards map[string]cancelledForward
 	// endedForwards holds the ends of jobs of other domains.
 	endedForwards map[string]endedForward
 }
@@ -224,7 +223,7 @@
 		redirects:         map[string]redirection{},
 		homesNotified:     map[string]string{},
 		capacitySent:      map[string]sentCapacity{},
-		cancelledForwards: map[string]time.Time{},
+		cancelledForwards: map[string]cancelledForward{},
 		endedForwards:     map[string]endedForward{},
 	}
 	c.hosts.Put(now, cfg.Self)
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -61,6 +61,9 @@
 	// by then its runs have certainly ended. Until then its result is requested at requestResultAt. Zero for never.
 	requeueAt       time.Time
 	requestResultAt time.Time
+	// recovered is the number of the last forward if the other domain has answered that no task of it has started;
+	// otherwise 0.
+	recovered uint64
 }
 
 // homeShard stands for the home shard of a job.
@@ -146,6 +149,7 @@
 		Forwarded: j.isForwarded() || j.shard != homeShard,
 
 		RedirectedBy: j.redirectedBy,
+		Recovered:    j.recovered,
 	}
 	for _, p := range pending {
 		request.LaterEstimate = max(request.LaterEstimate, t.RemainingTime(p.Step))
--- a/dispatcher/forwarding.go
+++ b/dispatcher/forwarding.go
@@ -39,6 +39,8 @@
 type relay struct {
 	entry string // address of the entry host
 	to    string // address of the remote placer
+	// forward is the number of the forward; 0 from a host of an earlier release.
+	forward uint64
 }
 
 // remotePlacer is a placer of another domain.
@@ -241,6 +243,10 @@
 		r := c.relays[id]
 		if r.to == address {
 			delete(c.relays, id)
+			c.cancelledForwards[id] = cancelledForward{
+				forward: r.forward,
+				until:   now.Add(requeueDelay),
+			}
 			c.send(r.entry, kindForwardResult, forwardResult{
 				Job:     id,
 				Outcome: tracker.Lost,
@@ -292,6 +298,7 @@
 		j.forwardedVia = from
 		j.forwardedTo = m.Domain
 		j.forward = forward
+		j.recovered = 0
 	}
 }
 
@@ -308,8 +315,9 @@
 			return
 		}
 		c.relays[m.ID] = relay{
-			entry: from,
-			to:    to,
+			entry:   from,
+			to:      to,
+			forward: m.Forward,
 		}
 		return
 	}
@@ -366,7 +374,7 @@
 func (c *Core) receiveCancelForward(now time.Time, from string, m cancelForward) {
 	if r, relayed := c.relays[m.Job]; relayed && r.entry == from {
 		delete(c.relays, m.Job)
-		c.cancelledForwards[m.Job] = now.Add(cancelForwardTime)
+		c.cancelledForwards[m.Job] = cancelledForward{until: now.Add(cancelForwardTime)}
 		c.send(r.to, kindCancelForward, m)
 		return
 	}
@@ -377,33 +385,13 @@
 	}
 }
 
-// cancelEarlierForward cancels the forward of a job for another entry host than the one that now
-// requests its placement, because the caller has then resent the job. It returns true until the
-// runs of a forward that was cancelled here, or by its entry host, have certainly ended; the job must
-// not be placed here before.
-func (c *Core) cancelEarlierForward(now time.Time, entry, id string) bool {
-	if r, relayed := c.relays[id]; relayed && r.entry != entry {
-		delete(c.relays, id)
-		c.cancelledForwards[id] = now.Add(cancelForwardTime)
-		c.send(r.to, kindCancelForward, cancelForward{Job: id})
-		c.send(r.entry, kindSuperseded, superseded{Job: id})
-	}
-	until, cancelled := c.cancelledForwards[id]
-	return cancelled && now.Before(until)
-}
-
-// pruneCancelledForwards removes the jobs whose runs in other domains have certainly ended.
-func (c *Core) pruneCancelledForwards(now time.Time) {
-	maps.DeleteFunc(c.cancelledForwards, func(_ string, until time.Time) bool { return !now.Before(until) })
-}
-
 // relayHostLost handles the loss of a host of the domain: it cancels the jobs that were forwarded
 // for that host, and requeues the jobs that were forwarded through it.
 func (c *Core) relayHostLost(now time.Time, host string) {
 	for _, id := range slices.Sorted(maps.Keys(c.relays)) {
 		if r := c.relays[id]; r.entry == host {
 			delete(c.relays, id)
-			c.cancelledForwards[id] = now.Add(cancelForwardTime)
+			c.cancelledForwards[id] = cancelledForward{until: now.Add(cancelForwardTime)}
 			c.send(r.to, kindCancelForward, cancelForward{Job: id})
 		}
 	}
--- a/dispatcher/lostforwards.go
+++ b/dispatcher/lostforwards.go
@@ -128,7 +128,9 @@
 		return
 	}
 	j.requeueAt = time.Time{}
-	if m.Outcome != tracker.Abandoned {
+	if m.Outcome == tracker.Abandoned {
+		j.recovered = j.forward
+	} else {
 		j.result.RetryAfter = m.RetryAfter
 		j.tracker.Finish(m.Outcome, m.Reason)
 	}
--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -123,8 +123,11 @@
 	Started   bool `msgpack:"begun,omitempty"`
 	Forwarded bool `msgpack:"passed-on,omitempty"`
 	// RedirectedBy is the address of the placer that has redirected the job, or empty.
-	RedirectedBy string          `msgpack:"redirected-by,omitempty"`
-	Tasks        []requestedTask `msgpack:"tasks"`
+	RedirectedBy string `msgpack:"redirected-by,omitempty"`
+	// Recovered is the number of the last forward of the job if that was lost and the other domain has answered that
+	// no task of it has started. Hosts of earlier releases leave it out.
+	Recovered uint64          `msgpack:"recovered,omitempty"`
+	Tasks     []requestedTask `msgpack:"tasks"`
 }
 
 // requestedTask is a placer.Task on the wire. Its fields must equal those of placer.Task.
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -288,6 +288,9 @@
 		})
 		return
 	}
+	if m.Recovered != 0 && m.Recovered == c.cancelledForwards[m.Job].forward {
+		delete(c.cancelledForwards, m.Job)
+	}
 	if c.cancelEarlierForward(now, from, m.Job) {
 		// The sender repeats the request after placementRetryInterval.
 		return
