dispatcher: forget cancelled forwards on former placers

A host that is no placer any more still relays jobs and records their cancellation, but only placers removed the records. They are now removed on all hosts. TestCancelledForwardsOfFormerPlacer fails without the change.

--- a/dispatcher/cancelledforwards_test.go
+++ b/dispatcher/cancelledforwards_test.go
@@ -70,3 +70,12 @@
 	h.deliver(kindForwardRequest, forwardRequest{Job: "j", Domain: "far"})
 	h.g.Expect(j.recovered).To(BeZero())
 }
+
+// Guards against a list of cancelled forwards that grows on a host that is no placer any more.
+func TestCancelledForwardsOfFormerPlacer(t *testing.T) {
+	h := relayJob(t)
+	h.core.endPlacing(h.now)
+	h.deliverFrom(entryAddress, kindCancelForward, cancelForward{Job: "j"})
+	h.advance(cancelForwardTime)
+	h.g.Expect(h.core.cancelledForwards).To(BeEmpty())
+}
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -306,6 +306,7 @@
 	c.fetchDocument(now)
 	c.tickJobs(now)
 	c.pruneEndedForwards(now)
+	c.pruneCancelledForwards(now)
 	c.tickHeld(now)
 	c.tickStoredReports(now)
 	c.tickTenure(now)
@@ -314,7 +315,6 @@
 	if c.placer != nil {
 		c.placer.Tick(now)
 		c.sendFreeCapacity(now)
-		c.pruneCancelledForwards(now)
 		c.pruneRedirects(now)
 	}
 	c.disconnectRetired()
