dispatcher: record no unstarted end of a job that was forwarded on

A caller may have sent a job to the host that receives it from another domain, too, and that host may have forwarded it to a third one. If both callers then go, the host recorded that no task of the job has started, since its tracker knows of none, and the first domain placed the job at once beside its runs. The end of a job that is forwarded on, or whose forward was lost, is not recorded now.

The cases "forwarded on" and "held" of TestForwardEndIsRecorded fail without the change.

--- a/dispatcher/lostforwards.go
+++ b/dispatcher/lostforwards.go
@@ -42,7 +42,7 @@
 // recordForwardEnd records the end of a job from another domain if it is certain that no task of it may start or run
 // any more.
 func (c *Core) recordForwardEnd(now time.Time, j *job) {
-	dropped := j.result.Outcome == tracker.Abandoned && len(j.callers) == 0 && !j.tracker.Started()
+	dropped := j.result.Outcome == tracker.Abandoned && len(j.callers) == 0 && j.isLocal() && !j.tracker.Started()
 	switch {
 	case j.received == 0:
 	case dropped || j.result.Outcome == tracker.Complete || j.result.Outcome == tracker.Failed || j.result.Outcome == tracker.NotRun:
--- a/dispatcher/lostforwards_test.go
+++ b/dispatcher/lostforwards_test.go
@@ -83,6 +83,15 @@
 			h.core.jobs["j"].tracker.MarkStarted()
 			h.losePeer("far", 1)
 		},
+		// A caller had sent the job to this host, which has forwarded it.
+		"forwarded on": func(h *harness) {
+			h.core.jobs["j"].forwardedVia = otherAddress
+			h.losePeer("far", 1)
+		},
+		"held": func(h *harness) {
+			h.core.forwardLost(h.now, h.core.jobs["j"])
+			h.losePeer("far", 1)
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
