dispatcher: replace a weak placer by any member that exceeds it

A placer is to be replaced if a member that is no placer is at least twice as strong. Only the first member that no other one exceeds was compared with it, so that a placer of 0.144 cores stayed beside hosts of 0.25 and 0.48 cores. The replacement is now chosen among the members that exceed the placer. The case "first candidate too weak" of TestPlacersOfUnequalHosts fails without the change.

--- a/dispatcher/strengths.go
+++ b/dispatcher/strengths.go
@@ -69,22 +69,20 @@
 	}
 	candidates := append(slices.Clone(members[1:]), members[0])
 	candidates = slices.DeleteFunc(candidates, func(m string) bool { return slices.Contains(placers, m) })
-	fill := func(i int) {
-		best := s.strongest(candidates)
-		if placers[i] == "" || s.exceeds(best, placers[i]) {
-			placers[i] = best
-			candidates = slices.DeleteFunc(candidates, func(m string) bool { return m == best })
-		}
+	fill := func(i int, from []string) {
+		placers[i] = s.strongest(from)
+		candidates = slices.DeleteFunc(candidates, func(m string) bool { return m == placers[i] })
 	}
 	// Vacancies first, as each of them needs a candidate.
 	for i := range placers {
 		if placers[i] == "" {
-			fill(i)
+			fill(i, candidates)
 		}
 	}
 	for i := range placers {
-		if len(candidates) > 0 {
-			fill(i)
+		stronger := slices.DeleteFunc(slices.Clone(candidates), func(m string) bool { return !s.exceeds(m, placers[i]) })
+		if len(stronger) > 0 {
+			fill(i, stronger)
 		}
 	}
 	return placers
--- a/dispatcher/strengths_test.go
+++ b/dispatcher/strengths_test.go
@@ -28,6 +28,7 @@
 		"less than twice as strong":   {[]string{"b"}, []int64{144, 250, 480, 144}, 1, []string{"b"}},
 		"lost placer":                 {[]string{"x", "d"}, []int64{144, 144, 480, 480}, 2, []string{"c", "d"}},
 		"vacancy before replacement":  {[]string{"a", "x", "b", "y"}, []int64{144, 144, 144, 480}, 4, []string{"a", "d", "b", "c"}},
+		"first candidate too weak":    {[]string{"a"}, []int64{144, 250, 480, 144}, 1, []string{"c"}},
 		"unknown strength is average": {nil, []int64{0, 144, 480, 480}, 1, []string{"c"}},
 	} {
 		t.Run(name, func(t *testing.T) {
