dispatcher: replace the weakest placers first

Placers were replaced in the order of their shards. A replaced placer could exceed a weaker one that stayed, and replaced it with the next assignment, which cost a second change of the placer and its grace period.

The case "weakest placer first" of TestPlacersOfUnequalHosts fails without the change.

--- a/dispatcher/strengths.go
+++ b/dispatcher/strengths.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"slices"
 
 	"sesamedrift.example/sesamedrift/discoverer"
@@ -79,7 +80,13 @@
 			fill(i, candidates)
 		}
 	}
-	for i := range placers {
+	// The weakest placers first, so that none of the replaced ones exceeds a placer that stays.
+	byStrength := make([]int, count)
+	for i := range byStrength {
+		byStrength[i] = i
+	}
+	slices.SortStableFunc(byStrength, func(i, j int) int { return cmp.Compare(s.of(placers[i]), s.of(placers[j])) })
+	for _, i := range byStrength {
 		stronger := slices.DeleteFunc(slices.Clone(candidates), func(m string) bool { return !s.exceeds(m, placers[i]) })
 		if len(stronger) > 0 {
 			fill(i, stronger)
--- a/dispatcher/strengths_test.go
+++ b/dispatcher/strengths_test.go
@@ -29,6 +29,7 @@
 		"lost placer":                 {[]string{"x", "d"}, []int64{144, 144, 480, 480}, 2, []string{"c", "d"}},
 		"vacancy before replacement":  {[]string{"a", "x", "b", "y"}, []int64{144, 144, 144, 480}, 4, []string{"a", "d", "b", "c"}},
 		"first candidate too weak":    {[]string{"a"}, []int64{144, 250, 480, 144}, 1, []string{"c"}},
+		"weakest placer first":        {[]string{"b", "a"}, []int64{100, 250, 520, 150}, 2, []string{"b", "c"}},
 		"unknown strength is average": {nil, []int64{0, 144, 480, 480}, 1, []string{"c"}},
 	} {
 		t.Run(name, func(t *testing.T) {
