dispatcher: do not revive expired stored reports

Upstreams of which only a stored report is known count as gone some time after the first update, while a control host responds. The condition was evaluated at each assignment, so that an assignment while no control host responded gave these upstreams to leaseholders again, and the next one took them away. The expiry is now remembered.

TestExpiredStoredReportStaysExpired fails without the change.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -142,8 +142,8 @@
 	// firstUpdateAt is when this host received the first update about others; zero before.
 	firstUpdateAt     time.Time
 	discoveryComplete bool
-	// storedReportsChecked is set once the upstreams were assigned again after stored reports have expired.
-	storedReportsChecked bool
+	// storedReportsExpired is set once upstreams of which only a stored report is known count as gone.
+	storedReportsExpired bool
 
 	// upstreamsLost is set if other hosts have acquired upstreams of this host while it was
 	// isolated.
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -135,7 +135,7 @@
 	if len(members) == 0 || c.postpones(now) {
 		return
 	}
-	next := planAssignment(c.assigned, c.domainUpstreams(now), members, c.memberStrengths(members), c.allHandleShards(), c.cfg.UpstreamsPerShard)
+	next := planAssignment(c.assigned, c.domainUpstreams(), members, c.memberStrengths(members), c.allHandleShards(), c.cfg.UpstreamsPerShard)
 	if c.isolated(now) {
 		// The lost hosts may be up and still hold their upstreams.
 		for id, holder := range c.assigned.Leaseholders {
@@ -190,11 +190,10 @@
 
 // domainUpstreams returns the upstreams of the domain. Those of which only a stored report is known count for a limited
 // time.
-func (c *Core) domainUpstreams(now time.Time) []discoverer.Upstream {
+func (c *Core) domainUpstreams() []discoverer.Upstream {
 	var upstreams []discoverer.Upstream
-	storedExpired := c.storedReportsExpired(now)
 	for _, u := range c.upstreams.All() {
-		if u.Domain == c.cfg.Self.Domain && u.State != discoverer.Gone && (!u.Stored || !storedExpired) {
+		if u.Domain == c.cfg.Self.Domain && u.State != discoverer.Gone && (!u.Stored || !c.storedReportsExpired) {
 			upstreams = append(upstreams, u)
 		}
 	}
