dispatcher: expire stored reports only after hearing from control hosts

The time until stored reports expire ran from the first update, also while no control host responded. When one responded again later, all upstreams that had not reported since were taken from their leaseholders at once, although they were in use and their reports could not have arrived. The time now counts only while a control host responds, and begins anew after an interruption.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -144,6 +144,9 @@
 	discoveryComplete bool
 	// storedReportsExpired is set once upstreams of which only a stored report is known count as gone.
 	storedReportsExpired bool
+	// controlsHeardSince is when this host began to hear from control hosts, without an interruption since; zero while
+	// none responds.
+	controlsHeardSince time.Time
 
 	// upstreamsLost is set if other hosts have acquired upstreams of this host while it was
 	// isolated.
--- a/dispatcher/storedreports_test.go
+++ b/dispatcher/storedreports_test.go
@@ -33,3 +33,16 @@
 	h.core.assign(h.now)
 	h.g.Expect(h.core.assigned.Leaseholders).To(BeEmpty())
 }
+
+// Guards against the loss of upstreams in use when a control host responds again, before their reports have had the
+// time to arrive.
+func TestStoredReportsAreKeptWithoutControlHost(t *testing.T) {
+	h := newStoredHarness(t)
+	h.core.SetControlReachable(controlAddress, false)
+	h.advance(2 * storedReportLifetime)
+	h.core.SetControlReachable(controlAddress, true)
+	h.advance(storedReportLifetime - TickEvery)
+	h.g.Expect(h.core.assigned.Leaseholders).To(HaveKey("u"))
+	h.advance(2 * TickEvery)
+	h.g.Expect(h.core.assigned.Leaseholders).To(BeEmpty())
+}
