dispatcher: refuse jobs if only expired stored reports are known

Upstreams whose stored reports have expired are not assigned, but counted as capacity for the decision whether a job is refused at once. They do not any more. TestExpiredStoredReportIsNoCapacity fails without the change.

--- a/dispatcher/storedreports_test.go
+++ b/dispatcher/storedreports_test.go
@@ -46,3 +46,11 @@
 	h.advance(2 * TickEvery)
 	h.g.Expect(h.core.assigned.Leaseholders).To(BeEmpty())
 }
+
+// Guards against jobs that are held, although the only upstreams known are those of expired stored reports.
+func TestExpiredStoredReportIsNoCapacity(t *testing.T) {
+	h := newStoredHarness(t)
+	h.g.Expect(h.core.knowsCapacity()).To(BeTrue())
+	h.advance(storedReportLifetime)
+	h.g.Expect(h.core.knowsCapacity()).To(BeFalse())
+}
--- a/dispatcher/unplaced.go
+++ b/dispatcher/unplaced.go
@@ -1,10 +1,6 @@
 package dispatcher
 
-import (
-	"time"
-
-	"sesamedrift.example/sesamedrift/discoverer"
-)
+import "time"
 
 // A host that has just started has no placer to send jobs to. Jobs that could not be served once there is one are refused
 // at once; the others wait for the first assignment, but not for long. Nothing of these jobs has run.
@@ -35,17 +31,10 @@
 	}
 }
 
-// knowsCapacity reports whether an upstream of the domain is known that is not gone, or a placer of another domain.
+// knowsCapacity reports whether an upstream of the domain is known that does not count as gone, or a placer of another
+// domain.
 func (c *Core) knowsCapacity() bool {
-	if len(c.assigned.Leaseholders) > 0 || len(c.remotePlacers) > 0 {
-		return true
-	}
-	for _, u := range c.upstreams.All() {
-		if u.Domain == c.cfg.Self.Domain && u.State != discoverer.Gone {
-			return true
-		}
-	}
-	return false
+	return len(c.assigned.Leaseholders) > 0 || len(c.remotePlacers) > 0 || len(c.domainUpstreams()) > 0
 }
 
 // refuseUnplaceable refuses a job without runs that cannot be placed at present, and reports whether it did.
