dispatcher: check for an earlier forward before a job is refused

A placer without any upstream refuses jobs at once as not run. It did so before it checked whether an earlier try was forwarded to another domain and may still run there; a caller may send a job that was not run to any domain. The check now comes first. TestLostForwardIsNotRefused fails without the change.

--- a/dispatcher/cancelledforwards_test.go
+++ b/dispatcher/cancelledforwards_test.go
@@ -79,3 +79,13 @@
 	h.advance(cancelForwardTime)
 	h.g.Expect(h.core.cancelledForwards).To(BeEmpty())
 }
+
+// Guards against the answer "not run" for a job whose earlier try may still run in another domain, the placers of which
+// are not known any more.
+func TestLostForwardIsNotRefused(t *testing.T) {
+	h := relayJob(t)
+	h.losePeer(remoteAddress, 0)
+	delete(h.core.remotePlacers, remoteAddress)
+	h.g.Expect(h.requestAgain(placementRequest{})).To(BeFalse())
+	h.g.Expect(h.sent).To(BeEmpty())
+}
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -279,6 +279,13 @@
 		// The sender repeats the request once it has detected the change of the placer.
 		return
 	}
+	if m.Recovered != 0 && m.Recovered == c.cancelledForwards[m.Job].forward {
+		delete(c.cancelledForwards, m.Job)
+	}
+	if c.cancelEarlierForward(now, from, m.Job) {
+		// The sender repeats the request after placementRetryInterval.
+		return
+	}
 	if !m.Started && !c.knowsCapacity() {
 		c.send(from, kindRefused, refused{
 			Job:        m.Job,
@@ -287,13 +294,6 @@
 		})
 		return
 	}
-	if m.Recovered != 0 && m.Recovered == c.cancelledForwards[m.Job].forward {
-		delete(c.cancelledForwards, m.Job)
-	}
-	if c.cancelEarlierForward(now, from, m.Job) {
-		// The sender repeats the request after placementRetryInterval.
-		return
-	}
 	if !m.Forwarded && c.redirectAgain(from, m.Job) {
 		return
 	}
