controller: repeat a failed write of the stored reports

After a failed write, for example on a full disk, the reports were stored only with the next change of an upstream. In a domain without changes a loss of power after that found old reports or none. A failed write is now repeated every 2 s. TestFailedWriteIsRepeated fails without the change.

--- a/controller/stored.go
+++ b/controller/stored.go
@@ -24,6 +24,8 @@
 	upstreamsFile = "upstreams"
 	// storeInterval is the least time between two writes of the reports.
 	storeInterval = 200 * time.Millisecond
+	// storeRetryInterval is the time after which a failed write is repeated.
+	storeRetryInterval = 2 * time.Second
 	// storeTimeout bounds how long the report of an upstream that is leaving waits until it is stored. A failed disk
 	// must not delay it for longer: other control hosts store it, too.
 	storeTimeout = 100 * time.Millisecond
@@ -109,7 +111,7 @@
 	}
 }
 
-// storeUpstreams writes the reports of upstreams after each change, until ctx is done.
+// storeUpstreams writes the reports of upstreams after each change, until ctx is done. It repeats a failed write.
 func (h *Host) storeUpstreams(ctx context.Context) {
 	failed := false
 	for {
@@ -127,7 +129,11 @@
 		if err != nil && !failed {
 			reporter.Log(ctx, h.log, reporter.ReportsNotStored, "upstreams", len(upstreams), "error", err)
 		}
-		failed = err != nil
+		wait := storeInterval
+		if failed = err != nil; failed {
+			wait = storeRetryInterval
+			signal(h.stored.wake)
+		}
 		for _, written := range waiting {
 			close(written)
 		}
@@ -135,7 +141,7 @@
 		case <-ctx.Done():
 			return
 		case <-h.stored.urgent:
-		case <-time.After(storeInterval):
+		case <-time.After(wait):
 		}
 	}
 }
--- a/controller/stored_test.go
+++ b/controller/stored_test.go
@@ -114,3 +114,22 @@
 	_, lines = load()
 	g.Expect(lines).To(unread)
 }
+
+// Guards against reports that are not stored until the next change because a write has failed for a while.
+func TestFailedWriteIsRepeated(t *testing.T) {
+	g := NewWithT(t)
+	folder := filepath.Join(t.TempDir(), "missing")
+	h := &Host{
+		cfg:       Config{Now: time.Now},
+		log:       slog.New(slog.DiscardHandler),
+		stored:    newUpstreamStore(folder),
+		upstreams: discoverer.NewList[discoverer.Upstream](),
+	}
+	h.upstreams.Put(time.Now(), reportedUpstream("a", discoverer.Serving))
+	failed := h.storeNow()
+	go h.storeUpstreams(t.Context())
+	g.Eventually(failed).WithTimeout(waitLimit).Should(BeClosed())
+	g.Expect(h.stored.path).NotTo(BeAnExistingFile())
+	g.Expect(os.Mkdir(folder, 0o700)).To(Succeed())
+	g.Eventually(h.stored.path).WithTimeout(waitLimit).Should(BeAnExistingFile())
+}
