controller: store a leaving upstream before each acknowledgement

The report of an upstream that is leaving is stored before it is acknowledged. If another control host had distributed the report just before, it changed nothing and was acknowledged at once, although it was not stored yet. Such a report now waits for the pending write, too.

TestLeavingUpstreamIsStoredBeforeAnswer fails without the change.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -293,6 +293,10 @@
 	defer h.mu.Unlock()
 	h.cfg.Metrics.Scope.Counter("upstream_reports").Inc(1)
 	if !h.upstreams.Put(now, u) {
+		if u.State != discoverer.Serving && h.stored.written != h.stored.changes {
+			// Another control host has sent the report, which may not be stored yet.
+			return h.storeNow()
+		}
 		return nil
 	}
 	reporter.Log(context.Background(), h.log, reporter.UpstreamAnnounced, "upstream", u.ID, "state", u.State, "life", u.Incarnation,
--- a/controller/stored.go
+++ b/controller/stored.go
@@ -41,6 +41,8 @@
 	wake, urgent chan struct{}
 	// waiting are closed after the next write. Host.mu guards it.
 	waiting []chan struct{}
+	// changes counts the changes of the reports, written those of them that are on the disk. Host.mu guards them.
+	changes, written uint64
 }
 
 func newUpstreamStore(folder string) upstreamStore {
@@ -93,14 +95,17 @@
 }
 
 // storeSoon has the reports of upstreams written. The caller holds h.mu.
-func (h *Host) storeSoon() { signal(h.stored.wake) }
+func (h *Host) storeSoon() {
+	h.stored.changes++
+	signal(h.stored.wake)
+}
 
 // storeNow has the reports of upstreams written at once. The result is closed after that. The caller holds h.mu.
 func (h *Host) storeNow() <-chan struct{} {
 	written := make(chan struct{})
 	h.stored.waiting = append(h.stored.waiting, written)
 	signal(h.stored.urgent)
-	signal(h.stored.wake)
+	h.storeSoon()
 	return written
 }
 
@@ -123,6 +128,7 @@
 		h.mu.Lock()
 		waiting := h.stored.waiting
 		h.stored.waiting = nil
+		changes := h.stored.changes
 		upstreams := upstreamsToStore(h.upstreams.All(), h.cfg.Now().Sub(h.startedAt))
 		h.mu.Unlock()
 		err := writeUpstreams(h.stored.path, upstreams)
@@ -133,6 +139,10 @@
 		if failed = err != nil; failed {
 			wait = storeRetryInterval
 			signal(h.stored.wake)
+		} else {
+			h.mu.Lock()
+			h.stored.written = changes
+			h.mu.Unlock()
 		}
 		for _, written := range waiting {
 			close(written)
--- a/controller/stored_test.go
+++ b/controller/stored_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"sesamedrift.example/sesamedrift/discoverer"
+	"sesamedrift.example/sesamedrift/poller"
 	"sesamedrift.example/sesamedrift/reporter"
 )
 
@@ -133,3 +134,26 @@
 	g.Expect(os.Mkdir(folder, 0o700)).To(Succeed())
 	g.Eventually(h.stored.path).WithTimeout(waitLimit).Should(BeAnExistingFile())
 }
+
+// Guards against a leaving upstream that is acknowledged before its report is stored: the report has arrived from
+// another control host just before.
+func TestLeavingUpstreamIsStoredBeforeAnswer(t *testing.T) {
+	g := NewWithT(t)
+	metrics := reporter.NewMetrics()
+	defer metrics.Close()
+	h := &Host{
+		cfg:       Config{Now: time.Now, Metrics: metrics},
+		log:       slog.New(slog.DiscardHandler),
+		stored:    newUpstreamStore(t.TempDir()),
+		upstreams: discoverer.NewList[discoverer.Upstream](),
+		updated:   make(chan struct{}),
+	}
+	leaving := reportedUpstream("a", discoverer.Leaving)
+	h.applyUpdates(t.Context(), "", poller.Updates{Upstreams: []discoverer.Upstream{leaving}})
+	written := h.recordUpstream(leaving)
+	g.Expect(written).NotTo(BeNil())
+	go h.storeUpstreams(t.Context())
+	g.Eventually(written).WithTimeout(waitLimit).Should(BeClosed())
+	g.Expect(readUpstreams(h.stored.path)).To(HaveLen(1))
+	g.Expect(h.recordUpstream(leaving)).To(BeNil(), "it is stored")
+}
