--- a/controller/stored.go
+++ b/controller/stored.go
@@ -24,6 +24,8 @@
 	upstreamsFile = "upstreams"
 	// storeInterval is the least time between two writes of the reports.
 	storeInterval = 200 * time.Millisecond
+	// storeRetryInterval is the time after which a failed write is repeated.
+	storeRetryInterval = 2 * time.Second
 	// storeTimeout bounds how long the report of an upstream that is leaving waits until it is stored. A failed disk
 	// must not delay it for longer: other control hosts store it, too.
 	storeTimeout = 100 * time.Millisecond
@@ -39,6 +41,8 @@
 	wake, urgent chan struct{}
 	// waiting are closed after the next write. Host.mu guards it.
 	waiting []chan struct{}
+	// changes counts the changes of the reports, written those of them that are on the disk. Host.mu guards them.
+	changes, written uint64
 }
 
 func newUpstreamStore(folder string) upstreamStore {
@@ -91,14 +95,17 @@
 }
 
 // storeSoon has the reports of upstreams written. The caller holds h.mu.
-func (h *Host) storeSoon() { signal(h.stored.wake) }
+func (h *Host) storeSoon() {
+	h.stored.changes++
+	signal(h.stored.wake)
+}
 
 // storeNow has the reports of upstreams written at once. The result is closed after that. The caller holds h.mu.
 func (h *Host) storeNow() <-chan struct{} {
 	written := make(chan struct{})
 	h.stored.waiting = append(h.stored.waiting, written)
 	signal(h.stored.urgent)
-	signal(h.stored.wake)
+	h.storeSoon()
 	return written
 }
 
@@ -109,7 +116,7 @@
 	}
 }
 
-// storeUpstreams writes the reports of upstreams after each change, until ctx is done.
+// storeUpstreams writes the reports of upstreams after each change, until ctx is done. It repeats a failed write.
 func (h *Host) storeUpstreams(ctx context.Context) {
 	failed := false
 	for {
@@ -121,13 +128,22 @@
 		h.mu.Lock()
 		waiting := h.stored.waiting
 		h.stored.waiting = nil
+		changes := h.stored.changes
 		upstreams := upstreamsToStore(h.upstreams.All(), h.cfg.Now().Sub(h.startedAt))
 		h.mu.Unlock()
 		err := writeUpstreams(h.stored.path, upstreams)
 		if err != nil && !failed {
 			reporter.Log(ctx, h.log, reporter.ReportsNotStored, "upstreams", len(upstreams), "error", err)
 		}
-		failed = err != nil
+		wait := storeInterval
+		if failed = err != nil; failed {
+			wait = storeRetryInterval
+			signal(h.stored.wake)
+		} else {
+			h.mu.Lock()
+			h.stored.written = changes
+			h.mu.Unlock()
+		}
 		for _, written := range waiting {
 			close(written)
 		}
@@ -135,7 +151,7 @@
 		case <-ctx.Done():
 			return
 		case <-h.stored.urgent:
-		case <-time.After(storeInterval):
+		case <-time.After(wait):
 		}
 	}
 }
--- a/controller/stored_test.go
+++ b/controller/stored_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"sesamedrift.example/sesamedrift/discoverer"
+	"sesamedrift.example/sesamedrift/poller"
 	"sesamedrift.example/sesamedrift/reporter"
 )
 
@@ -114,3 +115,45 @@
 	_, lines = load()
 	g.Expect(lines).To(unread)
 }
+
+// Guards against reports that are not stored until the next change because a write has failed for a while.
+func TestFailedWriteIsRepeated(t *testing.T) {
+	g := NewWithT(t)
+	folder := filepath.Join(t.TempDir(), "missing")
+	h := &Host{
+		cfg:       Config{Now: time.Now},
+		log:       slog.New(slog.DiscardHandler),
+		stored:    newUpstreamStore(folder),
+		upstreams: discoverer.NewList[discoverer.Upstream](),
+	}
+	h.upstreams.Put(time.Now(), reportedUpstream("a", discoverer.Serving))
+	failed := h.storeNow()
+	go h.storeUpstreams(t.Context())
+	g.Eventually(failed).WithTimeout(waitLimit).Should(BeClosed())
+	g.Expect(h.stored.path).NotTo(BeAnExistingFile())
+	g.Expect(os.Mkdir(folder, 0o700)).To(Succeed())
+	g.Eventually(h.stored.path).WithTimeout(waitLimit).Should(BeAnExistingFile())
+}
+
+// Guards against a leaving upstream that is acknowledged before its report is stored: the report has arrived from
+// another control host just before.
+func TestLeavingUpstreamIsStoredBeforeAnswer(t *testing.T) {
+	g := NewWithT(t)
+	metrics := reporter.NewMetrics()
+	defer metrics.Close()
+	h := &Host{
+		cfg:       Config{Now: time.Now, Metrics: metrics},
+		log:       slog.New(slog.DiscardHandler),
+		stored:    newUpstreamStore(t.TempDir()),
+		upstreams: discoverer.NewList[discoverer.Upstream](),
+		updated:   make(chan struct{}),
+	}
+	leaving := reportedUpstream("a", discoverer.Leaving)
+	h.applyUpdates(t.Context(), "", poller.Updates{Upstreams: []discoverer.Upstream{leaving}})
+	written := h.recordUpstream(leaving)
+	g.Expect(written).NotTo(BeNil())
+	go h.storeUpstreams(t.Context())
+	g.Eventually(written).WithTimeout(waitLimit).Should(BeClosed())
+	g.Expect(readUpstreams(h.stored.path)).To(HaveLen(1))
+	g.Expect(h.recordUpstream(leaving)).To(BeNil(), "it is stored")
+}
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -142,8 +142,11 @@
 	// firstUpdateAt is when this host received the first update about others; zero before.
 	firstUpdateAt     time.Time
 	discoveryComplete bool
-	// storedReportsChecked is set once the upstreams were assigned again after stored reports have expired.
-	storedReportsChecked bool
+	// storedReportsExpired is set once upstreams of which only a stored report is known count as gone.
+	storedReportsExpired bool
+	// controlsHeardSince is when this host began to hear from control hosts, without an interruption since; zero while
+	// none responds.
+	controlsHeardSince time.Time
 
 	// upstreamsLost is set if other hosts have acquired upstreams of this host while it was
 	// isolated.
@@ -183,9 +186,8 @@
 	redirectsPrunedAt time.Time
 	// capacitySent holds the free capacity that was last sent to each other placer.
 	capacitySent map[string]sentCapacity
-	// cancelledForwards holds the forwarded jobs that were cancelled, with the time at which their
-	// runs have certainly ended.
-	cancelledForwards map[string]time.Time
+	// cancelledForwards holds the forwards of jobs that were cancelled or lost here.
+	cancelledForwards map[string]cancelledForward
 	// endedForwards holds the ends of jobs of other domains.
 	endedForwards map[string]endedForward
 }
@@ -224,7 +226,7 @@
 		redirects:         map[string]redirection{},
 		homesNotified:     map[string]string{},
 		capacitySent:      map[string]sentCapacity{},
-		cancelledForwards: map[string]time.Time{},
+		cancelledForwards: map[string]cancelledForward{},
 		endedForwards:     map[string]endedForward{},
 	}
 	c.hosts.Put(now, cfg.Self)
@@ -307,6 +309,7 @@
 	c.fetchDocument(now)
 	c.tickJobs(now)
 	c.pruneEndedForwards(now)
+	c.pruneCancelledForwards(now)
 	c.tickHeld(now)
 	c.tickStoredReports(now)
 	c.tickTenure(now)
@@ -315,7 +318,6 @@
 	if c.placer != nil {
 		c.placer.Tick(now)
 		c.sendFreeCapacity(now)
-		c.pruneCancelledForwards(now)
 		c.pruneRedirects(now)
 	}
 	c.disconnectRetired()
--- a/dispatcher/strengths.go
+++ b/dispatcher/strengths.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"slices"
 
 	"sesamedrift.example/sesamedrift/discoverer"
@@ -69,22 +70,26 @@
 	}
 	candidates := append(slices.Clone(members[1:]), members[0])
 	candidates = slices.DeleteFunc(candidates, func(m string) bool { return slices.Contains(placers, m) })
-	fill := func(i int) {
-		best := s.strongest(candidates)
-		if placers[i] == "" || s.exceeds(best, placers[i]) {
-			placers[i] = best
-			candidates = slices.DeleteFunc(candidates, func(m string) bool { return m == best })
-		}
+	fill := func(i int, from []string) {
+		placers[i] = s.strongest(from)
+		candidates = slices.DeleteFunc(candidates, func(m string) bool { return m == placers[i] })
 	}
 	// Vacancies first, as each of them needs a candidate.
 	for i := range placers {
 		if placers[i] == "" {
-			fill(i)
+			fill(i, candidates)
 		}
 	}
-	for i := range placers {
-		if len(candidates) > 0 {
-			fill(i)
+	// The weakest placers first, so that none of the replaced ones exceeds a placer that stays.
+	byStrength := make([]int, count)
+	for i := range byStrength {
+		byStrength[i] = i
+	}
+	slices.SortStableFunc(byStrength, func(i, j int) int { return cmp.Compare(s.of(placers[i]), s.of(placers[j])) })
+	for _, i := range byStrength {
+		stronger := slices.DeleteFunc(slices.Clone(candidates), func(m string) bool { return !s.exceeds(m, placers[i]) })
+		if len(stronger) > 0 {
+			fill(i, stronger)
 		}
 	}
 	return placers
