controller: remove unconfirmed reports from the disk

Stored reports that no upstream has confirmed are left out of writes after storedLifetime, but nothing wrote the file then. Without a later change of an upstream, upstreams that do not exist any more returned after each loss of power. The file is now written once after that time.

TestUnconfirmedReportsLeaveTheFile fails without the change.

--- a/controller/stored.go
+++ b/controller/stored.go
@@ -116,14 +116,18 @@
 	}
 }
 
-// storeUpstreams writes the reports of upstreams after each change, until ctx is done. It repeats a failed write.
+// storeUpstreams writes the reports of upstreams after each change and once after storedLifetime, until ctx is done. It repeats a
+// failed write.
 func (h *Host) storeUpstreams(ctx context.Context) {
 	failed := false
+	// Reports that no upstream has confirmed are left out from then on.
+	expired := time.After(storedLifetime - h.cfg.Now().Sub(h.startedAt))
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-h.stored.wake:
+		case <-expired:
 		}
 		h.mu.Lock()
 		waiting := h.stored.waiting
--- a/controller/stored_test.go
+++ b/controller/stored_test.go
@@ -157,3 +157,23 @@
 	g.Expect(readUpstreams(h.stored.path)).To(HaveLen(1))
 	g.Expect(h.recordUpstream(leaving)).To(BeNil(), "it is stored")
 }
+
+// Guards against reports of upstreams that do not exist any more and that return after each loss of power, since no
+// report has changed after their lifetime.
+func TestUnconfirmedReportsLeaveTheFile(t *testing.T) {
+	g := NewWithT(t)
+	h := &Host{
+		cfg:       Config{Now: time.Now},
+		stored:    newUpstreamStore(t.TempDir()),
+		upstreams: discoverer.NewList[discoverer.Upstream](),
+		startedAt: time.Now().Add(time.Second - storedLifetime),
+	}
+	stored := reportedUpstream("a", discoverer.Serving)
+	stored.Stored = true
+	h.upstreams.Put(time.Now(), stored)
+	written := h.storeNow()
+	go h.storeUpstreams(t.Context())
+	g.Eventually(written).WithTimeout(waitLimit).Should(BeClosed())
+	g.Expect(readUpstreams(h.stored.path)).To(HaveLen(1))
+	g.Eventually(func() ([]discoverer.Upstream, error) { return readUpstreams(h.stored.path) }).WithTimeout(waitLimit).Should(BeEmpty())
+}
