--- a/replayer/script.go
+++ b/replayer/script.go
@@ -25,12 +25,14 @@
 	DurationSeconds float64 `json:"seconds"`
 	// IntraDomainLatencyMS and InterDomainLatencyMS are the one-way latencies of messages within a
 	// domain and between two domains.
-	IntraDomainLatencyMS float64  `json:"near-ms"`
-	InterDomainLatencyMS float64  `json:"far-ms"`
-	Domains              []Domain `json:"domains"`
-	Queues               []Queue  `json:"queues"`
-	Bursts               []Burst  `json:"bursts,omitempty"`
-	Faults               []Fault  `json:"troubles,omitempty"`
+	IntraDomainLatencyMS float64 `json:"near-ms"`
+	InterDomainLatencyMS float64 `json:"far-ms"`
+	// CallerLatencyMS is the one-way latency between callers and their entry host, which no host knows.
+	CallerLatencyMS float64  `json:"caller-ms,omitempty"`
+	Domains         []Domain `json:"domains"`
+	Queues          []Queue  `json:"queues"`
+	Bursts          []Burst  `json:"bursts,omitempty"`
+	Faults          []Fault  `json:"troubles,omitempty"`
 }
 
 // Domain is a failure domain with its upstreams and the arrivals of its callers.
--- a/replayer/simulation.go
+++ b/replayer/simulation.go
@@ -156,7 +156,7 @@
 		}
 		w.jobs = append(w.jobs, t)
 		w.jobsByID[j.id] = t
-		w.At(j.arrival, func() { w.arrive(t) })
+		w.At(j.arrival+w.callerLatency(), func() { w.arrive(t) })
 	}
 	for _, f := range s.Faults {
 		w.At(seconds(f.At), func() { w.injectFault(f) })
@@ -184,6 +184,8 @@
 
 func (w *simulation) wallTime() time.Time { return epoch.Add(w.Now()) }
 
+func (w *simulation) callerLatency() time.Duration { return millis(w.script.CallerLatencyMS) }
+
 // setUp creates the placers and distributes the upstreams over them.
 func (w *simulation) setUp() {
 	hostCount := 1
@@ -287,8 +289,8 @@
 			Priority:      t.queue.Priority,
 			SlackFactor:   t.queue.Slack,
 			TargetLatency: millis(t.queue.TargetMS),
-			Arrived:       epoch.Add(t.arrival),
-			Deadline:      epoch.Add(t.arrival + t.timeout),
+			Arrived:       epoch.Add(t.arrival + w.callerLatency()),
+			Deadline:      epoch.Add(t.arrival + w.callerLatency() + t.timeout),
 			Started:       t.started,
 			Forwarded:     t.forwarded,
 		}
@@ -491,7 +493,7 @@
 // finishJob ends a job with an outcome, withdraws its pending tasks and stops its active runs.
 func (w *simulation) finishJob(t *jobState, outcome jobOutcome) {
 	t.ended = true
-	w.result.count(t.job, outcome, w.Now()-t.arrival)
+	w.result.count(t.job, outcome, w.Now()+w.callerLatency()-t.arrival)
 	s := t.host
 	s.placer.Withdraw("entry", t.id)
 	for _, u := range s.sortedUpstreams() {
