messenger: send goodbye to every connected dialing side

The accepting side sent its hello before it registered the link. A Shutdown that began in between closed the link without a goodbye, so that a call which the dialing side had already written failed with *LostError, although its handler never ran and Shutdown promises *NotSentError. Such a call was not repeated by a caller that must not run it twice.

The link is now registered after the hello of the dialing side is accepted and before the own hello is sent. If the listener is stopping, no hello is sent, and the dial fails.

--- a/messenger/link.go
+++ b/messenger/link.go
@@ -63,10 +63,8 @@
 	total          *counters     // of all links of the Peer or Listener
 }
 
-// handshake exchanges hellos over the connection and returns the link. The accepting side
-// sends its hello only after it has checked the token in the hello of the dialing side.
-func handshake(conn net.Conn, cfg *Config, accepted bool, total *counters) (*link, error) {
-	l := &link{
+func newLink(conn net.Conn, cfg *Config, total *counters) *link {
+	return &link{
 		cfg:            cfg,
 		conn:           conn,
 		dec:            newDecoder(conn),
@@ -75,24 +73,32 @@
 		goodbyeWritten: make(chan struct{}),
 		total:          total,
 	}
-	if err := conn.SetDeadline(time.Now().Add(cfg.DialTimeout)); err != nil {
-		return nil, err
-	}
-	steps := []func() error{l.sendHello, l.receiveHello}
-	if accepted {
-		steps = []func() error{l.receiveHello, l.sendHello}
+}
+
+// dialHandshake exchanges hellos on the dialing side.
+func (l *link) dialHandshake() error {
+	return l.handshake(l.sendHello, l.receiveHello)
+}
+
+// acceptHandshake exchanges hellos on the accepting side, which sends its hello only after it
+// has checked the token in the hello of the dialing side and register has returned no error.
+func (l *link) acceptHandshake(register func() error) error {
+	return l.handshake(l.receiveHello, register, l.sendHello)
+}
+
+// handshake runs the steps within DialTimeout.
+func (l *link) handshake(steps ...func() error) error {
+	if err := l.conn.SetDeadline(time.Now().Add(l.cfg.DialTimeout)); err != nil {
+		return err
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	l.own.connections.Add(1)
 	l.total.connections.Add(1)
-	if err := conn.SetDeadline(time.Time{}); err != nil {
-		return nil, err
-	}
-	return l, nil
+	return l.conn.SetDeadline(time.Time{})
 }
 
 func (l *link) sendHello() error {
--- a/messenger/listener.go
+++ b/messenger/listener.go
@@ -31,7 +31,7 @@
 	closing bool
 	running int                // number of handlers whose reply is not queued yet
 	idle    chan struct{}      // closed when closing is set and running is 0
-	conns   map[net.Conn]*link // the link is nil during the handshake
+	conns   map[net.Conn]*link // the link is nil until the hello of the dialing side is accepted
 }
 
 // Listen starts to accept connections on the address, an IP address and a port. Port 0
@@ -69,8 +69,8 @@
 // Stats returns the counters summed over all connections since Listen.
 func (n *Listener) Stats() Stats { return n.total.stats() }
 
-// Connections returns the counters of each open connection whose handshake is complete, in
-// no particular order.
+// Connections returns the counters of each open connection whose hello was accepted, in no
+// particular order.
 func (n *Listener) Connections() []ConnectionStats {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -180,22 +180,27 @@
 		return
 	}
 	defer n.unregister(conn)
-	l, err := handshake(conn, &n.cfg, true, &n.total)
+	l := newLink(conn, &n.cfg, &n.total)
+	// The dialing side may send calls as soon as it has the hello of this side. The link is
+	// registered before that, so that Shutdown sends goodbye to every dialing side that is connected.
+	err := l.acceptHandshake(func() error {
+		if !n.register(conn, l) {
+			return errClosed
+		}
+		return nil
+	})
 	if err != nil {
+		l.fail(err) // Shutdown may be waiting for the end of the link.
 		n.reportRejected(conn, err)
 		return
 	}
-	if !n.register(conn, l) {
-		l.fail(errClosed)
-		return
-	}
 	n.wg.Go(l.write)
 	l.fail(n.receive(l))
 	n.reportRejected(conn, l.err)
 }
 
-// register adds the connection to conns with a nil link, or sets its link after the
-// handshake. It returns false if the Listener is closing or has MaxConnections connections.
+// register adds the connection to conns with a nil link, or sets its link once the hello of
+// the dialing side is accepted. It returns false if the Listener is closing or has MaxConnections connections.
 func (n *Listener) register(conn net.Conn, l *link) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -101,7 +101,8 @@
 				return
 			}
 			cfg := config("fake", nil).withDefaults()
-			if l, err := handshake(conn, &cfg, true, &counters{}); err == nil {
+			l := newLink(conn, &cfg, &counters{})
+			if err := l.acceptHandshake(func() error { return nil }); err == nil {
 				script(l)
 			}
 			_ = conn.Close()
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -340,8 +340,8 @@
 	// Peer.Close interrupts the handshake.
 	stop := context.AfterFunc(p.ctx, func() { _ = conn.Close() })
 	defer stop()
-	l, err := handshake(conn, &p.cfg, false, &p.total)
-	if err != nil {
+	l := newLink(conn, &p.cfg, &p.total)
+	if err := l.dialHandshake(); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
