dispatcher: a new placer learns of forwards that it has not relayed

Cause: only the placer that has relayed a forwarded job knows of the forward. If that host gives up the role, and the entry host never notices that the connection of its caller has broken, the next placer of the shard places the job that the caller has sent again beside the runs in the other domain.

Change: entry hosts tell a new placer which jobs of its shard they have had forwarded, when they apply the assignment and when it asks for their status. If another host then requests a placement of such a job, the placer asks the entry host to cancel the forward, and waits until the runs have certainly ended (requeueDelay, since the entry host or the relay may crash meanwhile).

The case "former placer has forwarded" failed before and passes.

--- a/dispatcher/cancelledforwards.go
+++ b/dispatcher/cancelledforwards.go
@@ -24,6 +24,7 @@
 		c.send(r.to, kindCancelForward, cancelForward{Job: id})
 		c.send(r.entry, kindSuperseded, superseded{Job: id})
 	}
+	c.supersedeEarlierForward(now, entry, id)
 	return now.Before(c.cancelledForwards[id].until)
 }
 
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -188,6 +188,8 @@
 	capacitySent map[string]sentCapacity
 	// cancelledForwards holds the forwards of jobs that were cancelled or lost here.
 	cancelledForwards map[string]cancelledForward
+	// earlierForwards holds the forwards of jobs of this shard that were not relayed by this host.
+	earlierForwards map[string]earlierForward
 	// endedForwards holds the ends of jobs of other domains.
 	endedForwards map[string]endedForward
 }
@@ -227,6 +229,7 @@
 		homesNotified:     map[string]string{},
 		capacitySent:      map[string]sentCapacity{},
 		cancelledForwards: map[string]cancelledForward{},
+		earlierForwards:   map[string]earlierForward{},
 		endedForwards:     map[string]endedForward{},
 	}
 	c.hosts.Put(now, cfg.Self)
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -173,8 +173,10 @@
 	c.send(j.requestedFrom, kindPlacementRequest, request)
 }
 
-// followPlacers requests the placement of waiting tasks again if their placer has changed.
+// followPlacers requests the placement of waiting tasks again if their placer has changed, and tells new placers of the
+// forwards of jobs.
 func (c *Core) followPlacers(now time.Time, previous *assignment) {
+	c.reportForwards(func(placer string) bool { return previous.shardOf(placer) < 0 })
 	for _, j := range c.sortedJobs() {
 		if len(c.assigned.Placers) != len(previous.Placers) {
 			j.shard = homeShard
--- a/dispatcher/forwarding.go
+++ b/dispatcher/forwarding.go
@@ -461,13 +461,14 @@
 	}
 }
 
-// pruneRedirects forgets redirected jobs whose callers have gone.
+// pruneRedirects forgets redirected jobs, and jobs with earlier forwards, whose callers have gone.
 func (c *Core) pruneRedirects(now time.Time) {
 	if now.Sub(c.redirectsPrunedAt) < redirectPruneInterval {
 		return
 	}
 	c.redirectsPrunedAt = now
 	maps.DeleteFunc(c.redirects, func(_ string, r redirection) bool { return now.After(r.until) })
+	maps.DeleteFunc(c.earlierForwards, func(_ string, f earlierForward) bool { return now.After(f.until) })
 	known := map[string]bool{}
 	for _, id := range c.placer.Jobs() {
 		known[id] = true
--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -51,6 +51,7 @@
 	kindEvacuations      courier.Kind = 33
 	kindResultRequest    courier.Kind = 34
 	kindRecoveredResult  courier.Kind = 35
+	kindForwardedJobs    courier.Kind = 36
 )
 
 // snapshot carries the hosts and upstreams that concern the domain to a host that has just started.
@@ -250,9 +251,14 @@
 	Jobs []string `msgpack:"jobs"`
 }
 
+// forwardedJobs tells a placer which jobs, whose home shard is its own, the sender has had forwarded to another domain.
+type forwardedJobs struct {
+	Jobs []string `msgpack:"jobs"`
+}
+
 // statusRequest asks for the status of held upstreams of the sender's shard. Without identifiers, the
 // sender has become the placer: it asks for the status of all of them, and for the placement requests
-// that it may not have received before.
+// and the forwards that it may not know of.
 type statusRequest struct {
 	Upstreams []string `msgpack:"upstreams,omitempty"`
 }
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -32,6 +32,7 @@
 	c.shard = shard
 	c.redirects = map[string]redirection{}
 	c.homesNotified = map[string]string{}
+	c.earlierForwards = map[string]earlierForward{}
 	c.readyReporter = map[string]string{}
 	c.placer.SetClosed(now, c.closedFor())
 	c.setIsPlacer(now, true)
@@ -95,7 +96,7 @@
 }
 
 // receiveStatusRequest reports the status of the requested upstreams to their placer. A new placer also
-// gets the placement requests that were sent to it before it began.
+// gets the placement requests that were sent to it before it began, and learns of forwards that it has not relayed.
 func (c *Core) receiveStatusRequest(now time.Time, from string, m statusRequest) {
 	for _, h := range c.sortedHeld() {
 		id := h.session.Upstream().ID
@@ -106,6 +107,7 @@
 	if len(m.Upstreams) > 0 {
 		return
 	}
+	c.reportForwards(func(placer string) bool { return placer == from })
 	for _, j := range c.sortedJobs() {
 		if !j.requestedAt.IsZero() && j.requestedFrom == from {
 			c.requestPlacement(now, j)
--- a/dispatcher/receive.go
+++ b/dispatcher/receive.go
@@ -45,6 +45,7 @@
 	kindEvacuations:      decode[evacuations],
 	kindResultRequest:    decode[resultRequest],
 	kindRecoveredResult:  decode[recoveredResult],
+	kindForwardedJobs:    decode[forwardedJobs],
 }
 
 // receiveEncoded decodes a message and passes it to its handler.
@@ -102,6 +103,8 @@
 		c.receiveResultRequest(from, m)
 	case recoveredResult:
 		c.receiveRecoveredResult(now, m)
+	case forwardedJobs:
+		c.receiveForwardedJobs(now, from, m)
 	case evacuations:
 		c.applyEvacuations(now, from, m)
 	case superseded:
