dispatcher: tell a new placer again which jobs others place

Cause: a placer tells the new placer of another shard which jobs of that shard it places, when it applies the assignment. A leader that is a placer itself applies the assignment before it sends it, so the new placer receives the message before it begins, and ignores it; the sender does not repeat it. The new placer places a job that its caller has sent again beside its runs.

Change: the message is repeated when the new placer asks for the status.

TestHomesAreNotified fails without the change.

--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -108,6 +108,12 @@
 		return
 	}
 	c.reportForwards(func(placer string) bool { return placer == from })
+	if c.placer != nil {
+		// A host ignores what it is told about redirected jobs before it is a placer, as by a leader that has applied the
+		// assignment first.
+		maps.DeleteFunc(c.homesNotified, func(_, home string) bool { return home == from })
+		c.notifyHomes(c.placer.Jobs())
+	}
 	for _, j := range c.sortedJobs() {
 		if !j.requestedAt.IsZero() && j.requestedFrom == from {
 			c.requestPlacement(now, j)
--- a/dispatcher/shards_test.go
+++ b/dispatcher/shards_test.go
@@ -211,4 +211,6 @@
 		Shards:  map[string]int{"u-1": 0, "u-2": 1},
 	})
 	h.g.Expect(h.sent).To(ContainElement(sentMessage{third, kindRedirectedJobs}))
+	h.deliverFrom(third, kindStatusRequest, statusRequest{})
+	h.g.Expect(h.sent).To(ContainElement(sentMessage{third, kindRedirectedJobs}), "it may have ignored the first message")
 }
