--- a/emulator/disturbances_test.go
+++ b/emulator/disturbances_test.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"fmt"
 	"os"
 	"regexp"
 	"slices"
@@ -140,20 +141,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
-			test.BrokenShare = 0.3
-			test.UnnoticedShare = 1
-			test.WideRunTimes = true
-			w := New(Config{
-				Seed:              test.seed,
-				Domains:           3,
-				Hosts:             7,
-				Upstreams:         12,
-				UpstreamsPerShard: 6,
-				JobsPerSecond:     14,
-				LongJobShare:      0.1,
-				Duration:          14 * time.Second,
-				Disturbances:      test.Disturbances,
-			})
+			w := newUnnoticedSimulation(test.seed, test.Disturbances)
 			w.Run(26 * time.Second)
 			violations := w.Violations()
 			if test.sameDomain {
@@ -164,5 +152,38 @@
 	}
 }
 
+// Guards against two concurrent runs of one task if the second submission is forwarded to the domain that runs the first
+// one, but to the placer of another shard. It places the job before the placer of the first shard knows of it.
+func TestForwardToAnotherShard(t *testing.T) {
+	for _, seed := range []uint64{3, 11} {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			t.Parallel()
+			w := newUnnoticedSimulation(seed, Disturbances{ResubmitAnywhere: true})
+			w.Run(26 * time.Second)
+			for _, v := range w.Violations() {
+				NewWithT(t).Expect(v).NotTo(MatchRegexp(sameDomainPair.String()))
+			}
+		})
+	}
+}
+
+// newUnnoticedSimulation returns a simulation with connections of callers that break without the host noticing.
+func newUnnoticedSimulation(seed uint64, d Disturbances) *Simulation {
+	d.BrokenShare = 0.3
+	d.UnnoticedShare = 1
+	d.WideRunTimes = true
+	return New(Config{
+		Seed:              seed,
+		Domains:           3,
+		Hosts:             7,
+		Upstreams:         12,
+		UpstreamsPerShard: 6,
+		JobsPerSecond:     14,
+		LongJobShare:      0.1,
+		Duration:          14 * time.Second,
+		Disturbances:      d,
+	})
+}
+
 // sameDomainPair matches a violation by two runs in one domain. Names of upstreams begin with the number of their domain.
 var sameDomainPair = regexp.MustCompile(`on upstream-0-.* on upstream-0-|on upstream-1-.* on upstream-1-|on upstream-2-.* on upstream-2-`)
