--- a/controller/evacuations.go
+++ b/controller/evacuations.go
@@ -83,10 +83,11 @@
 }
 
 // learnEvacuations reads the evacuations from a majority until that succeeds, and then tells polling hosts
-// that this host knows them. It does so again after the replica has not voted, for example because its journal has
-// failed: orders that others have stored meanwhile may be missing here. A replica that has just recovered may have missed the last orders. If no
-// majority answers for evacuationReadLimit, what this replica has stored counts. As long as the state is unreadable,
-// this host does not know the evacuations: the newest readable state may lack orders that were acknowledged.
+// that this host knows them. A replica that has just recovered may have missed the last orders. The same holds
+// after a replica has not voted, for example because its journal has failed, so that they are then read again.
+// If no majority answers for evacuationReadLimit, what this replica has stored counts. As long as the state is
+// unreadable, this host does not know the evacuations: the newest readable state may lack orders that were
+// acknowledged.
 func (h *Host) learnEvacuations(ctx context.Context) {
 	var votesSince time.Time
 	for ; ctx.Err() == nil; messenger.Sleep(ctx, evacuationRetryInterval) {
