--- a/dispatcher/cancelledforwards.go
+++ b/dispatcher/cancelledforwards.go
@@ -19,15 +19,21 @@
 // before.
 func (c *Core) cancelEarlierForward(now time.Time, entry, id string) bool {
 	if r, relayed := c.relays[id]; relayed && r.entry != entry {
-		delete(c.relays, id)
-		c.cancelledForwards[id] = cancelledForward{until: now.Add(cancelForwardTime)}
-		c.send(r.to, kindCancelForward, cancelForward{Job: id})
+		c.cancelRelay(now, id)
 		c.send(r.entry, kindSuperseded, superseded{Job: id})
 	}
 	c.supersedeEarlierForward(now, entry, id)
 	return now.Before(c.cancelledForwards[id].until)
 }
 
+// cancelRelay cancels the forward of a job that this host relays.
+func (c *Core) cancelRelay(now time.Time, id string) {
+	to := c.relays[id].to
+	delete(c.relays, id)
+	c.cancelledForwards[id] = cancelledForward{until: now.Add(cancelForwardTime)}
+	c.send(to, kindCancelForward, cancelForward{Job: id})
+}
+
 // pruneCancelledForwards removes the jobs whose runs in other domains have certainly ended.
 func (c *Core) pruneCancelledForwards(now time.Time) {
 	maps.DeleteFunc(c.cancelledForwards, func(_ string, f cancelledForward) bool { return !now.Before(f.until) })
--- a/dispatcher/forwarding.go
+++ b/dispatcher/forwarding.go
@@ -373,9 +373,7 @@
 // receiveCancelForward relays the cancellation of a forwarded job, or removes its caller.
 func (c *Core) receiveCancelForward(now time.Time, from string, m cancelForward) {
 	if r, relayed := c.relays[m.Job]; relayed && r.entry == from {
-		delete(c.relays, m.Job)
-		c.cancelledForwards[m.Job] = cancelledForward{until: now.Add(cancelForwardTime)}
-		c.send(r.to, kindCancelForward, m)
+		c.cancelRelay(now, m.Job)
 		return
 	}
 	if j := c.jobs[m.Job]; j != nil {
@@ -389,10 +387,8 @@
 // for that host, and requeues the jobs that were forwarded through it.
 func (c *Core) relayHostLost(now time.Time, host string) {
 	for _, id := range slices.Sorted(maps.Keys(c.relays)) {
-		if r := c.relays[id]; r.entry == host {
-			delete(c.relays, id)
-			c.cancelledForwards[id] = cancelledForward{until: now.Add(cancelForwardTime)}
-			c.send(r.to, kindCancelForward, cancelForward{Job: id})
+		if c.relays[id].entry == host {
+			c.cancelRelay(now, id)
 		}
 	}
 	for _, j := range c.sortedJobs() {
