placer: remove the latest useful start of waiting jobs

Nothing has read it since before the plan was added. compareJobs now uses compareBool for jobs that have begun. The order of jobs is as before.

--- a/placer/order.go
+++ b/placer/order.go
@@ -12,10 +12,8 @@
 type waitingJob struct {
 	Job
 	key jobKey
-	// latestStart is the latest start with which the job meets its objective, latestUsefulStart the
-	// latest one with which the result is still of use to the caller.
-	latestStart       time.Time
-	latestUsefulStart time.Time
+	// latestStart is the latest start with which the job meets its objective.
+	latestStart time.Time
 	// estimate is the expected run time of the longest waiting task.
 	estimate time.Duration
 	// choice is set by selectVictim.
@@ -28,12 +26,9 @@
 	plannedStart time.Time
 }
 
-// lateFactor is the multiple of its objective up to which the latency of a job is still of use.
-const lateFactor = 3
-
-// newWaitingJob estimates the run time of a job and computes its latest starts. The objective is
-// SlackFactor times the expected run time of the rest of the job, plus TargetLatency. The latest starts
-// are times of placement: the observed overhead of a run is subtracted, because on weak hosts it takes
+// newWaitingJob estimates the run time of a job and computes its latest start. The objective is
+// SlackFactor times the expected run time of the rest of the job, plus TargetLatency. The latest start
+// is a time of placement: the observed overhead of a run is subtracted, because on weak hosts it takes
 // a considerable part of the slack of short jobs.
 func (p *Placer) newWaitingJob(j Job) *waitingJob {
 	w := &waitingJob{
@@ -49,10 +44,6 @@
 	criticalPath := w.estimate + max(0, min(j.RemainingTime, maxEstimate))
 	objective := time.Duration(j.SlackFactor*float64(criticalPath)) + j.TargetLatency
 	w.latestStart = j.Arrived.Add(objective - criticalPath - p.overhead)
-	w.latestUsefulStart = j.Arrived.Add(lateFactor*objective - criticalPath)
-	if latest := j.Deadline.Add(-criticalPath); latest.Before(w.latestUsefulStart) {
-		w.latestUsefulStart = latest
-	}
 	return w
 }
 
@@ -62,13 +53,7 @@
 	if !p.enabled(RuleLeastLaxity) {
 		return cmp.Or(a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Entry, b.Entry))
 	}
-	if a.Started != b.Started {
-		if a.Started {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Or(a.latestStart.Compare(b.latestStart), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.ID, b.ID),
+	return cmp.Or(compareBool(b.Started, a.Started), a.latestStart.Compare(b.latestStart), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.ID, b.ID),
 		cmp.Compare(a.Entry, b.Entry))
 }
 
