--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -77,17 +77,6 @@
 	Fits bool
 }
 
-// Plan plans the jobs in the order given.
-func Plan(upstreams []Upstream, jobs []Job) []Forecast {
-	var p Planner
-	p.Reset(upstreams)
-	forecasts := make([]Forecast, 0, len(jobs))
-	for i := range jobs {
-		forecasts = append(forecasts, p.Add(&jobs[i]))
-	}
-	return forecasts
-}
-
 // Planner holds a plan to which jobs are added one after the other. The zero Planner has no
 // upstreams. It reuses its memory, so that plans that are made often allocate little.
 type Planner struct {
--- a/forecaster/forecaster_test.go
+++ b/forecaster/forecaster_test.go
@@ -32,6 +32,17 @@
 	return j
 }
 
+// planJobs plans the jobs in the order given.
+func planJobs(upstreams []Upstream, jobs []Job) []Forecast {
+	var p Planner
+	p.Reset(upstreams)
+	forecasts := make([]Forecast, 0, len(jobs))
+	for i := range jobs {
+		forecasts = append(forecasts, p.Add(&jobs[i]))
+	}
+	return forecasts
+}
+
 // Guards against a plan that adds up free capacity of several upstreams, which no single task can use,
 // and against one that ignores the gaps before planned tasks.
 func TestLargeTaskWaitsAndSmallOneUsesTheGap(t *testing.T) {
@@ -39,7 +50,7 @@
 	a, b := idle("a", 8, 1), idle("b", 8, 1)
 	a.Releases = []Release{{After: 300 * ms, Demand: sesamedrift.Resources{CPU: 8}}, {After: 100 * ms}}
 	b.Releases = []Release{{After: 200 * ms, Demand: sesamedrift.Resources{CPU: 8}}}
-	f := Plan([]Upstream{a, b}, []Job{tasks(1, 12, 100*ms), tasks(1, 8, 200*ms), tasks(2, 8, 150*ms), tasks(1, 17, ms)})
+	f := planJobs([]Upstream{a, b}, []Job{tasks(1, 12, 100*ms), tasks(1, 8, 200*ms), tasks(2, 8, 150*ms), tasks(1, 17, ms)})
 	g.Expect(f[0].Starts[0]).To(HaveField("Upstream", 1))
 	g.Expect(f[0].Begin).To(Equal(200 * ms))
 	g.Expect(f[1].End).To(Equal(200*ms), "ends as the reserved room begins")
@@ -61,7 +72,7 @@
 		spread.Tasks[i].MaxPerUpstream = 1
 	}
 	memory.Tasks[0].Demand.Memory = 1
-	f := Plan(upstreams, []Job{tasks(1, 1, 100*ms), avoid, requires, spread, memory})
+	f := planJobs(upstreams, []Job{tasks(1, 1, 100*ms), avoid, requires, spread, memory})
 	g.Expect(f[0].Starts[0]).To(And(HaveField("Upstream", 1), HaveField("End", 50*ms)))
 	g.Expect(f[1].Starts[0].Upstream).To(Equal(0))
 	g.Expect(f[2].Starts[0].Upstream).To(Equal(0))
@@ -90,12 +101,12 @@
 	g := NewWithT(t)
 	cold := idle("a", 10, 1)
 	cold.ColdFor, cold.ColdFactor = 250*ms, 1.5
-	f := Plan([]Upstream{cold}, []Job{tasks(4, 2, 100*ms)})
+	f := planJobs([]Upstream{cold}, []Job{tasks(4, 2, 100*ms)})
 	starts := []time.Duration{f[0].Starts[0].After, f[0].Starts[1].After, f[0].Starts[2].After, f[0].Starts[3].After}
 	g.Expect(starts).To(Equal([]time.Duration{0, 150 * ms, 250 * ms, 250 * ms}))
 	g.Expect(f[0].Starts[0].End).To(Equal(150 * ms))
 	cold.Releases = []Release{{After: 200 * ms, Demand: sesamedrift.Resources{CPU: 2}}}
-	g.Expect(Plan([]Upstream{cold}, []Job{tasks(1, 2, 10*ms)})[0].Begin).To(Equal(200 * ms))
+	g.Expect(planJobs([]Upstream{cold}, []Job{tasks(1, 2, 10*ms)})[0].Begin).To(Equal(200 * ms))
 
 	// The room is the same again after the jobs are removed.
 	var p Planner
@@ -114,7 +125,7 @@
 	g := NewWithT(t)
 	j := tasks(100, 10, never)
 	j.Overhead = ms
-	f := Plan([]Upstream{idle("a", 10, 2)}, []Job{tasks(1, 10, ms), j})[1]
+	f := planJobs([]Upstream{idle("a", 10, 2)}, []Job{tasks(1, 10, ms), j})[1]
 	g.Expect(f.Fits).To(BeFalse())
 	g.Expect(f.Begin).To(Equal(2 * ms))
 	for i := range f.Starts[1:] {
