controller: wait for the storing goroutine in tests

Three tests started storeUpstreams in a goroutine that could outlive them. The product always has a logger and waits for this goroutine in Close.

--- a/controller/stored_test.go
+++ b/controller/stored_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,6 +29,14 @@
 	}
 }
 
+// startStoring runs storeUpstreams until the test ends. It has returned before the folder of the test is removed.
+func startStoring(t *testing.T, h *Host) {
+	ctx := t.Context()
+	var wg sync.WaitGroup
+	wg.Go(func() { h.storeUpstreams(ctx) })
+	t.Cleanup(wg.Wait)
+}
+
 // Guards against a loss of all control hosts after which upstreams are known only as they report again, against stored
 // reports that count as received, and against a leaving upstream that serves again after the loss.
 func TestReportsSurviveARestart(t *testing.T) {
@@ -128,7 +137,7 @@
 	}
 	h.upstreams.Put(time.Now(), reportedUpstream("a", discoverer.Serving))
 	failed := h.storeNow()
-	go h.storeUpstreams(t.Context())
+	startStoring(t, h)
 	g.Eventually(failed).WithTimeout(waitLimit).Should(BeClosed())
 	g.Expect(h.stored.path).NotTo(BeAnExistingFile())
 	g.Expect(os.Mkdir(folder, 0o700)).To(Succeed())
@@ -152,7 +161,7 @@
 	h.applyUpdates(t.Context(), "", poller.Updates{Upstreams: []discoverer.Upstream{leaving}})
 	written := h.recordUpstream(leaving)
 	g.Expect(written).NotTo(BeNil())
-	go h.storeUpstreams(t.Context())
+	startStoring(t, h)
 	g.Eventually(written).WithTimeout(waitLimit).Should(BeClosed())
 	g.Expect(readUpstreams(h.stored.path)).To(HaveLen(1))
 	g.Expect(h.recordUpstream(leaving)).To(BeNil(), "it is stored")
@@ -164,6 +173,7 @@
 	g := NewWithT(t)
 	h := &Host{
 		cfg:       Config{Now: time.Now},
+		log:       slog.New(slog.DiscardHandler),
 		stored:    newUpstreamStore(t.TempDir()),
 		upstreams: discoverer.NewList[discoverer.Upstream](),
 		startedAt: time.Now().Add(time.Second - storedLifetime),
@@ -172,7 +182,7 @@
 	stored.Stored = true
 	h.upstreams.Put(time.Now(), stored)
 	written := h.storeNow()
-	go h.storeUpstreams(t.Context())
+	startStoring(t, h)
 	g.Eventually(written).WithTimeout(waitLimit).Should(BeClosed())
 	g.Expect(readUpstreams(h.stored.path)).To(HaveLen(1))
 	g.Eventually(func() ([]discoverer.Upstream, error) { return readUpstreams(h.stored.path) }).WithTimeout(waitLimit).Should(BeEmpty())
