dispatcher: ask the home placer before a forwarded job is placed in another shard

Callers whose connection breaks unnoticed send a job again, perhaps to another domain.

Cause: a placer regarded a job from another domain as one of its own shard and notified the placer of the home shard only afterwards. That placer redirects waiting jobs, but not those that run already.

The placer now sends its request to the placer of the home shard first, with its own address as the preferred placer. It is redirected to itself unless the home placer may know of another submission. The price is one round trip within the domain for jobs that are forwarded to a placer of another shard.

--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -42,8 +42,7 @@
 	// sent to. requestedAt is zero if no task waits at a placer.
 	requestedAt   time.Time
 	requestedFrom string
-	// shard is the index of the shard to which the placer redirectedBy has redirected the job, or on a
-	// placer that of its own shard for a job from another domain; otherwise homeShard.
+	// shard is the index of the shard to which the placer redirectedBy has redirected the job; otherwise homeShard.
 	shard        int
 	redirectedBy string
 	// watchAt is when watch requests for the active runs are sent again; zero for never.
@@ -105,10 +104,6 @@
 		callers: map[*Caller]bool{caller: true},
 		shard:   homeShard,
 	}
-	if caller.relay != "" && c.placer != nil {
-		// The other domain has chosen this host for the free capacity of its shard.
-		j.shard = c.shard
-	}
 	c.jobs[submitted.ID] = j
 	if !c.refuseUnplaceable(now, j) {
 		c.requestPlacement(now, j)
@@ -167,6 +162,10 @@
 	shard := j.shard
 	if shard == homeShard {
 		shard = c.assigned.homeShard(t.Job.ID)
+		if c.placer != nil && c.shard != shard && j.isForwarded() && !t.Started() {
+			// The other domain has chosen this host for the free capacity of its shard.
+			request.Preferred = c.cfg.Self.Address
+		}
 	}
 	j.requestedAt = now
 	j.requestedFrom = c.assigned.placerAt(shard)
--- a/dispatcher/forwarding.go
+++ b/dispatcher/forwarding.go
@@ -413,6 +413,21 @@
 	return true
 }
 
+// redirectToPreferred redirects a job of this shard, which another domain has forwarded to the placer of another shard,
+// to that placer. If this placer may know of another submission of the job, it places the job itself, since otherwise
+// the job could run twice at the same time.
+func (c *Core) redirectToPreferred(now time.Time, entry string, m placementRequest) bool {
+	shard := c.assigned.shardOf(m.Preferred)
+	if shard < 0 || shard == c.shard || c.placer.MayTrack(now, m.Job) {
+		return false
+	}
+	c.redirects[m.Job] = redirection{
+		shard: shard,
+		until: now.Add(redirectRetention),
+	}
+	return c.redirectAgain(entry, m.Job)
+}
+
 // notifyHomes tells the placers of the home shards of jobs that this placer places them, unless they
 // know that already. A placer that has taken over from one that redirected a job must know of its runs
 // before it places the job for a caller who sends it again.
--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -125,6 +125,9 @@
 	Forwarded bool `msgpack:"passed-on,omitempty"`
 	// RedirectedBy is the address of the placer that has redirected the job, or empty.
 	RedirectedBy string `msgpack:"redirected-by,omitempty"`
+	// Preferred is the address of the placer that another domain has chosen for the job. Empty if that is the placer of
+	// the home shard, and from hosts of earlier releases.
+	Preferred string `msgpack:"preferred,omitempty"`
 	// Recovered is the number of the last forward of the job if that was lost and the other domain has answered that
 	// no task of it has started. Hosts of earlier releases leave it out.
 	Recovered uint64          `msgpack:"recovered,omitempty"`
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -294,6 +294,9 @@
 		// The sender repeats the request after placementRetryInterval.
 		return
 	}
+	if m.RedirectedBy == "" && (!m.Forwarded && c.redirectAgain(from, m.Job) || c.redirectToPreferred(now, from, m)) {
+		return
+	}
 	if !m.Started && !c.knowsCapacity() {
 		c.send(from, kindRefused, refused{
 			Job:        m.Job,
@@ -302,9 +305,6 @@
 		})
 		return
 	}
-	if !m.Forwarded && c.redirectAgain(from, m.Job) {
-		return
-	}
 	j := placer.Job{
 		ID:            m.Job,
 		Entry:         from,
--- a/dispatcher/shards_test.go
+++ b/dispatcher/shards_test.go
@@ -4,12 +4,15 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
 	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/discoverer"
+	"sesamedrift.example/sesamedrift/leaseholder"
 	"sesamedrift.example/sesamedrift/placer"
+	"sesamedrift.example/sesamedrift/tracker"
 )
 
 // shardUpstreams returns upstreams of which every third is half as large again as the others.
@@ -143,8 +146,13 @@
 		Shards:       map[string]int{"u-1": 0, "u-2": 1},
 	})
 	h.g.Expect(h.core.placer).NotTo(BeNil())
+	return h.jobOfShard(0)
+}
+
+// jobOfShard returns a job whose home is the shard.
+func (h *harness) jobOfShard(shard int) string {
 	for i := 0; ; i++ {
-		if id := fmt.Sprint("job-", i); h.core.assigned.homeShard(id) == 0 {
+		if id := fmt.Sprint("job-", i); h.core.assigned.homeShard(id) == shard {
 			return id
 		}
 	}
@@ -190,12 +198,7 @@
 func TestHomesAreNotified(t *testing.T) {
 	h := newHarness(t)
 	h.placeShard()
-	foreign := ""
-	for i := 0; foreign == ""; i++ {
-		if id := fmt.Sprint("job-", i); h.core.assigned.homeShard(id) == 1 {
-			foreign = id
-		}
-	}
+	foreign := h.jobOfShard(1)
 	redirected := placementRequest{
 		Job:          foreign,
 		Forwarded:    true,
@@ -214,3 +217,58 @@
 	h.deliverFrom(third, kindStatusRequest, statusRequest{})
 	h.g.Expect(h.sent).To(ContainElement(sentMessage{third, kindRedirectedJobs}), "it may have ignored the first message")
 }
+
+// Guards against two runs of a job that another domain forwards to the placer of another shard than that of its home:
+// the home placer knows of an earlier submission, or may not know yet, or has redirected that one.
+func TestForwardedJobOfAnotherShard(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		setUp      func(h *harness, job string)
+		redirected bool
+	}{
+		{"first submission", func(*harness, string) {}, true},
+		{"waits", func(h *harness, job string) {
+			h.deliverFrom(entryAddress, kindPlacementRequest, placementRequest{Job: job, Tasks: []requestedTask{{}}})
+		}, false},
+		{"runs", func(h *harness, job string) {
+			h.core.placer.SetUpstream(placer.Upstream{ID: "u-1"})
+			h.deliver(kindUpstreamStatus, upstreamStatus{Upstream: "u-1", Ready: true, Running: []leaseholder.Task{{
+				Run:   sesamedrift.Run{Task: sesamedrift.TaskID{Job: job}},
+				Entry: entryAddress,
+			}}})
+		}, false},
+		{"new placer", func(h *harness, _ string) { h.now = h.now.Add(-2 * placerGracePeriod) }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addPeer(entryAddress, 3)
+			job := h.placeShard()
+			test.setUp(h, job)
+			h.now = h.now.Add(2 * placerGracePeriod)
+			h.deliver(kindPlacementRequest, placementRequest{
+				Job:       job,
+				Forwarded: true,
+				Preferred: otherAddress,
+				Remaining: time.Minute,
+				Tasks:     []requestedTask{{}},
+			})
+			if test.redirected {
+				h.g.Expect(h.sent).To(Equal([]sentMessage{{otherAddress, kindRedirect}}))
+			} else {
+				h.g.Expect(h.sent).NotTo(ContainElement(sentMessage{otherAddress, kindRedirect}))
+			}
+		})
+	}
+}
+
+// Guards against a job from another domain that is placed without asking the placer of its home shard, and against one
+// that this placer sends away although the other domain has chosen it for its free capacity.
+func TestForwardedJobAsksHomePlacer(t *testing.T) {
+	h := newHarness(t)
+	h.placeShard()
+	job := h.jobOfShard(1)
+	h.deliverFrom("far", kindForwardedJob, forwardedJob{Domain: "d", ID: job, Remaining: time.Minute, Steps: []tracker.Step{{TaskCount: 1}}})
+	h.g.Expect(h.sent).To(Equal([]sentMessage{{otherAddress, kindPlacementRequest}}))
+	h.deliver(kindRedirect, redirect{Job: job, To: selfAddress})
+	h.g.Expect(h.core.jobs[job].requestedFrom).To(Equal(selfAddress))
+}
--- a/placer/waiting.go
+++ b/placer/waiting.go
@@ -175,6 +175,20 @@
 	return slices.Collect(maps.Keys(ids))
 }
 
+// MayTrack reports whether a job waits or has open runs here. In the grace period it reports true, since runs may not
+// have been reported yet.
+func (p *Placer) MayTrack(now time.Time, id string) bool {
+	if now.Before(p.cfg.GraceUntil) || len(p.WaitingEntries(id)) > 0 {
+		return true
+	}
+	for task := range p.runCounts {
+		if task.Job == id {
+			return true
+		}
+	}
+	return false
+}
+
 // WaitingEntries returns the entry hosts of which the job with the identifier waits, in the order of
 // their addresses.
 func (p *Placer) WaitingEntries(id string) []string {
