dispatcher: redirect forwarded jobs whose first submission was redirected

A job that another domain had forwarded to the placer of its home shard was placed there even if an earlier submission had been redirected to the placer of another shard, and ran twice at the same time.

Cause: only requests for jobs that were not forwarded were checked against the redirected jobs, so that a job is not redirected twice. The address of the placer that has redirected a job shows that, too.

--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -294,7 +294,7 @@
 		// The sender repeats the request after placementRetryInterval.
 		return
 	}
-	if m.RedirectedBy == "" && (!m.Forwarded && c.redirectAgain(from, m.Job) || c.redirectToPreferred(now, from, m)) {
+	if m.RedirectedBy == "" && (c.redirectAgain(from, m.Job) || c.redirectToPreferred(now, from, m)) {
 		return
 	}
 	if !m.Started && !c.knowsCapacity() {
--- a/dispatcher/shards_test.go
+++ b/dispatcher/shards_test.go
@@ -227,6 +227,9 @@
 		redirected bool
 	}{
 		{"first submission", func(*harness, string) {}, true},
+		{"redirected", func(h *harness, job string) {
+			h.deliver(kindRedirectedJobs, redirectedJobs{Jobs: []string{job}})
+		}, true},
 		{"waits", func(h *harness, job string) {
 			h.deliverFrom(entryAddress, kindPlacementRequest, placementRequest{Job: job, Tasks: []requestedTask{{}}})
 		}, false},
--- a/emulator/disturbances_test.go
+++ b/emulator/disturbances_test.go
@@ -153,9 +153,10 @@
 }
 
 // Guards against two concurrent runs of one task if the second submission is forwarded to the domain that runs the first
-// one, but to the placer of another shard. It places the job before the placer of the first shard knows of it.
+// one: to the placer of another shard, which places the job before the placer of the first shard knows of it, or to the
+// placer of the home shard, which has redirected the first submission.
 func TestForwardToAnotherShard(t *testing.T) {
-	for _, seed := range []uint64{3, 11} {
+	for _, seed := range []uint64{3, 11, 28, 30} {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			t.Parallel()
 			w := newUnnoticedSimulation(seed, Disturbances{ResubmitAnywhere: true})
