detector: no ejections with an eject share of 0

A document with limits.eject-share 0 got the default share 0.3, since SetEjectShare took 0 for "not set". An absent field is filled in with the default by the parser of documents already.

TestNoEjections fails without the change.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -88,13 +88,12 @@
 	}
 }
 
-// SetEjectShare changes Config.EjectShare, with the same default. Upstreams that are ejected already
-// stay so.
+// SetEjectShare changes Config.EjectShare to a share from 0 to 1. With 0, no upstream is ejected. Any other value changes
+// nothing. Upstreams that are ejected already stay so.
 func (d *Detector) SetEjectShare(share float64) {
-	if !(share > 0 && share <= 1) {
-		share = defaultEjectShare
+	if share >= 0 && share <= 1 {
+		d.cfg.EjectShare = share
 	}
-	d.cfg.EjectShare = share
 }
 
 // Add adds an upstream, so that it counts for Config.EjectShare. ReportResult and Observe add
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -170,6 +170,16 @@
 	g.Expect(f.unhealthy()).To(BeEmpty())
 }
 
+// Guards against ejections although the share of ejected upstreams is set to 0.
+func TestNoEjections(t *testing.T) {
+	f := newFleet(8, Config{})
+	f.d.SetEjectShare(0)
+	f.run(320)
+	f.failureRate = func(upstream, _ int) float64 { return float64(upstream / 7) }
+	f.run(320)
+	NewWithT(t).Expect(f.unhealthy()).To(BeEmpty())
+}
+
 // Guards against kinds that count as failing because half of the upstreams fail, and against more
 // ejections than allowed.
 func TestHalfOfTheFleetFails(t *testing.T) {
