dispatcher: the error of the plan in the log of placed jobs

The metric plan_error shows that plans are wrong, but not for which jobs. The placement now carries the error to the entry host, which logs it as plan-error in event 8001.

--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -228,7 +228,11 @@
 		s.Runs = append(s.Runs, newStartedRun(placed.Upstream, placed.Run, j.tracker.Job.Steps[placed.Run.Task.Step].Demand))
 	}
 	if len(upstreams) > 0 {
-		c.logEvent(reporter.JobPlaced, "job", m.Job, "placer", from, "waited", m.Waited, "upstreams", upstreams, "left", m.Remaining)
+		attributes := []any{"job", m.Job, "placer", from, "waited", m.Waited, "upstreams", upstreams, "left", m.Remaining}
+		if m.PlanError != nil {
+			attributes = append(attributes, "plan-error", *m.PlanError)
+		}
+		c.logEvent(reporter.JobPlaced, attributes...)
 	}
 	for _, address := range slices.Sorted(maps.Keys(byLeaseholder)) {
 		c.send(address, kindStartRuns, *byLeaseholder[address])
--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -163,6 +163,9 @@
 	// Waited is how long the job has waited, Remaining the number of its tasks that still wait.
 	Waited    time.Duration `msgpack:"waited,omitempty"`
 	Remaining int           `msgpack:"left,omitempty"`
+	// PlanError is the time from the start of the job to its planned start; nil if it was not planned, and from hosts of
+	// earlier releases.
+	PlanError *time.Duration `msgpack:"plan-error,omitempty"`
 	// Number is that of the assignment that the leaseholders are taken from. Hosts of earlier releases leave it out.
 	Number uint64 `msgpack:"number,omitempty"`
 }
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -417,6 +417,7 @@
 			c.stats.PlacementWaits = addSample(c.stats.PlacementWaits, d.Waited)
 			if d.Planned {
 				c.stats.PlanErrors = addSample(c.stats.PlanErrors, d.PlanError)
+				m.PlanError = &d.PlanError
 			}
 			c.send(d.Entry, kindPlacement, m)
 		case d.Refused:
--- a/reporter/events.go
+++ b/reporter/events.go
@@ -414,7 +414,7 @@
 		ID:          8001,
 		Name:        "job-placed",
 		Level:       slog.LevelInfo,
-		Description: "The entry host has received the placement of tasks of a job; the attributes hold the placer, the upstreams and how long the job has waited.",
+		Description: "The entry host has received the placement of tasks of a job; the attributes hold the placer, the upstreams, how long the job has waited and, if it had to wait, how much earlier it has started than planned.",
 	}
 	JobRefused = Event{
 		ID:          8002,
