messenger: no backoff after a connection was given up on purpose

Cause: a batch that is not acknowledged is sent again over a new connection. Connections for one-way messages never get a reply, so that each connection that was given up counted as a failed dial, and the batch was not sent during the backoff. Heartbeats went out after that and kept the session alive, until the next attempt gave up their connection as well. Also, a message sent right after Reconnect could be queued on the connection that was given up.

Reconnect now takes the connection away at once, and no backoff follows. TestSendAfterReconnect fails without the change.

--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -265,6 +265,22 @@
 	g.Expect(callError(t.Context(), p, KindStatus)).To(beNotSent())
 }
 
+// Guards against a message that is lost with the connection that was given up for it, or that is not sent because of a
+// backoff. The sender would give up the next connection, too, and the message would never arrive.
+func TestSendAfterReconnect(t *testing.T) {
+	g := NewWithT(t)
+	received := make(chan struct{}, 1)
+	_, p := pair(t, func(context.Context, Hello, Kind, []byte) ([]byte, error) {
+		received <- struct{}{}
+		return nil, nil
+	})
+	for range 20 {
+		p.Reconnect()
+		g.Expect(p.SendWait(t.Context(), KindHeartbeat, nil)).To(Succeed())
+		g.Eventually(received).WithTimeout(time.Second).Should(Receive())
+	}
+}
+
 // Guards against *NotSentError for a call whose handler is running when the connection, the
 // Listener, the Peer or the context ends.
 func TestCallIsLost(t *testing.T) {
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -354,11 +354,17 @@
 
 // disconnected removes a connection that has ended. One on which no reply was received, and
 // that did not last for the longest backoff, counts as a failed dial, so that the backoff also
-// applies to a host that accepts connections and then closes them.
+// applies to a host that accepts connections and then closes them. There is no backoff after Reconnect,
+// whose caller sends its next message at once: one-way messages have no replies.
 func (p *Peer) disconnected(l *clientLink, replies bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.link = nil
+	if p.link == l {
+		p.link = nil
+	}
+	if errors.Is(l.err, errReconnect) {
+		return
+	}
 	if replies || time.Since(l.establishedAt) >= maxBackoff {
 		p.failures = 0
 		return
@@ -395,6 +401,7 @@
 func (p *Peer) Reconnect() {
 	p.mu.Lock()
 	link := p.link
+	p.link = nil
 	p.mu.Unlock()
 	if link != nil {
 		link.fail(errReconnect)
