courier: end a session whose messages are not acknowledged

A session is to end if a batch is not acknowledged within the suspicion time. Heartbeats now count only while no batch waits for an acknowledgement.

TestUnacknowledgedBatchEndsSession fails without the change.

--- a/courier/session.go
+++ b/courier/session.go
@@ -148,7 +148,8 @@
 type sentBatch struct {
 	seq      uint64
 	messages []Message
-	sentAt   time.Time
+	// firstSentAt and sentAt are when the batch was sent for the first and for the last time.
+	firstSentAt, sentAt time.Time
 }
 
 // SetWatch changes the watch. The suspicion time begins anew, so that a session that was watched less
@@ -229,9 +230,10 @@
 	}
 	s.sentSeq++
 	s.unacked = append(s.unacked, sentBatch{
-		seq:      s.sentSeq,
-		messages: s.queue[:n:n],
-		sentAt:   now,
+		seq:         s.sentSeq,
+		messages:    s.queue[:n:n],
+		firstSentAt: now,
+		sentAt:      now,
 	})
 	s.onConnection = len(s.unacked)
 	s.queue = s.queue[n:]
@@ -384,7 +386,7 @@
 		s.queued -= len(s.unacked[acked].messages)
 		acked++
 	}
-	progress := acked > 0 || b.HeartbeatAcked > s.heartbeatAcked
+	heartbeatAcked := b.HeartbeatAcked > s.heartbeatAcked
 	s.unacked = s.unacked[acked:]
 	s.onConnection = max(0, s.onConnection-acked)
 	s.probing = s.probing && acked == 0
@@ -392,8 +394,13 @@
 	switch {
 	case len(s.unacked) == 0 && s.heartbeat == s.heartbeatAcked:
 		s.unansweredSince = time.Time{}
-	case progress:
+	case acked > 0:
 		s.unansweredSince = now
+	case heartbeatAcked && len(s.unacked) == 0:
+		s.unansweredSince = now
+	case heartbeatAcked && s.unansweredSince.Before(s.unacked[0].firstSentAt):
+		// An acknowledged heartbeat does not show that the messages arrive.
+		s.unansweredSince = s.unacked[0].firstSentAt
 	}
 }
 
