dispatcher: notify the home placer of runs before it is asked for a forwarded job

A job from another domain could run twice at the same time in one domain if its home placer had just changed.

Cause: a placer that runs the job for an earlier submission asked the home placer before it told it so, in applyAssignment, or after a notification that the home placer had ignored because it was not a placer yet. In its grace period the home placer places the job at once.

Measured: TestHomeIsNotifiedBeforeRequest fails without the change.

--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -165,6 +165,12 @@
 		if c.placer != nil && c.shard != shard && j.isForwarded() && !t.Started() {
 			// The other domain has chosen this host for the free capacity of its shard.
 			request.Preferred = c.cfg.Self.Address
+			if c.placer.Tracks(t.Job.ID) {
+				// A new home placer would place the job itself, beside the runs of an earlier submission here. It may not
+				// have received an earlier notification.
+				delete(c.homesNotified, t.Job.ID)
+				c.notifyHomes([]string{t.Job.ID})
+			}
 		}
 	}
 	j.requestedAt = now
--- a/dispatcher/shards_test.go
+++ b/dispatcher/shards_test.go
@@ -275,3 +275,28 @@
 	h.deliver(kindRedirect, redirect{Job: job, To: selfAddress})
 	h.g.Expect(h.core.jobs[job].requestedFrom).To(Equal(selfAddress))
 }
+
+// Guards against two runs of a job from another domain that this placer runs already for an earlier submission: a new
+// home placer places the job itself unless it is told first who runs it.
+func TestHomeIsNotifiedBeforeRequest(t *testing.T) {
+	h := newHarness(t)
+	h.addPeer(entryAddress, 3)
+	h.placeShard()
+	job := h.jobOfShard(1)
+	h.deliverFrom(entryAddress, kindPlacementRequest, placementRequest{
+		Job:          job,
+		Forwarded:    true,
+		RedirectedBy: otherAddress,
+		Remaining:    time.Minute,
+		Tasks:        []requestedTask{{}},
+	})
+	h.deliverFrom("far", kindForwardedJob, forwardedJob{Domain: "d", ID: job, Remaining: time.Minute, Steps: []tracker.Step{{TaskCount: 1}}})
+	third := "10.0.0.3:1"
+	h.addPeer(third, 4)
+	h.deliver(kindAssignment, assignment{
+		Placers:      []string{selfAddress, third},
+		Leaseholders: map[string]string{"u-1": otherAddress, "u-2": otherAddress},
+		Shards:       map[string]int{"u-1": 0, "u-2": 1},
+	})
+	h.g.Expect(h.sent).To(Equal([]sentMessage{{third, kindRedirectedJobs}, {third, kindPlacementRequest}}))
+}
--- a/placer/waiting.go
+++ b/placer/waiting.go
@@ -178,7 +178,12 @@
 // MayTrack reports whether a job waits or has open runs here. In the grace period it reports true, since runs may not
 // have been reported yet.
 func (p *Placer) MayTrack(now time.Time, id string) bool {
-	if now.Before(p.cfg.GraceUntil) || len(p.WaitingEntries(id)) > 0 {
+	return now.Before(p.cfg.GraceUntil) || p.Tracks(id)
+}
+
+// Tracks reports whether a job is known to wait or to have open runs here.
+func (p *Placer) Tracks(id string) bool {
+	if len(p.WaitingEntries(id)) > 0 {
 		return true
 	}
 	for task := range p.runCounts {
