dispatcher: no forward of a job that another domain has forwarded here

A job that a caller has sent to a placer and then to another domain, which forwarded it to the same placer, could be forwarded back. If its entry host there was the placer that it went to, each host waited for the other until the deadline.

Cause: the request for its placement preceded the forward and did not say that the job came from another domain; the entry host did not check that when the placer answered. The entry host now requests the placement again instead.

Measured: TestJobIsNotForwardedBack fails without the change.

--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -251,6 +251,26 @@
 	h.g.Expect(results).To(ConsistOf(HaveField("Outcome", tracker.Complete)))
 }
 
+// Guards against a job that is forwarded back to the domain that waits for it here: a caller has sent it to this host
+// before and then to that domain.
+func TestJobIsNotForwardedBack(t *testing.T) {
+	h := newHarness(t)
+	h.makeOtherPlacer()
+	h.core.Submit(h.now, tracker.Job{
+		ID:          "j",
+		MaxAttempts: 1,
+		Steps:       []tracker.Step{{TaskCount: 1}},
+		Arrived:     h.now,
+		Deadline:    h.now.Add(time.Minute),
+	}, NewCaller(func(Result) {}))
+	h.deliverFrom("far", kindForwardedJob, forwardedJob{Domain: "d", ID: "j"})
+	h.deliver(kindForwardRequest, forwardRequest{
+		Job:    "j",
+		Domain: "far",
+	})
+	h.g.Expect(h.sent).To(Equal([]sentMessage{{otherAddress, kindPlacementRequest}}))
+}
+
 // Guards against a job that is forwarded to two domains, each of which runs it: the placer has received
 // the placement request twice and has decided on each.
 func TestJobIsForwardedOnce(t *testing.T) {
--- a/dispatcher/forwarding.go
+++ b/dispatcher/forwarding.go
@@ -275,6 +275,12 @@
 	if j == nil || from != j.requestedFrom || !j.isLocal() || j.tracker.Started() {
 		return
 	}
+	if j.isForwarded() {
+		// Another domain has forwarded the job here since it was requested. If the job went back, each domain could wait
+		// for the other.
+		c.requestPlacement(now, j)
+		return
+	}
 	t := &j.tracker.Job
 	forward := uint64(now.UnixNano())
 	sent := c.send(from, kindForwardedJob, forwardedJob{
