dispatcher: redirect no job while its tasks run in the shard for another host

A task could have two runs at the same time if the runs of an earlier submission were spread over two shards, as after the number of shards has grown.

Cause: the placer of the other shard notifies the home placer, which then redirected a second submission although it had runs of the same tasks itself; the other placer knows nothing of these.

TestRedirectWaitsForRuns fails without the change.

--- a/dispatcher/forwarding.go
+++ b/dispatcher/forwarding.go
@@ -404,12 +404,21 @@
 	}
 }
 
+// redirectTarget returns the address of the other placer of this domain to which a job was redirected, or "".
+func (c *Core) redirectTarget(id string) string {
+	r, redirected := c.redirects[id]
+	to := c.assigned.placerAt(r.shard)
+	if !redirected || to == c.cfg.Self.Address {
+		return ""
+	}
+	return to
+}
+
 // redirectAgain redirects a job that the caller has sent again to the placer that the first try was
 // redirected to. It reports false if the job was not redirected.
 func (c *Core) redirectAgain(entry, id string) bool {
-	r, redirected := c.redirects[id]
-	to := c.assigned.placerAt(r.shard)
-	if !redirected || to == "" || to == c.cfg.Self.Address {
+	to := c.redirectTarget(id)
+	if to == "" {
 		return false
 	}
 	c.send(entry, kindRedirect, redirect{
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -294,17 +294,6 @@
 		// The sender repeats the request after placementRetryInterval.
 		return
 	}
-	if m.RedirectedBy == "" && (c.redirectAgain(from, m.Job) || c.redirectToPreferred(now, from, m)) {
-		return
-	}
-	if !m.Started && !c.knowsCapacity() {
-		c.send(from, kindRefused, refused{
-			Job:        m.Job,
-			Reason:     noUpstreamReason,
-			RetryAfter: unplacedRetryAfter,
-		})
-		return
-	}
 	j := placer.Job{
 		ID:            m.Job,
 		Entry:         from,
@@ -322,6 +311,23 @@
 	for _, t := range m.Tasks {
 		j.Tasks = append(j.Tasks, placer.Task(t))
 	}
+	if m.RedirectedBy == "" {
+		if c.redirectTarget(m.Job) != "" && c.placer.SupersedeRuns(j) {
+			// The runs of an earlier submission are spread over two shards. The sender repeats the request.
+			return
+		}
+		if c.redirectAgain(from, m.Job) || c.redirectToPreferred(now, from, m) {
+			return
+		}
+	}
+	if !m.Started && !c.knowsCapacity() {
+		c.send(from, kindRefused, refused{
+			Job:        m.Job,
+			Reason:     noUpstreamReason,
+			RetryAfter: unplacedRetryAfter,
+		})
+		return
+	}
 	c.placer.Enqueue(now, j)
 	if m.RedirectedBy != "" {
 		c.homesNotified[m.Job] = m.RedirectedBy
--- a/dispatcher/shards_test.go
+++ b/dispatcher/shards_test.go
@@ -300,3 +300,25 @@
 	})
 	h.g.Expect(h.sent).To(Equal([]sentMessage{{third, kindRedirectedJobs}, {third, kindPlacementRequest}}))
 }
+
+// Guards against two runs of a task whose job is redirected to the placer of another shard while the task runs in this
+// one: the number of shards has grown, and the runs of an earlier submission are spread over both.
+func TestRedirectWaitsForRuns(t *testing.T) {
+	h := newHarness(t)
+	h.addPeer(entryAddress, 3)
+	job := h.placeShard()
+	h.core.placer.SetUpstream(placer.Upstream{ID: "u-1"})
+	run := sesamedrift.Run{Task: sesamedrift.TaskID{Job: job}}
+	status := upstreamStatus{Upstream: "u-1", Ready: true, Running: []leaseholder.Task{{Run: run, Entry: entryAddress}}}
+	h.deliver(kindUpstreamStatus, status)
+	h.deliver(kindRedirectedJobs, redirectedJobs{Jobs: []string{job}})
+	request := placementRequest{Job: job, Remaining: time.Minute, Tasks: []requestedTask{{Run: run}}}
+	h.deliver(kindPlacementRequest, request)
+	h.g.Expect(h.sent).To(Equal([]sentMessage{{entryAddress, kindSuperseded}}))
+	h.deliverFrom(entryAddress, kindPlacementRequest, request)
+	h.g.Expect(h.sent).To(Equal([]sentMessage{{entryAddress, kindRedirect}}), "its own run has ended")
+	status.Running = nil
+	h.deliver(kindUpstreamStatus, status)
+	h.deliver(kindPlacementRequest, request)
+	h.g.Expect(h.sent).To(Equal([]sentMessage{{otherAddress, kindRedirect}}))
+}
--- a/placer/waiting.go
+++ b/placer/waiting.go
@@ -75,6 +75,25 @@
 	}
 }
 
+// SupersedeRuns does what Enqueue does for the open runs that tasks of a job have for other entry hosts. It reports
+// whether there are any; until they have ended, no other placer may place these tasks.
+func (p *Placer) SupersedeRuns(j Job) bool {
+	for _, t := range j.Tasks {
+		if p.runCounts[t.Run.Task] == 0 {
+			continue
+		}
+		for _, u := range p.sorted {
+			for run, r := range u.runs {
+				if run.Task == t.Run.Task && r.key.entry != j.Entry {
+					p.supersede(&waitingJob{Job: j})
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // demandWeight is the weight of one job in the moving mean of the CPU demand.
 const demandWeight = 0.02
 
