--- a/placer/waiting.go
+++ b/placer/waiting.go
@@ -75,6 +75,25 @@
 	}
 }
 
+// SupersedeRuns does what Enqueue does for the open runs that tasks of a job have for other entry hosts. It reports
+// whether there are any; until they have ended, no other placer may place these tasks.
+func (p *Placer) SupersedeRuns(j Job) bool {
+	for _, t := range j.Tasks {
+		if p.runCounts[t.Run.Task] == 0 {
+			continue
+		}
+		for _, u := range p.sorted {
+			for run, r := range u.runs {
+				if run.Task == t.Run.Task && r.key.entry != j.Entry {
+					p.supersede(&waitingJob{Job: j})
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // demandWeight is the weight of one job in the moving mean of the CPU demand.
 const demandWeight = 0.02
 
@@ -178,7 +197,12 @@
 // MayTrack reports whether a job waits or has open runs here. In the grace period it reports true, since runs may not
 // have been reported yet.
 func (p *Placer) MayTrack(now time.Time, id string) bool {
-	if now.Before(p.cfg.GraceUntil) || len(p.WaitingEntries(id)) > 0 {
+	return now.Before(p.cfg.GraceUntil) || p.Tracks(id)
+}
+
+// Tracks reports whether a job is known to wait or to have open runs here.
+func (p *Placer) Tracks(id string) bool {
+	if len(p.WaitingEntries(id)) > 0 {
 		return true
 	}
 	for task := range p.runCounts {
