validator, server: name the bounds of a host's queue and of timeouts

The largest number of queued tasks of a host was a default of package scheduler, and the longest timeout of a submission a private constant of package server, so that a review of a document could not compare values with them. Both are now constants of package validator, which the host applies. The values are unchanged: 100,000 tasks and one hour.

--- a/server/http.go
+++ b/server/http.go
@@ -27,8 +27,6 @@
 	maxControlBody = 1 << 20
 	// defaultMaxBody bounds the body of submissions while no document is active, in bytes.
 	defaultMaxBody = 8 << 20
-	// maxTimeout bounds the relative deadline of a submission.
-	maxTimeout = time.Hour
 )
 
 func (h *Host) routes() http.Handler {
@@ -146,11 +144,11 @@
 func readOptions(body *submissionBody, r *http.Request, now time.Time, req *request) *Error {
 	if body.Timeout != "" {
 		timeout, err := time.ParseDuration(body.Timeout)
-		if err != nil || timeout <= 0 || timeout > maxTimeout {
+		if err != nil || timeout <= 0 || timeout > validator.MaxTimeout {
 			return badField(&sesamedrift.InvalidError{
 				Field: "timeout",
 				Value: body.Timeout,
-				Want:  "a duration above 0s and at most " + maxTimeout.String() + ", such as \"800ms\"",
+				Want:  "a duration above 0s and at most " + validator.MaxTimeout.String() + ", such as \"800ms\"",
 			})
 		}
 		req.Submission.Deadline = now.Add(timeout)
--- a/server/setup.go
+++ b/server/setup.go
@@ -73,6 +73,7 @@
 		peers:               newPeerSlots(),
 	}
 	d.queue = scheduler.New(scheduler.Config{
+		MaxTasks:   validator.MaxQueuedTasks,
 		Policy:     cfg.Policy,
 		Seed:       cfg.Seed,
 		TeamWeight: func(team string) float64 { return d.weights[team] },
--- a/validator/review.go
+++ b/validator/review.go
@@ -1,6 +1,18 @@
 package validator
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	// MaxQueuedTasks is the largest number of queued tasks of all services on one host. It bounds the
+	// memory of the queue.
+	MaxQueuedTasks = 100_000
+	// MaxTimeout is the longest timeout that a caller may set for a submission. The default deadline of
+	// a kind may be longer.
+	MaxTimeout = time.Hour
+)
 
 // Review lists entries of an accepted document that have no effect, or that contradict each other, in
 // the order of the document. Hosts apply such a document; the findings are for its author.
