validator: review the distances of domains and the values of services

The review did not report values that the parser accepts but that hosts do not apply or never reach: - a distance of 0 between two domains, by which hosts take them for one domain; - `max-run-time` above the longest deadline of a submission, which ends its tasks; - `long-share` 0 or 1, which the scheduler replaces by its default; - `max-queue` above the bound for all services of a host.

TestReview has a document for each of the four and fails for each of them without the change. The examples are now reviewed as well, without findings.

--- a/validator/review.go
+++ b/validator/review.go
@@ -18,6 +18,7 @@
 // the order of the document. Hosts apply such a document; the findings are for its author.
 func Review(e Environment) []Problem {
 	c := &checker{}
+	reviewDomains(c, e)
 	reviewServices(c, e)
 	reviewTeams(c, e)
 	p := e.Promotion
@@ -28,15 +29,47 @@
 	return c.problems
 }
 
-// reviewServices adds a finding for each service for which no submission is accepted.
+// reviewDomains adds a finding for each pair of domains without a distance. Hosts tell their own domain
+// from the others by the distance 0.
+func reviewDomains(c *checker, e Environment) {
+	for i, from := range e.Domains {
+		for _, to := range e.Domains[i+1:] {
+			if d := from.Distance[to.Name]; d == 0 {
+				c.add(fieldPath(itemPath("$.domains", i)+".distance", to.Name), d,
+					"0 is the distance within a domain, so that hosts place tasks as if both domains were one; want more than 0")
+			}
+		}
+	}
+}
+
+// reviewServices adds a finding for each service for which no submission is accepted, and for each
+// value of a service that hosts do not apply or never reach.
 func reviewServices(c *checker, e Environment) {
 	for i, s := range e.Services {
+		path := itemPath("$.services", i)
 		if len(e.TeamNames(s.Name)) == 0 {
-			c.add(itemPath("$.services", i)+".name", s.Name, "no team may use the service, so that its kinds are never run")
+			c.add(path+".name", s.Name, "no team may use the service, so that its kinds are never run")
+		}
+		for j, k := range s.Kinds {
+			if longest := k.maxTimeout(); k.MaxRunTime.Std() > longest {
+				c.add(itemPath(path+".kinds", j)+".max-run-time", k.MaxRunTime,
+					fmt.Sprintf("above the longest deadline of a submission of the kind (%s), at which its tasks are ended", longest))
+			}
+		}
+		if s.LongShare == 0 || s.LongShare == 1 {
+			c.add(path+".long-share", s.LongShare,
+				"hosts use their default instead of a share of 0 or 1; want a share between them")
+		}
+		if s.MaxQueue > MaxQueuedTasks {
+			c.add(path+".max-queue", s.MaxQueue,
+				fmt.Sprintf("above the largest number of queued tasks of all services on one host (%d), which is reached first", MaxQueuedTasks))
 		}
 	}
 }
 
+// maxTimeout returns the longest relative deadline that a submission of the kind can have.
+func (k Kind) maxTimeout() time.Duration { return max(MaxTimeout, k.Deadline.Std()) }
+
 // reviewTeams adds a finding for each burst that the queues of all services of the team shadow.
 func reviewTeams(c *checker, e Environment) {
 	for i, t := range e.Teams {
--- a/validator/validator_test.go
+++ b/validator/validator_test.go
@@ -58,7 +58,7 @@
 func TestReview(t *testing.T) {
 	files, err := filepath.Glob("testdata/review/*.json")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	NewWithT(t).Expect(files).To(HaveLen(4))
+	NewWithT(t).Expect(files).To(HaveLen(8))
 	for _, file := range files {
 		t.Run(filepath.Base(file), func(t *testing.T) {
 			g := NewWithT(t)
@@ -75,7 +75,7 @@
 	}
 }
 
-// Guards against example files that the parse functions reject.
+// Guards against example files that the parse functions reject, or for which Review has findings.
 func TestExamplesAreAccepted(t *testing.T) {
 	g := NewWithT(t)
 	files, err := filepath.Glob("../examples/*.json")
@@ -85,6 +85,9 @@
 		data, err := os.ReadFile(file)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(parseByName(file, data)).To(Succeed(), file)
+		if e, err := ParseEnvironment(data); err == nil {
+			g.Expect(Review(e)).To(BeEmpty(), file)
+		}
 	}
 }
 
