validator: review limits that other values of the document defeat

The review did not report limits that contradict the rest of the document: - `max-body` below the shortest body of a job of `max-tasks` tasks; - `retry-share` 0 in production, where a kind is idempotent: no task is sent again; - `receiver-grace` above the longest deadline of a submission.

TestReview has a document for each of the three and fails for each of them without the change. A fourth document, with all reviewed values at their bounds, has no findings.

--- a/validator/review.go
+++ b/validator/review.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -21,6 +22,7 @@
 	reviewDomains(c, e)
 	reviewServices(c, e)
 	reviewTeams(c, e)
+	reviewLimits(c, e)
 	p := e.Promotion
 	if p.MinSubmissions == 0 && p.MinSuccessShare > 0 {
 		c.add("$.promotion.min-submissions", p.MinSubmissions,
@@ -85,3 +87,56 @@
 		}
 	}
 }
+
+// reviewLimits adds a finding for each limit that another value of the document defeats.
+func reviewLimits(c *checker, e Environment) {
+	l := e.Limits
+	if smallest, ok := smallestBody(e, l.MaxTasks); ok && l.MaxBody < smallest {
+		c.add("$.limits.max-body", l.MaxBody,
+			fmt.Sprintf("below the smallest body of a job of `max-tasks` (%d) tasks (%d bytes), so that no such job is accepted", l.MaxTasks, smallest))
+	}
+	// Hosts take the share from the production document, also for submissions to trial.
+	if path := firstIdempotent(e); e.Name == Production && l.RetryShare == 0 && path != "" {
+		c.add("$.limits.retry-share", l.RetryShare, "no task is sent again, so that `idempotent` has no effect, as at "+path)
+	}
+	var longest time.Duration
+	for _, s := range e.Services {
+		for _, k := range s.Kinds {
+			longest = max(longest, k.maxTimeout())
+		}
+	}
+	if l.DisconnectGrace.Std() > longest {
+		c.add("$.limits.receiver-grace", l.DisconnectGrace,
+			fmt.Sprintf("above the longest deadline of a submission (%s), so that none is cancelled because its caller disconnected", longest))
+	}
+}
+
+// smallestBody returns the length of the shortest HTTP request body with the given number of tasks, or
+// false if no team may use a service. Empty payloads are accepted.
+func smallestBody(e Environment, tasks int) (int64, bool) {
+	names := math.MaxInt
+	for _, s := range e.Services {
+		for _, team := range e.TeamNames(s.Name) {
+			for _, k := range s.Kinds {
+				names = min(names, len(s.Name)+len(k.Name)+len(team))
+			}
+		}
+	}
+	if names == math.MaxInt {
+		return 0, false
+	}
+	payloads := tasks*len(`"",`) - len(`,`)
+	return int64(len(`{"service":"","kind":"","team":"","tasks":[]}`) + names + payloads), true
+}
+
+// firstIdempotent returns the path of the first kind that is idempotent, or "".
+func firstIdempotent(e Environment) string {
+	for i, s := range e.Services {
+		for j, k := range s.Kinds {
+			if k.Idempotent {
+				return itemPath(itemPath("$.services", i)+".kinds", j)
+			}
+		}
+	}
+	return ""
+}
--- a/validator/validator_test.go
+++ b/validator/validator_test.go
@@ -58,7 +58,7 @@
 func TestReview(t *testing.T) {
 	files, err := filepath.Glob("testdata/review/*.json")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	NewWithT(t).Expect(files).To(HaveLen(8))
+	NewWithT(t).Expect(files).To(HaveLen(12))
 	for _, file := range files {
 		t.Run(filepath.Base(file), func(t *testing.T) {
 			g := NewWithT(t)
