commander: a review lists its findings also if no host can be reached

It now prints the findings first and reports the error besides; with findings the exit code is 7, otherwise that of the error. The JSON output says in "compared" whether there was a comparison, since version 0 also means that no document is in force.

--- a/commander/config.go
+++ b/commander/config.go
@@ -242,8 +242,10 @@
 
 // review is the JSON output of the review of a document.
 type review struct {
-	// Version is that of the document in force, 0 if there is none.
-	Version  uint64              `json:"version"`
+	// Version is that of the document in force, 0 if there is none or if Compared is false.
+	Version uint64 `json:"version"`
+	// Compared is true if the document was compared with the one in force.
+	Compared bool                `json:"compared"`
 	Findings []validator.Problem `json:"findings"`
 	Changes  []validator.Change  `json:"changes"`
 }
@@ -255,7 +257,15 @@
 		ArgsUsage: "FILE",
 		Description: "Ends with exit code 7 if there are findings. Hosts accept such a document nevertheless.\n\n" +
 			"Example:\n   sesamedrift config review examples/ajara.json",
-		Flags: []cli.Flag{hostsFlag, jsonFlag},
+		Flags: []cli.Flag{
+			hostsFlag,
+			jsonFlag,
+			&cli.BoolFlag{
+				Name:  "diff",
+				Usage: "also list the differences from the document in force; with --diff=false, no host is asked",
+				Value: true,
+			},
+		},
 		Action: c.withClient(func(ctx context.Context, cmd *cli.Command, api *client.Client) error {
 			document, data, err := c.readDocument(cmd)
 			if err != nil {
@@ -265,29 +275,45 @@
 				Findings: append([]validator.Problem{}, validator.Review(document)...),
 				Changes:  []validator.Change{},
 			}
-			state, err := api.Environment(ctx, document.Name)
-			var missing *client.APIError
-			switch {
-			case errors.As(err, &missing) && missing.Code == client.CodeNotFound:
-			case err != nil:
-				return err
-			default:
-				r.Version = state.Version
-				if r.Changes, err = validator.Diff(state.Document, data); err != nil {
-					return err
-				}
+			var failed error
+			if cmd.Bool("diff") {
+				failed = r.compare(ctx, api, document.Name, data)
 			}
 			if err := c.printReview(cmd, r); err != nil {
 				return err
 			}
-			if len(r.Findings) > 0 {
+			switch {
+			case len(r.Findings) == 0:
+				return failed
+			case failed != nil:
+				return &exitError{code: sesamedrift.ExitConflict, message: failed.Error()}
+			default:
 				return &exitError{code: sesamedrift.ExitConflict}
 			}
-			return nil
 		}),
 	}
 }
 
+// compare adds the differences from the document in force. After an error the review stays as it was.
+func (r *review) compare(ctx context.Context, api *client.Client, environment string, data []byte) error {
+	state, err := api.Environment(ctx, environment)
+	var missing *client.APIError
+	if errors.As(err, &missing) && missing.Code == client.CodeNotFound {
+		r.Compared = true
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	changes, err := validator.Diff(state.Document, data)
+	if err != nil {
+		return err
+	}
+	r.Compared, r.Version = true, state.Version
+	r.Changes = append(r.Changes, changes...)
+	return nil
+}
+
 func (c *commandLine) printReview(cmd *cli.Command, r review) error {
 	if cmd.Bool("json") {
 		return c.printJSON(r)
@@ -296,11 +322,13 @@
 	for _, f := range r.Findings {
 		c.printf("%s\n", f)
 	}
-	if r.Version == 0 {
+	switch {
+	case !r.Compared:
+	case r.Version == 0:
 		c.printf("no document is in force\n")
-		return nil
+	default:
+		c.printChanges(r.Changes, r.Version)
 	}
-	c.printChanges(r.Changes, r.Version)
 	return nil
 }
 
