placer: a new placer waits for the reports of all upstreams

When the placer of a shard changed, the next one placed tasks as soon as one upstream was ready. A job whose caller had sent it again, while its first connection was broken without notice, then got a second run while the first one went on at an upstream that had not been reported.

--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -39,6 +39,7 @@
 	for _, u := range c.upstreams.All() {
 		c.updatePlacerUpstream(now, u)
 	}
+	c.placer.AwaitReports()
 	for _, address := range append(slices.Sorted(maps.Keys(c.peers)), c.cfg.Self.Address) {
 		c.send(address, kindStatusRequest, statusRequest{})
 	}
@@ -363,6 +364,7 @@
 		c.notifyHomes(jobs)
 	}
 	c.updateUsable(now, r.Upstream)
+	c.placer.RecordReport(now, r.Upstream)
 }
 
 func (c *Core) receiveFreed(now time.Time, from string, f freed) {
--- a/emulator/disturbances_test.go
+++ b/emulator/disturbances_test.go
@@ -117,6 +117,7 @@
 // and the caller sends the job again to another host:
 //   - The placer changes within the time that it takes to stop the runs of the first submission. The next placer
 //     places the second one before it has received these runs.
+//   - The same, while leaseholders change as well.
 //   - The first submission was redirected to another shard. The next placer of the home shard does not know that.
 //   - The second submission is forwarded to the domain of the first. The placer that it arrives at does not
 //     know that another placer of the domain places the job.
@@ -133,6 +134,14 @@
 		{"placer changes", 7, Disturbances{StopEvery: 700 * time.Millisecond}, false},
 		{"placer of the home shard changes", 101, Disturbances{StopEvery: 700 * time.Millisecond}, false},
 		{"forwarded", 7, Disturbances{ResubmitAnywhere: true}, true},
+		{"placer and leaseholders change", 31, Disturbances{
+			ResubmitAnywhere: true,
+			StopEvery:        900 * time.Millisecond,
+			UnhealthyEvery:   2 * time.Second,
+			UnhealthyTime:    time.Second,
+			DelayedShare:     0.02,
+			MaxDelay:         300 * time.Millisecond,
+		}, true},
 		{"former placer has forwarded", 1, Disturbances{
 			UnhealthyEvery: 3 * time.Second,
 			UnhealthyTime:  time.Second,
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -116,9 +116,11 @@
 	cfg       Config
 	upstreams map[string]*upstream
 	sorted    []*upstream // the upstreams by identifier
-	jobs      map[jobKey]*waitingJob
-	order     []*waitingJob // the waiting jobs in the order of compareJobs
-	plan      waitingPlan
+	// unreported holds the upstreams for whose reports AwaitReports waits.
+	unreported map[string]bool
+	jobs       map[jobKey]*waitingJob
+	order      []*waitingJob // the waiting jobs in the order of compareJobs
+	plan       waitingPlan
 	// reservations is the plan of the runs and the reserved starts. It is valid while reserving is set,
 	// which is during a call of place.
 	reservations waitingPlan
@@ -188,7 +190,7 @@
 
 // place searches upstreams for the waiting tasks, in the order of their jobs.
 func (p *Placer) place(now time.Time) {
-	if len(p.order) == 0 || p.closed != "" {
+	if len(p.order) == 0 || p.closed != "" || p.awaitsReports(now) {
 		return
 	}
 	// Under load hundreds of jobs wait, and after an event few of them fit. Jobs whose tasks all
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -123,6 +123,38 @@
 	h.collect()
 }
 
+// Guards against a new placer that places a job which its caller has sent again before it knows its runs.
+func TestNewPlacerAwaitsReports(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		reveal func(h *harness)
+		placed int
+	}{
+		{"no report is missing", func(h *harness) {
+			h.p.RecordReport(h.now, "u0")
+			h.p.RecordReport(h.now, "u1")
+		}, 1},
+		{"a report is missing", func(h *harness) { h.p.RecordReport(h.now, "u0") }, 0},
+		{"upstream without reports removed", func(h *harness) {
+			h.p.RecordReport(h.now, "u0")
+			h.p.RemoveUpstream("u1")
+			h.p.Tick(h.now)
+		}, 1},
+		{"grace period has ended", func(h *harness) { h.advance(time.Second) }, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 10000, 10000)
+			h.p.cfg.GraceUntil = h.now.Add(time.Second)
+			h.p.AwaitReports()
+			h.enqueue(h.job("j", "q", 1, 1000, 50*time.Millisecond))
+			h.g.Expect(h.placedOn).To(BeEmpty())
+			test.reveal(h)
+			h.collect()
+			h.g.Expect(h.placedOn).To(HaveLen(test.placed))
+		})
+	}
+}
+
 // Guards against reports about the free capacity with each run at peak load, and against capacity that
 // other placers do not learn of.
 func TestCapacityReportsThatMatter(t *testing.T) {
--- a/placer/upstreams.go
+++ b/placer/upstreams.go
@@ -53,12 +53,34 @@
 		}
 	}
 	delete(p.upstreams, id)
+	delete(p.unreported, id)
 	p.plan.outdated = true
 	if i, found := slices.BinarySearchFunc(p.sorted, id, compareID); found {
 		p.sorted = slices.Delete(p.sorted, i, i+1)
 	}
 }
 
+// AwaitReports lets jobs wait until RecordReport was called for each present upstream, or the grace period ends. Until
+// then a job that its caller has sent again may have runs that are not known.
+func (p *Placer) AwaitReports() {
+	p.unreported = make(map[string]bool, len(p.upstreams))
+	for id := range p.upstreams {
+		p.unreported[id] = true
+	}
+}
+
+// RecordReport records that the leaseholder of an upstream has reported its state.
+func (p *Placer) RecordReport(now time.Time, id string) {
+	if p.unreported[id] {
+		delete(p.unreported, id)
+		p.place(now)
+	}
+}
+
+func (p *Placer) awaitsReports(now time.Time) bool {
+	return len(p.unreported) > 0 && now.Before(p.cfg.GraceUntil)
+}
+
 func compareID(u *upstream, id string) int { return strings.Compare(u.ID, id) }
 
 // SetUsable sets whether tasks may be placed on an upstream. Its runs are not affected.
