--- a/placer/placer.go
+++ b/placer/placer.go
@@ -270,6 +270,7 @@
 			continue
 		}
 		t := w.Tasks[i]
+		u.recordProbe(t.Run)
 		p.historyOf(now, w.key).openRuns++
 		p.recordUsage(w.Queue, t, u.runs[t.Run].expected)
 		placements = append(placements, Placement{
--- a/placer/runs.go
+++ b/placer/runs.go
@@ -134,8 +134,6 @@
 		expected: expected,
 		cold:     u.isCold,
 	})
-	// Counted at once, so that a probing upstream does not get the other tasks of the job, too.
-	u.recordProbe(t.Run)
 	u.free = u.free.Minus(t.Demand)
 	if p.reserving {
 		p.reservations.Take(u.planIndex, t.Demand, expected+p.overhead)
