--- a/placer/health.go
+++ b/placer/health.go
@@ -37,7 +37,7 @@
 	comparisons int
 	// cooldownUntil is the end of the period in which the upstream gets no tasks.
 	cooldownUntil time.Time
-	// probing is set by an ejection. After the cooldown the upstream gets one task at a time until
+	// probing is set by an ejection. After the cooldown the upstream gets tasks of one job at a time until
 	// one has succeeded.
 	probing bool
 	// consecutiveFailures counts ejections since the last success.
