messenger: a connection that has worked ends the failures also after Reconnect

A connection on which a reply was received, or that has lasted for a second, resets the number of consecutive failures when it ends. Since connections that were given up are exempt from the backoff, they no longer did so: after an outage of the peer, the next failed dial was followed by the longest backoff (1 s) instead of 20 ms, however long the connection had worked in between.

The reset now comes before the exemption. TestReconnectEndsFailures fails without the change (9 failures remain instead of none); the tests of the package pass.

--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -281,6 +281,24 @@
 	}
 }
 
+// Guards against the longest backoff after a single failed dial: a connection that has worked ends the series of
+// failures also if it is given up.
+func TestReconnectEndsFailures(t *testing.T) {
+	g := NewWithT(t)
+	_, p := pair(t, func(context.Context, Hello, Kind, []byte) ([]byte, error) { return nil, nil })
+	failures := func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.failures
+	}
+	p.mu.Lock()
+	p.failures = 9
+	p.mu.Unlock()
+	g.Expect(callError(t.Context(), p, KindStatus)).To(Succeed())
+	p.Reconnect()
+	g.Eventually(failures).WithTimeout(time.Second).Should(BeZero())
+}
+
 // Guards against *NotSentError for a call whose handler is running when the connection, the
 // Listener, the Peer or the context ends.
 func TestCallIsLost(t *testing.T) {
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -362,13 +362,13 @@
 	if p.link == l {
 		p.link = nil
 	}
-	if errors.Is(l.err, errReconnect) {
-		return
-	}
 	if replies || time.Since(l.establishedAt) >= maxBackoff {
 		p.failures = 0
 		return
 	}
+	if errors.Is(l.err, errReconnect) {
+		return
+	}
 	p.backOff(l.err)
 }
 
