dispatcher: a new placer learns the runs of an upstream that does not respond

The leaseholder of an upstream that does not respond reports it as not ready, together with the runs that may go on there until their lease ends. The placer ignored these runs, but took the report as one it had waited for. So a new placer placed a task of a job that was sent again while its first run went on.

The placer now records the runs of such a report, after it has set the upstream unusable. The case "not responding" of TestNewPlacerAwaitsRuns fails without the change; the tests of the package pass.

--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -354,8 +354,11 @@
 		return
 	}
 	delete(c.readyReporter, r.Upstream)
-	if r.Ready {
-		c.readyReporter[r.Upstream] = from
+	if !r.Ready {
+		c.updateUsable(now, r.Upstream)
+	}
+	// The leaseholder of an upstream that does not respond may still know runs that go on there.
+	if r.Ready || len(r.Running) > 0 {
 		c.placer.Reconcile(now, r.Upstream, r.Running)
 		jobs := make([]string, 0, len(r.Running))
 		for _, t := range r.Running {
@@ -363,7 +366,10 @@
 		}
 		c.notifyHomes(jobs)
 	}
-	c.updateUsable(now, r.Upstream)
+	if r.Ready {
+		c.readyReporter[r.Upstream] = from
+		c.updateUsable(now, r.Upstream)
+	}
 	c.placer.RecordReport(now, r.Upstream)
 }
 
--- a/dispatcher/shards_test.go
+++ b/dispatcher/shards_test.go
@@ -12,6 +12,7 @@
 	"sesamedrift.example/sesamedrift/discoverer"
 	"sesamedrift.example/sesamedrift/leaseholder"
 	"sesamedrift.example/sesamedrift/placer"
+	"sesamedrift.example/sesamedrift/poller"
 	"sesamedrift.example/sesamedrift/tracker"
 )
 
@@ -322,3 +323,46 @@
 	h.deliver(kindPlacementRequest, request)
 	h.g.Expect(h.sent).To(Equal([]sentMessage{{otherAddress, kindRedirect}}))
 }
+
+// Guards against a new placer that places a task while an upstream may run it, which does not respond to the
+// leaseholder that knows the run.
+func TestNewPlacerAwaitsRuns(t *testing.T) {
+	run := sesamedrift.Run{Task: sesamedrift.TaskID{Job: "job"}, Number: 1}
+	running := []leaseholder.Task{{Run: run, Entry: entryAddress}}
+	for _, test := range []struct {
+		name   string
+		status upstreamStatus
+		placed bool
+	}{
+		{"ready", upstreamStatus{Ready: true}, true},
+		{"lease ended", upstreamStatus{}, true},
+		{"not responding", upstreamStatus{Running: running}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addPeer(entryAddress, 3)
+			h.makeOtherPlacer()
+			h.core.HandleUpdates(h.now, controlAddress, poller.Updates{
+				Upstreams: []discoverer.Upstream{domainUpstream("u-1"), domainUpstream("u-2")},
+			})
+			h.deliver(kindAssignment, assignment{
+				Placers:      []string{selfAddress},
+				Leaseholders: map[string]string{"u-1": otherAddress, "u-2": otherAddress},
+				Shards:       map[string]int{"u-1": 0, "u-2": 0},
+			})
+			h.deliver(kindUpstreamStatus, upstreamStatus{Upstream: "u-1", Ready: true})
+			test.status.Upstream = "u-2"
+			h.deliver(kindUpstreamStatus, test.status)
+			h.deliverFrom(entryAddress, kindPlacementRequest, placementRequest{
+				Job:       "job",
+				Remaining: time.Minute,
+				Tasks:     []requestedTask{{Run: sesamedrift.Run{Task: run.Task, Number: 2}}},
+			})
+			placed := ContainElement(sentMessage{entryAddress, kindPlacement})
+			if !test.placed {
+				placed = Not(placed)
+			}
+			h.g.Expect(h.sent).To(placed)
+		})
+	}
+}
