dispatcher: a new placer waits until upstreams have listed their runs

A leaseholder answers the request of a new placer for the states of its upstreams at once, also for one that it is only acquiring, as when the leaseholder has changed with the placer. Such a report has no runs. The placer took it as one it had waited for and placed tasks of a job that was sent again while its first run went on there.

The report now says that the upstream is being acquired, and the placer goes on waiting, at most for its grace period. Reports of hosts of earlier releases count as before.

The case "acquiring" of TestNewPlacerAwaitsRuns fails without the change.

--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -380,8 +380,9 @@
 // reportUpstreamStatus sends the state of an upstream and its active runs to its placer.
 func (c *Core) reportUpstreamStatus(h *heldUpstream) {
 	r := upstreamStatus{
-		Upstream: h.session.Upstream().ID,
-		Ready:    h.session.Ready(),
+		Upstream:  h.session.Upstream().ID,
+		Ready:     h.session.Ready(),
+		Acquiring: !h.session.Acquired(),
 	}
 	for _, p := range h.session.Tasks() {
 		t := p.Task
--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -221,6 +221,9 @@
 	Upstream string             `msgpack:"upstream"`
 	Ready    bool               `msgpack:"ready"`
 	Running  []leaseholder.Task `msgpack:"running"`
+	// Acquiring is set until the upstream has listed its runs to the leaseholder: there may be others than Running.
+	// Hosts of earlier releases never set it.
+	Acquiring bool `msgpack:"acquiring,omitempty"`
 }
 
 // freed notifies the placer that a run has ended.
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -370,7 +370,9 @@
 		c.readyReporter[r.Upstream] = from
 		c.updateUsable(now, r.Upstream)
 	}
-	c.placer.RecordReport(now, r.Upstream)
+	if !r.Acquiring {
+		c.placer.RecordReport(now, r.Upstream)
+	}
 }
 
 func (c *Core) receiveFreed(now time.Time, from string, f freed) {
--- a/dispatcher/shards_test.go
+++ b/dispatcher/shards_test.go
@@ -9,8 +9,10 @@
 	. "github.com/onsi/gomega"
 
 	"sesamedrift.example/sesamedrift"
+	"sesamedrift.example/sesamedrift/courier"
 	"sesamedrift.example/sesamedrift/discoverer"
 	"sesamedrift.example/sesamedrift/leaseholder"
+	"sesamedrift.example/sesamedrift/messenger"
 	"sesamedrift.example/sesamedrift/placer"
 	"sesamedrift.example/sesamedrift/poller"
 	"sesamedrift.example/sesamedrift/tracker"
@@ -324,8 +326,8 @@
 	h.g.Expect(h.sent).To(Equal([]sentMessage{{otherAddress, kindRedirect}}))
 }
 
-// Guards against a new placer that places a task while an upstream may run it, which does not respond to the
-// leaseholder that knows the run.
+// Guards against a new placer that places a task while an upstream may run it: the new leaseholder of the upstream has
+// not reached it yet, or the upstream does not respond to the leaseholder that knows the run.
 func TestNewPlacerAwaitsRuns(t *testing.T) {
 	run := sesamedrift.Run{Task: sesamedrift.TaskID{Job: "job"}, Number: 1}
 	running := []leaseholder.Task{{Run: run, Entry: entryAddress}}
@@ -336,6 +338,7 @@
 	}{
 		{"ready", upstreamStatus{Ready: true}, true},
 		{"lease ended", upstreamStatus{}, true},
+		{"acquiring", upstreamStatus{Acquiring: true}, false},
 		{"not responding", upstreamStatus{Running: running}, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -366,3 +369,28 @@
 		})
 	}
 }
+
+// Guards against a leaseholder that reports an upstream as one without runs before the upstream has listed them.
+func TestStatusOfAcquiredUpstream(t *testing.T) {
+	h := newFollower(t)
+	var reports []upstreamStatus
+	post := h.core.effects.Post
+	h.core.effects.Post = func(to string, m courier.Message) bool {
+		var r upstreamStatus
+		if m.Kind == kindUpstreamStatus {
+			h.g.Expect(messenger.Decode(m.Body, &r)).To(Succeed())
+			reports = append(reports, r)
+		}
+		return post(to, m)
+	}
+	h.core.HandleUpdates(h.now, controlAddress, poller.Updates{Upstreams: []discoverer.Upstream{domainUpstream("a")}})
+	h.assign(1)
+	h.deliverFrom(leaderAddress, kindStatusRequest, statusRequest{})
+	h.g.Expect(reports).NotTo(BeEmpty())
+	h.g.Expect(reports).To(HaveEach(HaveField("Acquiring", true)))
+	h.acceptFirstOrder()
+	reports = nil
+	h.deliverFrom(leaderAddress, kindStatusRequest, statusRequest{})
+	h.g.Expect(reports).NotTo(BeEmpty())
+	h.g.Expect(reports).To(HaveEach(And(HaveField("Acquiring", false), HaveField("Ready", true))))
+}
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -129,6 +129,8 @@
 	watches []watch
 
 	ready bool
+	// acquired is set once the upstream has listed its runs.
+	acquired bool
 	// closed is set when the lease is lost or the upstream has a new incarnation; replaced only if another
 	// upstream has its address, so that all runs have ended.
 	closed      bool
@@ -184,6 +186,9 @@
 // Ready reports whether the upstream responds and the session is not closed.
 func (s *Session) Ready() bool { return s.ready && !s.closed }
 
+// Acquired reports whether the upstream has listed its runs to the session.
+func (s *Session) Acquired() bool { return s.acquired }
+
 // Busy reports whether Tick has more to do than to poll the upstream at IdlePollInterval.
 func (s *Session) Busy() bool { return !s.closed && len(s.tasks)+len(s.watches) > 0 }
 
--- a/leaseholder/responses.go
+++ b/leaseholder/responses.go
@@ -107,7 +107,7 @@
 	}
 	s.reconcile(now, resp)
 	if !s.ready {
-		s.ready = true
+		s.ready, s.acquired = true, true
 		s.events = append(s.events, Event{Kind: Ready})
 	}
 	s.resolveWatches(now, resp)
