dispatcher: a new placer waits for upstreams that it has not heard of

A host that has become placer before it has heard of all upstreams of its shard did not wait for the others. A report about such an upstream was also lost in part: its runs were not recorded, and the upstream counted as ready and empty once the host heard of it. Either way a task of a job that was sent again got a second run.

The placer now waits for all upstreams that the assignment gives to its shard, at most for its grace period, ignores reports about those that it has not heard of, and asks the leaseholder once it has.

TestNewPlacerHearsOfUpstreamLate fails without the change. The tests of dispatcher and placer, TestConnectionsBreakUnnoticed and TestDisturbances pass.

--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -157,7 +157,11 @@
 		c.logEvent(reporter.UpstreamAnnounced, "upstream", u.ID, "state", u.State, "life", u.Incarnation, "report", u.ReportSeq,
 			"service", u.Service, "cpu", u.Capacity.CPU)
 	}
+	isNew := c.placer != nil && !c.placer.HasUpstream(u.ID)
 	c.updatePlacerUpstream(now, u)
+	if holder := c.assigned.Leaseholders[u.ID]; isNew && holder != "" && c.placer.HasUpstream(u.ID) {
+		c.send(holder, kindStatusRequest, statusRequest{Upstreams: []string{u.ID}})
+	}
 	h := c.held[u.ID]
 	switch {
 	case h != nil:
--- a/dispatcher/placing.go
+++ b/dispatcher/placing.go
@@ -39,7 +39,13 @@
 	for _, u := range c.upstreams.All() {
 		c.updatePlacerUpstream(now, u)
 	}
-	c.placer.AwaitReports()
+	var unknown []string
+	for id := range c.assigned.Shards {
+		if _, known := c.upstreams.Get(id); !known && c.assigned.placerOf(id) == c.cfg.Self.Address {
+			unknown = append(unknown, id)
+		}
+	}
+	c.placer.AwaitReports(unknown...)
 	for _, address := range append(slices.Sorted(maps.Keys(c.peers)), c.cfg.Self.Address) {
 		c.send(address, kindStatusRequest, statusRequest{})
 	}
@@ -348,9 +354,11 @@
 	}
 }
 
-// receiveUpstreamStatus records the state of an upstream that its leaseholder reports.
+// receiveUpstreamStatus records the state of an upstream that its leaseholder reports. The placer can't record runs on
+// an upstream that this host has not heard of; it asks for them once it has.
 func (c *Core) receiveUpstreamStatus(now time.Time, from string, r upstreamStatus) {
-	if c.placer == nil || c.assigned.Leaseholders[r.Upstream] != from || c.assigned.placerOf(r.Upstream) != c.cfg.Self.Address {
+	if c.placer == nil || c.assigned.Leaseholders[r.Upstream] != from || c.assigned.placerOf(r.Upstream) != c.cfg.Self.Address ||
+		!c.placer.HasUpstream(r.Upstream) {
 		return
 	}
 	delete(c.readyReporter, r.Upstream)
--- a/dispatcher/shards_test.go
+++ b/dispatcher/shards_test.go
@@ -394,3 +394,42 @@
 	h.g.Expect(reports).NotTo(BeEmpty())
 	h.g.Expect(reports).To(HaveEach(And(HaveField("Acquiring", false), HaveField("Ready", true))))
 }
+
+// Guards against two runs of a task on account of an upstream that a new placer hears of after its leaseholder has
+// reported the run, or has not heard of when it places the task.
+func TestNewPlacerHearsOfUpstreamLate(t *testing.T) {
+	h := newHarness(t)
+	h.addPeer(entryAddress, 3)
+	h.makeOtherPlacer()
+	learn := func(id string) {
+		h.core.HandleUpdates(h.now, controlAddress, poller.Updates{Upstreams: []discoverer.Upstream{domainUpstream(id)}})
+		h.core.Flush(h.now)
+	}
+	learn("u-1")
+	h.deliver(kindAssignment, assignment{
+		Placers:      []string{selfAddress},
+		Leaseholders: map[string]string{"u-1": otherAddress, "u-2": otherAddress},
+		Shards:       map[string]int{"u-1": 0, "u-2": 0},
+	})
+	h.deliver(kindUpstreamStatus, upstreamStatus{Upstream: "u-1", Ready: true})
+	task := sesamedrift.TaskID{Job: "job"}
+	status := upstreamStatus{Upstream: "u-2", Ready: true, Running: []leaseholder.Task{{
+		Run:   sesamedrift.Run{Task: task, Number: 1},
+		Entry: entryAddress,
+	}}}
+	h.deliver(kindUpstreamStatus, status)
+	placed := ContainElement(sentMessage{entryAddress, kindPlacement})
+	h.deliverFrom(entryAddress, kindPlacementRequest, placementRequest{
+		Job:       "job",
+		Remaining: time.Minute,
+		Tasks:     []requestedTask{{Run: sesamedrift.Run{Task: task, Number: 2}}},
+	})
+	h.g.Expect(h.sent).NotTo(placed)
+	learn("u-2")
+	h.g.Expect(h.sent).To(ContainElement(sentMessage{otherAddress, kindStatusRequest}))
+	h.deliver(kindUpstreamStatus, status)
+	h.g.Expect(h.sent).NotTo(placed)
+	status.Running = nil
+	h.deliver(kindUpstreamStatus, status)
+	h.g.Expect(h.sent).To(placed)
+}
--- a/placer/upstreams.go
+++ b/placer/upstreams.go
@@ -60,13 +60,19 @@
 	}
 }
 
-// AwaitReports lets jobs wait until RecordReport was called for each present upstream, or the grace period ends. Until
-// then a job that its caller has sent again may have runs that are not known.
-func (p *Placer) AwaitReports() {
+// HasUpstream reports whether SetUpstream was called for an upstream that was not removed since.
+func (p *Placer) HasUpstream(id string) bool { return p.upstreams[id] != nil }
+
+// AwaitReports lets jobs wait until RecordReport was called for each present upstream and the expected ones, or the
+// grace period ends. Until then a job that its caller has sent again may have runs that are not known.
+func (p *Placer) AwaitReports(expected ...string) {
 	p.unreported = make(map[string]bool, len(p.upstreams))
 	for id := range p.upstreams {
 		p.unreported[id] = true
 	}
+	for _, id := range expected {
+		p.unreported[id] = true
+	}
 }
 
 // RecordReport records that the leaseholder of an upstream has reported its state.
