--- a/placer/waiting.go
+++ b/placer/waiting.go
@@ -47,24 +47,13 @@
 // supersede withdraws the job of the same identifier from other entry hosts, and adds a decision
 // for each of these hosts. Their runs must end before the tasks are placed again.
 func (p *Placer) supersede(w *waitingJob) {
-	otherEntries := map[string]bool{}
+	otherEntries := p.otherRunEntries(&w.Job)
+	delete(otherEntries, "")
 	for key := range p.jobs {
 		if key.id == w.ID && key.entry != w.Entry {
 			otherEntries[key.entry] = true
 		}
 	}
-	for _, t := range w.Tasks {
-		if p.runCounts[t.Run.Task] == 0 {
-			continue
-		}
-		for _, u := range p.sorted {
-			for run, r := range u.runs {
-				if run.Task == t.Run.Task && r.key.entry != w.Entry && r.key.entry != "" {
-					otherEntries[r.key.entry] = true
-				}
-			}
-		}
-	}
 	for _, entry := range slices.Sorted(maps.Keys(otherEntries)) {
 		p.Withdraw(entry, w.ID)
 		p.decisions = append(p.decisions, Decision{
@@ -78,6 +67,16 @@
 // SupersedeRuns does what Enqueue does for the open runs that tasks of a job have for other entry hosts. It reports
 // whether there are any; until they have ended, no other placer may place these tasks.
 func (p *Placer) SupersedeRuns(j Job) bool {
+	if len(p.otherRunEntries(&j)) == 0 {
+		return false
+	}
+	p.supersede(&waitingJob{Job: j})
+	return true
+}
+
+// otherRunEntries returns the other entry hosts for which tasks of a job have open runs; "" stands for an unknown one.
+func (p *Placer) otherRunEntries(j *Job) map[string]bool {
+	entries := map[string]bool{}
 	for _, t := range j.Tasks {
 		if p.runCounts[t.Run.Task] == 0 {
 			continue
@@ -85,13 +84,12 @@
 		for _, u := range p.sorted {
 			for run, r := range u.runs {
 				if run.Task == t.Run.Task && r.key.entry != j.Entry {
-					p.supersede(&waitingJob{Job: j})
-					return true
+					entries[r.key.entry] = true
 				}
 			}
 		}
 	}
-	return false
+	return entries
 }
 
 // demandWeight is the weight of one job in the moving mean of the CPU demand.
