courier: acknowledged heartbeats keep a session, as before

Sessions ended when a batch was not acknowledged within the suspicion time although heartbeats were.

--- a/courier/session.go
+++ b/courier/session.go
@@ -94,8 +94,9 @@
 // Batches may be lost, but those that arrive must arrive in order, unless they are lost again.
 //
 // Both sides number their sessions by epochs and adopt the higher number. A side that has received
-// nothing for the suspicion time, or whose batch was not acknowledged for that time, ends the
-// session and moves to the next epoch, which ends the session on the other side. A batch that is
+// nothing for the suspicion time, or no acknowledgement of a batch or a heartbeat that it waits for, ends the
+// session and moves to the next epoch, which ends the session on the other side. Acknowledged heartbeats keep a session
+// whose batches take longer over a slow link: to begin again would take longer still. A batch that is
 // received after the suspicion time, for example because the process was suspended, ends the session
 // instead of being applied: the sender has given it up by then.
 //
@@ -148,8 +149,7 @@
 type sentBatch struct {
 	seq      uint64
 	messages []Message
-	// firstSentAt and sentAt are when the batch was sent for the first and for the last time.
-	firstSentAt, sentAt time.Time
+	sentAt   time.Time
 }
 
 // SetWatch changes the watch. The suspicion time begins anew, so that a session that was watched less
@@ -230,10 +230,9 @@
 	}
 	s.sentSeq++
 	s.unacked = append(s.unacked, sentBatch{
-		seq:         s.sentSeq,
-		messages:    s.queue[:n:n],
-		firstSentAt: now,
-		sentAt:      now,
+		seq:      s.sentSeq,
+		messages: s.queue[:n:n],
+		sentAt:   now,
 	})
 	s.onConnection = len(s.unacked)
 	s.queue = s.queue[n:]
@@ -386,7 +385,7 @@
 		s.queued -= len(s.unacked[acked].messages)
 		acked++
 	}
-	heartbeatAcked := b.HeartbeatAcked > s.heartbeatAcked
+	progress := acked > 0 || b.HeartbeatAcked > s.heartbeatAcked
 	s.unacked = s.unacked[acked:]
 	s.onConnection = max(0, s.onConnection-acked)
 	s.probing = s.probing && acked == 0
@@ -394,13 +393,8 @@
 	switch {
 	case len(s.unacked) == 0 && s.heartbeat == s.heartbeatAcked:
 		s.unansweredSince = time.Time{}
-	case acked > 0:
+	case progress:
 		s.unansweredSince = now
-	case heartbeatAcked && len(s.unacked) == 0:
-		s.unansweredSince = now
-	case heartbeatAcked && s.unansweredSince.Before(s.unacked[0].firstSentAt):
-		// An acknowledged heartbeat does not show that the messages arrive.
-		s.unansweredSince = s.unacked[0].firstSentAt
 	}
 }
 
