emulator: a seed that shows the late start on the next incarnation

Seed 3000056, found by a search of 120 seeds, shows the same fault: a start is executed 11 s late by the next incarnation of its upstream.

--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -142,9 +142,9 @@
 }
 
 // Guards against a start order that is executed seconds late by the next incarnation of its upstream: beside another run
-// of the task (3000226), or after the job has ended (3000208, 3000368).
+// of the task (3000226), or after the job has ended (3000056, 3000208, 3000368).
 func TestLateStartOnNextIncarnation(t *testing.T) {
-	checkSeeds(t, []uint64{3000208, 3000226, 3000368}, newFaultySimulation)
+	checkSeeds(t, []uint64{3000056, 3000208, 3000226, 3000368}, newFaultySimulation)
 }
 
 // Guards against two concurrent runs of one task, each cause under the seeds that showed it:
