claimer: wait for calls to the third host in a test

Finish returns once a majority of the three hosts has recorded an outcome, which need not include host 1, while the test looked there at once. Calls that are late also change which answers host 1 evicts first. The test now waits after each Finish until host 1 has recorded it.

--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -277,6 +277,8 @@
 		key := fmt.Sprintf("order-%d@20261204T090000.000", i)
 		g.Expect(c.claimKey(0, Started, key, testTime).Status).To(Equal(Granted))
 		g.Expect(c.host(0).claimer.Finish(ctx, testTime, key, completeOutcome("twenty bytes of text"))).To(Succeed())
+		// Finish returns once a majority has recorded the outcome; the call to host 1 may still run.
+		g.Eventually(func() []Claim { return c.host(1).table.get(key).Claims }).Should(ConsistOf(HaveField("Phase", Done)))
 	}
 	g.Expect(c.host(0).table.answerBytes).To(BeNumerically("<=", 100))
 	d, err := c.host(1).claimer.Find(ctx, testTime, "order-0@20261204T090000.000", testTime)
