--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -256,13 +256,7 @@
 func TestJobIsNotForwardedBack(t *testing.T) {
 	h := newHarness(t)
 	h.makeOtherPlacer()
-	h.core.Submit(h.now, tracker.Job{
-		ID:          "j",
-		MaxAttempts: 1,
-		Steps:       []tracker.Step{{TaskCount: 1}},
-		Arrived:     h.now,
-		Deadline:    h.now.Add(time.Minute),
-	}, NewCaller(func(Result) {}))
+	h.submitTask("j")
 	h.deliverFrom("far", kindForwardedJob, forwardedJob{Domain: "d", ID: "j"})
 	h.deliver(kindForwardRequest, forwardRequest{
 		Job:    "j",
--- a/dispatcher/forwarding.go
+++ b/dispatcher/forwarding.go
@@ -200,10 +200,7 @@
 func (c *Core) sendForwardDecision(now time.Time, d placer.Decision) {
 	if shard := c.assigned.shardOf(d.ForwardTo); shard >= 0 {
 		c.stats.Redirected++
-		c.redirects[d.Job] = redirection{
-			shard: shard,
-			until: now.Add(redirectRetention),
-		}
+		c.recordRedirect(now, d.Job, shard)
 		c.send(d.Entry, kindRedirect, redirect{
 			Job: d.Job,
 			To:  d.ForwardTo,
@@ -404,6 +401,14 @@
 	}
 }
 
+// recordRedirect records that a job was redirected to the placer of another shard.
+func (c *Core) recordRedirect(now time.Time, id string, shard int) {
+	c.redirects[id] = redirection{
+		shard: shard,
+		until: now.Add(redirectRetention),
+	}
+}
+
 // redirectTarget returns the address of the other placer of this domain to which a job was redirected, or "".
 func (c *Core) redirectTarget(id string) string {
 	r, redirected := c.redirects[id]
@@ -436,10 +441,7 @@
 	if shard < 0 || shard == c.shard || c.placer.MayTrack(now, m.Job) {
 		return false
 	}
-	c.redirects[m.Job] = redirection{
-		shard: shard,
-		until: now.Add(redirectRetention),
-	}
+	c.recordRedirect(now, m.Job, shard)
 	return c.redirectAgain(entry, m.Job)
 }
 
@@ -476,10 +478,7 @@
 		if c.assigned.homeShard(id) != c.shard {
 			continue
 		}
-		c.redirects[id] = redirection{
-			shard: shard,
-			until: now.Add(redirectRetention),
-		}
+		c.recordRedirect(now, id, shard)
 		for _, entry := range c.placer.WaitingEntries(id) {
 			c.placer.Withdraw(entry, id)
 			c.redirectAgain(entry, id)
