--- a/review/standin2/main.go
+++ b/review/6/standin/main.go
@@ -1,8 +1,8 @@
-// Command standin2 plays the scenarios of the cases 6 to 10, and executor-of-other-kind, which is no case. It starts the
+// Command standin plays the scenarios of the cases 6 to 10, and executor-of-other-kind, which is no case. It starts the
 // project's hosts as separate processes on loopback addresses, plays the executors, the clients, the operator and the
 // platform, and checks one rule by what these see.
 //
-// Usage: standin2 SCENARIO RECORD, in the root of the repository. The variable TROUBLE=0 leaves the disruption out. The
+// Usage: review-standin2 SCENARIO RECORD, in the root of the repository. The variable TROUBLE=0 leaves the disruption out. The
 // exit code is 0 if the rule held, 1 if it was broken and 2 if the scenario could not run.
 package main
 
@@ -52,18 +52,18 @@
 
 func play() int {
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin2 SCENARIO RECORD")
+		fmt.Fprintln(os.Stderr, "usage: review-standin2 SCENARIO RECORD")
 		return exitFailed
 	}
 	rec, err := newRecord(os.Args[2])
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "standin2:", err)
+		fmt.Fprintln(os.Stderr, "review-standin2:", err)
 		return exitFailed
 	}
 	defer func() { _ = rec.close() }()
 	folder, err := os.MkdirTemp("", "review-")
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "standin2:", err)
+		fmt.Fprintln(os.Stderr, "review-standin2:", err)
 		return exitFailed
 	}
 	s := &stage{
