Log and count stop orders that an upstream refuses

Neither logs nor metrics of a host told a refused stop order from one that was accepted or not answered, so the hypotheses could not be distinguished: the refusal counts as carried out, or the upstream forgets a stop that it has accepted, or the list of runs is older than the stop.

Event 5021 stop-refused and the counter stops_refused. No change of behaviour.

--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -342,6 +342,9 @@
 		case leaseholder.Unresponsive:
 			c.logEvent(reporter.UpstreamSilent, "upstream", id, "runs", len(h.session.Tasks()))
 			c.reportUpstreamStatus(h)
+		case leaseholder.StopRefused:
+			c.stats.StopsRefused++
+			c.logEvent(reporter.StopRefused, "upstream", id, "run", e.Task.Run.String(), "reason", e.Reason)
 		case leaseholder.LeaseLost:
 			c.logEvent(reporter.UpstreamOvertaken, "upstream", id, "token", h.session.Token(), "runs", len(h.session.Tasks()))
 			h.leaseLostAt = now
--- a/dispatcher/stats.go
+++ b/dispatcher/stats.go
@@ -29,6 +29,8 @@
 	// UpstreamRestarts counts the held upstreams that have restarted, UndeterminedRuns the runs of which the next
 	// incarnation had to be asked.
 	UpstreamRestarts, UndeterminedRuns int64
+	// StopsRefused counts the stop orders that held upstreams have refused.
+	StopsRefused int64
 	// Pauses counts the times at which the process of this host was suspended.
 	Pauses int64
 	// Orphans counts the runs that this host has found and stopped because they are of no host of the domain.
@@ -167,6 +169,7 @@
 	scope.Counter("tenure_checks").Inc(s.TenureChecks - p.last.TenureChecks)
 	scope.Counter("upstream_restarts").Inc(s.UpstreamRestarts - p.last.UpstreamRestarts)
 	scope.Counter("undetermined_runs").Inc(s.UndeterminedRuns - p.last.UndeterminedRuns)
+	scope.Counter("stops_refused").Inc(s.StopsRefused - p.last.StopsRefused)
 	scope.Counter("evacuation_rejections").Inc(s.EvacuationRejections - p.last.EvacuationRejections)
 	for _, d := range s.JobTimes {
 		p.jobTime.RecordDuration(d)
--- a/leaseholder/protocol.go
+++ b/leaseholder/protocol.go
@@ -153,10 +153,12 @@
 	// Restarted means that the upstream has a new incarnation. The caller continues with the Successor of the
 	// session.
 	Restarted EventKind = "restarted"
+	// StopRefused means that the upstream has refused the stop order of the run, and done nothing.
+	StopRefused EventKind = "stop-refused"
 )
 
-// Event reports a change to the caller of the session. Task, Result, Reason and Duration are set
-// only for Ended.
+// Event reports a change to the caller of the session. Result and Duration are set only for Ended, Task and Reason
+// also for StopRefused.
 type Event struct {
 	Kind   EventKind
 	Task   Task
--- a/leaseholder/responses.go
+++ b/leaseholder/responses.go
@@ -86,6 +86,13 @@
 	if resp.Status == NoResponse {
 		return
 	}
+	if resp.Status == Refused {
+		s.events = append(s.events, Event{
+			Kind:   StopRefused,
+			Task:   t.Task,
+			Reason: resp.Reason,
+		})
+	}
 	t.stopAckedAt = now
 	s.scheduleRenewal(now.Add(s.cfg.StopTime + s.cfg.TimerMargin))
 }
--- a/reporter/events.go
+++ b/reporter/events.go
@@ -350,6 +350,12 @@
 		Level:       slog.LevelWarn,
 		Description: "The control host cannot read the stored reports of upstreams, because the read has failed or the file is damaged; the attributes hold the path and the error. It continues without them, and the next report of an upstream replaces the file. Check the disk.",
 	}
+	StopRefused = Event{
+		ID:          5021,
+		Name:        "stop-refused",
+		Level:       slog.LevelWarn,
+		Description: "An upstream has refused the order to stop a run; the attributes hold the run and the reason. The run may be active or may still start.",
+	}
 )
 
 // Events 6xxx: connections and messages between hosts.
@@ -517,6 +523,7 @@
 	UpstreamRestarted,
 	ReportsNotStored,
 	ReportsNotRead,
+	StopRefused,
 	PeerRejected,
 	MessageRejected,
 	JournalTornTail,
