Withdraw a start only if the stop order was accepted

Cause: a session of package leaseholder took every response to a stop order for its acknowledgement, also 503, 429, 400 and 409. The start that had not been answered then counted as withdrawn, its task was placed again, and the stalled start was executed beside the next run.

An accepted stop that the upstream forgets, and a list of runs older than the stop, are ruled out.

Fix: only an accepted stop order withdraws a start. A refused order has had no effect and is sent again with backoff, so the upstream decides in the end whether the run starts, is stopped or is listed. The invariant is asserted where a run ends.

--- a/emulator/upstreamserver.go
+++ b/emulator/upstreamserver.go
@@ -21,7 +21,11 @@
 	draining    bool
 	// delayedOrderShare is the share of orders that get no response and are executed seconds later.
 	delayedOrderShare float64
-	timerSeq          int // of the latest scheduled check for ended runs; older checks do nothing
+	// refusedOrderShare is the share of orders that are refused without effect, stalledStartShare that of start orders
+	// that are executed up to maxStall late.
+	refusedOrderShare, stalledStartShare float64
+	maxStall                             time.Duration
+	timerSeq                             int // of the latest scheduled check for ended runs; older checks do nothing
 	// pendingPolls holds the long polls that are answered when a run ends.
 	pendingPolls []*pendingPoll
 }
@@ -130,6 +134,28 @@
 // later.
 func (s *UpstreamServer) DelayOrders(share float64) { s.delayedOrderShare = share }
 
+// RefuseOrders makes the upstream refuse a share of its orders, from 0 to 1, of any kind.
+func (s *UpstreamServer) RefuseOrders(share float64) { s.refusedOrderShare = share }
+
+// StallStarts makes the upstream execute a share of the start orders, from 0 to 1, late by up to a time.
+func (s *UpstreamServer) StallStarts(share float64, longest time.Duration) {
+	s.stalledStartShare = share
+	s.maxStall = longest
+}
+
+// refuses draws whether the upstream refuses an order.
+func (s *UpstreamServer) refuses() bool {
+	return s.refusedOrderShare > 0 && s.w.disturbanceRng.Float64() < s.refusedOrderShare
+}
+
+// stall draws how late the upstream executes an order.
+func (s *UpstreamServer) stall(o leaseholder.Order) time.Duration {
+	if o.Kind != leaseholder.StartOrder || s.stalledStartShare == 0 || s.w.disturbanceRng.Float64() >= s.stalledStartShare {
+		return 0
+	}
+	return s.w.drawDuration(s.maxStall)
+}
+
 // scheduleNextEnd answers the pending polls if runs have ended and schedules a check for when the
 // next run ends.
 func (s *UpstreamServer) scheduleNextEnd() {
@@ -196,7 +222,7 @@
 		})
 		return
 	}
-	w.After(w.latency(n.Domain, s.Domain)+w.extraDelay(), func() { s.handleOrder(n, to, o, w.Now()+o.MaxWait, answer) })
+	w.After(w.latency(n.Domain, s.Domain)+w.extraDelay()+s.stall(o), func() { s.handleOrder(n, to, o, w.Now()+o.MaxWait, answer) })
 }
 
 // handleOrder executes an order and answers it. An accepted lease renewal without ended runs is
@@ -211,7 +237,11 @@
 		Status:      leaseholder.OtherIncarnation,
 		Incarnation: s.current.Report.Incarnation,
 	}
-	if s.current.Report.ID == to.ID {
+	switch {
+	case s.current.Report.ID != to.ID:
+	case s.refuses():
+		a = refuse(a, leaseholder.Unhealthy)
+	default:
 		a = s.current.HandleOrder(w.wallTime(), o, w.demand(o.Run.Task.Job))
 		s.scheduleNextEnd()
 		if o.Kind == leaseholder.RenewOrder && a.Status == leaseholder.Accepted && len(a.Ended) == 0 && w.Now() < until {
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -13,6 +13,8 @@
 //     that an upstream may have, and within a Tenure, so that no other host has renewed it. A run that an
 //     incarnation has listed also ends with that incarnation. A run that none has listed may have been
 //     started by the next one, which must be asked (Session.Successor).
+//   - A run whose start order was not answered counts as never started only if the upstream has accepted a stop order of it.
+//     A refused order has had no effect.
 //   - The fencing token of the session never decreases, so that delayed orders of a previous
 //     leaseholder have no effect.
 //
@@ -50,8 +52,8 @@
 	ResponseTimeout time.Duration
 	// IdlePollInterval is the time between two polls of an upstream without runs.
 	IdlePollInterval time.Duration
-	// MinBackoff is the first delay between two polls of an unresponsive upstream; it doubles up
-	// to MaxBackoff.
+	// MinBackoff is the first delay between two polls of an unresponsive upstream, and between two stop orders that are
+	// refused; it doubles up to MaxBackoff.
 	MinBackoff, MaxBackoff time.Duration
 	// StopTime is how long an upstream takes to end a run that was stopped.
 	StopTime time.Duration
@@ -100,7 +102,11 @@
 
 	stopRequested bool
 	stopSentAt    time.Time // zero if no stop order is in flight
-	stopAckedAt   time.Time // zero if no stop was acknowledged
+	stopAckedAt   time.Time // zero if no stop order was accepted
+	// stopRetryAt is when a stop order that was refused is sent again, stopRefusals the number of refusals in
+	// sequence.
+	stopRetryAt  time.Time
+	stopRefusals int
 }
 
 // watch is the request of an entry host for the end of a run that the session does not track.
--- a/leaseholder/renewals.go
+++ b/leaseholder/renewals.go
@@ -27,12 +27,12 @@
 }
 
 // needsStop reports whether a stop order is due for a run: nobody has claimed it in time, or an earlier
-// stop order was not answered.
+// stop order was not answered or was refused.
 func (s *Session) needsStop(now time.Time, t *task) bool {
 	if !t.stopRequested {
 		return t.unclaimed && now.Sub(t.phaseSince) >= s.cfg.OrphanTimeout
 	}
-	return t.stopAckedAt.IsZero() && t.stopSentAt.IsZero() && s.ready
+	return t.stopAckedAt.IsZero() && t.stopSentAt.IsZero() && s.ready && !now.Before(t.stopRetryAt)
 }
 
 // renewWait returns how long the upstream may delay the response to the next renewal: not at all if
--- a/leaseholder/responses.go
+++ b/leaseholder/responses.go
@@ -83,18 +83,21 @@
 		return
 	}
 	t.stopSentAt = time.Time{}
-	if resp.Status == NoResponse {
-		return
-	}
-	if resp.Status == Refused {
+	switch resp.Status {
+	case Accepted:
+		t.stopAckedAt = now
+		t.stopRefusals = 0
+		s.scheduleRenewal(now.Add(s.cfg.StopTime + s.cfg.TimerMargin))
+	case Refused:
+		t.stopRetryAt = now.Add(s.backoff(t.stopRefusals))
+		t.stopRefusals++
 		s.events = append(s.events, Event{
 			Kind:   StopRefused,
 			Task:   t.Task,
 			Reason: resp.Reason,
 		})
+	case NoResponse, OtherIncarnation:
 	}
-	t.stopAckedAt = now
-	s.scheduleRenewal(now.Add(s.cfg.StopTime + s.cfg.TimerMargin))
 }
 
 func (s *Session) handleRenewResponse(now time.Time, resp Response) {
@@ -129,7 +132,7 @@
 	if s.pendingRenewals > 0 {
 		return
 	}
-	s.nextRenewalAt = now.Add(min(s.cfg.MinBackoff<<min(s.failures, 10), s.cfg.MaxBackoff))
+	s.nextRenewalAt = now.Add(s.backoff(s.failures))
 	if s.failures == 0 {
 		s.nextRenewalAt = now
 	}
@@ -140,6 +143,11 @@
 	}
 }
 
+// backoff returns the delay before an order is sent again after a number of earlier failures.
+func (s *Session) backoff(failures int) time.Duration {
+	return min(s.cfg.MinBackoff<<min(failures, 10), s.cfg.MaxBackoff)
+}
+
 // reconcile compares the active runs that the upstream lists with those that the session tracks.
 func (s *Session) reconcile(now time.Time, resp Response) {
 	listed := make(map[sesamedrift.Run]bool, len(resp.Running))
@@ -190,6 +198,9 @@
 }
 
 func (s *Session) end(now time.Time, t *task, result RunResult, reason Reason) {
+	if reason == Unconfirmed && t.stopAckedAt.IsZero() {
+		panic("leaseholder: an unanswered start counts as withdrawn without an accepted stop")
+	}
 	delete(s.tasks, t.Run)
 	if t.unclaimed {
 		return
