--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -76,6 +76,7 @@
 	poller     *poller.Poller
 	documents  poller.DocumentSource // serves the active document to other hosts
 	inbox      *inbox
+	watchdog   *watchdog
 	ctx        context.Context // ends with Close
 	cancel     context.CancelFunc
 	wg         sync.WaitGroup
@@ -101,6 +102,8 @@
 		cancel:  cancel,
 		self:    cfg.Self,
 		polling: map[string]context.CancelFunc{},
+
+		watchdog: &watchdog{stack: loopStack},
 	}
 	messengerConfig := h.messengerConfig()
 	h.courier = courier.New(courier.Config{
@@ -150,6 +153,7 @@
 		},
 	}, cfg.Now(), cfg.Seeds)
 	h.wg.Go(func() { h.loop(ctx) })
+	h.wg.Go(func() { h.watchLoop(ctx) })
 	return h, nil
 }
 
--- a/dispatcher/loop.go
+++ b/dispatcher/loop.go
@@ -49,6 +49,13 @@
 	return !full
 }
 
+// size returns the number of steps that wait.
+func (i *inbox) size() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.steps)
+}
+
 func (i *inbox) takeAll() []step {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -71,13 +78,16 @@
 	publishAt := h.cfg.Now()
 	for {
 		ticked := false
+		h.watchdog.stepEnds()
 		select {
 		case <-ctx.Done():
 			return
 		case <-h.inbox.wake:
+			h.watchdog.stepBegins(h.cfg.Now())
 		case <-timer.C:
 			ticked = true
 			now := h.cfg.Now()
+			h.watchdog.stepBegins(now)
 			h.core.SetHealthy(now, !probe.slow(now))
 			h.core.Tick(now)
 			h.courier.Tick(now)
--- a/reporter/events.go
+++ b/reporter/events.go
@@ -64,6 +64,12 @@
 		Level:       slog.LevelWarn,
 		Description: "The process has not run for the given time, because it or its machine was suspended or got no processor time. It lets its sessions begin again before it concludes anything from the silence of other hosts.",
 	}
+	LoopBlocked = Event{
+		ID:          1011,
+		Name:        "loop-blocked",
+		Level:       slog.LevelError,
+		Description: "The loop, which makes all decisions of an entry host, has not finished a step for the given time; the attributes hold the number of waiting steps and the call stack. Meanwhile the host answers no caller. Keep the event for the developers, and kill the host if it does not recover.",
+	}
 )
 
 // Events 2xxx: membership, leases and sessions between hosts.
@@ -478,6 +484,7 @@
 	LinesLeftOut,
 	ConnectionClosed,
 	HostResumed,
+	LoopBlocked,
 	ViewInstalled,
 	ViewProposalFailed,
 	LeaseLost,
