Bound the walks over the steps of a job

Cause: Tracker.RemainingTime called itself for each later step that depends on a step and kept no results, so that its time grew with the number of paths through the job, 3^19 there and up to 2^62 in the 64 steps that are accepted.

Fix: the remaining times are computed once from the last step to the first. Runs are found by index. One pass over a job is bounded by its tasks and dependencies.

--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -9,6 +9,8 @@
 package tracker
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"sesamedrift.example/sesamedrift"
@@ -129,9 +131,13 @@
 type Tracker struct {
 	Job Job
 
-	tasks []*task
+	// tasks holds the tasks in the order of steps and indexes, firstTask the index of the first task of each step.
+	tasks     []*task
+	firstTask []int
 	// remaining is the number of tasks that are not done, by step.
 	remaining []int
+	// remainingTimes holds the results of RemainingTime by step.
+	remainingTimes []time.Duration
 	// placements is the number of runs that have been placed.
 	placements int
 	// started is set by MarkStarted, and once a run that may have started has ended.
@@ -141,13 +147,18 @@
 	reason  string
 }
 
-// New returns the Tracker of a job. The steps of the job must depend on earlier steps only.
+// New returns the Tracker of a job. The steps of the job must depend on earlier steps only. In the steps of the Tracker
+// each list of dependencies is sorted and names a step once, so that it is not longer than the list of steps.
 func New(j Job) *Tracker {
+	j.Steps = normalizeSteps(j.Steps)
 	t := &Tracker{
-		Job:       j,
-		remaining: make([]int, len(j.Steps)),
+		Job:            j,
+		firstTask:      make([]int, len(j.Steps)),
+		remaining:      make([]int, len(j.Steps)),
+		remainingTimes: remainingTimes(j.Steps),
 	}
 	for s, step := range j.Steps {
+		t.firstTask[s] = len(t.tasks)
 		t.remaining[s] = step.TaskCount
 		for i := range step.TaskCount {
 			t.tasks = append(t.tasks, &task{
@@ -164,10 +175,52 @@
 	return t
 }
 
+// normalizeSteps returns the steps with sorted lists of dependencies that name each step once.
+func normalizeSteps(steps []Step) []Step {
+	normalized := slices.Clone(steps)
+	for s := range normalized {
+		normalized[s].DependsOn = normalizeDependencies(s, steps[s].DependsOn)
+	}
+	return normalized
+}
+
+func normalizeDependencies(step int, dependsOn []int) []int {
+	named := make([]bool, step)
+	for _, earlier := range dependsOn {
+		if earlier < 0 || earlier >= step {
+			panic(fmt.Sprintf("tracker: step %d depends on step %d, which is not an earlier one", step, earlier))
+		}
+		named[earlier] = true
+	}
+	var normalized []int
+	for earlier, depends := range named {
+		if depends {
+			normalized = append(normalized, earlier)
+		}
+	}
+	return normalized
+}
+
+// remainingTimes returns the estimated time from the end of each step to the end of the job. Each dependency is
+// visited once, after those of all steps that follow the dependent step.
+func remainingTimes(steps []Step) []time.Duration {
+	times := make([]time.Duration, len(steps))
+	for later, step := range slices.Backward(steps) {
+		for _, earlier := range step.DependsOn {
+			times[earlier] = max(times[earlier], step.Estimate+times[later])
+		}
+	}
+	return times
+}
+
 // unblock makes the blocked tasks pending whose step no longer depends on unfinished steps.
 func (t *Tracker) unblock() {
-	for _, k := range t.tasks {
-		if k.phase == taskBlocked && t.stepReady(k.step) {
+	for s, step := range t.Job.Steps {
+		first := t.firstTask[s]
+		if step.TaskCount == 0 || t.tasks[first].phase != taskBlocked || !t.stepReady(s) {
+			continue
+		}
+		for _, k := range t.tasks[first : first+step.TaskCount] {
 			k.phase = taskPending
 			k.runNumber = 1
 		}
@@ -204,17 +257,7 @@
 
 // RemainingTime returns the estimated time from the end of a step to the end of the job: the run
 // time of the longest chain of steps that depend on it.
-func (t *Tracker) RemainingTime(step int) time.Duration {
-	var longest time.Duration
-	for later := step + 1; later < len(t.Job.Steps); later++ {
-		for _, earlier := range t.Job.Steps[later].DependsOn {
-			if earlier == step {
-				longest = max(longest, t.Job.Steps[later].Estimate+t.RemainingTime(later))
-			}
-		}
-	}
-	return longest
-}
+func (t *Tracker) RemainingTime(step int) time.Duration { return t.remainingTimes[step] }
 
 // ActiveRuns returns the runs that have a placement and have not ended, in the order of steps and
 // indexes.
@@ -234,12 +277,15 @@
 
 // find returns the task whose current run is the given one, or nil.
 func (t *Tracker) find(run sesamedrift.Run) *task {
-	for _, k := range t.tasks {
-		if k.id == run.Task && k.runNumber == run.Number {
-			return k
-		}
+	step := run.Task.Step
+	if step < 0 || step >= len(t.firstTask) || run.Task.Index < 0 || run.Task.Index >= t.Job.Steps[step].TaskCount {
+		return nil
+	}
+	k := t.tasks[t.firstTask[step]+run.Task.Index]
+	if k.id != run.Task || k.runNumber != run.Number {
+		return nil
 	}
-	return nil
+	return k
 }
 
 // Place records the placement of a run. It reports false if the run needs none any more; the caller
