Pass stop requests on after a lost lease

A task of a job that had ended ran on to its end: its host sent the stop request to a leaseholder that had lost the lease, itself, and the upstream refused the order as fenced. The next leaseholder renewed the lease, since the entry host had claimed the run before the job ended.

Cause: a stop request was dropped by a host without the lease, when the upstream refused the order as fenced, and when the upstream was assigned to another host before the order was accepted.

Fix: such a request is passed on once, to the leaseholder that the assignment names or else to all hosts of the domain.

--- a/dispatcher/messages.go
+++ b/dispatcher/messages.go
@@ -201,6 +201,8 @@
 type stopRun struct {
 	Upstream string          `msgpack:"upstream"`
 	Run      sesamedrift.Run `msgpack:"run"`
+	// Relayed is set by a host that has lost the lease of the upstream and passes the request on.
+	Relayed bool `msgpack:"relayed,omitempty"`
 }
 
 // watchRun asks a new leaseholder to report the end of a run that the previous one has started.
--- a/leaseholder/runs.go
+++ b/leaseholder/runs.go
@@ -98,6 +98,21 @@
 	}
 }
 
+// PendingStops returns the runs to be stopped of which the upstream has accepted no stop order, sorted by run.
+func (s *Session) PendingStops() []sesamedrift.Run {
+	var runs []sesamedrift.Run
+	for _, t := range s.tasksWhere(func(t *task) bool { return t.stopRequested && t.stopAckedAt.IsZero() }) {
+		runs = append(runs, t.Run)
+	}
+	for _, w := range s.watches {
+		if w.stopRequested {
+			runs = append(runs, w.Run)
+		}
+	}
+	slices.SortFunc(runs, compareRuns)
+	return runs
+}
+
 // Unclaimed returns the runs that were found at least the given time ago and that no entry host has claimed, without
 // those that are being stopped, sorted by run.
 func (s *Session) Unclaimed(now time.Time, age time.Duration) []sesamedrift.Run {
