Count a job with a stale run as started

An upstream refuses a start as stale if this run or a later one of the task was stopped or has ended there, so that an earlier submission of the job may have run. The tracker took the refusal for a run that has not started, and the job could be answered as not run. Found by reading.

TestNotRunOnlyIfNothingStarted has the case of a stale run, which failed before.

--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -334,7 +334,8 @@
 	if t.ended || k == nil || k.phase != taskActive {
 		return
 	}
-	t.started = t.started || result != leaseholder.Rejected
+	// A run that is rejected as stale has not started itself, but one for an earlier submission of the job may have.
+	t.started = t.started || result != leaseholder.Rejected || reason == leaseholder.StaleRun
 	switch result {
 	case leaseholder.Done:
 		k.phase = taskDone
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -98,6 +98,12 @@
 	expired.Refuse("busy")
 	g.Expect(outcome(expired)).To(Equal(Lost))
 
+	stale := newJob(2, Step{TaskCount: 1})
+	stale.Place(newRun(0, 0, 1), testLocation)
+	stale.RunEnded(newRun(0, 0, 1), leaseholder.Rejected, leaseholder.StaleRun)
+	stale.Refuse("busy")
+	g.Expect(outcome(stale)).To(Equal(Lost), "a run for an earlier submission may have started")
+
 	elsewhere := newJob(2, Step{TaskCount: 1})
 	elsewhere.MarkStarted()
 	elsewhere.Refuse("busy")
