Take no run for lost while ends are missing

An upstream lists at most 500 ended runs in a response; the others follow once these are acknowledged. A session took each run that was neither active nor among them for lost, so that a task whose end follows in the next response would be started again, also if it was done. Found by reading.

A response with the largest number of ends now proves nothing about runs that it does not list. TestEndsBeyondTheFirstResponse failed before.

--- a/dispatcher/held.go
+++ b/dispatcher/held.go
@@ -31,6 +31,8 @@
 	maxClockDrift = 0.02
 	// maxOrderDelay is above the time after which upstreams carry out orders that they have not answered.
 	maxOrderDelay = 15 * time.Second
+	// maxListedEnds is the largest number of ended runs in a response of an upstream.
+	maxListedEnds = 500
 	// timerMargin covers timers that fire late.
 	timerMargin = 10 * time.Millisecond
 	// orphanTimeout is how long runs of a previous leaseholder continue unclaimed. Entry hosts
@@ -57,6 +59,7 @@
 		MaxOrderDelay:    maxOrderDelay,
 		TimerMargin:      timerMargin,
 		OrphanTimeout:    orphanTimeout,
+		MaxEnds:          maxListedEnds,
 	}
 }
 
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -65,6 +65,9 @@
 	// TimerMargin is added to the time at which a lease has expired and to StopTime, since timers
 	// may fire late.
 	TimerMargin time.Duration
+	// MaxEnds is the largest number of ended runs that a response lists; the others follow once these are acknowledged.
+	// 0 means no bound.
+	MaxEnds int
 	// OrphanTimeout is how long runs of a previous leaseholder continue at most until an entry host
 	// claims them with Session.Watch. The caller stops them earlier if it learns that they are nobody's.
 	OrphanTimeout time.Duration
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -25,6 +25,7 @@
 	MaxOrderDelay:    3 * time.Second,
 	TimerMargin:      10 * time.Millisecond,
 	OrphanTimeout:    time.Second,
+	MaxEnds:          3,
 }
 
 func testRun(index, number int) sesamedrift.Run {
@@ -529,6 +530,46 @@
 	h.g.Expect(h.takeOrder(StopOrder).Run).To(Equal(testRun(0, 1)))
 }
 
+// Guards against a run that counts as lost and is started again although its end follows in the next response: a response
+// lists a limited number of ends.
+func TestEndsBeyondTheFirstResponse(t *testing.T) {
+	h := newHarness(t)
+	h.respondToRenewal(nil, nil)
+	h.takeEvents()
+	var ends []EndedRun
+	for i := range testConfig.MaxEnds + 1 {
+		h.session.Start(h.now, testTask(i, 1))
+		h.advance(0)
+		h.respond(Response{
+			Order:  h.takeOrder(StartOrder),
+			Status: Accepted,
+		})
+		ends = append(ends, EndedRun{
+			Seq:    uint64(i + 1),
+			Run:    testRun(i, 1),
+			Result: Done,
+		})
+	}
+	h.session.Watch(h.now, testTask(testConfig.MaxEnds+1, 1))
+	h.advance(time.Millisecond)
+	h.dropOrder(h.takeOrder(RenewOrder))
+	h.advance(testConfig.MinBackoff)
+	h.respondToRenewal(nil, ends[:testConfig.MaxEnds])
+	events := h.takeEvents()
+	h.g.Expect(events).NotTo(ContainElement(HaveField("Result", Lost)))
+	h.advance(time.Millisecond)
+	h.respondToRenewal(nil, ends[testConfig.MaxEnds:])
+	events = append(events, h.takeEvents()...)
+	done := 0
+	for _, e := range events {
+		if e.Result == Done {
+			done++
+		}
+	}
+	h.g.Expect(done).To(Equal(testConfig.MaxEnds + 1))
+	h.g.Expect(events).To(ContainElement(And(HaveField("Result", Lost), HaveField("Task.Run", testRun(testConfig.MaxEnds+1, 1)))))
+}
+
 // Guards against start orders to an upstream that is unresponsive or leaving.
 func TestStartIsRejectedWithoutOrder(t *testing.T) {
 	h := newHarness(t)
--- a/leaseholder/responses.go
+++ b/leaseholder/responses.go
@@ -177,11 +177,19 @@
 			t.stopAckedAt = time.Time{}
 		}
 	}
+	if !s.listsAllEnds(resp) {
+		return
+	}
 	for _, t := range s.tasksWhere(func(t *task) bool { return !listed[t.Run] }) {
 		s.handleUnlisted(now, t, resp.Order.SentAt)
 	}
 }
 
+// listsAllEnds reports whether a run that the response does not list has no end that a later one lists.
+func (s *Session) listsAllEnds(resp Response) bool {
+	return s.cfg.MaxEnds == 0 || len(resp.Ended) < s.cfg.MaxEnds
+}
+
 // handleUnlisted handles a run that is missing in the response to a renewal that was sent at the
 // given time.
 func (s *Session) handleUnlisted(now time.Time, t *task, sent time.Time) {
@@ -240,7 +248,7 @@
 			}
 		case hasEnded:
 			s.reportWatched(w.Task, result)
-		case !sent.Before(w.requestedAt):
+		case s.listsAllEnds(resp) && !sent.Before(w.requestedAt):
 			s.reportWatched(w.Task, Lost)
 		default:
 			return false
