Pause between stop orders that fail at once

A stop order without a response is sent again at once. An upstream that answers it with an error, such as 500, counts as giving no response, so that its host sent stop orders one after the other without a pause. Found by TestUnansweredStartIsNotRejectedWithoutStop, which did not end with the answer "no response" and a loop over the orders.

--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -106,8 +106,8 @@
 	stopRequested bool
 	stopSentAt    time.Time // zero if no stop order is in flight
 	stopAckedAt   time.Time // zero if no stop order was accepted
-	// stopRetryAt is when a stop order that was refused is sent again, stopRefusals the number of refusals in
-	// sequence.
+	// stopRetryAt is the time from which on a stop order that was not accepted is sent again, stopRefusals the number of
+	// refusals in sequence.
 	stopRetryAt  time.Time
 	stopRefusals int
 }
--- a/leaseholder/responses.go
+++ b/leaseholder/responses.go
@@ -96,7 +96,10 @@
 			Task:   t.Task,
 			Reason: resp.Reason,
 		})
-	case NoResponse, OtherIncarnation:
+	case NoResponse:
+		// An error is answered at once, and also counts as no response.
+		t.stopRetryAt = resp.Order.SentAt.Add(s.cfg.MinBackoff)
+	case OtherIncarnation:
 	}
 }
 
