Bound the placer's walks over runs by their number

Tasks may request no processor, so that any number of them runs on an upstream.

The runs of other entry hosts are now found in one walk, and the runs of a step on an upstream are counted as they come and go. Decisions are the same.

--- a/placer/bench_test.go
+++ b/placer/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"sesamedrift.example/sesamedrift"
 	"sesamedrift.example/sesamedrift/leaseholder"
 )
 
@@ -96,3 +97,51 @@
 		})
 	}
 }
+
+// BenchmarkLargestJob measures the placement of a job with the largest number of tasks beside others like it whose runs
+// fill a shard, and the request of another entry host for it, as of a caller that has sent it again. Tasks without a
+// demand of CPU fit any upstream.
+func BenchmarkLargestJob(b *testing.B) {
+	const upstreams, others = 117, 20
+	for _, perUpstream := range []int{0, 100} {
+		b.Run(fmt.Sprint("per-upstream-", perUpstream), func(b *testing.B) {
+			p := New(Config{})
+			for i := range upstreams {
+				id := fmt.Sprint("u", i)
+				p.SetUpstream(Upstream{
+					ID:       id,
+					Service:  "s",
+					Capacity: cpu(16000),
+				})
+				p.SetUsable(start, id, true)
+			}
+			h := &harness{now: start}
+			largest := func(id string) Job {
+				j := h.job(id, "q", sesamedrift.MaxTasks, 0, 50*time.Millisecond)
+				for i := range j.Tasks {
+					j.Tasks[i].MaxPerUpstream = perUpstream
+				}
+				return j
+			}
+			for i := range others {
+				p.Enqueue(start, largest(fmt.Sprint("other", i)))
+			}
+			p.TakeDecisions()
+			for i := 0; b.Loop(); i++ {
+				id := fmt.Sprint("j", i)
+				p.Enqueue(start, largest(id))
+				placed := p.TakeDecisions()
+				resent := largest(id)
+				resent.Entry = "another"
+				p.Enqueue(start, resent)
+				p.Withdraw(resent.Entry, id)
+				for _, d := range placed {
+					for _, g := range d.Placements {
+						p.RunEnded(start, g.Upstream, g.Run, leaseholder.Done, "", 50*time.Millisecond)
+					}
+				}
+				p.TakeDecisions()
+			}
+		})
+	}
+}
--- a/placer/fit.go
+++ b/placer/fit.go
@@ -158,13 +158,7 @@
 
 // runsOfStep returns the number of runs on the upstream that belong to the step of a task.
 func (u *upstream) runsOfStep(id sesamedrift.TaskID) int {
-	n := 0
-	for run := range u.runs {
-		if run.Task.Job == id.Job && run.Task.Step == id.Step {
-			n++
-		}
-	}
-	return n
+	return u.stepRuns[stepOf(id)]
 }
 
 // lessFree reports whether a has less free CPU than b, or as much and is faster. Cold upstreams come last.
--- a/placer/runs.go
+++ b/placer/runs.go
@@ -62,6 +62,7 @@
 // addRun adds an open run to an upstream. The caller updates the free capacity.
 func (p *Placer) addRun(u *upstream, run sesamedrift.Run, r *placedRun) {
 	u.runs[run] = r
+	u.stepRuns[stepOf(run.Task)]++
 	p.runCounts[run.Task]++
 }
 
@@ -71,6 +72,10 @@
 		u.health.probeRuns = max(0, u.health.probeRuns-1)
 	}
 	delete(u.runs, run)
+	step := stepOf(run.Task)
+	if u.stepRuns[step]--; u.stepRuns[step] <= 0 {
+		delete(u.stepRuns, step)
+	}
 	if p.runCounts[run.Task]--; p.runCounts[run.Task] <= 0 {
 		delete(p.runCounts, run.Task)
 	}
--- a/placer/upstreams.go
+++ b/placer/upstreams.go
@@ -16,17 +16,35 @@
 	isCold bool
 	free   sesamedrift.Resources
 	runs   map[sesamedrift.Run]*placedRun
-	health health
+	// stepRuns holds the number of the runs of each step.
+	stepRuns map[jobStep]int
+	health   health
 	// planIndex is the index in the plan that was made last.
 	planIndex int
 }
 
+// jobStep identifies a step of a job.
+type jobStep struct {
+	job  string
+	step int
+}
+
+func stepOf(id sesamedrift.TaskID) jobStep {
+	return jobStep{
+		job:  id.Job,
+		step: id.Step,
+	}
+}
+
 // SetUpstream adds an upstream or replaces its description. A new upstream gets no tasks until
 // SetUsable is called.
 func (p *Placer) SetUpstream(u Upstream) {
 	known := p.upstreams[u.ID]
 	if known == nil {
-		known = &upstream{runs: map[sesamedrift.Run]*placedRun{}}
+		known = &upstream{
+			runs:     map[sesamedrift.Run]*placedRun{},
+			stepRuns: map[jobStep]int{},
+		}
 		p.upstreams[u.ID] = known
 		i, _ := slices.BinarySearchFunc(p.sorted, u.ID, compareID)
 		p.sorted = slices.Insert(p.sorted, i, known)
--- a/placer/waiting.go
+++ b/placer/waiting.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"sesamedrift.example/sesamedrift"
 )
 
 // Enqueue adds a job whose tasks wait for placement, and places, forwards or refuses what it can
@@ -77,15 +79,19 @@
 // otherRunEntries returns the other entry hosts for which tasks of a job have open runs; "" stands for an unknown one.
 func (p *Placer) otherRunEntries(j *Job) map[string]bool {
 	entries := map[string]bool{}
+	open := map[sesamedrift.TaskID]bool{}
 	for _, t := range j.Tasks {
-		if p.runCounts[t.Run.Task] == 0 {
-			continue
+		if p.runCounts[t.Run.Task] > 0 {
+			open[t.Run.Task] = true
 		}
-		for _, u := range p.sorted {
-			for run, r := range u.runs {
-				if run.Task == t.Run.Task && r.key.entry != j.Entry {
-					entries[r.key.entry] = true
-				}
+	}
+	if len(open) == 0 {
+		return entries
+	}
+	for _, u := range p.sorted {
+		for run, r := range u.runs {
+			if run.Task.Job == j.ID && r.key.entry != j.Entry && open[run.Task] {
+				entries[r.key.entry] = true
 			}
 		}
 	}
