Keep the slot of a task until its stop is confirmed

A host that stops a task sent one request to the upstream and dropped the answer: a refusal, an error and a missing answer all counted as the end of the task, and its slot was used again while it might run on.

Only 204 and 404 confirm a stop. Otherwise the request is repeated with backoff, and the task keeps its slot until its lease has ended. Event 5022 task-not-stopped, metric task_stops_unconfirmed.

--- a/reporter/events.go
+++ b/reporter/events.go
@@ -362,6 +362,12 @@
 		Level:       slog.LevelWarn,
 		Description: "An upstream has refused the order to stop a run; the attributes hold the run and the reason. The run may be active or may still start.",
 	}
+	TaskNotStopped = Event{
+		ID:          5022,
+		Name:        "task-not-stopped",
+		Level:       slog.LevelWarn,
+		Description: "An upstream has not confirmed a request to stop a task; the attributes hold the task and the error. The task keeps its slot, and the request is repeated, until the upstream confirms it or the lease of the task has ended.",
+	}
 )
 
 // Events 6xxx: connections and messages between hosts.
@@ -531,6 +537,7 @@
 	ReportsNotStored,
 	ReportsNotRead,
 	StopRefused,
+	TaskNotStopped,
 	PeerRejected,
 	MessageRejected,
 	JournalTornTail,
--- a/server/counters.go
+++ b/server/counters.go
@@ -17,6 +17,8 @@
 	Rejected uint64 `json:"rejected" msgpack:"rejected"`
 	// Lost counts attempts that may have started the task and whose answer was lost.
 	Lost uint64 `json:"lost" msgpack:"lost"`
+	// UnconfirmedStops counts requests to stop a task that the upstream has not confirmed.
+	UnconfirmedStops uint64 `json:"unconfirmed-stops" msgpack:"unconfirmed-stops"`
 	// Late counts answers that arrived after their job had ended.
 	Late uint64 `json:"late" msgpack:"late"`
 	// Complete, Failed, Refused, Unknown and Cancelled count the jobs with the outcome.
@@ -38,6 +40,7 @@
 	{metric: "task_forwards", total: func(c *Counters) *uint64 { return &c.Forwards }},
 	{metric: "task_rejections", total: func(c *Counters) *uint64 { return &c.Rejected }},
 	{metric: "task_losses", total: func(c *Counters) *uint64 { return &c.Lost }},
+	{metric: "task_stops_unconfirmed", total: func(c *Counters) *uint64 { return &c.UnconfirmedStops }},
 	{metric: "late_answers", total: func(c *Counters) *uint64 { return &c.Late }},
 	{metric: "outcomes", status: sesamedrift.Complete, total: func(c *Counters) *uint64 { return &c.Complete }},
 	{metric: "outcomes", status: sesamedrift.Failed, total: func(c *Counters) *uint64 { return &c.Failed }},
--- a/server/host.go
+++ b/server/host.go
@@ -147,6 +147,7 @@
 	h.metrics = newMetrics()
 	h.members = newMembership(cfg, h.self)
 	h.dispatcher = newDispatcher(cfg, h)
+	h.runner.stopFailed = h.recordStopFailure
 	h.dispatcher.evacuated = true // until the evacuations are known
 	h.claimTable, h.claims = newClaims(h)
 	h.peers = newPeers(cfg, h.hello())
@@ -308,6 +309,7 @@
 		_ = p.conn.Close()
 	}
 	h.loops.Wait()
+	h.runner.endStops()
 	h.dispatcher.cancelAll()
 	h.background.Wait()
 	if h.replica != nil {
--- a/server/remote.go
+++ b/server/remote.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sesamedrift.example/sesamedrift/messenger"
+	"sesamedrift.example/sesamedrift/reporter"
 	"sesamedrift.example/sesamedrift/scheduler"
 )
 
@@ -464,6 +465,12 @@
 	return a
 }
 
+// recordStopFailure logs and counts a request to stop a task that an upstream has not confirmed.
+func (h *Host) recordStopFailure(upstream, task string, err error) {
+	reporter.Log(context.Background(), h.log, reporter.TaskNotStopped, "upstream", upstream, "task", task, "error", err)
+	h.dispatcher.post(func(time.Time) { h.dispatcher.stats.UnconfirmedStops++ })
+}
+
 // errUpstreamRestarted is the cause with which attempts on an upstream are cancelled that announced a
 // new incarnation.
 var errUpstreamRestarted = errors.New("the upstream restarted")
--- a/server/runner.go
+++ b/server/runner.go
@@ -12,6 +12,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,9 @@
 	leaseGrace = 250 * time.Millisecond
 	// stopTimeout bounds the request that stops a task.
 	stopTimeout = time.Second
+	// minStopDelay is the first delay between two requests to stop a task; it doubles up to maxStopDelay.
+	minStopDelay = 20 * time.Millisecond
+	maxStopDelay = 500 * time.Millisecond
 	// maxErrorBody is the number of bytes that are read of an upstream's error response.
 	maxErrorBody = 16 << 10
 )
@@ -53,7 +57,7 @@
 	runNotStarted
 	// runLost: the task may have started, and its answer is lost.
 	runLost
-	// runStopped: the task was started and then stopped by this host.
+	// runStopped: this host has stopped the task. The upstream has confirmed that, or the lease of the task has ended.
 	runStopped
 	// runFenced: the claim no longer allows this host to start the task.
 	runFenced
@@ -98,12 +102,21 @@
 	maxAnswer int64
 	sent      atomic.Int64
 	rejected  atomic.Int64
+	// closing is closed by endStops, after which requests to stop a task are not repeated.
+	closing  chan struct{}
+	endStops func()
+	// stopFailed is called for each request to stop a task that the upstream has not confirmed.
+	stopFailed func(upstream, task string, err error)
 }
 
 func newRunner(maxAnswer int64, connections int) *runner {
 	dialer := &net.Dialer{Timeout: upstreamDialTimeout}
+	closing := make(chan struct{})
 	return &runner{
-		maxAnswer: maxAnswer,
+		maxAnswer:  maxAnswer,
+		closing:    closing,
+		endStops:   sync.OnceFunc(func() { close(closing) }),
+		stopFailed: func(string, string, error) {},
 		http: &http.Client{
 			Transport: &http.Transport{
 				DialContext:         dialer.DialContext,
@@ -119,9 +132,8 @@
 
 func (r *runner) close() { r.http.CloseIdleConnections() }
 
-// run performs one attempt and returns when the upstream has answered, when leaseGrace has passed
-// since the end of the lease, or when ctx is done. If ctx is done before the answer, the task is
-// stopped at the upstream.
+// run performs one attempt and returns when the upstream has answered, or when leaseGrace has passed
+// since the end of the lease. If ctx is done before the answer, the task is stopped at the upstream.
 func (r *runner) run(ctx context.Context, now func() time.Time, u leaser.Announcement, t taskRun) taskAnswer {
 	started := now()
 	answer := r.attempt(ctx, u, t)
@@ -129,7 +141,7 @@
 	answer.Elapsed = now().Sub(started)
 	if answer.Result == runLost && ctx.Err() != nil {
 		answer.Result = runStopped
-		r.stop(u, t)
+		r.stop(ctx, now, u, t, started.Add(t.Lease+leaseGrace))
 	}
 	return answer
 }
@@ -218,20 +230,46 @@
 	}
 }
 
-// stop requests the upstream to stop the task. An upstream that cannot be reached stops the task when
-// its lease ends.
-func (r *runner) stop(u leaser.Announcement, t taskRun) {
+// stop requests the upstream to stop the task until the upstream confirms it, the lease of the task has ended, or the host
+// stops. A restarted upstream is asked once: it does not run the task unless the attempt reaches it late.
+func (r *runner) stop(ctx context.Context, now func() time.Time, u leaser.Announcement, t taskRun, ends time.Time) {
+	for delay := minStopDelay; ; delay = min(2*delay, maxStopDelay) {
+		err := r.requestStop(u, t)
+		if err == nil {
+			return
+		}
+		r.stopFailed(u.Upstream, t.TaskID, err)
+		remaining := ends.Sub(now())
+		if remaining <= 0 || errors.Is(context.Cause(ctx), errUpstreamRestarted) {
+			return
+		}
+		select {
+		case <-time.After(min(delay, remaining)):
+		case <-r.closing:
+			return
+		}
+	}
+}
+
+// requestStop returns nil if the upstream confirms that the task does not run.
+func (r *runner) requestStop(u leaser.Announcement, t taskRun) error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	target := "http://" + u.Address + "/tasks/" + url.PathEscape(t.TaskID)
 	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, target, nil)
 	if err != nil {
-		return
+		return err
 	}
 	req.Header.Set(attemptHeader, strconv.Itoa(t.Attempt))
-	if resp, err := r.http.Do(req); err == nil {
-		_ = resp.Body.Close()
+	resp, err := r.http.Do(req)
+	if err != nil {
+		return err
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotFound {
+		return errors.New("status " + resp.Status)
 	}
+	return nil
 }
 
 // listRunning returns the tasks that run on the upstream, by identifier.
