Read only defined errors of upstreams as the end of a task

A host took each error of an upstream but 503 not-started for a task that has run and failed, also 502 and 504 of something between the two, 500 without a body, 429 and 503 with another code. The caller was told "failed", although the task may have succeeded.

Only the errors that the protocol defines say what became of the task. After any other one its answer is lost: a task of an idempotent kind is sent again, the others end as unknown. TestErrorsOfUpstreams failed before in 6 of 10 cases.

--- a/server/runner.go
+++ b/server/runner.go
@@ -210,6 +210,33 @@
 	return taskAnswer{Result: runSucceeded, Answer: bytes.Clone(body)}
 }
 
+// upstreamError is the status and the code of an error response.
+type upstreamError struct {
+	status int
+	code   string
+}
+
+// definedErrors holds the results of the errors that the upstream protocol defines. Any other one, perhaps of a program
+// between host and upstream, leaves open whether the task has run.
+var definedErrors = map[upstreamError]runResult{
+	{
+		status: http.StatusServiceUnavailable,
+		code:   "not-started",
+	}: runNotStarted,
+	{
+		status: http.StatusInternalServerError,
+		code:   "task-failed",
+	}: runFailed,
+	{
+		status: http.StatusInternalServerError,
+		code:   "task-stopped",
+	}: runFailed,
+	{
+		status: http.StatusBadRequest,
+		code:   "bad-request",
+	}: runFailed,
+}
+
 func (r *runner) readError(resp *http.Response) taskAnswer {
 	var e struct {
 		Code    string `json:"code"`
@@ -217,14 +244,20 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
 	if err != nil || json.Unmarshal(body, &e) != nil {
-		e.Message = "status " + resp.Status
+		e.Message = "no error of an upstream"
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable && e.Code == "not-started" {
+	result, defined := definedErrors[upstreamError{
+		status: resp.StatusCode,
+		code:   e.Code,
+	}]
+	switch {
+	case !defined:
+		return taskAnswer{Result: runLost, Reason: fmt.Sprintf("status %s: %s", resp.Status, e.Message)}
+	case result == runNotStarted:
 		r.rejected.Add(1)
-		return taskAnswer{Result: runNotStarted, Reason: e.Message}
 	}
 	return taskAnswer{
-		Result:     runFailed,
+		Result:     result,
 		Reason:     e.Message,
 		LeaseEnded: e.Code == "task-stopped",
 	}
--- a/server/runner_test.go
+++ b/server/runner_test.go
@@ -81,3 +81,81 @@
 	g.Expect(waited).To(BeNumerically(">", lease-100*time.Millisecond))
 	g.Expect(waited).To(BeNumerically("<", lease+leaseGrace+stopTimeout))
 }
+
+// Guards against the outcome "failed" for a task that may have succeeded, and against "not run" for one that may have
+// started: only the errors that the protocol defines say what became of the task.
+func TestErrorsOfUpstreams(t *testing.T) {
+	for _, test := range []struct {
+		status int
+		body   string
+		result runResult
+	}{
+		{
+			status: http.StatusServiceUnavailable,
+			body:   `{"code": "not-started", "message": "no free slot"}`,
+			result: runNotStarted,
+		},
+		{
+			status: http.StatusInternalServerError,
+			body:   `{"code": "task-failed", "message": "no"}`,
+			result: runFailed,
+		},
+		{
+			status: http.StatusInternalServerError,
+			body:   `{"code": "task-stopped", "message": "the lease has ended"}`,
+			result: runFailed,
+		},
+		{
+			status: http.StatusBadRequest,
+			body:   `{"code": "bad-request", "message": "the header Task-Lease must be a duration above zero"}`,
+			result: runFailed,
+		},
+		{
+			status: http.StatusInternalServerError,
+			result: runLost,
+		},
+		{
+			status: http.StatusBadGateway,
+			body:   "<html>bad gateway</html>",
+			result: runLost,
+		},
+		{
+			status: http.StatusServiceUnavailable,
+			body:   `{"code": "overloaded"}`,
+			result: runLost,
+		},
+		{
+			status: http.StatusInternalServerError,
+			body:   `{"code": "not-started"}`,
+			result: runLost,
+		},
+		{
+			status: http.StatusGatewayTimeout,
+			result: runLost,
+		},
+		{
+			status: http.StatusTooManyRequests,
+			result: runLost,
+		},
+	} {
+		t.Run(fmt.Sprint(test.status, test.body), func(t *testing.T) {
+			g := NewWithT(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(test.status)
+				_, _ = w.Write([]byte(test.body))
+			}))
+			defer server.Close()
+			r := newRunner(1024, 4)
+			defer r.close()
+			a := r.run(t.Context(), time.Now, leaser.Announcement{
+				Upstream: "worker-0",
+				Address:  server.Listener.Addr().String(),
+			}, taskRun{
+				TaskID:  "a",
+				Attempt: 1,
+				Lease:   time.Second,
+			})
+			g.Expect(a.Result).To(Equal(test.result), a.Reason)
+		})
+	}
+}
