Take no empty reply of a host for a statement

A submission whose home domain replied with neither an outcome nor an error was answered not-ready, which callers read as not processed. A forwarded task whose reply had no answer counted as done, since success is the zero value.

The submission now ends as unknown and the task as lost.

--- a/server/forward.go
+++ b/server/forward.go
@@ -54,11 +54,21 @@
 		kind:      messenger.KindSubmit,
 		in:        forwarded,
 	})
-	if err == nil {
-		return fromResponse(reply)
+	return submissionOutcome(&r.Submission, home, reply, err)
+}
+
+var errEmptyReply = errors.New("the reply has neither an outcome nor an error")
+
+// submissionOutcome returns what the reply of the home domain to a submission says. Without a usable reply the submission
+// may have run.
+func submissionOutcome(s *sesamedrift.Submission, home string, reply response, err error) (sesamedrift.Outcome, *Error) {
+	if err == nil && reply.Error == nil && reply.Outcome == nil {
+		err = errEmptyReply
+	}
+	if err != nil {
+		return sesamedrift.IncompleteOutcome(s, sesamedrift.Unknown, "the home domain "+home+" could not be asked: "+err.Error()), nil
 	}
-	return sesamedrift.IncompleteOutcome(&r.Submission, sesamedrift.Unknown,
-		"the home domain "+home+" could not be asked: "+err.Error()), nil
+	return fromResponse(reply)
 }
 
 var errUnresponsivePeer = errors.New("the host left the last exchange unanswered")
--- a/server/remote.go
+++ b/server/remote.go
@@ -213,6 +213,8 @@
 		return taskAnswer{Result: runStopped}
 	case err != nil:
 		return taskAnswer{Result: runLost, Reason: err.Error()}
+	case reply.Answer.isEmpty():
+		return taskAnswer{Result: runLost, Reason: "the reply of " + host + " has no answer"}
 	}
 	h.dispatcher.post(func(now time.Time) {
 		h.dispatcher.peers.update(now, host, reply.Slots)
--- a/server/runner.go
+++ b/server/runner.go
@@ -96,6 +96,10 @@
 	Elapsed    time.Duration `msgpack:"took"`
 }
 
+// isEmpty reports whether the answer is that of a reply without one. The first result is also the zero value, but each
+// answer of an upstream names it.
+func (a *taskAnswer) isEmpty() bool { return a.Result == runSucceeded && a.Upstream == "" }
+
 // runner sends tasks to upstreams. It is safe for concurrent use.
 type runner struct {
 	http      *http.Client
