--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -548,7 +548,7 @@
 	h := newHarness(t)
 	h.respondToRenewal(nil, nil)
 	h.takeEvents()
-	var ends []EndedRun
+	ends := make([]EndedRun, 0, testConfig.MaxEnds+1)
 	for i := range testConfig.MaxEnds + 1 {
 		h.session.Start(h.now, testTask(i, 1))
 		h.advance(0)
--- a/server/forward.go
+++ b/server/forward.go
@@ -62,13 +62,11 @@
 // submissionOutcome returns what the reply of the home domain to a submission says. Without a usable reply the submission
 // may have run.
 func submissionOutcome(s *sesamedrift.Submission, home string, reply response, err error) (sesamedrift.Outcome, *Error) {
-	if err == nil && reply.Error == nil && reply.Outcome == nil {
-		err = errEmptyReply
-	}
-	if err != nil {
-		return sesamedrift.IncompleteOutcome(s, sesamedrift.Unknown, "the home domain "+home+" could not be asked: "+err.Error()), nil
+	if err == nil && (reply.Error != nil || reply.Outcome != nil) {
+		return fromResponse(reply)
 	}
-	return fromResponse(reply)
+	return sesamedrift.IncompleteOutcome(s, sesamedrift.Unknown,
+		"the home domain "+home+" could not be asked: "+cmp.Or(err, errEmptyReply).Error()), nil
 }
 
 var errUnresponsivePeer = errors.New("the host left the last exchange unanswered")
