Let a freeze of the emulator not shorten an earlier one

TestLateStartOnNextIncarnation, reported a job without an answer by its deadline. Trace: its host was frozen at 10.59 s for 1.81 s and again at 11.18 s for 0.14 s. The second freeze set the end of the first to 11.32 s, while the events of the host stayed held until 12.40 s, so that the check took it for a running host. What the upstreams and callers see is checked as before.

--- a/emulator/host.go
+++ b/emulator/host.go
@@ -155,8 +155,8 @@
 }
 
 // Freeze suspends the host's process for d. Messages and timers that are due meanwhile are handled
-// when it resumes.
-func (n *Host) Freeze(d time.Duration) { n.frozenUntil = n.w.Now() + d }
+// when it resumes. A shorter freeze within a longer one has no effect.
+func (n *Host) Freeze(d time.Duration) { n.frozenUntil = max(n.frozenUntil, n.w.Now()+d) }
 
 // Drain starts a graceful shutdown of the host; it does nothing if the process is down.
 func (n *Host) Drain() {
