--- a/placer/bench_test.go
+++ b/placer/bench_test.go
@@ -9,21 +9,27 @@
 	"sesamedrift.example/sesamedrift/leaseholder"
 )
 
+// newIdlePlacer returns a placer with a number of idle upstreams.
+func newIdlePlacer(upstreams int) *Placer {
+	p := New(Config{})
+	for i := range upstreams {
+		id := fmt.Sprint("u", i)
+		p.SetUpstream(Upstream{
+			ID:       id,
+			Service:  "s",
+			Capacity: cpu(16000),
+		})
+		p.SetUsable(start, id, true)
+	}
+	return p
+}
+
 // BenchmarkEnqueue measures the placement of a job of 8 tasks on idle upstreams, and the ends of
 // its runs, by the number of upstreams.
 func BenchmarkEnqueue(b *testing.B) {
 	for _, n := range []int{16, 117, 350} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			p := New(Config{})
-			for i := range n {
-				id := fmt.Sprint("u", i)
-				p.SetUpstream(Upstream{
-					ID:       id,
-					Service:  "s",
-					Capacity: cpu(16000),
-				})
-				p.SetUsable(start, id, true)
-			}
+			p := newIdlePlacer(n)
 			h := &harness{now: start}
 			for i := 0; b.Loop(); i++ {
 				id := fmt.Sprint("j", i)
@@ -44,16 +50,7 @@
 func BenchmarkOverload(b *testing.B) {
 	for _, load := range []float64{0.6, 1, 1.5, 3} {
 		b.Run(fmt.Sprint(load), func(b *testing.B) {
-			p := New(Config{})
-			for i := range 117 {
-				id := fmt.Sprint("u", i)
-				p.SetUpstream(Upstream{
-					ID:       id,
-					Service:  "s",
-					Capacity: cpu(16000),
-				})
-				p.SetUsable(start, id, true)
-			}
+			p := newIdlePlacer(117)
 			// Two tasks fit on an upstream at the same time.
 			const tasks, runTime = 4, 200 * time.Millisecond
 			interval := time.Duration(float64(runTime) * tasks / (2 * 117) / load)
@@ -105,16 +102,7 @@
 	const upstreams, others = 117, 20
 	for _, perUpstream := range []int{0, 100} {
 		b.Run(fmt.Sprint("per-upstream-", perUpstream), func(b *testing.B) {
-			p := New(Config{})
-			for i := range upstreams {
-				id := fmt.Sprint("u", i)
-				p.SetUpstream(Upstream{
-					ID:       id,
-					Service:  "s",
-					Capacity: cpu(16000),
-				})
-				p.SetUsable(start, id, true)
-			}
+			p := newIdlePlacer(upstreams)
 			h := &harness{now: start}
 			largest := func(id string) Job {
 				j := h.job(id, "q", sesamedrift.MaxTasks, 0, 50*time.Millisecond)
