Read the start of a step once in the watchdog

check read the start of the step, and blockedFor read it again, so that the time and the step that it was logged for could belong to two steps; the metric read it a third time. One function now returns the time for both. Tests unchanged.

--- a/dispatcher/watchdog.go
+++ b/dispatcher/watchdog.go
@@ -34,22 +34,16 @@
 
 func (d *watchdog) stepEnds() { d.stepSince.Store(0) }
 
-// blockedFor returns the time for which the loop has been in its current step.
-func (d *watchdog) blockedFor(now time.Time) time.Duration {
+// check returns the time for which the loop has been in its current step. If that is more than loopBlockedAfter, it also
+// returns the call stack of the loop, once for each step.
+func (d *watchdog) check(now time.Time) (blocked time.Duration, stack string, found bool) {
 	since := d.stepSince.Load()
 	if since == 0 {
-		return 0
+		return 0, "", false
 	}
-	return now.Sub(time.Unix(0, since))
-}
-
-// check returns the time for which the loop has been blocked and its call stack, once for each step that takes more than
-// loopBlockedAfter.
-func (d *watchdog) check(now time.Time) (blocked time.Duration, stack string, found bool) {
-	since := d.stepSince.Load()
-	blocked = d.blockedFor(now)
+	blocked = now.Sub(time.Unix(0, since))
 	if blocked < loopBlockedAfter || since == d.reported {
-		return 0, "", false
+		return blocked, "", false
 	}
 	d.reported = since
 	return blocked, d.stack(), true
@@ -65,11 +59,11 @@
 			return
 		case <-ticker.C:
 		}
-		now := h.cfg.Now()
+		blocked, stack, found := h.watchdog.check(h.cfg.Now())
 		if h.cfg.Metrics != nil {
-			h.cfg.Metrics.Scope.Gauge("loop_step_seconds").Update(h.watchdog.blockedFor(now).Seconds())
+			h.cfg.Metrics.Scope.Gauge("loop_step_seconds").Update(blocked.Seconds())
 		}
-		if blocked, stack, found := h.watchdog.check(now); found {
+		if found {
 			reporter.Log(ctx, h.cfg.Log, reporter.LoopBlocked, "blocked", blocked, "waiting", h.inbox.size(), "stack", stack)
 		}
 	}
