--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -445,13 +445,15 @@
 	})
 }
 
-// acceptFirstOrder accepts the oldest order in the name of the first incarnation of its upstream, and returns it.
-func (h *harness) acceptFirstOrder() pendingOrder {
+// acceptFirstOrder accepts the oldest order in the name of the first incarnation of its upstream, which lists the given
+// runs, and returns it.
+func (h *harness) acceptFirstOrder(running ...leaseholder.ListedRun) pendingOrder {
 	first := h.orders[0]
 	first.done(h.now, leaseholder.Response{
 		Order:       first.Order,
 		Status:      leaseholder.Accepted,
 		Incarnation: 1,
+		Running:     running,
 	})
 	return first
 }
--- a/dispatcher/lostleases_test.go
+++ b/dispatcher/lostleases_test.go
@@ -19,14 +19,8 @@
 	})
 	h.assign(1)
 	h.core.Flush(h.now)
-	first := h.orders[0]
+	h.acceptFirstOrder(leaseholder.ListedRun{Run: run})
 	h.orders = nil
-	first.done(h.now, leaseholder.Response{
-		Order:       first.Order,
-		Status:      leaseholder.Accepted,
-		Incarnation: 1,
-		Running:     []leaseholder.ListedRun{{Run: run}},
-	})
 	h.core.Flush(h.now)
 	return h
 }
--- a/placer/plan_test.go
+++ b/placer/plan_test.go
@@ -226,18 +226,9 @@
 // newBusyShard returns a harness with 500 waiting jobs of 4 tasks on the 36 busy upstreams of a shard.
 func newBusyShard(demand int64) *harness {
 	h := &harness{
-		p:   New(Config{}),
+		p:   newIdlePlacer(36),
 		now: start,
 	}
-	for i := range 36 {
-		id := fmt.Sprint("u", i)
-		h.p.SetUpstream(Upstream{
-			ID:       id,
-			Service:  "s",
-			Capacity: cpu(16000),
-		})
-		h.p.SetUsable(start, id, true)
-	}
 	for i := 0; h.p.WaitingJobs() < 500; i++ {
 		j := h.job(fmt.Sprint("j", i), "q", 4, demand, time.Duration(50+i%400)*time.Millisecond)
 		j.TargetLatency = time.Hour
